Add platform clients, platform stand-in and membership

Cause: daemons need the table, object store, instance list and workers, and each other. Change: HTTP clients that tell "certainly not sent" from "may have taken effect"; a stand-in with fault switches (outage, hang, delay, lost replies, list lag, broken and unreachable workers, misbehaving endpoints); membership by heartbeats over one outgoing TCP link per peer, with seeds so that members are found while the instance list is away. Ruled out: one shared connection per peer pair (a one-way link could not be seen). Conclusion: base for the daemon.

--- /dev/null
+++ b/packages/platform/src/httpclient.ts
@@ -0,0 +1,79 @@
+import { Pool } from 'undici';
+import type { Dispatcher } from 'undici';
+
+/** Options of a client of one HTTP service. */
+export interface HttpClientOptions {
+  /** `http://ip:port`. */
+  origin: string;
+  /** Upper bound of concurrent connections. */
+  connections: number;
+  /** Time until the answer must have arrived, in milliseconds. */
+  timeoutMs: number;
+}
+
+/** How an exchange ended. */
+export enum ExchangeStatus {
+  Answered = 'answered',
+  /** The request certainly did not reach the service. */
+  NotSent = 'notSent',
+  /** The request may have reached the service, but no whole answer came back. */
+  Lost = 'lost',
+}
+
+/** Outcome of one exchange. */
+export type Exchange =
+  | { status: ExchangeStatus.Answered; code: number; body: string }
+  | { status: ExchangeStatus.NotSent; message: string }
+  | { status: ExchangeStatus.Lost; message: string };
+
+/** Client of one HTTP service with a small pool of connections. */
+export interface HttpClient {
+  /** Sends one request once and reads the whole answer as text. */
+  send(method: Dispatcher.HttpMethod, path: string, body?: string): Promise<Exchange>;
+  /** Closes the connections after the exchanges in progress. */
+  close(): Promise<void>;
+}
+
+// Errors raised before any byte of the request could reach the service.
+const notSentCodes = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH']);
+
+function getErrorCode(error: unknown): string {
+  const code = (error as { code?: unknown }).code;
+  return typeof code === 'string' ? code : '';
+}
+
+function createFailedExchange(error: unknown): Exchange {
+  const message = error instanceof Error ? error.message : String(error);
+  const status = notSentCodes.has(getErrorCode(error))
+    ? ExchangeStatus.NotSent
+    : ExchangeStatus.Lost;
+  return { status, message };
+}
+
+/** Creates a client; connections are opened on first use and kept alive. */
+export function createHttpClient(options: HttpClientOptions): HttpClient {
+  const pool = new Pool(options.origin, {
+    connections: options.connections,
+    pipelining: 1,
+    connectTimeout: options.timeoutMs,
+    headersTimeout: options.timeoutMs,
+    bodyTimeout: options.timeoutMs,
+  });
+
+  async function send(
+    method: Dispatcher.HttpMethod,
+    path: string,
+    body?: string,
+  ): Promise<Exchange> {
+    try {
+      const headers = body === undefined ? {} : { 'content-type': 'application/json' };
+      const answer = await pool.request({ method, path, headers, body: body ?? null });
+      const text = await answer.body.text();
+      return { status: ExchangeStatus.Answered, code: answer.statusCode, body: text };
+    } catch (error) {
+      return createFailedExchange(error);
+    }
+  }
+
+  return { send, close: async () => pool.close() };
+}
--- /dev/null
+++ b/packages/platform/src/httptable.ts
@@ -0,0 +1,88 @@
+import { FaultCode, createFault } from '@bergamotreach/protocol';
+import type { Fault } from '@bergamotreach/protocol';
+import { Err, Ok } from 'ts-results-es';
+import type { Result } from 'ts-results-es';
+import { ExchangeStatus } from './httpclient.ts';
+import type { Exchange, HttpClient } from './httpclient.ts';
+import { CommitStatus, Table } from './table.ts';
+import type { Commit, CommitReply, Row, RowPage } from './table.ts';
+
+const defaultPageRows = 500;
+
+/** Reads a JSON answer with status 200; anything else is `store_unavailable`. */
+export function parseStoreAnswer<T>(exchange: Exchange): Result<T, Fault> {
+  if (exchange.status !== ExchangeStatus.Answered) {
+    return Err(createFault(FaultCode.StoreUnavailable, exchange.message));
+  }
+  if (exchange.code !== 200) {
+    return Err(createFault(FaultCode.StoreUnavailable, `store answered ${exchange.code}`));
+  }
+  try {
+    return Ok(JSON.parse(exchange.body) as T);
+  } catch {
+    return Err(createFault(FaultCode.StoreUnavailable, 'store answered with invalid JSON'));
+  }
+}
+
+function parseCommitAnswer(code: number, body: string): CommitReply {
+  // The table answers 503 and 429 before it looks at a commit.
+  if (code === 503 || code === 429) {
+    return { status: CommitStatus.Unavailable, message: `store answered ${code}` };
+  }
+  try {
+    const parsed = JSON.parse(body) as {
+      versions?: Record<string, number>;
+      conflicts?: string[];
+    };
+    if (code === 200 && parsed.versions !== undefined) {
+      return { status: CommitStatus.Committed, versions: parsed.versions };
+    }
+    if (code === 409 && parsed.conflicts !== undefined) {
+      return { status: CommitStatus.Conflict, conflicts: parsed.conflicts };
+    }
+  } catch {
+    return { status: CommitStatus.Ambiguous, message: 'store answered with invalid JSON' };
+  }
+  return { status: CommitStatus.Ambiguous, message: `store answered ${code}` };
+}
+
+class HttpTable extends Table {
+  constructor(private readonly client: HttpClient) {
+    super();
+  }
+
+  async getRow(key: string): Promise<Result<Row | undefined, Fault>> {
+    const query = new URLSearchParams({ key });
+    const exchange = await this.client.send('GET', `/table/row?${query.toString()}`);
+    if (exchange.status === ExchangeStatus.Answered && exchange.code === 404) {
+      return Ok(undefined);
+    }
+    return parseStoreAnswer<Row>(exchange);
+  }
+
+  async listRows(
+    prefix: string,
+    after = '',
+    limit = defaultPageRows,
+  ): Promise<Result<RowPage, Fault>> {
+    const query = new URLSearchParams({ prefix, after, limit: String(limit) });
+    const exchange = await this.client.send('GET', `/table/rows?${query.toString()}`);
+    return parseStoreAnswer<RowPage>(exchange);
+  }
+
+  async commit(commit: Commit): Promise<CommitReply> {
+    const exchange = await this.client.send('POST', '/table/commit', JSON.stringify(commit));
+    if (exchange.status === ExchangeStatus.NotSent) {
+      return { status: CommitStatus.Unavailable, message: exchange.message };
+    }
+    if (exchange.status === ExchangeStatus.Lost) {
+      return { status: CommitStatus.Ambiguous, message: exchange.message };
+    }
+    return parseCommitAnswer(exchange.code, exchange.body);
+  }
+}
+
+/** Creates a table client over the platform's HTTP interface. */
+export function createHttpTable(client: HttpClient): Table {
+  return new HttpTable(client);
+}
--- a/packages/protocol/src/message.ts
+++ b/packages/protocol/src/message.ts
@@ -18,7 +18,16 @@
   Draining = 'draining',
 }
 
-/** First message on every connection, in both directions. */
+/** Where a daemon can be reached. */
+export interface MemberAddress {
+  id: string;
+  region: string;
+  dataCentre: string;
+  /** `ip:port` of the peer listener. */
+  peerAddress: string;
+}
+
+/** First message on every connection, sent by the side that opened it. */
 export interface HelloMessage {
   type: MessageType.Hello;
   id: string;
@@ -30,6 +39,8 @@
   incarnation: string;
   /** Shared secret of the deployment, compared in constant time. */
   secret: string;
+  /** Daemons known to the sender, so that a new one finds members while the store is down. */
+  members: MemberAddress[];
 }
 
 /** A promise to count one's share of the slots of a grantor until it runs out. */
--- /dev/null
+++ b/packages/standin/src/instances.ts
@@ -0,0 +1,59 @@
+import type { Instance } from '@bergamotreach/platform';
+import { InstanceState } from '@bergamotreach/platform';
+import type { Clock } from '@bergamotreach/protocol';
+import type { FaultSwitches } from './faults.ts';
+
+/** Instances of the stand-in, with the lagging list shown to clients. */
+export interface InstanceRegistry {
+  putInstance(instance: Instance): void;
+  removeInstance(id: string): void;
+  /** Marks an instance as leaving; false when it does not exist. */
+  setLeaving(id: string): boolean;
+  /** Shows all changes at once, without lag. */
+  publishNow(): void;
+  /** The list as clients see it. */
+  listVisible(): Instance[];
+}
+
+/** Creates an empty registry whose visible list lags by `faults.listLagMs`. */
+export function createInstanceRegistry(clock: Clock, faults: FaultSwitches): InstanceRegistry {
+  const actual = new Map<string, Instance>();
+  const visible = new Map<string, Instance>();
+
+  function show(id: string): void {
+    const instance = actual.get(id);
+    if (instance === undefined) visible.delete(id);
+    else visible.set(id, { ...instance });
+  }
+
+  function showLater(id: string): void {
+    clock.setTimer(faults.listLagMs, () => {
+      show(id);
+    });
+  }
+
+  function putInstance(instance: Instance): void {
+    actual.set(instance.id, { ...instance });
+    showLater(instance.id);
+  }
+
+  function setLeaving(id: string): boolean {
+    const instance = actual.get(id);
+    if (instance === undefined) return false;
+    putInstance({ ...instance, state: InstanceState.Leaving });
+    return true;
+  }
+
+  return {
+    putInstance,
+    removeInstance: (id) => {
+      actual.delete(id);
+      showLater(id);
+    },
+    setLeaving,
+    publishNow: () => {
+      for (const id of new Set([...actual.keys(), ...visible.keys()])) show(id);
+    },
+    listVisible: () => [...visible.values()],
+  };
+}
