--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -5,7 +5,7 @@
 const allowedImports = {
   protocol: [],
   placement: ['protocol'],
-  config: ['protocol', 'placement'],
+  config: ['protocol', 'placement', 'platform'],
   platform: ['protocol'],
   membership: ['protocol', 'platform'],
   ownership: ['protocol', 'platform'],
--- /dev/null
+++ b/packages/config/src/merge.ts
@@ -0,0 +1,104 @@
+import { FaultCode, createFault } from '@bergamotreach/protocol';
+import type { Fault } from '@bergamotreach/protocol';
+
+/** Any JSON value. */
+export type JsonValue = null | string | number | boolean | JsonValue[] | JsonObject;
+/** A JSON object. */
+export interface JsonObject {
+  [key: string]: JsonValue;
+}
+
+/** Path of a value inside a JSON document, outermost first. */
+export type JsonPath = readonly (string | number)[];
+
+/** Result of a merge. Files with faults are left out of it. */
+export interface MergedFolder {
+  merged: JsonObject;
+  /** Finds the file that set the value at a path, or the innermost part of the path that is set. */
+  findFile: (path: JsonPath) => string;
+  faults: Fault[];
+}
+
+/** Pattern of file names in a configuration folder. */
+export const fileNamePattern = /^[A-Za-z0-9][A-Za-z0-9._-]{0,99}\.json$/u;
+
+/** Tells whether a value is a JSON object (not an array, not null). */
+export function isObject(value: unknown): value is JsonObject {
+  return typeof value === 'object' && value !== null && !Array.isArray(value);
+}
+
+/** Lists the names of a folder's files in merge order, which is the order of their code units. */
+export function listNames(files: Readonly<Record<string, string>>): string[] {
+  return Object.keys(files).sort();
+}
+
+/** Merges files in name order: objects key by key, a later scalar or array replaces an earlier one. */
+export function mergeFolder(files: Readonly<Record<string, string>>): MergedFolder {
+  const merged = createObject();
+  const origins = new Map<string, string>();
+  const faults: Fault[] = [];
+  for (const name of listNames(files)) {
+    const content = parseFile(name, files[name] ?? '');
+    if ('code' in content) faults.push(content);
+    else mergeObject(merged, content.value, [], (path) => origins.set(formatKey(path), name));
+  }
+  return { merged, findFile: (path) => findOrigin(origins, path), faults };
+}
+
+// Objects without prototype, so that a key such as "__proto__" is an ordinary key.
+function createObject(): JsonObject {
+  return Object.create(null) as JsonObject;
+}
+
+function parseFile(name: string, content: string): Fault | { value: JsonObject } {
+  if (!fileNamePattern.test(name)) {
+    const message = `${name}: file names have letters, digits, ".", "_", "-" and end in .json`;
+    return createFault(FaultCode.ConfigInvalid, message, { path: [name], details: { file: name } });
+  }
+  try {
+    const value: unknown = JSON.parse(content);
+    if (isObject(value)) return { value };
+    return createFileFault(name, 'content is not a JSON object');
+  } catch (error) {
+    return createFileFault(name, `content is not JSON: ${(error as Error).message}`);
+  }
+}
+
+function createFileFault(name: string, message: string): Fault {
+  return createFault(FaultCode.ConfigInvalid, `${name}: ${message}`, {
+    path: [name],
+    details: { file: name },
+  });
+}
+
+function mergeObject(
+  target: JsonObject,
+  source: JsonObject,
+  path: JsonPath,
+  setOrigin: (path: JsonPath) => void,
+): void {
+  for (const [key, value] of Object.entries(source)) {
+    const innerPath = [...path, key];
+    setOrigin(innerPath);
+    if (!isObject(value)) {
+      target[key] = value;
+      continue;
+    }
+    const earlier = target[key];
+    const inner = isObject(earlier) ? earlier : createObject();
+    target[key] = inner;
+    mergeObject(inner, value, innerPath, setOrigin);
+  }
+}
+
+function formatKey(path: JsonPath): string {
+  return JSON.stringify(path);
+}
+
+function findOrigin(origins: ReadonlyMap<string, string>, path: JsonPath): string {
+  for (let length = path.length; length > 0; length -= 1) {
+    const file = origins.get(formatKey(path.slice(0, length)));
+    if (file !== undefined) return file;
+  }
+  return '';
+}
--- /dev/null
+++ b/packages/config/src/revision.ts
@@ -0,0 +1,114 @@
+import { createHash } from 'node:crypto';
+import { FaultCode, createFault } from '@bergamotreach/protocol';
+import type { Fault } from '@bergamotreach/protocol';
+import { Err, Ok } from 'ts-results-es';
+import type { Result } from 'ts-results-es';
+import { isObject } from './merge.ts';
+
+/** Content of a manifest object, which is stored under its own hash. */
+export interface Manifest {
+  revision: number;
+  /** Hash of the manifest of the revision before; empty for the first one. */
+  parent: string;
+  author: string;
+  operationId: string;
+  /** Names of the files that the change wrote. */
+  put: string[];
+  /** Names of the files that the change removed. */
+  remove: string[];
+  /** File name to SHA-256 of its content. */
+  files: Record<string, string>;
+}
+
+/** A whole revision: its manifest and the content of all files. */
+export interface ConfigRevision {
+  revision: number;
+  /** SHA-256 of `manifestText`. */
+  manifest: string;
+  manifestText: string;
+  files: Record<string, string>;
+}
+
+/** A revision on its way between daemons, with the fields of a `configPush` message. */
+export interface ConfigPush {
+  revision: number;
+  manifest: string;
+  /** Content of all files, and the manifest's text under `manifestEntry`. */
+  files: Record<string, string>;
+}
+
+/** Name of the manifest's text in a push. It cannot be the name of a configuration file. */
+export const manifestEntry = '#manifest';
+
+/** Computes the SHA-256 of a text in hexadecimal. */
+export function computeHash(text: string): string {
+  return createHash('sha256').update(text).digest('hex');
+}
+
+/** Formats a manifest with its keys in a fixed order, so that its hash is stable. */
+export function formatManifest(manifest: Manifest): string {
+  const names = Object.keys(manifest.files).sort();
+  const files = Object.fromEntries(names.map((name) => [name, manifest.files[name]]));
+  const { revision, parent, author, operationId, put, remove } = manifest;
+  return JSON.stringify({ revision, parent, author, operationId, put, remove, files });
+}
+
+/** Parses the text of a manifest. Faults: `config_invalid`. */
+export function parseManifest(text: string): Result<Manifest, Fault> {
+  try {
+    const value: unknown = JSON.parse(text);
+    if (isManifest(value)) return Ok(value);
+    return Err(createFault(FaultCode.ConfigInvalid, 'manifest lacks keys'));
+  } catch (error) {
+    const message = `manifest is not JSON: ${(error as Error).message}`;
+    return Err(createFault(FaultCode.ConfigInvalid, message));
+  }
+}
+
+function isManifest(value: unknown): value is Manifest {
+  if (!isObject(value) || !isObject(value.files)) return false;
+  const isWhole = typeof value.revision === 'number' && Array.isArray(value.put);
+  return isWhole && typeof value.parent === 'string' && Array.isArray(value.remove);
+}
+
+/** Checks a revision against its hashes. Faults: `config_invalid` naming the first mismatch. */
+export function checkRevision(candidate: ConfigRevision): Result<Manifest, Fault> {
+  if (computeHash(candidate.manifestText) !== candidate.manifest) {
+    return refuseRevision(candidate, 'manifest does not match its hash');
+  }
+  const parsed = parseManifest(candidate.manifestText);
+  if (parsed.isErr()) return parsed;
+  const manifest = parsed.value;
+  if (manifest.revision !== candidate.revision) {
+    return refuseRevision(candidate, `manifest is of revision ${manifest.revision}`);
+  }
+  const names = Object.keys(candidate.files);
+  if (names.length !== Object.keys(manifest.files).length) {
+    return refuseRevision(candidate, 'files are not those of the manifest');
+  }
+  const bad = names.find(
+    (name) => computeHash(candidate.files[name] ?? '') !== manifest.files[name],
+  );
+  if (bad !== undefined) return refuseRevision(candidate, `file ${bad} does not match its hash`);
+  return Ok(manifest);
+}
+
+function refuseRevision(candidate: ConfigRevision, reason: string): Result<Manifest, Fault> {
+  const message = `revision ${candidate.revision} refused: ${reason}`;
+  return Err(createFault(FaultCode.ConfigInvalid, message));
+}
+
+/** Creates the push of a revision. */
+export function createPush(revision: ConfigRevision): ConfigPush {
+  return {
+    revision: revision.revision,
+    manifest: revision.manifest,
+    files: { ...revision.files, [manifestEntry]: revision.manifestText },
+  };
+}
+
+/** Takes the revision out of a push, without checking it. */
+export function readPush(push: ConfigPush): ConfigRevision {
+  const { [manifestEntry]: manifestText = '', ...files } = push.files;
+  return { revision: push.revision, manifest: push.manifest, manifestText, files };
+}
