--- /dev/null
+++ b/packages/daemon/src/jobservice.ts
@@ -0,0 +1,140 @@
+import type { GangJobRecord, GangJobRow, GangJobStore } from '@bergamotreach/execution';
+import { isEnded } from '@bergamotreach/ownership';
+import type { JobSpec } from '@bergamotreach/placement';
+import { FaultCode, createFault } from '@bergamotreach/protocol';
+import type { Fault } from '@bergamotreach/protocol';
+import { Err, Ok } from 'ts-results-es';
+import type { Result } from 'ts-results-es';
+import type { Caller } from './auth.ts';
+import { jobIdSeparator } from './jobsubmission.ts';
+import type { SubmittedJob } from './jobsubmission.ts';
+
+/** A job as shown to callers. */
+export interface JobView extends Omit<GangJobRecord, 'digest' | 'payload'> {
+  region: string;
+}
+
+/** Accepts, shows and cancels jobs of all regions. */
+export interface JobService {
+  /**
+   * Accepts a job durably. Faults: `never_fits`, `quota_exceeded`, `not_found` (region or
+   * account), `draining`, `duplicate_id`, `store_unavailable` (not accepted), `unknown_outcome`.
+   */
+  submitJob(job: SubmittedJob): Promise<Result<JobView, Fault>>;
+  /** Reads a job that the caller may see. Faults: `not_found`, `store_unavailable`. */
+  getJob(caller: Caller, name: string): Promise<Result<JobView, Fault>>;
+  /** Lists the caller's jobs; an operator sees all. Faults: `store_unavailable`. */
+  listJobs(caller: Caller): Promise<Result<JobView[], Fault>>;
+  /** Asks for a cancellation. Faults as for `getJob`, `conflict`, `unknown_outcome`. */
+  cancelJob(caller: Caller, name: string): Promise<Result<JobView, Fault>>;
+}
+
+/** Options of a job service. */
+export interface JobServiceOptions {
+  ownRegion: string;
+  /** Regions in the configuration. */
+  listRegions: () => string[];
+  openStore: (region: string) => GangJobStore;
+  /** Whether a job can ever run in the region. Faults: `never_fits`, `quota_exceeded`. */
+  checkJob: (region: string, spec: JobSpec) => Result<void, Fault>;
+  /** Tells the owner of the region that rows were added or changed. */
+  wakeOwner: (region: string, jobIds: string[]) => void;
+}
+
+interface FoundJob {
+  region: string;
+  row: GangJobRow;
+}
+
+function createView(region: string, record: GangJobRecord): JobView {
+  const { digest: _digest, payload: _payload, ...shown } = record;
+  return { region, ...shown };
+}
+
+function createNotFound(name: string): Fault {
+  return createFault(FaultCode.NotFound, `job "${name}" does not exist`, { path: ['jobId'] });
+}
+
+/** The id of the job row: a caller names its own jobs without the account. */
+export function resolveJobId(caller: Caller, name: string): string {
+  if (name.includes(jobIdSeparator)) return name;
+  return `${caller.account}${jobIdSeparator}${name}`;
+}
+
+function canSee(caller: Caller, jobId: string): boolean {
+  return caller.isOperator || jobId.startsWith(`${caller.account}${jobIdSeparator}`);
+}
+
+/** Creates the job service of a daemon. */
+export function createJobService(options: JobServiceOptions): JobService {
+  const stores = new Map<string, GangJobStore>();
+
+  function getStore(region: string): GangJobStore {
+    const known = stores.get(region);
+    if (known !== undefined) return known;
+    const created = options.openStore(region);
+    stores.set(region, created);
+    return created;
+  }
+
+  /** Regions with the own one first, where most jobs of this daemon's callers are. */
+  function listRegions(): string[] {
+    const others = options.listRegions().filter((region) => region !== options.ownRegion);
+    return [options.ownRegion, ...others];
+  }
+
+  async function submitJob(job: SubmittedJob): Promise<Result<JobView, Fault>> {
+    if (!listRegions().includes(job.region)) {
+      const message = `region "${job.region}" does not exist`;
+      return Err(createFault(FaultCode.NotFound, message, { path: ['region'] }));
+    }
+    const possible = options.checkJob(job.region, job.spec);
+    if (possible.isErr()) return possible;
+    const { spec, payload, digest } = job;
+    const submission = { jobId: spec.jobId, account: spec.account, spec, payload, digest };
+    const inserted = await getStore(job.region).insertJob(submission);
+    if (inserted.isErr()) return inserted;
+    options.wakeOwner(job.region, [spec.jobId]);
+    return Ok(createView(job.region, inserted.value.row.record));
+  }
+
+  async function findJob(caller: Caller, name: string): Promise<Result<FoundJob, Fault>> {
+    const jobId = resolveJobId(caller, name);
+    if (!canSee(caller, jobId)) return Err(createNotFound(name));
+    for (const region of listRegions()) {
+      const row = await getStore(region).getJob(jobId);
+      if (row.isOk()) return Ok({ region, row: row.value });
+      if (row.error.code !== FaultCode.NotFound) return row;
+    }
+    return Err(createNotFound(name));
+  }
+
+  async function getJob(caller: Caller, name: string): Promise<Result<JobView, Fault>> {
+    const found = await findJob(caller, name);
+    return found.map(({ region, row }) => createView(region, row.record));
+  }
+
+  async function listJobs(caller: Caller): Promise<Result<JobView[], Fault>> {
+    const jobs: JobView[] = [];
+    for (const region of listRegions()) {
+      const listed = await getStore(region).listAll((row) => {
+        if (canSee(caller, row.record.jobId)) jobs.push(createView(region, row.record));
+      });
+      if (listed.isErr()) return listed;
+    }
+    return Ok(jobs);
+  }
+
+  async function cancelJob(caller: Caller, name: string): Promise<Result<JobView, Fault>> {
+    const found = await findJob(caller, name);
+    if (found.isErr()) return found;
+    const { region, row } = found.value;
+    if (isEnded(row.record.state)) return Ok(createView(region, row.record));
+    const cancelled = await getStore(region).cancelJob(row.record.jobId);
+    if (cancelled.isErr()) return cancelled;
+    options.wakeOwner(region, [row.record.jobId]);
+    return Ok(createView(region, cancelled.value.record));
+  }
+
+  return { submitJob, getJob, listJobs, cancelJob };
+}
--- /dev/null
+++ b/packages/daemon/src/requestroutes.ts
@@ -0,0 +1,146 @@
+import { randomUUID } from 'node:crypto';
+import type { EffectiveConfig } from '@bergamotreach/config';
+import { FaultCode, createFault } from '@bergamotreach/protocol';
+import type { Fault } from '@bergamotreach/protocol';
+import { AnswerKind } from '@bergamotreach/routing';
+import type { CallerAnswer, CallerRequest, Router } from '@bergamotreach/routing';
+import type { Hono } from 'hono';
+import { Err, Ok } from 'ts-results-es';
+import type { Result } from 'ts-results-es';
+import { createFaultResponse } from './answer.ts';
+import type { BodyReader } from './body.ts';
+import type { WebContext, WebEnv } from './webcontext.ts';
+
+/** What the request routes need of the daemon. */
+export interface RequestRouteParts {
+  router: Router;
+  bodies: BodyReader;
+  getConfig: () => EffectiveConfig | undefined;
+}
+
+interface RequestHead {
+  requestId: string;
+  deadlineMs: number;
+  isIdempotent: boolean;
+}
+
+const requestIdPattern = /^[!-~]{1,128}$/u;
+const safeMethods = new Set(['GET', 'HEAD']);
+const noConfigRetryMs = 1000;
+
+function createHeaderFault(name: string, message: string): Fault {
+  return createFault(FaultCode.BadRequest, `header ${name} ${message}`, { path: ['headers', name] });
+}
+
+function parseIdempotent(context: WebContext): Result<boolean, Fault> {
+  const value = context.req.header('x-idempotent');
+  if (value === undefined) return Ok(safeMethods.has(context.req.method));
+  if (value === 'true') return Ok(true);
+  if (value === 'false') return Ok(false);
+  return Err(createHeaderFault('x-idempotent', `must be true or false, found "${value}"`));
+}
+
+function parseDeadline(context: WebContext, config: EffectiveConfig): Result<number, Fault> {
+  const value = context.req.header('x-deadline-ms');
+  if (value === undefined) return Ok(config.limits.defaultRequestMs);
+  const deadlineMs = Number(value);
+  if (Number.isInteger(deadlineMs) && deadlineMs > 0) return Ok(deadlineMs);
+  return Err(createHeaderFault('x-deadline-ms', `must be a positive integer, found "${value}"`));
+}
+
+function parseRequestId(context: WebContext, isIdempotent: boolean): Result<string, Fault> {
+  const value = context.req.header('x-request-id');
+  if (value !== undefined && requestIdPattern.test(value)) return Ok(value);
+  if (value !== undefined) {
+    return Err(createHeaderFault('x-request-id', 'must be 1 to 128 printable characters'));
+  }
+  if (isIdempotent) return Ok(randomUUID());
+  return Err(createHeaderFault('x-request-id', 'is required for a non-idempotent request'));
+}
+
+function parseHead(context: WebContext, config: EffectiveConfig): Result<RequestHead, Fault> {
+  const isIdempotent = parseIdempotent(context);
+  if (isIdempotent.isErr()) return isIdempotent;
+  const deadlineMs = parseDeadline(context, config);
+  if (deadlineMs.isErr()) return deadlineMs;
+  const requestId = parseRequestId(context, isIdempotent.value);
+  if (requestId.isErr()) return requestId;
+  return Ok({
+    requestId: requestId.value,
+    deadlineMs: deadlineMs.value,
+    isIdempotent: isIdempotent.value,
+  });
+}
+
+function getEndpointPath(context: WebContext, service: string): string {
+  const url = new URL(context.req.url);
+  const prefix = `/v1/services/${encodeURIComponent(service)}/requests`;
+  const rest = url.pathname.startsWith(prefix) ? url.pathname.slice(prefix.length) : '';
+  return `${rest === '' ? '/' : rest}${url.search}`;
+}
+
+/** Aborts when the caller closes its connection before the answer is complete. */
+function createCallerSignal(context: WebContext): AbortSignal {
+  const controller = new AbortController();
+  const { outgoing } = context.env;
+  outgoing.once('close', () => {
+    if (!outgoing.writableFinished) controller.abort();
+  });
+  return controller.signal;
+}
+
+function createAnswerResponse(answer: CallerAnswer, requestId: string): Response {
+  if (answer.kind === AnswerKind.Fault) {
+    const response = createFaultResponse(answer.fault);
+    response.headers.set('x-request-id', requestId);
+    return response;
+  }
+  const hasNoBody = answer.status === 204 || answer.status === 304 || answer.body.length === 0;
+  return new Response(hasNoBody ? null : new Uint8Array(answer.body), {
+    status: answer.status,
+    headers: { ...answer.headers, 'x-request-id': requestId },
+  });
+}
+
+async function handleCallerRequest(
+  parts: RequestRouteParts,
+  context: WebContext,
+  service: string,
+): Promise<Response> {
+  const config = parts.getConfig();
+  if (config === undefined) {
+    const message = 'no configuration is in force yet';
+    const extras = { retryAfterMs: noConfigRetryMs };
+    return createFaultResponse(createFault(FaultCode.StoreUnavailable, message, extras));
+  }
+  const serviceConfig = config.services[service];
+  if (serviceConfig === undefined) {
+    const message = `service "${service}" does not exist`;
+    return createFaultResponse(createFault(FaultCode.NotFound, message, { path: ['service'] }));
+  }
+  const head = parseHead(context, config);
+  if (head.isErr()) return createFaultResponse(head.error);
+  const body = await parts.bodies.readBody(context.env.incoming, serviceConfig.maxBodyBytes);
+  if (body.isErr()) return createFaultResponse(body.error);
+  const request: CallerRequest = {
+    ...head.value,
+    account: context.get('caller').account,
+    service,
+    method: context.req.method,
+    path: getEndpointPath(context, service),
+    contentType: context.req.header('content-type') ?? '',
+    body: body.value,
+    signal: createCallerSignal(context),
+  };
+  const answer = await parts.router.handleRequest(request);
+  parts.bodies.release(body.value);
+  return createAnswerResponse(answer, request.requestId);
+}
+
+/** Adds the callers' routes: any method on `/v1/services/<service>/requests[/path]`. */
+export function addRequestRoutes(app: Hono<WebEnv>, parts: RequestRouteParts): void {
+  const handle = async (context: WebContext): Promise<Response> =>
+    handleCallerRequest(parts, context, context.req.param('service') ?? '');
+  app.all('/v1/services/:service/requests', handle);
+  app.all('/v1/services/:service/requests/*', handle);
+}
