Split the configuration task and name sold shapes in faults

The task held three concerns in one closure of 150 lines: the revision in force, contact with the store, and polling. Each is a file now. A revision that cannot be read during an outage is no longer logged as refused. Service and account keys follow the fields that routing uses.

--- a/packages/config/src/check.ts
+++ b/packages/config/src/check.ts
@@ -1,6 +1,5 @@
 import { FaultCode, createFault } from '@bergamotreach/protocol';
 import type { Fault } from '@bergamotreach/protocol';
-import type { PlacementConfig, WorkerSpec } from '@bergamotreach/placement';
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
 import {
@@ -11,21 +10,17 @@
   formatFound,
   formatPath,
 } from './describe.ts';
-import { buildEffectiveConfig, listExpectedWorkers } from './effective.ts';
+import { buildEffectiveConfig } from './effective.ts';
 import type { EffectiveConfig } from './effective.ts';
 import { FieldKind, namePattern } from './field.ts';
 import { mergeFolder } from './merge.ts';
 import type { JsonPath, MergedFolder } from './merge.ts';
 import { listRuleFindings } from './rules.ts';
 import type { Finding } from './rules.ts';
+import { listOversoldFindings } from './oversold.ts';
+import type { FindOversold } from './oversold.ts';
 import type { SchemaIssue } from './schema.ts';
 
-/** Finds shapes that are sold but cannot all be made good on the workers. */
-export type FindOversold = (
-  config: PlacementConfig,
-  workers: readonly WorkerSpec[],
-) => readonly Fault[];
-
 /** Options of a check. */
 export interface CheckOptions {
   findOversold: FindOversold;
@@ -87,8 +82,10 @@
   const config = buildEffectiveConfig(folder.merged);
   const findings = listRuleFindings(config).map((finding) => buildFault(folder, finding));
   if (findings.length > 0) return Err(findings);
-  const oversold = findOversold?.(config.placement, listExpectedWorkers(config)) ?? [];
-  return oversold.length > 0 ? Err([...oversold]) : Ok(config);
+  const oversold = listOversoldFindings(config, findOversold).map((finding) =>
+    buildFault(folder, finding, FaultCode.Oversold),
+  );
+  return oversold.length > 0 ? Err(oversold) : Ok(config);
 }
 
 function buildIssueFaults(folder: MergedFolder, issue: SchemaIssue): Fault[] {
@@ -122,17 +119,17 @@
   });
 }
 
-function buildFault(folder: MergedFolder, finding: Finding): Fault {
-  const { path, found, allowed, nearest } = finding;
+function buildFault(
+  folder: MergedFolder,
+  finding: Finding,
+  code: FaultCode = FaultCode.ConfigInvalid,
+): Fault {
+  const { path, found, allowed, nearest, data } = finding;
   const file = folder.findFile(path);
   const place = `${file === '' ? 'configuration' : file}: ${formatPath(path)}`;
   const hint = nearest === undefined ? '' : `; nearest known: ${JSON.stringify(nearest)}`;
-  return createFault(
-    FaultCode.ConfigInvalid,
-    `${place}: found ${found}, allowed: ${allowed}${hint}`,
-    {
-      path: [file, ...path],
-      details: { file, found, allowed, ...(nearest === undefined ? {} : { nearest }) },
-    },
-  );
+  return createFault(code, `${place}: found ${found}, allowed: ${allowed}${hint}`, {
+    path: [file, ...path],
+    details: { file, found, allowed, ...(nearest === undefined ? {} : { nearest }), ...data },
+  });
 }
--- a/packages/config/src/effective.ts
+++ b/packages/config/src/effective.ts
@@ -9,7 +9,7 @@
   queueLimit: number;
   /** Retries as a share of requests, 0 to 1. */
   retryBudget: number;
-  /** Relative share of endpoint slots. */
+  /** Part of the slots of each service, 0 to 1, that the account gets before all others. */
   share: number;
 }
 
@@ -30,8 +30,8 @@
 export interface LinkConfig {
   /** One-way latency in milliseconds. */
   latencyMs: number;
-  /** Wait that is as bad as sending one billed megabyte (10^6 bytes), in milliseconds. */
-  costMsPerMb: number;
+  /** Wait that is as bad as sending one billed kilobyte, in milliseconds. */
+  costMsPerKilobyte: number;
 }
 
 /** A service that callers send requests to. */
@@ -39,6 +39,8 @@
   maxBodyBytes: number;
   maxAnswerBytes: number;
   maxRequestMs: number;
+  /** First guess of the time an endpoint takes for a request; measured afterwards. */
+  expectedServiceMs: number;
   /** Used between regions that `links` does not name. */
   defaultLink: LinkConfig;
   /** From region to region. */
@@ -74,6 +76,12 @@
   maxConnections: number;
   /** Largest opaque payload of a job. */
   maxPayloadBytes: number;
+  /** Validity of a grant of endpoint slots. */
+  creditMs: number;
+  /** Time without any answer after which an endpoint with requests in progress has stalled. */
+  stallMs: number;
+  /** Largest number of retries that an account saves up. */
+  maxRetryTokens: number;
   /** Queued jobs of one account in a region. */
   maxQueuedJobs: number;
 }
--- a/packages/config/src/keys.ts
+++ b/packages/config/src/keys.ts
@@ -37,19 +37,20 @@
   requests: createGroup({
     queueLimit: createInteger('requests', 1, 100_000, 200),
     retryBudget: createDecimal('share of requests', 0, 1, 0.1),
-    share: createDecimal('share', 0.001, 1000, 1),
+    share: createDecimal('guaranteed part of the slots of each service', 0, 1, 0),
   }),
 });
 
 const link = createGroup({
   latencyMs: createDecimal('ms one way', 0, 10_000, 20),
-  costMsPerMb: createDecimal('ms of wait per MB', 0, 1_000_000, 100),
+  costMsPerKilobyte: createDecimal('ms of wait per billed kilobyte', 0, 1_000_000, 1),
 });
 
 const service = createGroup({
   maxBodyBytes: createInteger('bytes, 0 for limits.maxBodyBytes', 0, 64 * mebibyte, 0),
   maxAnswerBytes: createInteger('bytes, 0 for limits.maxAnswerBytes', 0, 64 * mebibyte, 0),
   maxRequestMs: createInteger('ms, 0 for limits.maxRequestMs', 0, hourMs, 0),
+  expectedServiceMs: createDecimal('ms', 0.001, hourMs, 20),
   defaultLink: link,
   links: createMap('fromRegion', createMap('toRegion', link, 64), 64),
 });
@@ -91,6 +92,9 @@
   readTimeoutMs: createInteger('ms', 1, hourMs, 10_000),
   maxConnections: createInteger('connections', 1, 100_000, 2000),
   maxPayloadBytes: createInteger('bytes', 0, mebibyte, 16_384),
+  creditMs: createInteger('ms', 100, 60_000, 1000),
+  stallMs: createInteger('ms', 100, hourMs, 2000),
+  maxRetryTokens: createInteger('retries per account', 0, 10_000, 10),
   maxQueuedJobs: createInteger('jobs per account', 1, 1_000_000, 10_000),
 });
 
--- a/packages/config/src/store.ts
+++ b/packages/config/src/store.ts
@@ -4,7 +4,6 @@
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
 import { checkFolder } from './check.ts';
-import type { FindOversold } from './check.ts';
 import { commitHead } from './commit.ts';
 import { buildConflict } from './conflict.ts';
 import type { ConfigChange } from './conflict.ts';
@@ -13,6 +12,7 @@
 import { buildHistoryEntry, loadChain } from './history.ts';
 import type { HistoryEntry } from './history.ts';
 import { createObjectCache } from './objects.ts';
+import type { FindOversold } from './oversold.ts';
 import { checkRevision, computeHash, formatManifest, parseManifest } from './revision.ts';
 import type { ConfigRevision, Manifest } from './revision.ts';
 
--- a/packages/config/src/task.ts
+++ b/packages/config/src/task.ts
@@ -1,31 +1,24 @@
-import { runEvery } from '@bergamotreach/protocol';
+import { FaultCode, runEvery } from '@bergamotreach/protocol';
 import type { CancelTimer, Clock, Fault, Logger } from '@bergamotreach/protocol';
-import { buildAccepted } from './check.ts';
-import type { EffectiveConfig } from './effective.ts';
-import { checkRevision, createPush, readPush } from './revision.ts';
-import type { ConfigPush, ConfigRevision } from './revision.ts';
+import { RevisionSource, createActiveRevision } from './active.ts';
+import type { ActiveConfig } from './active.ts';
+import { createStoreContact } from './contact.ts';
+import { readPush } from './revision.ts';
+import type { ConfigPush } from './revision.ts';
 import type { ConfigStore } from './store.ts';
 
-/** A revision in force on this daemon. */
-export interface ActiveConfig {
-  revision: number;
-  /** Hash of the manifest. */
-  manifest: string;
-  /** File name to content. */
-  files: Record<string, string>;
-  config: EffectiveConfig;
-}
-
 /** What a daemon reports about its configuration. */
 export interface ConfigStatus {
   /** Revision served; 0 when there is none. */
   revision: number;
   manifest: string;
-  /** Whether the store could not be read for `cutOffMs`. */
+  /** Whether the store has not answered for `cutOffMs`. */
   isCutOff: boolean;
   /** Highest revision known to exist, from the store or from peers. */
   highestKnown: number;
-  /** Time since the head was last read, in milliseconds; `undefined` when never. */
+  /** Revision in the store when it was last read. Below `revision` after the table was set back. */
+  storeRevision: number;
+  /** Time since the store last answered, in milliseconds; `undefined` when it never did. */
   sinceContactMs: number | undefined;
   /** Why the last refused revision was refused; empty when none was. */
   lastRefusal: string;
@@ -73,71 +66,14 @@
 
 /** Creates the configuration task of a daemon. */
 export function createConfigTask(options: ConfigTaskOptions): ConfigTask {
-  const { store, clock, logger } = options;
-  const pollMs = options.pollMs ?? defaultPollMs;
-  const cutOffMs = options.cutOffMs ?? defaultCutOffMs;
-  let active: ActiveConfig | undefined;
-  let activePush: ConfigPush | undefined;
-  let candidate: ConfigRevision | undefined;
+  const { store, clock, logger, onChange } = options;
+  const collectMs = options.collectMs ?? defaultCollectMs;
+  const revisions = createActiveRevision({ clock, logger, collectMs, onChange });
+  const contact = createStoreContact(clock, logger, options.cutOffMs ?? defaultCutOffMs);
   let polling: Promise<void> | undefined;
-  let lastContactMs: number | undefined;
-  let startedMs = clock.getNowMs();
-  let isCutOff = false;
   let highestKnown = 0;
-  let lastRefusal = '';
+  let storeRevision = 0;
   let cancelPoll: CancelTimer = () => undefined;
-  let cancelCollect: CancelTimer | undefined;
-  let isStopped = false;
-
-  function getRevision(): number {
-    return active?.revision ?? 0;
-  }
-
-  function refuse(revision: number, source: string, fault: Fault): void {
-    lastRefusal = fault.message;
-    logger.error('config_refused', { revision, source, reason: fault.message });
-  }
-
-  /** Puts a revision in force when it is higher than the one in force and passes its hashes. */
-  function applyRevision(candidateRevision: ConfigRevision, source: string): boolean {
-    if (isStopped || candidateRevision.revision <= getRevision()) return false;
-    const checked = checkRevision(candidateRevision).andThen(() =>
-      buildAccepted(candidateRevision.files),
-    );
-    if (checked.isErr()) {
-      refuse(candidateRevision.revision, source, checked.error);
-      return false;
-    }
-    const { revision, manifest, files } = candidateRevision;
-    active = { revision, manifest, files, config: checked.value };
-    activePush = createPush(candidateRevision);
-    highestKnown = Math.max(highestKnown, revision);
-    logger.info('config_changed', { revision, manifest, source });
-    options.onChange?.(active);
-    return true;
-  }
-
-  function handlePush(push: ConfigPush): void {
-    const revision = readPush(push);
-    if (isStopped || revision.revision <= getRevision()) return;
-    if (active !== undefined) {
-      applyRevision(revision, 'peer');
-      return;
-    }
-    const checked = checkRevision(revision);
-    if (checked.isErr()) refuse(revision.revision, 'peer', checked.error);
-    else collectCandidate(revision);
-  }
-
-  // A daemon that starts during an outage must not start from a peer that lags behind the others.
-  function collectCandidate(revision: ConfigRevision): void {
-    if (candidate === undefined || revision.revision > candidate.revision) candidate = revision;
-    cancelCollect ??= clock.setTimer(options.collectMs ?? defaultCollectMs, () => {
-      if (candidate !== undefined) applyRevision(candidate, 'peer');
-      candidate = undefined;
-      cancelCollect = undefined;
-    });
-  }
 
   async function pollStore(): Promise<void> {
     const head = await store.loadHead();
@@ -145,84 +81,83 @@
       handleStoreFault(head.error);
       return;
     }
-    highestKnown = Math.max(highestKnown, head.value.revision);
-    if (head.value.revision > getRevision()) {
+    storeRevision = head.value.revision;
+    highestKnown = Math.max(highestKnown, storeRevision);
+    if (storeRevision > revisions.getRevision()) {
       const loaded = await store.loadRevision(head.value);
       if (loaded.isErr()) {
-        refuse(head.value.revision, 'store', loaded.error);
-        handleStoreFault(loaded.error);
+        handleLoadFault(loaded.error);
         return;
       }
-      if (applyRevision(loaded.value, 'store') && activePush !== undefined) {
-        options.sendPush(activePush);
-      }
+      const push = revisions.applyRevision(loaded.value, RevisionSource.Store)
+        ? revisions.getPush()
+        : undefined;
+      if (push !== undefined) options.sendPush(push);
     }
-    handleContact();
+    contact.addSuccess(revisions.getRevision());
   }
 
-  function handleContact(): void {
-    lastContactMs = clock.getNowMs();
-    if (!isCutOff) return;
-    isCutOff = false;
-    logger.info('config_store_reached', { revision: getRevision() });
+  function handleStoreFault(fault: Fault): void {
+    contact.checkSilence(revisions.getRevision(), fault.message);
+    options.sendRequest?.(revisions.getRevision());
   }
 
-  function handleStoreFault(fault: Fault): void {
-    options.sendRequest?.(getRevision());
-    const silentMs = clock.getNowMs() - (lastContactMs ?? startedMs);
-    if (isCutOff || silentMs < cutOffMs) return;
-    isCutOff = true;
-    logger.warn('config_cut_off', { revision: getRevision(), silentMs, reason: fault.message });
+  function handleLoadFault(fault: Fault): void {
+    if (fault.code !== FaultCode.StoreUnavailable) {
+      revisions.refuse(storeRevision, RevisionSource.Store, fault);
+    }
+    handleStoreFault(fault);
   }
 
-  function update(): Promise<void> {
+  function runPoll(): Promise<void> {
     polling ??= pollStore().finally(() => {
       polling = undefined;
     });
     return polling;
   }
 
-  function start(): void {
-    startedMs = clock.getNowMs();
-    options.addPushListener(handlePush);
-    void update();
-    cancelPoll = runEvery(clock, pollMs, () => void update());
+  // A read in progress may have begun before the change that the caller wants to see.
+  async function update(): Promise<void> {
+    await polling;
+    await runPoll();
   }
 
-  function stop(): void {
-    isStopped = true;
-    cancelPoll();
-    cancelCollect?.();
-  }
-
-  function getStatus(): ConfigStatus {
-    return {
-      revision: getRevision(),
-      manifest: active?.manifest ?? '',
-      isCutOff,
-      highestKnown,
-      sinceContactMs: lastContactMs === undefined ? undefined : clock.getNowMs() - lastContactMs,
-      lastRefusal,
-    };
+  function start(): void {
+    options.addPushListener((push) => {
+      revisions.takePushed(readPush(push));
+    });
+    void runPoll();
+    cancelPoll = runEvery(clock, options.pollMs ?? defaultPollMs, () => {
+      // A read that never returns must not keep the report from being made.
+      contact.checkSilence(revisions.getRevision(), 'no answer');
+      void runPoll();
+    });
   }
 
   function handlePeerRevision(revision: number): void {
-    if (revision <= highestKnown && revision <= getRevision()) return;
     highestKnown = Math.max(highestKnown, revision);
-    if (revision > getRevision()) options.sendRequest?.(getRevision());
-  }
-
-  function buildPush(aboveRevision: number): ConfigPush | undefined {
-    return getRevision() > aboveRevision ? activePush : undefined;
+    if (revision > revisions.getRevision()) options.sendRequest?.(revisions.getRevision());
   }
 
   return {
     start,
-    stop,
+    stop: () => {
+      cancelPoll();
+      revisions.stop();
+    },
     update,
-    getActive: () => active,
-    getStatus,
+    getActive: () => revisions.getActive(),
+    getStatus: () => ({
+      revision: revisions.getRevision(),
+      manifest: revisions.getActive()?.manifest ?? '',
+      isCutOff: contact.isCutOff(),
+      highestKnown: Math.max(highestKnown, revisions.getRevision()),
+      storeRevision,
+      sinceContactMs: contact.getSilenceMs(),
+      lastRefusal: revisions.getLastRefusal(),
+    }),
     handlePeerRevision,
-    buildPush,
+    buildPush: (aboveRevision) =>
+      revisions.getRevision() > aboveRevision ? revisions.getPush() : undefined,
   };
 }
