--- /dev/null
+++ b/packages/routing/src/endpointset.ts
@@ -0,0 +1,78 @@
+import { InstanceKind, InstanceState } from '@bergamotreach/platform';
+import type { Instance } from '@bergamotreach/platform';
+import { createEndpoint } from './endpoint.ts';
+import type { Endpoint } from './endpoint.ts';
+
+/** Endpoints known to the router. */
+export interface EndpointSet {
+  /** Takes the platform's list. An endpoint that is no longer listed gets no new work. */
+  applyInstances(instances: readonly Instance[]): void;
+  getEndpoint(id: string): Endpoint | undefined;
+  listEndpoints(): Endpoint[];
+  /** Endpoints of a service. */
+  listService(service: string): readonly Endpoint[];
+  /** Stops new work at an endpoint. False when it is unknown or leaves already. */
+  setLeaving(id: string): boolean;
+  close(): void;
+}
+
+/** Creates the set; `getServiceMs` gives the first guess of a service's request time. */
+export function createEndpointSet(getServiceMs: (service: string) => number): EndpointSet {
+  const endpoints = new Map<string, Endpoint>();
+  let byService = new Map<string, Endpoint[]>();
+
+  function applyInstance(instance: Instance): void {
+    const known = endpoints.get(instance.id);
+    if (known?.instance.address === instance.address) {
+      known.instance = instance;
+      if (instance.state === InstanceState.Leaving) known.isLeaving = true;
+      return;
+    }
+    // The same id at another address is a replacement, with its own health and connections.
+    if (known !== undefined) known.connections.close();
+    const endpoint = createEndpoint(instance, getServiceMs(instance.service));
+    endpoint.isLeaving = instance.state === InstanceState.Leaving;
+    endpoints.set(instance.id, endpoint);
+  }
+
+  function removeUnlisted(listed: ReadonlySet<string>): void {
+    for (const [id, endpoint] of endpoints) {
+      if (listed.has(id)) continue;
+      endpoint.isLeaving = true;
+      if (endpoint.running.size > 0) continue;
+      endpoint.connections.close();
+      endpoints.delete(id);
+    }
+  }
+
+  function updateServices(): void {
+    byService = new Map();
+    for (const endpoint of endpoints.values()) {
+      const { service } = endpoint.instance;
+      const list = byService.get(service) ?? [];
+      list.push(endpoint);
+      byService.set(service, list);
+    }
+  }
+
+  return {
+    applyInstances: (instances) => {
+      const listed = instances.filter((instance) => instance.kind === InstanceKind.Endpoint);
+      for (const instance of listed) applyInstance(instance);
+      removeUnlisted(new Set(listed.map((instance) => instance.id)));
+      updateServices();
+    },
+    getEndpoint: (id) => endpoints.get(id),
+    listEndpoints: () => [...endpoints.values()],
+    listService: (service) => byService.get(service) ?? [],
+    setLeaving: (id) => {
+      const endpoint = endpoints.get(id);
+      if (endpoint === undefined || endpoint.isLeaving) return false;
+      endpoint.isLeaving = true;
+      return true;
+    },
+    close: () => {
+      for (const endpoint of endpoints.values()) endpoint.connections.close();
+    },
+  };
+}
--- /dev/null
+++ b/packages/routing/src/regionchoice.ts
@@ -0,0 +1,55 @@
+import type { RegionCost } from './config.ts';
+
+/** A region that could serve a request. */
+export interface RegionOffer {
+  region: string;
+  /** Expected wait for a slot there. */
+  waitMs: number;
+}
+
+/** Cost of sending `bytes` to another region and back, as milliseconds of wait. */
+export function computeLinkCostMs(link: RegionCost, bytes: number): number {
+  return 2 * link.latencyMs + (bytes / 1024) * link.costMsPerKilobyte;
+}
+
+/**
+ * Region with the least wait plus cost. The own region wins a tie; `undefined` when the wait is
+ * infinite everywhere.
+ */
+export function chooseRegion(
+  ownRegion: string,
+  offers: readonly RegionOffer[],
+  bytes: number,
+  getLink: (region: string) => RegionCost,
+): string | undefined {
+  let best: string | undefined;
+  let bestMs = Infinity;
+  for (const { region, waitMs } of offers) {
+    const isOwn = region === ownRegion;
+    const totalMs = waitMs + (isOwn ? 0 : computeLinkCostMs(getLink(region), bytes));
+    if (totalMs > bestMs || (totalMs === bestMs && !isOwn)) continue;
+    if (totalMs === Infinity) continue;
+    best = region;
+    bestMs = totalMs;
+  }
+  return best;
+}
+
+/** Counts billed bytes per account and region. */
+export interface ByteCounter {
+  addBytes(account: string, region: string, bytes: number): void;
+  /** Bytes by `account/region`. */
+  getDump(): Record<string, number>;
+}
+
+/** Creates a counter of cross-region bytes. */
+export function createByteCounter(): ByteCounter {
+  const totals = new Map<string, number>();
+  return {
+    addBytes: (account, region, bytes) => {
+      const key = `${account}/${region}`;
+      totals.set(key, (totals.get(key) ?? 0) + bytes);
+    },
+    getDump: () => Object.fromEntries(totals),
+  };
+}
