--- /dev/null
+++ b/packages/daemon/src/platformclients.ts
@@ -0,0 +1,38 @@
+import {
+  createHttpClient,
+  createHttpInstanceList,
+  createHttpObjectStore,
+  createHttpTable,
+  createHttpWorkerClient,
+} from '@bergamotreach/platform';
+import type { InstanceList, ObjectStore, Table, WorkerClient } from '@bergamotreach/platform';
+
+/** Clients of the platform's services. */
+export interface PlatformClients {
+  table: Table;
+  objectStore: ObjectStore;
+  instanceList: InstanceList;
+  workerClient: WorkerClient;
+  close(): Promise<void>;
+}
+
+const storeConnections = 4;
+// Shorter than the lease minus its margin, so that a hung store cannot outlast the lease unnoticed.
+const storeTimeoutMs = 2000;
+const workerTimeoutMs = 1000;
+
+/** Opens clients of the platform at `origin`, `http://ip:port`. */
+export function openPlatformClients(origin: string): PlatformClients {
+  const client = createHttpClient({
+    origin,
+    connections: storeConnections,
+    timeoutMs: storeTimeoutMs,
+  });
+  return {
+    table: createHttpTable(client),
+    objectStore: createHttpObjectStore(client),
+    instanceList: createHttpInstanceList(client),
+    workerClient: createHttpWorkerClient(workerTimeoutMs),
+    close: async () => client.close(),
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/routingconfig.ts
@@ -0,0 +1,50 @@
+import type { AccountConfig, EffectiveConfig, LinkConfig, ServiceConfig } from '@bergamotreach/config';
+import { createRoutingConfig, defaultService } from '@bergamotreach/routing';
+import type { AccountRouting, RegionCost, RoutingConfig, ServiceRouting } from '@bergamotreach/routing';
+
+const kilobytesPerMegabyte = 1000;
+
+function createRegionCost(link: LinkConfig): RegionCost {
+  return {
+    latencyMs: link.latencyMs,
+    costMsPerKilobyte: link.costMsPerMb / kilobytesPerMegabyte,
+  };
+}
+
+function createServiceRouting(service: ServiceConfig, ownRegion: string): ServiceRouting {
+  const links = Object.entries(service.links[ownRegion] ?? {}).map(
+    ([region, link]) => [region, createRegionCost(link)] as const,
+  );
+  return {
+    defaultLink: createRegionCost(service.defaultLink),
+    links: Object.fromEntries(links),
+    expectedServiceMs: defaultService.expectedServiceMs,
+  };
+}
+
+function createAccountRouting(account: AccountConfig, totalShare: number): AccountRouting {
+  return {
+    weight: account.requests.share,
+    guaranteedShare: account.requests.share / totalShare,
+    maxQueued: account.requests.queueLimit,
+  };
+}
+
+function mapValues<T, U>(record: Record<string, T>, change: (value: T) => U): Record<string, U> {
+  return Object.fromEntries(Object.entries(record).map(([key, value]) => [key, change(value)]));
+}
+
+/** Builds what the router of a daemon in `ownRegion` needs of the configuration. */
+export function buildRoutingConfig(config: EffectiveConfig, ownRegion: string): RoutingConfig {
+  const shares = Object.values(config.accounts).map((account) => account.requests.share);
+  const totalShare = shares.reduce((sum, share) => sum + share, 0) || 1;
+  return createRoutingConfig({
+    services: mapValues(config.services, (service) => createServiceRouting(service, ownRegion)),
+    accounts: mapValues(config.accounts, (account) => createAccountRouting(account, totalShare)),
+    limits: {
+      maxBodyBytes: config.limits.maxBodyBytes,
+      maxAnswerBytes: config.limits.maxAnswerBytes,
+      maxRequestMs: config.limits.maxRequestMs,
+    },
+  });
+}
--- a/packages/protocol/src/message.ts
+++ b/packages/protocol/src/message.ts
@@ -10,6 +10,8 @@
   JobWake = 'jobWake',
   Leaving = 'leaving',
   Hint = 'hint',
+  ReportRequest = 'reportRequest',
+  Report = 'report',
 }
 
 /** Whether a daemon takes new work. */
@@ -145,6 +147,20 @@
   unhealthy: string[];
 }
 
+/** Asks the owner of a region for its report; daemons that own none do not answer. */
+export interface ReportRequestMessage {
+  type: MessageType.ReportRequest;
+  sequence: number;
+}
+
+/** State of a region for operators, as plain data. */
+export interface ReportMessage {
+  type: MessageType.Report;
+  /** Sequence of the request answered. */
+  sequence: number;
+  report: unknown;
+}
+
 /** Every message between daemons. */
 export type PeerMessage =
   | HelloMessage
@@ -156,4 +172,6 @@
   | CreditReturnMessage
   | JobWakeMessage
   | LeavingMessage
-  | HintMessage;
+  | HintMessage
+  | ReportRequestMessage
+  | ReportMessage;
