--- /dev/null
+++ b/packages/placement/src/core.ts
@@ -0,0 +1,118 @@
+import type { Fault } from '@bergamotreach/protocol';
+import { FaultCode, createFault } from '@bergamotreach/protocol';
+import { Err, Ok } from 'ts-results-es';
+import type { Result } from 'ts-results-es';
+import { applyConfig } from './account.ts';
+import type { PlacementAction } from './action.ts';
+import { startReadyClaims } from './enter.ts';
+import { applyEvent } from './events.ts';
+import { releaseWorkers } from './failure.ts';
+import { canFitEmpty } from './pack.ts';
+import { runPass } from './pass.ts';
+import { repairGuarantees, reportGuarantees } from './repair.ts';
+import type { Scheduler } from './scheduler.ts';
+import { addWorkers } from './site.ts';
+import type { JobSpec, PlacementConfig, WorkerSpec } from './spec.ts';
+import type { CoreState } from './state.ts';
+import { createDump, listGuaranteeStatus } from './status.ts';
+
+function createState(config: PlacementConfig): CoreState {
+  return {
+    config,
+    nowMs: 0,
+    sites: new Map(),
+    workers: new Map(),
+    accounts: new Map(),
+    jobs: new Map(),
+    queue: new Set(),
+    gangs: new Set(),
+    claims: new Set(),
+    pending: [],
+    blockedShapes: new Set(),
+    isGuaranteeDirty: true,
+    isCapacityDirty: true,
+    hasArrivals: false,
+    reported: new Map(),
+    nextWakeMs: undefined,
+    nextSequence: 0,
+  };
+}
+
+function checkQuota(state: CoreState, job: JobSpec): Result<void, Fault> {
+  const account = state.accounts.get(job.account);
+  if (account === undefined) {
+    const message = `account "${job.account}" does not exist`;
+    return Err(createFault(FaultCode.NotFound, message, { path: ['account'] }));
+  }
+  const quota = account.spec.quotaAccelerators;
+  const wanted = job.members * job.accelerators;
+  if (quota === 0 || wanted <= quota) return Ok(undefined);
+  const message = `the job needs ${wanted} accelerators; the quota of the account is ${quota}`;
+  return Err(createFault(FaultCode.QuotaExceeded, message, { path: ['members'] }));
+}
+
+function checkJob(state: CoreState, job: JobSpec): Result<void, Fault> {
+  const quota = checkQuota(state, job);
+  if (quota.isErr()) return quota;
+  const sites = [...state.sites.values()].filter(
+    (site) => job.dataCentre === '' || job.dataCentre === site.id,
+  );
+  if (sites.some((site) => canFitEmpty(site.workers, job, state.config))) return Ok(undefined);
+  const where = job.dataCentre === '' ? 'any data centre' : `data centre "${job.dataCentre}"`;
+  const message =
+    `${job.members} members of ${job.accelerators} accelerators, ${job.cores} cores and ` +
+    `${job.memoryMb} MB each, within ${job.within}, cannot fit in ${where} even when it is empty`;
+  return Err(createFault(FaultCode.NeverFits, message, { path: ['members'] }));
+}
+
+function isPassDue(state: CoreState): boolean {
+  return (
+    state.isCapacityDirty ||
+    state.hasArrivals ||
+    (state.nextWakeMs !== undefined && state.nextWakeMs <= state.nowMs)
+  );
+}
+
+function decide(state: CoreState): PlacementAction[] {
+  releaseWorkers(state);
+  if (state.isGuaranteeDirty) repairGuarantees(state);
+  const actions = state.pending;
+  state.pending = [];
+  startReadyClaims(state, actions);
+  if (isPassDue(state)) runPass(state, actions);
+  if (state.isGuaranteeDirty) reportGuarantees(state, actions);
+  state.isGuaranteeDirty = false;
+  return actions;
+}
+
+function getNextWakeMs(state: CoreState): number | undefined {
+  let nextMs = state.nextWakeMs ?? Infinity;
+  for (const worker of state.workers.values()) {
+    if (worker.isQuarantined) nextMs = Math.min(nextMs, worker.quarantineUntilMs);
+  }
+  return nextMs === Infinity ? undefined : nextMs;
+}
+
+/**
+ * Creates the decision core of one region. It holds all its state in memory and reads no clock;
+ * `nowMs` of the calls must not go back.
+ */
+export function createScheduler(config: PlacementConfig, workers: WorkerSpec[]): Scheduler {
+  const state = createState(config);
+  addWorkers(state, workers);
+  applyConfig(state, config);
+  return {
+    checkJob: (job) => checkJob(state, job),
+    applyEvents: (events, nowMs) => {
+      state.nowMs = nowMs;
+      for (const event of events) applyEvent(state, event);
+    },
+    decide: (nowMs) => {
+      state.nowMs = nowMs;
+      return decide(state);
+    },
+    getNextWakeMs: () => getNextWakeMs(state),
+    listGuarantees: () => listGuaranteeStatus(state),
+    getDump: () => createDump(state),
+  };
+}
--- /dev/null
+++ b/packages/placement/src/enter.ts
@@ -0,0 +1,198 @@
+import { ActionKind, StopReason } from './action.ts';
+import type { PlacementAction } from './action.ts';
+import { createBinding, removeBinding } from './bind.ts';
+import { CapacityClass } from './event.ts';
+import type { GangPlacement } from './event.ts';
+import type { Plan } from './guaranteed.ts';
+import { listVictims } from './lent.ts';
+import { isUsable, setSlotUse } from './state.ts';
+import type { Binding, Claim, CoreState, Gang, Job, MemberSlots } from './state.ts';
+
+function listBindings(members: readonly MemberSlots[]): Binding[] {
+  const bindings = new Set<Binding>();
+  for (const { slots } of members)
+    for (const { binding } of slots) if (binding) bindings.add(binding);
+  return [...bindings];
+}
+
+function releaseBindings(state: CoreState, user: Gang | Claim): void {
+  for (const binding of user.bindings) {
+    binding.users.delete(user);
+    if (binding.users.size === 0) removeBinding(binding);
+  }
+  if (user.bindings.length > 0) state.isGuaranteeDirty = true;
+  user.bindings = [];
+}
+
+/** Adds or takes away the cores and memory of tasks without accelerators. */
+function addPlainUse(gang: Gang, sign: 1 | -1): void {
+  const { job, members } = gang;
+  if (job.accelerators > 0) return;
+  for (const { worker } of members) {
+    worker.plainCores += sign * job.spec.cores;
+    worker.plainMemoryMb += sign * job.spec.memoryMb;
+  }
+}
+
+function createPlacement(claim: Claim): GangPlacement {
+  const { job, site, capacityClass, members } = claim;
+  return {
+    jobId: job.spec.jobId,
+    attempt: job.attempts + 1,
+    capacityClass,
+    dataCentre: site.id,
+    members: members.map(({ worker }, member) => ({
+      member,
+      worker: worker.spec.id,
+      accelerators: job.spec.accelerators,
+    })),
+  };
+}
+
+/** Enters a gang that takes the slots of its members. */
+export function addGang(
+  state: CoreState,
+  job: Job,
+  gangPlacement: GangPlacement,
+  members: MemberSlots[],
+  bindings: Binding[],
+): Gang {
+  const gang: Gang = {
+    job,
+    placement: gangPlacement,
+    capacityClass: gangPlacement.capacityClass,
+    members,
+    bindings,
+    startedAtMs: state.nowMs,
+    attainedAtStart: job.attainedSeconds,
+    protectedUntilMs: 0,
+    isRunning: false,
+    stopAtMs: undefined,
+  };
+  for (const { slots } of members) {
+    for (const slot of slots) setSlotUse(slot, { gang, claim: undefined });
+  }
+  for (const binding of bindings) binding.users.add(gang);
+  addPlainUse(gang, 1);
+  job.attempts = Math.max(job.attempts, gangPlacement.attempt);
+  job.gang = gang;
+  job.attainedAtMs = state.nowMs;
+  state.queue.delete(job);
+  state.gangs.add(gang);
+  return gang;
+}
+
+function startClaim(state: CoreState, claim: Claim, actions: PlacementAction[]): void {
+  const { job } = claim;
+  const gang = addGang(state, job, createPlacement(claim), claim.members, [...claim.bindings]);
+  for (const binding of claim.bindings) binding.users.delete(claim);
+  gang.protectedUntilMs = claim.isReservation ? state.nowMs + state.config.reservationAfterMs : 0;
+  job.claim = undefined;
+  state.claims.delete(claim);
+  actions.push({ kind: ActionKind.StartGang, placement: gang.placement });
+}
+
+/** Stops a gang; repeated only when it must stop sooner than asked before. */
+export function stopGang(
+  state: CoreState,
+  gang: Gang,
+  reason: StopReason,
+  graceMs: number,
+  actions: PlacementAction[],
+): void {
+  const stopAtMs = state.nowMs + graceMs;
+  if (gang.stopAtMs !== undefined && gang.stopAtMs <= stopAtMs) return;
+  gang.stopAtMs = stopAtMs;
+  const { jobId, attempt } = gang.placement;
+  actions.push({ kind: ActionKind.StopGang, jobId, attempt, reason, graceMs });
+}
+
+/** Gives up a claim; its job waits again. */
+export function dropClaim(state: CoreState, claim: Claim): void {
+  for (const { slots } of claim.members) {
+    for (const slot of slots) if (slot.claim === claim) setSlotUse(slot, { claim: undefined });
+  }
+  releaseBindings(state, claim);
+  state.claims.delete(claim);
+  claim.job.claim = undefined;
+  claim.job.account.usedAccelerators -= claim.job.accelerators;
+  state.queue.add(claim.job);
+  state.isCapacityDirty = true;
+}
+
+/** Drops the claims of lent work that stand in the way of a plan. */
+function dropConflicts(state: CoreState, plan: Plan): void {
+  for (const { slots } of plan.members) {
+    for (const { claim } of slots) if (claim !== undefined) dropClaim(state, claim);
+  }
+}
+
+function createClaim(state: CoreState, plan: Plan, isReservation: boolean): Claim {
+  const { job, site, capacityClass, members, guarantee } = plan;
+  if (guarantee !== undefined) {
+    for (const cell of plan.newCells) createBinding(guarantee, cell);
+    state.isGuaranteeDirty = true;
+  }
+  const isGuaranteed = capacityClass === CapacityClass.Guaranteed;
+  const bindings = isGuaranteed ? listBindings(members) : [];
+  return { job, site, capacityClass, members, bindings, isReservation };
+}
+
+/**
+ * Enters a plan: keeps its cells for the job, stops what runs in them, and starts the gang at once
+ * when nothing does.
+ */
+export function enterPlan(
+  state: CoreState,
+  plan: Plan,
+  isReservation: boolean,
+  actions: PlacementAction[],
+): void {
+  dropConflicts(state, plan);
+  const claim = createClaim(state, plan, isReservation);
+  const { job } = plan;
+  for (const binding of claim.bindings) binding.users.add(claim);
+  for (const { slots } of plan.members) for (const slot of slots) setSlotUse(slot, { claim });
+  job.claim = claim;
+  job.account.usedAccelerators += job.accelerators;
+  state.claims.add(claim);
+  state.queue.delete(job);
+  const victims = listVictims(plan.members);
+  if (victims.size === 0) {
+    startClaim(state, claim, actions);
+    return;
+  }
+  const graceMs = job.spec.urgent ? state.config.urgentReclaimMs : state.config.reclaimMs;
+  for (const gang of victims) stopGang(state, gang, StopReason.Reclaim, graceMs, actions);
+}
+
+/** Starts the claims whose cells are clear; gives up those that lost a cell. */
+export function startReadyClaims(state: CoreState, actions: PlacementAction[]): void {
+  for (const claim of [...state.claims]) {
+    const slots = claim.members.flatMap((member) => member.slots);
+    if (slots.some((slot) => slot.claim !== claim || !isUsable(slot.worker))) {
+      dropClaim(state, claim);
+    } else if (slots.every((slot) => slot.gang === undefined)) {
+      startClaim(state, claim, actions);
+    }
+  }
+}
+
+/** Frees the capacity of a gang whose end is confirmed. */
+export function removeGang(state: CoreState, gang: Gang): void {
+  for (const { slots } of gang.members) {
+    for (const slot of slots) if (slot.gang === gang) setSlotUse(slot, { gang: undefined });
+  }
+  addPlainUse(gang, -1);
+  releaseBindings(state, gang);
+  state.gangs.delete(gang);
+  gang.job.gang = undefined;
+  gang.job.account.usedAccelerators -= gang.job.accelerators;
+  state.isCapacityDirty = true;
+}
+
+/** Turns a guaranteed gang into lent work that may be stopped; frees its bindings. */
+export function demoteGang(state: CoreState, gang: Gang): void {
+  gang.capacityClass = CapacityClass.Lent;
+  releaseBindings(state, gang);
+}
--- /dev/null
+++ b/packages/placement/src/recovery.ts
@@ -0,0 +1,94 @@
+import { chooseCells, createBinding, isGuaranteedFree, removeBinding } from './bind.ts';
+import { addGang } from './enter.ts';
+import { CapacityClass } from './event.ts';
+import type { GangPlacement } from './event.ts';
+import { computeFootprint } from './footprint.ts';
+import type { Binding, CoreState, Guarantee, Job, MemberSlots, Slot, Worker } from './state.ts';
+
+/** Cell of the guarantee with room for the member on the worker; bound if it is not yet. */
+function findCell(
+  state: CoreState,
+  guarantee: Guarantee,
+  worker: Worker,
+  footprint: number,
+  used: ReadonlySet<Slot>,
+): Binding | undefined {
+  const countRoom = (slots: readonly Slot[]): number =>
+    slots.filter((slot) => slot.worker === worker && isGuaranteedFree(slot) && !used.has(slot))
+      .length;
+  for (const binding of guarantee.bindings) {
+    if (countRoom(binding.slots) >= footprint) return binding;
+  }
+  const [cell] = chooseCells(state, guarantee, 1, (slots) => countRoom(slots) >= footprint);
+  return cell && createBinding(guarantee, cell);
+}
+
+function takeSlots(slots: readonly Slot[], worker: Worker, footprint: number): Slot[] {
+  return slots
+    .filter((slot) => slot.worker === worker && slot.gang === undefined)
+    .slice(0, footprint);
+}
+
+function getFootprint(state: CoreState, job: Job, worker: Worker): number {
+  const { acceleratorShare } = state.config;
+  return computeFootprint(job.spec, worker.spec, acceleratorShare) ?? job.spec.accelerators;
+}
+
+/** Enters the gang under one guarantee of its account, or returns false. */
+function addUnderGuarantee(
+  state: CoreState,
+  job: Job,
+  placement: GangPlacement,
+  guarantee: Guarantee,
+): boolean {
+  const members: MemberSlots[] = [];
+  const used = new Set<Slot>();
+  const bindings = new Set<Binding>();
+  for (const { worker: id } of placement.members) {
+    const worker = state.workers.get(id);
+    if (worker?.site !== guarantee.site) continue;
+    const footprint = getFootprint(state, job, worker);
+    const cell = findCell(state, guarantee, worker, footprint, used);
+    const free = cell?.slots.filter((slot) => !used.has(slot) && isGuaranteedFree(slot)) ?? [];
+    const slots = takeSlots(free, worker, footprint);
+    if (cell === undefined || slots.length < footprint) break;
+    bindings.add(cell);
+    for (const slot of slots) used.add(slot);
+    members.push({ worker, slots });
+  }
+  const isWhole = members.length === placement.members.length;
+  if (isWhole) addGang(state, job, placement, members, [...bindings]);
+  for (const binding of bindings) if (binding.users.size === 0) removeBinding(binding);
+  return isWhole;
+}
+
+function addAsLent(state: CoreState, job: Job, placement: GangPlacement): void {
+  const members: MemberSlots[] = [];
+  const used = new Set<Slot>();
+  for (const { worker: id } of placement.members) {
+    const worker = state.workers.get(id);
+    if (worker === undefined) continue;
+    const free = worker.slots.filter((slot) => !used.has(slot));
+    const slots =
+      job.accelerators === 0 ? [] : takeSlots(free, worker, getFootprint(state, job, worker));
+    for (const slot of slots) used.add(slot);
+    members.push({ worker, slots });
+  }
+  addGang(state, job, placement, members, []).capacityClass = CapacityClass.Lent;
+}
+
+/**
+ * Takes the cells of a gang found running. A guaranteed gang for which no cell of its account can
+ * be bound without touching another guarantee goes on as lent work.
+ */
+export function applyRecoveredGang(state: CoreState, job: Job, placement: GangPlacement): void {
+  job.account.usedAccelerators += job.accelerators;
+  const guarantees =
+    placement.capacityClass === CapacityClass.Guaranteed ? job.account.guarantees : [];
+  const isBound = guarantees.some((guarantee) =>
+    addUnderGuarantee(state, job, placement, guarantee),
+  );
+  if (!isBound) addAsLent(state, job, placement);
+  if (job.gang !== undefined) job.gang.isRunning = true;
+  state.isGuaranteeDirty = true;
+}
--- /dev/null
+++ b/packages/placement/src/site.ts
@@ -0,0 +1,113 @@
+import { buildForest, getHardwareType, listRacks } from './cell.ts';
+import type { WorkerSpec } from './spec.ts';
+import type { CoreState, Site, Worker } from './state.ts';
+
+/** Site of a data centre, created empty when it is new. */
+export function getSite(state: CoreState, id: string): Site {
+  const found = state.sites.get(id);
+  if (found !== undefined) return found;
+  const site: Site = { id, workers: [], racks: new Map(), forest: buildForest([]), freeSlots: 0 };
+  state.sites.set(id, site);
+  return site;
+}
+
+function createWorker(spec: WorkerSpec, site: Site): Worker {
+  const worker: Worker = {
+    spec,
+    site,
+    slots: [],
+    freeSlots: spec.accelerators,
+    isLost: false,
+    isQuarantined: false,
+    quarantineUntilMs: 0,
+    quarantines: 0,
+    failedJobs: new Set(),
+    plainCores: 0,
+    plainMemoryMb: 0,
+  };
+  for (let index = 0; index < spec.accelerators; index += 1) {
+    worker.slots.push({
+      worker,
+      index,
+      gang: undefined,
+      claim: undefined,
+      binding: undefined,
+      reservedFor: undefined,
+    });
+  }
+  site.freeSlots += spec.accelerators;
+  return worker;
+}
+
+function isIdle(worker: Worker): boolean {
+  return (
+    worker.plainCores === 0 &&
+    worker.plainMemoryMb === 0 &&
+    worker.slots.every((slot) => !slot.gang && !slot.claim && !slot.binding)
+  );
+}
+
+/** Forgets a lost worker and returns its position, which another worker may take. */
+function takePosition(state: CoreState, site: Site, spec: WorkerSpec): number {
+  const position = site.workers.findIndex(
+    (worker) =>
+      worker.isLost &&
+      worker.spec.rack === spec.rack &&
+      getHardwareType(worker.spec) === getHardwareType(spec) &&
+      isIdle(worker),
+  );
+  const worker = site.workers[position];
+  if (worker === undefined) return site.workers.length;
+  state.workers.delete(worker.spec.id);
+  site.freeSlots -= worker.freeSlots;
+  return position;
+}
+
+function isSameSpec(a: WorkerSpec, b: WorkerSpec): boolean {
+  return (
+    a.dataCentre === b.dataCentre && a.rack === b.rack && getHardwareType(a) === getHardwareType(b)
+  );
+}
+
+function addWorker(state: CoreState, spec: WorkerSpec, changed: Set<Site>): void {
+  const known = state.workers.get(spec.id);
+  if (known !== undefined && isSameSpec(known.spec, spec)) {
+    known.isLost = false;
+    return;
+  }
+  // A worker that came back as other hardware: its old position stays behind as lost.
+  if (known !== undefined) {
+    known.isLost = true;
+    state.workers.delete(spec.id);
+  }
+  const site = getSite(state, spec.dataCentre);
+  const worker = createWorker(spec, site);
+  site.workers[takePosition(state, site, spec)] = worker;
+  state.workers.set(spec.id, worker);
+  changed.add(site);
+}
+
+/**
+ * Adds workers or marks known ones as back. A new worker takes the position of a lost one of the
+ * same rack and type, so that the cells of its rack become whole again.
+ */
+export function addWorkers(state: CoreState, specs: readonly WorkerSpec[]): void {
+  const changed = new Set<Site>();
+  for (const spec of specs) addWorker(state, spec, changed);
+  for (const site of changed) {
+    site.forest = buildForest(site.workers);
+    site.racks = listRacks(site.workers);
+  }
+  state.isCapacityDirty = true;
+  state.isGuaranteeDirty = true;
+}
+
+/** Marks workers as lost; gangs keep their capacity until their end is confirmed. */
+export function removeWorkers(state: CoreState, workerIds: readonly string[]): void {
+  for (const id of workerIds) {
+    const worker = state.workers.get(id);
+    if (worker !== undefined) worker.isLost = true;
+  }
+  state.isCapacityDirty = true;
+  state.isGuaranteeDirty = true;
+}
--- /dev/null
+++ b/packages/placement/tests/scenario.test.ts
@@ -0,0 +1,128 @@
+import { test } from 'node:test';
+import { expect } from 'earl';
+import {
+  ActionKind,
+  Adjacency,
+  CapacityClass,
+  EventKind,
+  GangEnd,
+  createScheduler,
+} from '../src/index.ts';
+import type { JobSpec, PlacementAction, PlacementEvent } from '../src/index.ts';
+import { createAccount, createConfig, createJob, createWorkers } from './samples.ts';
+
+function createArrival(job: JobSpec, acceptedAtMs = 0): PlacementEvent {
+  const history = { attempts: 0, attainedSeconds: 0, failedWorkers: [] };
+  return { kind: EventKind.JobArrived, job, acceptedAtMs, ...history };
+}
+
+function createEnd(jobId: string, attempt: number, end: GangEnd, worker = ''): PlacementEvent {
+  return { kind: EventKind.GangEnded, jobId, attempt, end, worker };
+}
+
+function format(actions: PlacementAction[]): string[] {
+  return actions.map((action) => {
+    if (action.kind === ActionKind.StartGang) {
+      return `start ${action.placement.jobId} ${action.placement.capacityClass}`;
+    }
+    if (action.kind === ActionKind.StopGang) {
+      return `stop ${action.jobId} ${action.reason} ${action.graceMs}`;
+    }
+    if (action.kind === ActionKind.EndJob) return `end ${action.jobId}`;
+    if (action.kind === ActionKind.FailJob) return `fail ${action.jobId}`;
+    if (action.kind === ActionKind.ReportGuarantee) {
+      return `report ${action.account} ${action.accelerators} ${action.missing}`;
+    }
+    return `${action.kind} ${action.worker}`;
+  });
+}
+
+// Guards against a claimant that starts before the lent work in its cell is confirmed stopped.
+test('reclaim waits for the confirmed end', () => {
+  const config = createConfig([createAccount('a', [[8, 1]]), createAccount('b')]);
+  const scheduler = createScheduler(config, createWorkers(1, 8));
+  scheduler.applyEvents([createArrival(createJob('lent', 'b', { accelerators: 8 }))], 0);
+  expect(format(scheduler.decide(0))).toEqual([`start lent ${CapacityClass.Lent}`]);
+  const own = createJob('own', 'a', { accelerators: 8, urgent: true });
+  scheduler.applyEvents([createArrival(own, 1000)], 1000);
+  expect(format(scheduler.decide(1000))).toEqual(['stop lent reclaim 300']);
+  expect(scheduler.decide(1300)).toEqual([]);
+  scheduler.applyEvents([createArrival(createJob('late', 'b'))], 1310);
+  expect(scheduler.decide(1310)).toEqual([]);
+  scheduler.applyEvents([createEnd('lent', 1, GangEnd.Stopped)], 1320);
+  expect(format(scheduler.decide(1320))).toEqual([`start own ${CapacityClass.Guaranteed}`]);
+});
+
+// Guards against guaranteed work that ends up split over workers or on another account's cell.
+test('guaranteed work takes its own whole cells', () => {
+  const config = createConfig([createAccount('a', [[4, 2]]), createAccount('b', [[8, 1]])]);
+  const scheduler = createScheduler(config, createWorkers(2, 8));
+  const small = ['s1', 's2', 's3'].map((id) => createJob(id, 'a', { accelerators: 3 }));
+  scheduler.applyEvents(
+    small.map((job) => createArrival(job)),
+    0,
+  );
+  const actions = scheduler.decide(0);
+  const started = actions.flatMap((action) =>
+    action.kind === ActionKind.StartGang ? [action.placement] : [],
+  );
+  expect(started.map((item) => item.capacityClass)).toEqual([
+    CapacityClass.Guaranteed,
+    CapacityClass.Guaranteed,
+    CapacityClass.Lent,
+  ]);
+  expect(started[0]!.members[0]!.worker).toEqual(started[1]!.members[0]!.worker);
+  const big = createJob('big', 'b', { accelerators: 8, within: Adjacency.Worker });
+  scheduler.applyEvents([createArrival(big)], 1000);
+  expect(format(scheduler.decide(1000))).toEqual(['stop s3 reclaim 10000']);
+});
+
+// Guards against lost hardware that goes unreported, or a report that never clears.
+test('lost worker breaks and restores a guarantee', () => {
+  const workers = createWorkers(2, 8);
+  const config = createConfig([createAccount('a', [[8, 2]])]);
+  const scheduler = createScheduler(config, workers);
+  expect(scheduler.decide(0)).toEqual([]);
+  scheduler.applyEvents([{ kind: EventKind.WorkersLost, workerIds: ['a-1'] }], 1);
+  expect(format(scheduler.decide(1))).toEqual(['report a 8 1']);
+  scheduler.applyEvents([{ kind: EventKind.WorkersAdded, workers: workers.slice(1) }], 2);
+  expect(format(scheduler.decide(2))).toEqual(['report a 8 0']);
+});
+
+// Guards against a faulty worker that is blamed on its jobs, and a faulty job on its workers.
+test('faulty worker and faulty job', () => {
+  const scheduler = createScheduler(createConfig([createAccount('a')]), createWorkers(5, 1));
+  const run = (jobId: string, attempt: number, nowMs: number): string[] => {
+    scheduler.applyEvents([createArrival(createJob(jobId, 'a'))], nowMs);
+    const [start] = scheduler.decide(nowMs);
+    if (start?.kind !== ActionKind.StartGang) throw new Error('the job was not started');
+    const worker = start.placement.members[0]!.worker;
+    scheduler.applyEvents([createEnd(jobId, attempt, GangEnd.MemberFailed, worker)], nowMs + 1);
+    return [];
+  };
+  run('bad', 1, 0);
+  run('bad', 2, 10);
+  run('bad', 3, 20);
+  expect(format(scheduler.decide(30))).toEqual(['fail bad']);
+});
+
+// Guards against a cancellation wave that is handled job by job.
+test('1,000 cancellations take one pass', () => {
+  const scheduler = createScheduler(createConfig([createAccount('a')]), createWorkers(500, 1));
+  const jobIds = Array.from({ length: 1000 }, (_, index) => `j${index}`);
+  scheduler.applyEvents(
+    jobIds.map((id) => createArrival(createJob(id, 'a'))),
+    0,
+  );
+  expect(scheduler.decide(0).length).toEqual(500);
+  scheduler.applyEvents([{ kind: EventKind.JobsCancelled, jobIds }], 1);
+  const actions = scheduler.decide(1);
+  expect(actions.filter((item) => item.kind === ActionKind.EndJob).length).toEqual(500);
+  expect(actions.filter((item) => item.kind === ActionKind.StopGang).length).toEqual(500);
+  scheduler.applyEvents(
+    jobIds.slice(0, 500).map((id) => createEnd(id, 1, GangEnd.Stopped)),
+    2,
+  );
+  expect(scheduler.decide(2).length).toEqual(500);
+  expect(scheduler.decide(3)).toEqual([]);
+});
