--- /dev/null
+++ b/packages/config/tests/check.test.ts
@@ -0,0 +1,169 @@
+import { Adjacency } from '@bergamotreach/placement';
+import { FaultCode } from '@bergamotreach/protocol';
+import { expect } from 'earl';
+import fc from 'fast-check';
+import { test } from 'node:test';
+import { buildAccepted, checkFolder, computeHash, maxFolderBytes } from '../src/index.ts';
+import { mergeFolder } from '../src/merge.ts';
+import { formatAccount } from './fakes.ts';
+
+const seed = 20260404;
+
+async function listMessages(files: Record<string, string>): Promise<string[]> {
+  const result = await checkFolder(files);
+  return result.isErr() ? result.error.map(({ message }) => message) : [];
+}
+
+test('empty folder has all defaults', async () => {
+  const config = (await checkFolder({})).unwrap();
+  expect(config.placement.weights).toEqual({ completion: 1, fragmentation: 1 });
+  expect(config.placement.urgentReclaimMs).toEqual(300);
+  expect(config.limits.maxRequestMs).toEqual(60_000);
+});
+
+test('defaults without the schema equal those of the check', async () => {
+  const files = {
+    'a.json': formatAccount('acme', 2),
+    'b.json': '{"services": {"trek": {"maxBodyBytes": 9}}, "dataCentres": {"d": {"region": "r"}}}',
+  };
+  expect(buildAccepted(files).unwrap()).toEqual((await checkFolder(files)).unwrap());
+});
+
+test('later file in name order replaces scalars and arrays and merges objects', async () => {
+  const files = {
+    'b.json': '{"accounts": {"acme": {"weight": 2, "tokenHashes": []}}}',
+    'a.json': `{"accounts": {"acme": {"weight": 1, "quotaAccelerators": 5, "tokenHashes": ["${'a'.repeat(64)}"]}}}`,
+  };
+  const account = (await checkFolder(files)).unwrap().accounts.acme!;
+  expect([account.weight, account.quotaAccelerators, account.tokenHashes]).toEqual([2, 5, []]);
+});
+
+// Guards against a merge that depends on the order in which the files were read.
+test('merge does not depend on the order of insertion', () => {
+  const file = fc.dictionary(fc.constantFrom('a', 'b', 'c'), fc.jsonValue({ maxDepth: 3 }));
+  const folder = fc.dictionary(fc.constantFrom('1.json', '2.json', '3.json', '10.json'), file);
+  fc.assert(
+    fc.property(folder, (content) => {
+      const entries = Object.entries(content).map(([name, value]) => [name, JSON.stringify(value)]);
+      const forward = mergeFolder(Object.fromEntries(entries) as Record<string, string>);
+      const backward = mergeFolder(Object.fromEntries(entries.reverse()) as Record<string, string>);
+      expect(JSON.stringify(forward.merged)).toEqual(JSON.stringify(backward.merged));
+      const last = Object.keys(content).sort().at(-1) ?? '';
+      const merged = forward.merged;
+      for (const [key, value] of Object.entries(content[last] ?? {})) {
+        const isScalar = typeof value !== 'object' || value === null;
+        if (isScalar) expect(merged[key] ?? null).toEqual(value);
+      }
+    }),
+    { seed, numRuns: 200 },
+  );
+});
+
+test('all faults come at once with file, path, found and allowed', async () => {
+  const files = {
+    'a.json': '{"accounts": {"acme": {"weight": -1, "wieght": 2, "quotaAccelerators": 1.5}}}',
+    'b.json': '{"placement": {"weights": {"completion": "high"}}, "limits": []}',
+    'c.json': '{"dataCentres": {"noord": {"racks": {"r1": {"accelerators": 8}}}}}',
+    'd.json': '{ not json',
+    'E.txt': '{}',
+  };
+  expect((await listMessages(files)).sort()).toEqual([
+    expect.a(String),
+    'a.json: accounts.acme.quotaAccelerators: found 1.5, allowed: integer from 0 to 1000000 (accelerators, 0 for no limit)',
+    'a.json: accounts.acme.weight: found -1, allowed: number from 0.001 to 1000 (share)',
+    'a.json: accounts.acme.wieght: found unknown key "wieght", allowed: weight, quotaAccelerators, guarantees, tokenHashes, isOperator, requests; nearest known: "weight"',
+    'b.json: limits: found array of 0, allowed: object with maxBodyBytes, maxAnswerBytes, maxHeaderBytes, maxRequestMs, defaultRequestMs, readTimeoutMs, maxConnections, maxPayloadBytes, creditMs, stallMs, maxRetryTokens, maxQueuedJobs',
+    'b.json: placement.weights.completion: found "high", allowed: number from 0 to 1000 (weight)',
+    'c.json: dataCentres.noord.racks.r1.workers: found nothing, allowed: integer from 1 to 1024 (workers)',
+    'c.json: dataCentres.noord.region: found nothing, allowed: region name matching ^[a-z0-9][a-z0-9-]{0,62}$',
+    expect.a(String),
+  ]);
+});
+
+test('unknown name gets the nearest known one', async () => {
+  const files = {
+    'a.json':
+      '{"dataCentres": {"noord": {"region": "noord"}}, "accounts": {"acme": {"guarantees": [{"dataCentre": "nord", "accelerators": 8}]}}}',
+  };
+  const [message] = await listMessages(files);
+  expect(message ?? '').toEqual(
+    'a.json: accounts.acme.guarantees[0].dataCentre: found unknown name "nord", allowed: noord; nearest known: "noord"',
+  );
+});
+
+test('prototype names are ordinary unknown keys', async () => {
+  const messages = await listMessages({
+    'a.json': '{"__proto__": {"limits": 1}, "limits": {"constructor": 1}}',
+  });
+  expect(messages.length).toEqual(2);
+});
+
+// Guards against a bearer token that was pasted in place of its hash being shown.
+test('value of a token hash is not shown', async () => {
+  const token = 'demo-token-of-acme';
+  const messages = await listMessages({
+    'a.json': JSON.stringify({ accounts: { acme: { tokenHashes: [token] } } }),
+  });
+  expect(messages.length).toEqual(1);
+  expect(messages.join().includes(token)).toEqual(false);
+});
+
+test('rules over several keys', async () => {
+  const hash = computeHash('t');
+  const cases: [string, string][] = [
+    ['{"placement": {"weights": {"completion": 0, "fragmentation": 0}}}', 'placement.weights'],
+    ['{"placement": {"quarantineMs": 2000, "quarantineMaxMs": 1000}}', 'placement.quarantineMaxMs'],
+    ['{"limits": {"maxRequestMs": 10}}', 'limits.defaultRequestMs'],
+    [
+      `{"accounts": {"a": {"tokenHashes": ["${hash}"]}, "b": {"tokenHashes": ["${hash}"]}}}`,
+      'accounts.b.tokenHashes[0]',
+    ],
+    [
+      '{"accounts": {"a": {"requests": {"share": 0.6}}, "b": {"requests": {"share": 0.5}}}}',
+      'accounts.a.requests.share',
+    ],
+    ['{"services": {"s": {"links": {"r": {}}}}}', 'services.s.links.r'],
+    [
+      '{"dataCentres": {"d": {"region": "r"}}, "accounts": {"a": {"quotaAccelerators": 4, "guarantees": [{"dataCentre": "d", "accelerators": 8}]}}}',
+      'accounts.a.quotaAccelerators',
+    ],
+  ];
+  for (const [content, place] of cases) {
+    const messages = await listMessages({ 'a.json': content });
+    expect(messages.map((message) => message.split(': ')[1])).toEqual([place]);
+  }
+});
+
+test('oversold shape names account, shape and level', async () => {
+  const files = {
+    'a.json': '{"dataCentres": {"noord": {"region": "noord", "racks": {"r1": {"workers": 1}}}}}',
+    'b.json':
+      '{"accounts": {"acme": {"guarantees": [{"dataCentre": "noord", "accelerators": 16, "within": "rack"}]}}}',
+  };
+  const shape = { account: 'acme', dataCentre: 'noord', accelerators: 16, within: Adjacency.Rack };
+  const seen: number[] = [];
+  const result = await checkFolder(files, {
+    findOversold: (_, workers) => {
+      seen.push(workers.length);
+      return [{ ...shape, level: 4, missing: 1, missingReserve: 0 }];
+    },
+  });
+  const [fault] = result.unwrapErr();
+  expect(seen).toEqual([1]);
+  expect(fault?.code).toEqual(FaultCode.Oversold);
+  expect(fault?.path).toEqual(['b.json', 'accounts', 'acme', 'guarantees', 0]);
+  expect(fault?.message).toEqual(
+    'b.json: accounts.acme.guarantees[0]: found 16 accelerators within rack (level 4) in noord sold to account acme, allowed: what the hardware of noord can honour; 1 shapes are missing',
+  );
+});
+
+test('folder of 200 files is merged', async () => {
+  const names = Array.from({ length: 200 }, (_, index) => `account-${index}`);
+  const files = Object.fromEntries(names.map((id) => [`${id}.json`, formatAccount(id, 1)]));
+  expect(Object.keys((await checkFolder(files)).unwrap().accounts).length).toEqual(200);
+});
+
+test('folder above the size of a push is refused', async () => {
+  const faults = (await checkFolder({ 'a.json': ' '.repeat(maxFolderBytes + 1) })).unwrapErr();
+  expect(faults.map(({ code }) => code)).toEqual([FaultCode.TooLarge]);
+});
