--- /dev/null
+++ b/packages/bench/src/cluster/daemonprocess.ts
@@ -0,0 +1,53 @@
+import { spawn } from 'node:child_process';
+import type { ChildProcess } from 'node:child_process';
+import { createWriteStream } from 'node:fs';
+import { writeFile } from 'node:fs/promises';
+import { join } from 'node:path';
+import type { DaemonSettings } from '@bergamotreach/daemon';
+
+/** A daemon running as a process of the built program. */
+export interface DaemonProcess {
+  settings: DaemonSettings;
+  pid: number;
+  /** Sends a signal, for example SIGKILL, SIGSTOP or SIGCONT. */
+  sendSignal(signal: NodeJS.Signals): void;
+  /** Resolves with the exit code, or the signal's name when a signal ended the process. */
+  exited: Promise<number | NodeJS.Signals>;
+  hasExited(): boolean;
+}
+
+/** Path of the bundled program, built by `npm run build`. */
+export const bundlePath = 'dist/bergamotreach.cjs';
+
+function waitForExit(child: ChildProcess): Promise<number | NodeJS.Signals> {
+  return new Promise((resolve) => {
+    child.once('exit', (code, signal) => {
+      resolve(signal ?? code ?? 1);
+    });
+  });
+}
+
+/** Writes the settings to `directory` and starts the daemon; its log goes to `<id>.log` there. */
+export async function startDaemonProcess(
+  settings: DaemonSettings,
+  directory: string,
+): Promise<DaemonProcess> {
+  const settingsPath = join(directory, `${settings.id}.json`);
+  await writeFile(settingsPath, JSON.stringify(settings, null, 2));
+  const log = createWriteStream(join(directory, `${settings.id}.log`));
+  const child = spawn(process.execPath, [bundlePath, 'serve', '--settings', settingsPath], {
+    stdio: ['ignore', 'pipe', 'pipe'],
+  });
+  child.stdout.pipe(log);
+  child.stderr.pipe(log, { end: false });
+  const exited = waitForExit(child);
+  return {
+    settings,
+    pid: child.pid ?? 0,
+    sendSignal: (signal) => {
+      child.kill(signal);
+    },
+    exited,
+    hasExited: () => child.exitCode !== null || child.signalCode !== null,
+  };
+}
--- /dev/null
+++ b/packages/bench/src/cluster/index.ts
@@ -0,0 +1,3 @@
+export * from './client.ts';
+export * from './cluster.ts';
+export * from './daemonprocess.ts';
--- a/packages/daemon/src/auth.ts
+++ b/packages/daemon/src/auth.ts
@@ -27,7 +27,10 @@
 
 function listTokens(config: EffectiveConfig): KnownToken[] {
   return Object.entries(config.accounts).flatMap(([account, { tokenHashes, isOperator }]) =>
-    tokenHashes.map((hash) => ({ hash: Buffer.from(hash, 'hex'), caller: { account, isOperator } })),
+    tokenHashes.map((hash) => ({
+      hash: Buffer.from(hash, 'hex'),
+      caller: { account, isOperator },
+    })),
   );
 }
 
--- /dev/null
+++ b/packages/daemon/src/daemon.ts
@@ -0,0 +1,213 @@
+import { getRequestListener } from '@hono/node-server';
+import type { EffectiveConfig } from '@bergamotreach/config';
+import { createScheduler } from '@bergamotreach/placement';
+import type { JobSpec, WorkerSpec } from '@bergamotreach/placement';
+import { InstanceKind } from '@bergamotreach/platform';
+import type { Instance } from '@bergamotreach/platform';
+import { MessageType, waitFor } from '@bergamotreach/protocol';
+import type { Fault } from '@bergamotreach/protocol';
+import type { Result } from 'ts-results-es';
+import { createApp } from './app.ts';
+import { createAuthenticator } from './auth.ts';
+import { createBodyReader } from './body.ts';
+import { startHttpServer } from './httpserver.ts';
+import type { HttpServer } from './httpserver.ts';
+import { startInstancePoller } from './instancepoller.ts';
+import { createJobService } from './jobservice.ts';
+import { createTasks } from './parts.ts';
+import type { DaemonBase, DaemonTasks } from './parts.ts';
+import { createRegionReports } from './regionreports.ts';
+import type { RegionReport } from './regionreports.ts';
+import { buildRoutingConfig } from './routingconfig.ts';
+
+/** A running daemon. */
+export interface Daemon {
+  /** `ip:port` for callers and operators. */
+  httpAddress: string;
+  /** Starts a graceful shutdown; `finished` resolves when it is complete. */
+  startDraining(): void;
+  /** Resolves when the daemon has drained and the process may end. */
+  finished: Promise<void>;
+  /** State of every task as plain JSON data. */
+  getDump(): unknown;
+  /** Closes everything at once. */
+  stop(): void;
+}
+
+// A daemon of 64 MB keeps caller bodies within this many bytes.
+const bodyBudgetBytes = 8 * 1024 * 1024;
+// Time for balancers and peers to see that a daemon is leaving before it refuses new work.
+const drainNoticeMs = 2000;
+
+interface RunState {
+  config: EffectiveConfig | undefined;
+  isDraining: boolean;
+}
+
+function listConfigRegions(config: EffectiveConfig | undefined): string[] {
+  const regions = Object.values(config?.dataCentres ?? {}).map((entry) => entry.region);
+  return [...new Set(regions)].sort();
+}
+
+function listWorkerSpecs(instances: readonly Instance[], region: string): WorkerSpec[] {
+  return instances
+    .filter((instance) => instance.kind === InstanceKind.Worker && instance.region === region)
+    .map(({ id, dataCentre, rack, capacity }) => ({
+      id,
+      dataCentre,
+      rack,
+      accelerators: capacity.accelerators,
+      cores: capacity.cores,
+      memoryMb: capacity.memoryMb,
+    }));
+}
+
+function createOwnReport(base: DaemonBase, tasks: DaemonTasks): RegionReport | undefined {
+  if (!tasks.owner.isOwner()) return undefined;
+  const usage = tasks.owner
+    .listUsage()
+    .map(({ account, inUse, queued }) => [account, { inUse, queued }] as const);
+  return {
+    region: base.settings.region,
+    guarantees: tasks.owner.listGuarantees(),
+    usage: Object.fromEntries(usage),
+    quarantined: tasks.owner.listQuarantined(),
+  };
+}
+
+/** Tells the daemons of a region, this one included, that job rows changed. */
+function wakeOwner(base: DaemonBase, tasks: DaemonTasks, region: string, jobIds: string[]): void {
+  if (region === base.settings.region) tasks.owner.wake(jobIds);
+  for (const member of tasks.membership.getView().members) {
+    if (member.region !== region || member.id === base.settings.id) continue;
+    tasks.membership.send(member.id, { type: MessageType.JobWake, region, jobIds });
+  }
+}
+
+/** Starts all tasks of a daemon. Rejects when an address cannot be used. */
+export async function startDaemon(base: DaemonBase): Promise<Daemon> {
+  const { settings, clock, logger, metrics, clients } = base;
+  const state: RunState = { config: undefined, isDraining: false };
+  const tasks = await createTasks(base, applyConfig);
+  const auth = createAuthenticator(settings.operatorTokenHash);
+  const bodies = createBodyReader(bodyBudgetBytes);
+  let server: HttpServer | undefined;
+  let finish: () => void = () => undefined;
+  const finished = new Promise<void>((resolve) => {
+    finish = resolve;
+  });
+
+  function checkJob(region: string, spec: JobSpec): Result<void, Fault> {
+    if (region === settings.region || state.config === undefined) return tasks.owner.checkJob(spec);
+    const workers = listWorkerSpecs(poller.getInstances(), region);
+    return createScheduler(state.config.placement, workers).checkJob(spec);
+  }
+
+  function applyConfig(config: EffectiveConfig): void {
+    state.config = config;
+    auth.applyConfig(config);
+    server?.applyLimits(config.limits);
+    tasks.router.applyConfig(buildRoutingConfig(config, settings.region));
+    tasks.owner.applyConfig(config.placement);
+  }
+
+  function applyInstances(instances: readonly Instance[]): void {
+    tasks.membership.applyInstances(instances);
+    tasks.router.applyInstances([...instances]);
+    tasks.owner.applyInstances(instances);
+  }
+
+  function getDump(): unknown {
+    return {
+      settings: { ...settings, peerSecret: '***', operatorTokenHash: '***' },
+      isDraining: state.isDraining,
+      config: tasks.configTask.getStatus(),
+      membership: tasks.membership.getDump(),
+      committer: tasks.committer.getDump(),
+      router: tasks.router.getDump(),
+      owner: tasks.owner.getDump(),
+      instanceList: { ageMs: poller.getAgeMs(), instances: poller.getInstances().length },
+      bodyBytes: bodies.getUsedBytes(),
+      memory: process.memoryUsage(),
+    };
+  }
+
+  async function runDrain(): Promise<void> {
+    state.isDraining = true;
+    logger.info('drain_started');
+    tasks.membership.startDraining();
+    server?.startDraining();
+    await tasks.owner.stop();
+    await waitFor(clock, drainNoticeMs);
+    tasks.router.startDraining();
+    const closed = server?.close();
+    await tasks.router.waitIdle();
+    await closed;
+    logger.info('drain_finished');
+    stop();
+  }
+
+  function startDraining(): void {
+    if (state.isDraining) return;
+    void runDrain().then(finish);
+  }
+
+  function stop(): void {
+    poller.stop();
+    tasks.configTask.stop();
+    tasks.router.close();
+    tasks.committer.close();
+    tasks.membership.stop();
+    server?.closeNow();
+    void clients.close();
+    metrics.close();
+  }
+
+  const listRegions = (): string[] => listConfigRegions(state.config);
+  const jobs = createJobService({
+    ownRegion: settings.region,
+    listRegions,
+    openStore: tasks.openJobStore,
+    checkJob,
+    wakeOwner: (region, jobIds) => {
+      wakeOwner(base, tasks, region, jobIds);
+    },
+  });
+  const reports = createRegionReports({
+    clock,
+    membership: tasks.membership,
+    listRegions,
+    getOwnReport: () => createOwnReport(base, tasks),
+  });
+  const app = createApp({
+    auth,
+    logger,
+    bodies,
+    jobs,
+    reports,
+    router: tasks.router,
+    store: tasks.configStore,
+    task: tasks.configTask,
+    ownRegion: settings.region,
+    isDraining: () => state.isDraining,
+    getConfig: () => state.config,
+    getInstances: () => poller.getInstances(),
+    getDump,
+    startDraining,
+  });
+  const listener = getRequestListener(app.fetch);
+  server = await startHttpServer({
+    address: settings.httpAddress,
+    handler: (request, response) => void listener(request, response),
+  });
+  const poller = startInstancePoller({
+    list: clients.instanceList,
+    clock,
+    logger,
+    onInstances: applyInstances,
+  });
+  tasks.configTask.start();
+  tasks.owner.start();
+  logger.info('daemon_ready', { http: server.address, peer: tasks.membership.address });
+  return { httpAddress: server.address, startDraining, finished, getDump, stop };
+}
--- a/packages/daemon/src/jobroutes.ts
+++ b/packages/daemon/src/jobroutes.ts
@@ -63,6 +63,8 @@
     createResultResponse(await parts.jobs.getJob(context.get('caller'), context.req.param('id'))),
   );
   app.delete('/v1/jobs/:id', async (context) =>
-    createResultResponse(await parts.jobs.cancelJob(context.get('caller'), context.req.param('id'))),
+    createResultResponse(
+      await parts.jobs.cancelJob(context.get('caller'), context.req.param('id')),
+    ),
   );
 }
--- a/packages/daemon/src/jobsubmission.ts
+++ b/packages/daemon/src/jobsubmission.ts
@@ -51,10 +51,16 @@
   for (const [key, rule] of Object.entries(numberRules)) {
     const value = input[key] ?? rule.default;
     const isValid =
-      typeof value === 'number' && Number.isInteger(value) && value >= rule.min && value <= rule.max;
+      typeof value === 'number' &&
+      Number.isInteger(value) &&
+      value >= rule.min &&
+      value <= rule.max;
     if (!isValid) {
       const found = JSON.stringify(value);
-      return createFieldFault(key, `must be an integer from ${rule.min} to ${rule.max}, found ${found}`);
+      return createFieldFault(
+        key,
+        `must be an integer from ${rule.min} to ${rule.max}, found ${found}`,
+      );
     }
   }
   return undefined;
@@ -64,7 +70,10 @@
   const wrong = textKeys.find((key) => input[key] !== undefined && typeof input[key] !== 'string');
   if (wrong !== undefined) return createFieldFault(wrong, 'must be a string');
   if (!jobIdPattern.test(String(input['jobId']))) {
-    return createFieldFault('jobId', 'must be 1 to 64 letters, digits, dots, dashes or underscores');
+    return createFieldFault(
+      'jobId',
+      'must be 1 to 64 letters, digits, dots, dashes or underscores',
+    );
   }
   const within = input['within'] ?? Adjacency.DataCentre;
   if (!Object.values(Adjacency).includes(within as Adjacency)) {
@@ -117,6 +126,8 @@
   }
   const spec = createSpec(input, account);
   const region = getText(input, 'region', defaultRegion);
-  const digest = createHash('sha256').update(JSON.stringify([spec, payload])).digest('hex');
+  const digest = createHash('sha256')
+    .update(JSON.stringify([spec, payload]))
+    .digest('hex');
   return Ok({ region, spec, payload, digest });
 }
--- /dev/null
+++ b/packages/daemon/src/parts.ts
@@ -0,0 +1,198 @@
+import { randomUUID } from 'node:crypto';
+import { createConfigStore, createConfigTask } from '@bergamotreach/config';
+import type { ConfigStore, ConfigTask, EffectiveConfig } from '@bergamotreach/config';
+import { createRegionOwner } from '@bergamotreach/execution';
+import type { GangJobStore, RegionOwner } from '@bergamotreach/execution';
+import { startMembership } from '@bergamotreach/membership';
+import type { MembershipTask } from '@bergamotreach/membership';
+import {
+  createClaims,
+  createGroupCommitter,
+  createJobStore,
+  createRegionLease,
+} from '@bergamotreach/ownership';
+import type { GroupCommitter } from '@bergamotreach/ownership';
+import { createScheduler } from '@bergamotreach/placement';
+import type { PlacementConfig } from '@bergamotreach/placement';
+import { MessageType, rankMembers } from '@bergamotreach/protocol';
+import type { Clock, Logger, Metrics } from '@bergamotreach/protocol';
+import { createRouter } from '@bergamotreach/routing';
+import type { Router } from '@bergamotreach/routing';
+import type { PlatformClients } from './platformclients.ts';
+import type { DaemonSettings } from './settings.ts';
+
+/** What every task of a daemon needs. */
+export interface DaemonBase {
+  settings: DaemonSettings;
+  clock: Clock;
+  logger: Logger;
+  metrics: Metrics;
+  clients: PlatformClients;
+}
+
+/** The tasks of a daemon. */
+export interface DaemonTasks {
+  committer: GroupCommitter;
+  membership: MembershipTask;
+  configStore: ConfigStore;
+  configTask: ConfigTask;
+  router: Router;
+  owner: RegionOwner;
+  openJobStore: (region: string) => GangJobStore;
+}
+
+// In force until the first configuration arrives; the region owner waits for that one.
+const emptyPlacement: PlacementConfig = {
+  accounts: [],
+  weights: { completion: 1, fragmentation: 1 },
+  lossReserve: {},
+  reservationAfterMs: 60_000,
+  reclaimMs: 10_000,
+  urgentReclaimMs: 300,
+  maxAttempts: 3,
+  quarantineAfterJobs: 3,
+  quarantineMs: 60_000,
+  quarantineMaxMs: 3_600_000,
+  acceleratorShare: 0.5,
+};
+
+/** The member that renews task leases when the owner is gone during a store outage. */
+function isCaretaker(membership: MembershipTask, settings: DaemonSettings): boolean {
+  const live = membership
+    .getView()
+    .members.filter((member) => member.region === settings.region && member.isHeard)
+    .map((member) => member.id);
+  return rankMembers(`caretaker/${settings.region}`, live)[0] === settings.id;
+}
+
+function createConfigParts(
+  base: DaemonBase,
+  membership: MembershipTask,
+  onConfig: (config: EffectiveConfig) => void,
+): { configStore: ConfigStore; configTask: ConfigTask } {
+  const { clock, logger, clients } = base;
+  const { table, objectStore } = clients;
+  const configStore = createConfigStore({ table, objectStore, clock });
+  const configTask = createConfigTask({
+    store: configStore,
+    clock,
+    logger,
+    sendPush: (push) => {
+      membership.sendAll({ type: MessageType.ConfigPush, ...push });
+    },
+    addPushListener: (listener) => {
+      membership.addHandler(MessageType.ConfigPush, (_from, message) => {
+        listener(message);
+      });
+    },
+    onChange: (active) => {
+      onConfig(active.config);
+    },
+    sendRequest: (revision) => {
+      membership.sendAll({ type: MessageType.ConfigRequest, revision });
+    },
+  });
+  membership.addHandler(MessageType.ConfigRequest, (from, message) => {
+    const push = configTask.buildPush(message.revision);
+    if (push !== undefined) membership.send(from, { type: MessageType.ConfigPush, ...push });
+  });
+  membership.addHandler(MessageType.Heartbeat, (_from, message) => {
+    configTask.handlePeerRevision(message.configRevision);
+  });
+  return { configStore, configTask };
+}
+
+function createOwner(
+  base: DaemonBase,
+  committer: GroupCommitter,
+  membership: MembershipTask,
+  httpAddress: () => string,
+  jobStore: GangJobStore,
+): RegionOwner {
+  const { settings, clock, logger, metrics, clients } = base;
+  const { region, id } = settings;
+  const { table, workerClient } = clients;
+  const owner = createRegionOwner({
+    region,
+    createScheduler: () => createScheduler(emptyPlacement, []),
+    createLease: (onChange) =>
+      createRegionLease({
+        table,
+        committer,
+        clock,
+        logger,
+        metrics,
+        region,
+        holder: id,
+        address: httpAddress(),
+        onChange,
+      }),
+    jobStore,
+    workerClient,
+    clock,
+    logger,
+    metrics,
+    getWallMs: () => Date.now(),
+    isCaretaker: () => isCaretaker(membership, settings),
+  });
+  membership.addHandler(MessageType.JobWake, (_from, message) => {
+    if (message.region === region) owner.wake(message.jobIds);
+  });
+  return owner;
+}
+
+/**
+ * Starts membership and creates the other tasks; none of them contends or routes yet. `onConfig`
+ * runs for each configuration that comes into force.
+ */
+export async function createTasks(
+  base: DaemonBase,
+  onConfig: (config: EffectiveConfig) => void,
+): Promise<DaemonTasks> {
+  const { settings, clock, logger, metrics, clients } = base;
+  const { table, objectStore } = clients;
+  const { id, region, dataCentre } = settings;
+  let configTask: ConfigTask | undefined;
+  const committer = createGroupCommitter({
+    table,
+    clock,
+    logger,
+    metrics,
+    createOperationId: randomUUID,
+  });
+  const membership = await startMembership({
+    ...settings,
+    clock,
+    logger,
+    metrics,
+    secret: settings.peerSecret,
+    getHeartbeatSource: () => ({
+      configRevision: configTask?.getStatus().revision ?? 0,
+      epochs: {},
+      delegations: [],
+    }),
+  });
+  const configParts = createConfigParts(base, membership, onConfig);
+  configTask = configParts.configTask;
+  const claims = createClaims({ table, committer, objects: objectStore, daemon: id });
+  const router = createRouter({
+    clock,
+    logger,
+    metrics,
+    membership,
+    claims,
+    selfId: id,
+    region,
+    dataCentre,
+  });
+  const openJobStore = (name: string): GangJobStore =>
+    createJobStore({ table, committer, region: name, getWallMs: () => Date.now() });
+  const owner = createOwner(
+    base,
+    committer,
+    membership,
+    () => settings.httpAddress,
+    openJobStore(region),
+  );
+  return { committer, membership, ...configParts, router, owner, openJobStore };
+}
--- a/packages/daemon/src/requestroutes.ts
+++ b/packages/daemon/src/requestroutes.ts
@@ -29,7 +29,9 @@
 const noConfigRetryMs = 1000;
 
 function createHeaderFault(name: string, message: string): Fault {
-  return createFault(FaultCode.BadRequest, `header ${name} ${message}`, { path: ['headers', name] });
+  return createFault(FaultCode.BadRequest, `header ${name} ${message}`, {
+    path: ['headers', name],
+  });
 }
 
 function parseIdempotent(context: WebContext): Result<boolean, Fault> {
--- a/packages/daemon/src/routingconfig.ts
+++ b/packages/daemon/src/routingconfig.ts
@@ -1,6 +1,16 @@
-import type { AccountConfig, EffectiveConfig, LinkConfig, ServiceConfig } from '@bergamotreach/config';
+import type {
+  AccountConfig,
+  EffectiveConfig,
+  LinkConfig,
+  ServiceConfig,
+} from '@bergamotreach/config';
 import { createRoutingConfig, defaultService } from '@bergamotreach/routing';
-import type { AccountRouting, RegionCost, RoutingConfig, ServiceRouting } from '@bergamotreach/routing';
+import type {
+  AccountRouting,
+  RegionCost,
+  RoutingConfig,
+  ServiceRouting,
+} from '@bergamotreach/routing';
 
 const kilobytesPerMegabyte = 1000;
 
--- /dev/null
+++ b/packages/daemon/src/run.ts
@@ -0,0 +1,61 @@
+import { writeSync } from 'node:fs';
+import {
+  createLogger,
+  createMetrics,
+  createNullMetrics,
+  createSystemClock,
+  faultAnswers,
+} from '@bergamotreach/protocol';
+import type { Metrics } from '@bergamotreach/protocol';
+import { startDaemon } from './daemon.ts';
+import type { Daemon } from './daemon.ts';
+import { openPlatformClients } from './platformclients.ts';
+import { loadSettings } from './settings.ts';
+import type { DaemonSettings } from './settings.ts';
+
+const stderrDescriptor = 2;
+const forcedExitCode = 1;
+
+function openMetrics(settings: DaemonSettings): Metrics {
+  if (settings.statsd === undefined) return createNullMetrics();
+  const { host, port } = settings.statsd;
+  const { id, region, dataCentre } = settings;
+  return createMetrics({ host, port, globalTags: { id, region, dataCentre } });
+}
+
+/** Drains on the first signal and ends the process at once on the second. */
+function handleSignals(daemon: Daemon): void {
+  let isStopping = false;
+  const handleSignal = (): void => {
+    if (isStopping) process.exit(forcedExitCode);
+    isStopping = true;
+    daemon.startDraining();
+  };
+  process.on('SIGTERM', handleSignal);
+  process.on('SIGINT', handleSignal);
+}
+
+/** Runs a daemon until it is told to stop; returns the exit code of the process. */
+export async function runDaemon(settingsPath: string): Promise<number> {
+  const loaded = await loadSettings(settingsPath);
+  if (loaded.isErr()) {
+    writeSync(stderrDescriptor, `bergamotreach: ${loaded.error.message}\n`);
+    return faultAnswers[loaded.error.code].exitCode;
+  }
+  const settings = loaded.value;
+  const logger = createLogger({
+    name: settings.id,
+    level: settings.logLevel,
+    write: (line) => process.stdout.write(line),
+  });
+  const daemon = await startDaemon({
+    settings,
+    clock: createSystemClock(),
+    logger,
+    metrics: openMetrics(settings),
+    clients: openPlatformClients(settings.platformUrl),
+  });
+  handleSignals(daemon);
+  await daemon.finished;
+  return 0;
+}
--- a/packages/daemon/src/settingscheck.ts
+++ b/packages/daemon/src/settingscheck.ts
@@ -7,7 +7,9 @@
 
 const address = z
   .string()
-  .check(z.regex(/^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/u, 'expected ip:port, for example 10.0.0.5:8080'));
+  .check(
+    z.regex(/^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/u, 'expected ip:port, for example 10.0.0.5:8080'),
+  );
 const hash = z.string().check(z.regex(/^[0-9a-f]{64}$/u, 'expected 64 hexadecimal digits'));
 const name = z
   .string()
--- a/packages/placement/src/core.ts
+++ b/packages/placement/src/core.ts
@@ -14,7 +14,7 @@
 import { addWorkers } from './site.ts';
 import type { JobSpec, PlacementConfig, WorkerSpec } from './spec.ts';
 import type { CoreState } from './state.ts';
-import { createDump, listGuaranteeStatus } from './status.ts';
+import { createDump, listAccountUsage, listGuaranteeStatus, listQuarantined } from './status.ts';
 
 function createState(config: PlacementConfig): CoreState {
   return {
@@ -113,6 +113,8 @@
     },
     getNextWakeMs: () => getNextWakeMs(state),
     listGuarantees: () => listGuaranteeStatus(state),
+    listUsage: () => listAccountUsage(state),
+    listQuarantined: () => listQuarantined(state),
     getDump: () => createDump(state),
   };
 }
--- a/packages/placement/src/scheduler.ts
+++ b/packages/placement/src/scheduler.ts
@@ -17,6 +17,15 @@
   reclaimable: number;
 }
 
+/** What an account uses and waits for. */
+export interface AccountUsage {
+  account: string;
+  /** Accelerators of gangs that were not reported as ended. */
+  inUse: number;
+  /** Jobs in the queue. */
+  queued: number;
+}
+
 /** The decision core of one region. It is deterministic: same events and times, same actions. */
 export interface Scheduler {
   /** Tells whether a job can ever run. Faults: `never_fits`, `quota_exceeded`, `not_found` (account). */
@@ -29,6 +38,10 @@
   getNextWakeMs(): number | undefined;
   /** Guarantees of all accounts. */
   listGuarantees(): GuaranteeStatus[];
+  /** Usage of all accounts. */
+  listUsage(): AccountUsage[];
+  /** Workers that are quarantined now. */
+  listQuarantined(): string[];
   /** State for the dump, as plain JSON data. */
   getDump(): unknown;
 }
--- a/packages/placement/src/status.ts
+++ b/packages/placement/src/status.ts
@@ -1,6 +1,6 @@
 import { computeMissing, countUnused, listSiteGuarantees, listUnboundCells } from './bind.ts';
 import { listMaximalCells } from './feasibility.ts';
-import type { GuaranteeStatus } from './scheduler.ts';
+import type { AccountUsage, GuaranteeStatus } from './scheduler.ts';
 import { isUsable } from './state.ts';
 import type { CoreState, Site } from './state.ts';
 
@@ -41,6 +41,26 @@
   return [...state.sites.values()].flatMap((site) => listSiteStatus(state, site));
 }
 
+/** Usage of all configured accounts. */
+export function listAccountUsage(state: CoreState): AccountUsage[] {
+  const queued = new Map<string, number>();
+  for (const { account } of state.queue) {
+    queued.set(account.spec.id, (queued.get(account.spec.id) ?? 0) + 1);
+  }
+  return [...state.accounts.values()].map(({ spec, usedAccelerators }) => ({
+    account: spec.id,
+    inUse: usedAccelerators,
+    queued: queued.get(spec.id) ?? 0,
+  }));
+}
+
+/** Ids of the workers that are quarantined now. */
+export function listQuarantined(state: CoreState): string[] {
+  return [...state.workers.values()]
+    .filter((worker) => worker.isQuarantined)
+    .map((worker) => worker.spec.id);
+}
+
 /** State of the core as plain JSON data. */
 export function createDump(state: CoreState): unknown {
   return {
