Test the configuration task

Property test over random orders of changes, polls, pushes, restarts and outages: no daemon steps back and all agree once faults end.

--- /dev/null
+++ b/packages/config/tests/task.test.ts
@@ -0,0 +1,259 @@
+import { createManualClock } from '@bergamotreach/protocol';
+import { expect } from 'earl';
+import fc from 'fast-check';
+import { test } from 'node:test';
+import { createConfigStore, createConfigTask, manifestEntry } from '../src/index.ts';
+import type { ConfigPush, ConfigTask } from '../src/index.ts';
+import { FakeObjects, FakeTable, createListLogger, finish, formatAccount } from './fakes.ts';
+
+const seed = 20260405;
+
+function createPlatform() {
+  const table = new FakeTable();
+  const objectStore = new FakeObjects();
+  const clock = createManualClock();
+  const store = createConfigStore({ table, objectStore, clock });
+  let revision = 0;
+  async function addRevision(): Promise<void> {
+    const put = { 'a.json': formatAccount('acme', revision + 1) };
+    const operationId = `op-${revision}`;
+    const change = { baseRevision: revision, put, remove: [], author: 'ann', operationId };
+    const result = await finish(clock, store.commitChange(change));
+    if (result.isOk()) revision = result.value.revision;
+  }
+  return { table, objectStore, clock, addRevision, getHead: () => revision };
+}
+
+type Platform = ReturnType<typeof createPlatform>;
+
+/** A daemon reduced to its configuration task, with its outgoing messages. */
+function createNode(platform: Platform) {
+  const pushed: ConfigPush[] = [];
+  const requested: number[] = [];
+  const revisions: number[] = [];
+  const logger = createListLogger();
+  let receive: (push: ConfigPush) => void = () => undefined;
+  const task = createConfigTask({
+    store: createConfigStore(platform),
+    clock: platform.clock,
+    logger,
+    sendPush: (push) => pushed.push(push),
+    addPushListener: (listener) => (receive = listener),
+    sendRequest: (revision) => requested.push(revision),
+    onChange: ({ revision }) => revisions.push(revision),
+  });
+  task.start();
+  return {
+    task,
+    pushed,
+    requested,
+    revisions,
+    logger,
+    receive: (push: ConfigPush) => {
+      receive(push);
+    },
+  };
+}
+
+async function loadPush(platform: Platform): Promise<ConfigPush> {
+  const node = createNode(platform);
+  await platform.clock.advance(1000);
+  node.task.stop();
+  return node.pushed.at(-1)!;
+}
+
+function findEvent(node: ReturnType<typeof createNode>, event: string) {
+  return node.logger.events.find((line) => line.event === event);
+}
+
+test('new revision is in force after a poll and pushed once', async () => {
+  const platform = createPlatform();
+  const node = createNode(platform);
+  await platform.clock.advance(1000);
+  expect(node.task.getActive()).toEqual(undefined);
+  await platform.addRevision();
+  await platform.clock.advance(3000);
+  expect(node.task.getActive()?.config.accounts.acme?.weight).toEqual(1);
+  expect(node.pushed.map(({ revision }) => revision)).toEqual([1]);
+  expect(node.task.buildPush(0)?.revision).toEqual(1);
+  expect(node.task.buildPush(1)).toEqual(undefined);
+});
+
+test('push from a peer is taken and not sent on', async () => {
+  const platform = createPlatform();
+  await platform.addRevision();
+  const older = await loadPush(platform);
+  await platform.addRevision();
+  const newer = await loadPush(platform);
+  platform.table.isDown = true;
+  const node = createNode(platform);
+  node.receive(older);
+  await platform.clock.advance(1000);
+  node.receive(newer);
+  expect(node.revisions).toEqual([1, 2]);
+  expect(node.pushed).toEqual([]);
+});
+
+test('change committed through this daemon is in force after an update', async () => {
+  const platform = createPlatform();
+  const node = createNode(platform);
+  await platform.addRevision();
+  await node.task.update();
+  expect(node.task.getActive()?.revision).toEqual(1);
+});
+
+test('push that fails its hashes is refused', async () => {
+  const platform = createPlatform();
+  await platform.addRevision();
+  const push = await loadPush(platform);
+  platform.table.isDown = true;
+  const node = createNode(platform);
+  const badFile = { ...push, files: { ...push.files, 'a.json': formatAccount('acme', 9) } };
+  const badRevision = { ...push, revision: 7 };
+  const badManifest = { ...push, files: { ...push.files, [manifestEntry]: '{}' } };
+  const extraFile = { ...push, files: { ...push.files, 'b.json': '{}' } };
+  for (const bad of [badFile, badRevision, badManifest, extraFile]) {
+    node.receive(bad);
+    await platform.clock.advance(1000);
+    expect(node.task.getActive()).toEqual(undefined);
+    expect(node.task.getStatus().lastRefusal === '').toEqual(false);
+  }
+});
+
+test('outage is reported with the revision served, and so is its end', async () => {
+  const platform = createPlatform();
+  await platform.addRevision();
+  const node = createNode(platform);
+  await platform.clock.advance(1000);
+  platform.table.isDown = true;
+  await platform.clock.advance(2500);
+  expect(node.task.getStatus().isCutOff).toEqual(false);
+  await platform.clock.advance(2000);
+  expect(node.task.getStatus().isCutOff).toEqual(true);
+  expect(findEvent(node, 'config_cut_off')?.revision).toEqual(1);
+  expect(node.requested.length > 0).toEqual(true);
+  platform.table.isDown = false;
+  await platform.clock.advance(1000);
+  expect(node.task.getStatus().isCutOff).toEqual(false);
+  expect(findEvent(node, 'config_store_reached')?.revision).toEqual(1);
+});
+
+test('table that was set back does not take the daemon back', async () => {
+  const platform = createPlatform();
+  await platform.addRevision();
+  const old = [...platform.table.rows];
+  await platform.addRevision();
+  const node = createNode(platform);
+  await platform.clock.advance(1000);
+  for (const [key, row] of old) platform.table.rows.set(key, row);
+  await platform.clock.advance(3000);
+  const { revision, storeRevision } = node.task.getStatus();
+  expect([revision, storeRevision]).toEqual([2, 1]);
+});
+
+test('higher revision of a peer is asked for', async () => {
+  const platform = createPlatform();
+  const node = createNode(platform);
+  await platform.clock.advance(1000);
+  node.task.handlePeerRevision(4);
+  expect(node.requested).toEqual([0]);
+  expect(node.task.getStatus().highestKnown).toEqual(4);
+});
+
+// Guards against a daemon that restarts in an outage and starts from a peer that lags behind.
+test('restart during an outage starts from the highest pushed revision', async () => {
+  const platform = createPlatform();
+  await platform.addRevision();
+  const older = await loadPush(platform);
+  await platform.addRevision();
+  const newer = await loadPush(platform);
+  platform.table.isDown = true;
+  const node = createNode(platform);
+  node.receive(older);
+  node.receive(newer);
+  await platform.clock.advance(1000);
+  expect(node.revisions).toEqual([2]);
+});
+
+enum StepKind {
+  Change = 'change',
+  Wait = 'wait',
+  Deliver = 'deliver',
+  Drop = 'drop',
+  Restart = 'restart',
+  ToggleTable = 'toggleTable',
+  ToggleObjects = 'toggleObjects',
+}
+
+interface Delivery {
+  to: number;
+  push: ConfigPush;
+}
+
+const step = fc.record({
+  kind: fc.constantFrom(...Object.values(StepKind)),
+  pick: fc.nat({ max: 1000 }),
+});
+
+function listDeliveries(nodes: ReturnType<typeof createNode>[]): Delivery[] {
+  return nodes.flatMap((node, from) => {
+    const others = nodes.map((_, to) => to).filter((to) => to !== from);
+    const pushes = node.pushed.splice(0).flatMap((push) => others.map((to) => ({ to, push })));
+    const answers = node.requested.splice(0).flatMap((above) =>
+      others.flatMap((other) => {
+        const push = nodes[other]!.task.buildPush(above);
+        return push === undefined ? [] : [{ to: from, push }];
+      }),
+    );
+    return [...pushes, ...answers];
+  });
+}
+
+async function runStep(
+  platform: Platform,
+  nodes: ReturnType<typeof createNode>[],
+  queue: Delivery[],
+  { kind, pick }: { kind: StepKind; pick: number },
+): Promise<void> {
+  if (kind === StepKind.Change) await platform.addRevision();
+  if (kind === StepKind.Wait) await platform.clock.advance(500 + pick);
+  if (kind === StepKind.ToggleTable) platform.table.isDown = !platform.table.isDown;
+  if (kind === StepKind.ToggleObjects) platform.objectStore.isDown = !platform.objectStore.isDown;
+  if (kind === StepKind.Restart) {
+    nodes[pick % nodes.length]!.task.stop();
+    nodes[pick % nodes.length] = createNode(platform);
+  }
+  queue.push(...listDeliveries(nodes));
+  const isMessage = kind === StepKind.Deliver || kind === StepKind.Drop;
+  const [taken] = isMessage ? queue.splice(pick % Math.max(1, queue.length), 1) : [];
+  if (taken !== undefined && kind === StepKind.Deliver) nodes[taken.to]!.receive(taken.push);
+}
+
+function isRising(revisions: readonly number[]): boolean {
+  return revisions.every((revision, index) => index === 0 || revision > revisions[index - 1]!);
+}
+
+test('no daemon steps back, and all agree after faults end', async () => {
+  await fc.assert(
+    fc.asyncProperty(fc.array(step, { minLength: 20, maxLength: 40 }), async (steps) => {
+      const platform = createPlatform();
+      const nodes = [0, 1, 2].map(() => createNode(platform));
+      const all = [...nodes];
+      const queue: Delivery[] = [];
+      for (const next of steps) {
+        await runStep(platform, nodes, queue, next);
+        all.push(...nodes.filter((node) => !all.includes(node)));
+      }
+      platform.table.isDown = false;
+      platform.objectStore.isDown = false;
+      await platform.clock.advance(3000);
+      expect(all.every(({ revisions }) => isRising(revisions))).toEqual(true);
+      const served = nodes.map(({ task }) => task.getStatus().revision);
+      expect(served).toEqual(nodes.map(() => platform.getHead()));
+      nodes.forEach(({ task }: { task: ConfigTask }) => {
+        task.stop();
+      });
+    }),
+    { seed, numRuns: 60 },
+  );
+});
