--- a/packages/config/src/check.ts
+++ b/packages/config/src/check.ts
@@ -18,14 +18,8 @@
 import { listRuleFindings } from './rules.ts';
 import type { Finding } from './rules.ts';
 import { listOversoldFindings } from './oversold.ts';
-import type { FindOversold } from './oversold.ts';
 import type { SchemaIssue } from './schema.ts';
 
-/** Options of a check. */
-export interface CheckOptions {
-  findOversold: FindOversold;
-}
-
 /**
  * Largest sum of the sizes of all files. A revision is pushed to peers in one frame of at most
  * 1 MiB, which also holds the manifest.
@@ -42,7 +36,6 @@
  */
 export async function checkFolder(
   files: Readonly<Record<string, string>>,
-  options: Partial<CheckOptions> = {},
 ): Promise<Result<EffectiveConfig, Fault[]>> {
   const sizeFault = checkSize(files);
   if (sizeFault !== undefined) return Err([sizeFault]);
@@ -51,7 +44,7 @@
   const issues = listIssues(folder.merged).flatMap((issue) => buildIssueFaults(folder, issue));
   const faults = [...folder.faults, ...issues];
   if (faults.length > 0) return Err(faults);
-  return checkRules(folder, options.findOversold);
+  return checkRules(folder);
 }
 
 /**
@@ -75,14 +68,11 @@
   return createFault(FaultCode.TooLarge, `found ${found}, allowed: at most ${allowed}`);
 }
 
-function checkRules(
-  folder: MergedFolder,
-  findOversold?: FindOversold,
-): Result<EffectiveConfig, Fault[]> {
+function checkRules(folder: MergedFolder): Result<EffectiveConfig, Fault[]> {
   const config = buildEffectiveConfig(folder.merged);
   const findings = listRuleFindings(config).map((finding) => buildFault(folder, finding));
   if (findings.length > 0) return Err(findings);
-  const oversold = listOversoldFindings(config, findOversold).map((finding) =>
+  const oversold = listOversoldFindings(config).map((finding) =>
     buildFault(folder, finding, FaultCode.Oversold),
   );
   return oversold.length > 0 ? Err(oversold) : Ok(config);
--- a/packages/config/src/effective.ts
+++ b/packages/config/src/effective.ts
@@ -9,7 +9,7 @@
   queueLimit: number;
   /** Retries as a share of requests, 0 to 1. */
   retryBudget: number;
-  /** Part of the slots of each service, 0 to 1, that the account gets before all others. */
+  /** Share of the slots of each service relative to the other accounts. */
   share: number;
 }
 
@@ -30,8 +30,8 @@
 export interface LinkConfig {
   /** One-way latency in milliseconds. */
   latencyMs: number;
-  /** Wait that is as bad as sending one billed kilobyte, in milliseconds. */
-  costMsPerKilobyte: number;
+  /** Wait that is as bad as sending one billed megabyte (10^6 bytes), in milliseconds. */
+  costMsPerMb: number;
 }
 
 /** A service that callers send requests to. */
--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -4,7 +4,6 @@
 export * from './effective.ts';
 export * from './head.ts';
 export type { HistoryEntry } from './history.ts';
-export type { FindOversold, OversoldShape } from './oversold.ts';
 export * from './revision.ts';
 export * from './store.ts';
 export * from './task.ts';
--- a/packages/config/src/keys.ts
+++ b/packages/config/src/keys.ts
@@ -37,13 +37,13 @@
   requests: createGroup({
     queueLimit: createInteger('requests', 1, 100_000, 200),
     retryBudget: createDecimal('share of requests', 0, 1, 0.1),
-    share: createDecimal('guaranteed part of the slots of each service', 0, 1, 0),
+    share: createDecimal('share', 0.001, 1000, 1),
   }),
 });
 
 const link = createGroup({
   latencyMs: createDecimal('ms one way', 0, 10_000, 20),
-  costMsPerKilobyte: createDecimal('ms of wait per billed kilobyte', 0, 1_000_000, 1),
+  costMsPerMb: createDecimal('ms of wait per billed MB', 0, 1_000_000, 1000),
 });
 
 const service = createGroup({
--- a/packages/config/src/rules.ts
+++ b/packages/config/src/rules.ts
@@ -19,7 +19,6 @@
     ...listGuaranteeFindings(config),
     ...listQuotaFindings(config),
     ...listTokenFindings(config),
-    ...listShareFindings(config),
     ...listLinkFindings(config),
   ];
 }
@@ -103,18 +102,6 @@
   return findings;
 }
 
-function listShareFindings(config: EffectiveConfig): Finding[] {
-  const accounts = Object.entries(config.accounts);
-  const sum = accounts.reduce((total, [, { requests }]) => total + requests.share, 0);
-  // Shares such as 0.1 have no exact binary form, so their sum may exceed 1 by a rounding error.
-  if (sum <= 1 + 1e-9) return [];
-  const largest = accounts.reduce((left, right) =>
-    right[1].requests.share > left[1].requests.share ? right : left,
-  );
-  const path = ['accounts', largest[0], 'requests', 'share'];
-  return [createFinding(path, `shares of all accounts that sum to ${sum}`, 'a sum of at most 1')];
-}
-
 function listLinkFindings(config: EffectiveConfig): Finding[] {
   const regions = [...new Set(Object.values(config.dataCentres).map(({ region }) => region))];
   return Object.entries(config.services).flatMap(([name, { links }]) =>
--- a/packages/config/src/store.ts
+++ b/packages/config/src/store.ts
@@ -12,7 +12,6 @@
 import { buildHistoryEntry, loadChain } from './history.ts';
 import type { HistoryEntry } from './history.ts';
 import { createObjectCache } from './objects.ts';
-import type { FindOversold } from './oversold.ts';
 import { checkRevision, computeHash, formatManifest, parseManifest } from './revision.ts';
 import type { ConfigRevision, Manifest } from './revision.ts';
 
@@ -24,7 +23,6 @@
   table: Table;
   objectStore: ObjectStore;
   clock: Clock;
-  findOversold?: FindOversold;
   /** Attempts to commit or to resolve a lost reply. */
   maxAttempts?: number;
   /** First pause between attempts; doubles with each further one. */
@@ -94,7 +92,7 @@
     if (base.isErr()) return base;
     const files = applyChange(base.value.files, change);
     if (files.isErr()) return files;
-    const checked = await checkFolder(files.value, options);
+    const checked = await checkFolder(files.value);
     if (checked.isErr()) return Err(joinFaults(checked.error));
     const stored = await putRevision(change, head.value, files.value);
     if (stored.isErr()) return stored;
