Check function names against docs/names.md in the linter

Cause: names must begin with a verb of a short documented list; nothing checked it. Change: a small rule in the ESLint configuration reads the list from the page. Conclusion: page and code cannot drift apart.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -1,6 +1,31 @@
 import importX from 'eslint-plugin-import-x';
+import { readFileSync } from 'node:fs';
 import tseslint from 'typescript-eslint';
 
+const verbs = new Set(
+  readFileSync('docs/names.md', 'utf8')
+    .split('\n\n')
+    .find((part) => part.startsWith('accept,'))
+    .split(/[\s,]+/),
+);
+
+// Function names begin with a verb listed in docs/names.md.
+const verbRule = {
+  create(context) {
+    const check = (node, name) => {
+      const verb = /^[a-z]+/.exec(name)?.[0];
+      if (verb === undefined || verbs.has(verb)) return;
+      context.report({ node, message: `"${name}" must begin with a verb of docs/names.md` });
+    };
+    return {
+      FunctionDeclaration: (node) => node.id && check(node.id, node.id.name),
+      'MethodDefinition[kind="method"]': (node) => check(node.key, node.key.name ?? ''),
+      'VariableDeclarator[init.type="ArrowFunctionExpression"]': (node) =>
+        check(node.id, node.id.name),
+    };
+  },
+};
+
 // Packages each package may import. Dependencies point one way, from the daemon to the pure packages.
 const allowedImports = {
   protocol: [],
@@ -65,7 +90,7 @@
     languageOptions: {
       parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname },
     },
-    plugins: { 'import-x': importX },
+    plugins: { 'import-x': importX, names: { rules: { verb: verbRule } } },
     rules: {
       '@typescript-eslint/consistent-type-imports': [
         'error',
@@ -80,6 +105,7 @@
       '@typescript-eslint/no-unnecessary-type-parameters': 'off',
       'import-x/no-duplicates': ['error', { 'prefer-inline': false }],
       eqeqeq: 'error',
+      'names/verb': 'error',
     },
   },
   {
--- a/packages/daemon/src/routingconfig.ts
+++ b/packages/daemon/src/routingconfig.ts
@@ -1,33 +1,11 @@
-import type {
-  AccountConfig,
-  EffectiveConfig,
-  LinkConfig,
-  ServiceConfig,
-} from '@bergamotreach/config';
+import type { AccountConfig, EffectiveConfig, ServiceConfig } from '@bergamotreach/config';
 import { createRoutingConfig, defaultService } from '@bergamotreach/routing';
-import type {
-  AccountRouting,
-  RegionCost,
-  RoutingConfig,
-  ServiceRouting,
-} from '@bergamotreach/routing';
-
-const kilobytesPerMegabyte = 1000;
-
-function createRegionCost(link: LinkConfig): RegionCost {
-  return {
-    latencyMs: link.latencyMs,
-    costMsPerKilobyte: link.costMsPerMb / kilobytesPerMegabyte,
-  };
-}
+import type { AccountRouting, RoutingConfig, ServiceRouting } from '@bergamotreach/routing';
 
 function createServiceRouting(service: ServiceConfig, ownRegion: string): ServiceRouting {
-  const links = Object.entries(service.links[ownRegion] ?? {}).map(
-    ([region, link]) => [region, createRegionCost(link)] as const,
-  );
   return {
-    defaultLink: createRegionCost(service.defaultLink),
-    links: Object.fromEntries(links),
+    defaultLink: service.defaultLink,
+    links: service.links[ownRegion] ?? {},
     expectedServiceMs: defaultService.expectedServiceMs,
   };
 }
