--- /dev/null
+++ b/packages/execution/src/recovery.ts
@@ -0,0 +1,138 @@
+import { JobState, isEnded } from '@bergamotreach/ownership';
+import { EventKind, GangEnd } from '@bergamotreach/placement';
+import { CommandKind, TaskState } from '@bergamotreach/platform';
+import type { TaskStatus, WorkerTasks } from '@bergamotreach/platform';
+import { waitFor } from '@bergamotreach/protocol';
+import type { OwnerContext } from './context.ts';
+import { GangPhase, MemberPhase, checkDone, createGang, requestStop } from './gang.ts';
+import type { Gang, GangMember } from './gang.ts';
+import type { JobBook, JobEntry } from './jobs.ts';
+import type { GangJobRow } from './options.ts';
+import { MemberLoss, readTask } from './tasks.ts';
+import type { WorkerEntry } from './workers.ts';
+
+/** Task lists of the workers that answered, with the time of the request. */
+export type RecoveredLists = Map<string, { listed: WorkerTasks; sentMs: number }>;
+
+/** What a new owner found. */
+export interface Recovered {
+  lists: RecoveredLists;
+  rows: GangJobRow[];
+}
+
+async function fenceAndList(
+  context: OwnerContext,
+  worker: WorkerEntry,
+  lists: RecoveredLists,
+): Promise<void> {
+  const fenced = await context.sendEffect(worker.id, [{ kind: CommandKind.Fence }]);
+  if (fenced.isErr()) return;
+  worker.isFenced = true;
+  const sentMs = context.clock.getNowMs();
+  const result = await context.listTasks(worker);
+  if (result.isOk()) lists.set(worker.id, { listed: result.value, sentMs });
+}
+
+async function loadRows(context: OwnerContext): Promise<GangJobRow[]> {
+  while (await context.waitUntilAllowed()) {
+    const rows: GangJobRow[] = [];
+    const result = await context.jobStore.listAll((row) => {
+      if (!isEnded(row.record.state)) rows.push(row);
+    });
+    if (result.isOk()) return rows;
+    await waitFor(context.clock, context.settings.retryMs);
+  }
+  return [];
+}
+
+/** Fences all workers, then reads their task lists and all job rows that have not ended. */
+export async function loadRegion(context: OwnerContext): Promise<Recovered> {
+  const lists: RecoveredLists = new Map();
+  const workers = context.workers.list();
+  await Promise.all(workers.map((worker) => fenceAndList(context, worker, lists)));
+  return { lists, rows: await loadRows(context) };
+}
+
+/** Workers on which members of running gangs were placed. */
+export function listRunningWorkers(rows: readonly GangJobRow[]): Set<string> {
+  const running = rows.filter(({ record }) => record.state === JobState.Running);
+  const members = running.flatMap(({ record }) => record.placement?.members ?? []);
+  return new Set(members.map(({ worker }) => worker));
+}
+
+function findTask(lists: RecoveredLists, member: GangMember): TaskStatus | undefined {
+  const tasks = lists.get(member.worker)?.listed.tasks;
+  return tasks?.find((task) => task.taskId === member.taskId);
+}
+
+/** Sets the phase of a member from its worker's list; returns how it was lost, if it was. */
+function recoverMember(
+  context: OwnerContext,
+  lists: RecoveredLists,
+  member: GangMember,
+): MemberLoss | undefined {
+  member.leaseFromMs = context.clock.getNowMs();
+  member.phase = MemberPhase.Running;
+  // Nothing is known of a worker that did not answer; its lease runs out if it is lost.
+  if (!lists.has(member.worker)) {
+    return context.workers.get(member.worker) === undefined ? MemberLoss.Missing : undefined;
+  }
+  const task = findTask(lists, member);
+  if (task === undefined) {
+    member.phase = MemberPhase.Gone;
+    return MemberLoss.Missing;
+  }
+  if (task.state === TaskState.Held) member.phase = MemberPhase.Held;
+  return readTask(member, task);
+}
+
+function recoverMembers(context: OwnerContext, lists: RecoveredLists, gang: Gang): void {
+  for (const member of gang.members) {
+    const loss = recoverMember(context, lists, member);
+    if (loss === undefined) continue;
+    const end = loss === MemberLoss.Failed ? GangEnd.MemberFailed : GangEnd.WorkerLost;
+    const deadlineMs = context.clock.getNowMs();
+    requestStop(gang, { end, worker: member.worker, deadlineMs });
+  }
+  checkDone(gang, context.clock.getNowMs());
+}
+
+function announceGang(context: OwnerContext, entry: JobEntry, gang: Gang, ageMs: number): void {
+  const { record } = entry.row;
+  context.pushEvent({
+    kind: EventKind.GangRecovered,
+    job: record.spec,
+    placement: gang.placement,
+    acceptedAtMs: context.clock.getNowMs() - ageMs,
+    attainedSeconds: record.attainedSeconds,
+    failedWorkers: record.failedWorkers,
+  });
+}
+
+/**
+ * Takes a `starting` or `running` row over. A gang that was not `running` or lacks a member is
+ * stopped whole and queued again; the placement core learns of the job only then.
+ */
+export function recoverGang(
+  context: OwnerContext,
+  jobs: JobBook,
+  lists: RecoveredLists,
+  row: GangJobRow,
+): Gang | undefined {
+  const { record } = row;
+  const entry = jobs.addEntry(row);
+  if (record.placement === null) return undefined;
+  const gang = createGang(record.placement, context.clock.getNowMs());
+  jobs.addGang(entry, gang);
+  recoverMembers(context, lists, gang);
+  if (record.state === JobState.Starting) {
+    const deadlineMs = context.clock.getNowMs();
+    requestStop(gang, { end: GangEnd.StartFailed, worker: '', deadlineMs });
+  }
+  gang.isKnownToCore = gang.stop === undefined;
+  if (!gang.isKnownToCore) return gang;
+  gang.phase = GangPhase.Running;
+  announceGang(context, entry, gang, jobs.getWallAgeMs(record.acceptedAtMs));
+  jobs.announceCancel(entry);
+  return gang;
+}
--- /dev/null
+++ b/packages/execution/src/session.ts
@@ -0,0 +1,265 @@
+import { JobState } from '@bergamotreach/ownership';
+import type { RegionLease } from '@bergamotreach/ownership';
+import { ActionKind, EventKind, GangEnd } from '@bergamotreach/placement';
+import type {
+  GangPlacement,
+  PlacementAction,
+  PlacementConfig,
+  PlacementEvent,
+  Scheduler,
+} from '@bergamotreach/placement';
+import type { Instance } from '@bergamotreach/platform';
+import type { CancelTimer } from '@bergamotreach/protocol';
+import { match } from 'ts-pattern';
+import { createOwnerContext } from './context.ts';
+import type { OwnerContext } from './context.ts';
+import { createGang, requestStop } from './gang.ts';
+import type { Gang } from './gang.ts';
+import { createJobBook } from './jobs.ts';
+import type { JobEntry } from './jobs.ts';
+import { finishGang, stopMembers } from './ending.ts';
+import { createMonitor } from './monitor.ts';
+import type { OwnerSettings, RegionOwnerOptions } from './options.ts';
+import { listRunningWorkers, loadRegion, recoverGang } from './recovery.ts';
+import { createScanner } from './scanner.ts';
+import { releaseMembers, startMembers } from './starting.ts';
+import { createReports } from './reports.ts';
+import { createWorkerBook } from './workers.ts';
+
+/** One period of ownership, from takeover until another daemon takes over or this one stops. */
+export interface OwnerSession {
+  readonly epoch: number;
+  isOpen(): boolean;
+  /** Whether recovery is complete. */
+  isReady(): boolean;
+  /** Continues after the lease was suspended and renewed. */
+  resume(): void;
+  close(why: string): void;
+  wake(jobIds: readonly string[]): void;
+  applyInstances(instances: readonly Instance[]): void;
+  applyConfig(config: PlacementConfig): void;
+  scheduler: Scheduler;
+  getDump(): unknown;
+}
+
+/** Options of a session. */
+export type SessionOptions = Omit<RegionOwnerOptions, 'settings'> & {
+  lease: RegionLease;
+  epoch: number;
+  settings: OwnerSettings;
+  instances: readonly Instance[];
+  config: PlacementConfig;
+};
+
+/** Events that arrive within this time are decided on together. */
+const decideDelayMs = 2;
+
+/** Starts a period of ownership: recovers the region, then decides and acts. */
+export function createOwnerSession(options: SessionOptions): OwnerSession {
+  const { clock, logger, epoch, settings } = options;
+  const scheduler = options.createScheduler();
+  const workers = createWorkerBook(options.region);
+  const reports = createReports(options);
+  const events: PlacementEvent[] = [];
+  let isRecovered = false;
+  let cancelDecide: CancelTimer | undefined;
+  let cancelWake: CancelTimer | undefined;
+
+  const context: OwnerContext = createOwnerContext({
+    ...options,
+    workers,
+    pushEvent,
+    onClose() {
+      cancelDecide?.();
+      cancelWake?.();
+      monitor.stop();
+      scanner.stop();
+    },
+  });
+  const jobs = createJobBook(context);
+  const monitor = createMonitor(context, jobs);
+  const scanner = createScanner(context, jobs);
+
+  function pushEvent(event: PlacementEvent): void {
+    events.push(event);
+    planDecide(decideDelayMs);
+  }
+
+  function planDecide(delayMs: number): void {
+    if (!isRecovered || cancelDecide !== undefined || !context.isOpen()) return;
+    cancelDecide = clock.setTimer(delayMs, runDecide);
+  }
+
+  function runDecide(): void {
+    cancelDecide = undefined;
+    // Events are kept while the lease is suspended; `resume` plans the next decision.
+    if (!context.canAct()) return;
+    const nowMs = clock.getNowMs();
+    scheduler.applyEvents(events.splice(0), nowMs);
+    const actions = scheduler.decide(nowMs);
+    options.metrics.reportTiming('placement.decide', clock.getNowMs() - nowMs);
+    for (const action of actions) runAction(action);
+    planWake();
+  }
+
+  function planWake(): void {
+    cancelWake?.();
+    const nextMs = scheduler.getNextWakeMs();
+    if (nextMs === undefined) return;
+    cancelWake = clock.setTimer(Math.max(1, nextMs - clock.getNowMs()), () => {
+      planDecide(0);
+    });
+  }
+
+  function runAction(action: PlacementAction): void {
+    match(action)
+      .with({ kind: ActionKind.StartGang }, ({ placement }) => {
+        startGang(placement);
+      })
+      .with({ kind: ActionKind.StopGang }, ({ jobId, attempt, reason, graceMs }) => {
+        const gang = jobs.get(jobId)?.gang;
+        if (gang?.attempt !== attempt) return;
+        const deadlineMs = clock.getNowMs() + graceMs;
+        requestStop(gang, { end: GangEnd.Stopped, worker: '', reason, deadlineMs });
+      })
+      .with({ kind: ActionKind.FailJob }, ({ jobId, message }) => {
+        endJob(jobId, JobState.Failed, message);
+      })
+      .with({ kind: ActionKind.EndJob }, ({ jobId, isCancelled }) => {
+        endJob(jobId, isCancelled ? JobState.Cancelled : JobState.Done, '');
+      })
+      .with({ kind: ActionKind.QuarantineWorker }, ({ worker, durationMs }) => {
+        reports.addQuarantine(worker, durationMs);
+      })
+      .with({ kind: ActionKind.ReleaseWorker }, ({ worker }) => {
+        reports.removeQuarantine(worker);
+      })
+      .with({ kind: ActionKind.ReportGuarantee }, (report) => {
+        reports.reportGuarantee(report);
+      })
+      .exhaustive();
+  }
+
+  function startGang(placement: GangPlacement): void {
+    const { jobId, attempt } = placement;
+    const entry = jobs.get(jobId);
+    if (entry === undefined || entry.gang !== undefined) {
+      logger.error('gang_start_invalid', { job: jobId, attempt, isKnown: entry !== undefined });
+      const end = GangEnd.Stopped;
+      pushEvent({ kind: EventKind.GangEnded, jobId, attempt, end, worker: '' });
+      return;
+    }
+    const gang = createGang(placement, clock.getNowMs());
+    jobs.addGang(entry, gang);
+    void driveGang(entry, gang, () => startMembers(context, jobs, entry, gang));
+  }
+
+  /** Runs a gang from `begin` to its end. Only this function moves it from step to step. */
+  async function driveGang(
+    entry: JobEntry,
+    gang: Gang,
+    begin: () => Promise<unknown>,
+  ): Promise<void> {
+    await begin();
+    while (gang.stop === undefined && context.isOpen()) await gang.woken;
+    if (!context.isOpen()) return;
+    await stopMembers(context, gang);
+    await finishGang(context, jobs, entry, gang);
+  }
+
+  function endJob(jobId: string, state: JobState, message: string): void {
+    const entry = jobs.get(jobId);
+    if (entry === undefined) return;
+    const endedAtMs = options.getWallMs();
+    void jobs.writeRow(entry, (record) => ({
+      ...record,
+      state,
+      message,
+      endedAtMs,
+      placement: null,
+    }));
+    logger.info('job_ended', { job: jobId, state, message });
+    options.metrics.count('job.ends', 1, { state });
+  }
+
+  async function recoverRegion(): Promise<void> {
+    const startMs = clock.getNowMs();
+    const { lists, rows } = await loadRegion(context);
+    if (!context.isOpen()) return;
+    // A worker that did not answer is placed only when a running gang needs its cells; others
+    // follow once they answer.
+    const needed = listRunningWorkers(rows);
+    monitor.addWorkers(workers.list().filter(({ id }) => lists.has(id) || needed.has(id)));
+    for (const row of rows) recoverRow(row, lists);
+    isRecovered = true;
+    for (const [id, { listed, sentMs }] of lists) {
+      const worker = workers.get(id);
+      if (worker !== undefined) monitor.applyTasks(worker, listed, sentMs);
+    }
+    monitor.start();
+    scanner.start();
+    planDecide(0);
+    const durationMs = clock.getNowMs() - startMs;
+    options.metrics.reportTiming('owner.recovery', durationMs);
+    logger.info('region_recovered', { epoch, rows: rows.length, workers: lists.size, durationMs });
+  }
+
+  function recoverRow(
+    row: Parameters<typeof recoverGang>[3],
+    lists: Parameters<typeof recoverGang>[2],
+  ): void {
+    if (row.record.state === JobState.Queued) {
+      jobs.addRow(row);
+      return;
+    }
+    const gang = recoverGang(context, jobs, lists, row);
+    const entry = jobs.get(row.record.jobId);
+    if (gang === undefined || entry === undefined) return;
+    void driveGang(entry, gang, () => releaseMembers(context, gang));
+  }
+
+  workers.applyInstances(options.instances, clock.getNowMs());
+  events.push({ kind: EventKind.ConfigChanged, config: options.config });
+  void recoverRegion();
+
+  return {
+    epoch,
+    scheduler,
+    isOpen: () => context.isOpen(),
+    isReady: () => isRecovered,
+    close(why) {
+      context.close(why);
+    },
+    resume() {
+      planDecide(0);
+      scanner.scanSoon();
+    },
+    wake(jobIds) {
+      scanner.addWakes(jobIds);
+    },
+    applyInstances(instances) {
+      const changes = workers.applyInstances(instances, clock.getNowMs());
+      if (!isRecovered) return;
+      monitor.removeWorkers(changes.removed, 0);
+      monitor.removeWorkers(changes.leaving, settings.leavingGraceMs);
+    },
+    applyConfig(config) {
+      pushEvent({ kind: EventKind.ConfigChanged, config });
+    },
+    getDump: () => ({
+      epoch,
+      isRecovered,
+      waitingCalls: context.getWaitingCalls(),
+      waitingEvents: events.length,
+      jobs: jobs.list().map(({ row, gang }) => ({ ...row, gang: gang && dumpGang(gang) })),
+      workers: workers.list(),
+      ...reports.getDump(),
+      placement: scheduler.getDump(),
+    }),
+  };
+}
+
+function dumpGang(gang: Gang): unknown {
+  const { attempt, phase, members, stop } = gang;
+  return { attempt, phase, members, stop };
+}
--- /dev/null
+++ b/packages/execution/src/tasks.ts
@@ -0,0 +1,39 @@
+import { TaskState } from '@bergamotreach/platform';
+import type { TaskStatus } from '@bergamotreach/platform';
+import { MemberPhase } from './gang.ts';
+import type { GangMember } from './gang.ts';
+
+/** What a task list says about a member that ended without the owner's doing. */
+export enum MemberLoss {
+  /** Failed by itself. */
+  Failed = 'failed',
+  /** Stopped, for example because its lease expired, or not listed at all. */
+  Missing = 'missing',
+}
+
+/** Updates one member from its listed task; returns how it was lost, if it was. */
+export function readTask(member: GangMember, task: TaskStatus): MemberLoss | undefined {
+  member.usedSeconds = Math.max(member.usedSeconds, task.usedSeconds);
+  member.hasCheckpoint = task.hasCheckpoint;
+  if (task.state === TaskState.Done) member.phase = MemberPhase.Done;
+  if (task.state === TaskState.Failed || task.state === TaskState.Stopped) {
+    member.phase = MemberPhase.Gone;
+    return task.state === TaskState.Failed ? MemberLoss.Failed : MemberLoss.Missing;
+  }
+  return undefined;
+}
+
+/** Updates the members on `worker` from its task list; returns how the first was lost. */
+export function readTasks(
+  members: readonly GangMember[],
+  worker: string,
+  tasks: readonly TaskStatus[],
+): MemberLoss | undefined {
+  const byId = new Map(tasks.map((task) => [task.taskId, task]));
+  let loss: MemberLoss | undefined;
+  for (const member of members) {
+    const task = member.worker === worker ? byId.get(member.taskId) : undefined;
+    if (task !== undefined) loss ??= readTask(member, task);
+  }
+  return loss;
+}
--- /dev/null
+++ b/packages/execution/tests/owner.test.ts
@@ -0,0 +1,144 @@
+import { test } from 'node:test';
+import { JobState } from '@bergamotreach/ownership';
+import { CommandKind, TaskState } from '@bergamotreach/platform';
+import { expect } from 'earl';
+import { TableFault } from '../../ownership/tests/faketable.ts';
+import { createFakeScheduler } from './fakescheduler.ts';
+import { WorkerFault } from './fakeworkers.ts';
+import { createWorld } from './world.ts';
+import type { World } from './world.ts';
+
+function countRunning({ fleet }: World): number {
+  return fleet.listTasks().filter(({ task }) => task.state === TaskState.Running).length;
+}
+
+// Guards against a start in any other order than hold all, write `running`, release all.
+test('a gang is held, written running, released and ends as done', async () => {
+  const world = createWorld();
+  world.startDaemon('d1');
+  await world.clock.advance(100);
+  await world.submit('j1', 4, 10_000);
+  await world.clock.advance(200);
+  expect([world.getJobState('j1'), countRunning(world)]).toEqual([JobState.Running, 4]);
+  const kinds = world.fleet.accepted.flatMap(({ commands }) => commands.map(({ kind }) => kind));
+  const holds = kinds.lastIndexOf(CommandKind.Hold);
+  expect(holds < kinds.indexOf(CommandKind.Release)).toEqual(true);
+  await world.clock.advance(20_000);
+  expect([world.getJobState('j1'), countRunning(world)]).toEqual([JobState.Done, 0]);
+});
+
+// Guards against tasks of a cancelled job that run on.
+test('a running job is cancelled whole', async () => {
+  const world = createWorld();
+  world.startDaemon('d1');
+  await world.submit('j1', 3, 100_000);
+  await world.clock.advance(200);
+  await world.cancel('j1');
+  await world.clock.advance(200);
+  expect([world.getJobState('j1'), countRunning(world)]).toEqual([JobState.Cancelled, 0]);
+});
+
+// Guards against a task list poll that is the only sign of life, and tasks that outlive leases.
+test('leases of running tasks are renewed', async () => {
+  const world = createWorld();
+  world.startDaemon('d1');
+  await world.submit('j1', 6, 300_000);
+  await world.clock.advance(200_000);
+  expect([world.getRecord('j1')?.attempts, countRunning(world)]).toEqual([1, 6]);
+});
+
+// Guards against part of a gang that runs on after a member failed.
+test('a failing member stops the gang, which starts elsewhere', async () => {
+  const world = createWorld({ workers: 3, accelerators: 4 });
+  world.fleet.workers.get('w0')!.isFailing = true;
+  world.startDaemon('d1');
+  await world.submit('j1', 5, 10_000);
+  await world.clock.advance(10_000);
+  const record = world.getRecord('j1');
+  expect([record?.state, record?.attempts]).toEqual([JobState.Running, 2]);
+  expect(record?.failedWorkers).toEqual(['w0']);
+});
+
+// Guards against a second start while a lost worker may still run a member of the first.
+test('a lost worker ends the gang after the task lease', async () => {
+  const world = createWorld({ workers: 3, accelerators: 2 });
+  world.startDaemon('d1');
+  await world.submit('j1', 4, 500_000);
+  await world.clock.advance(2_000);
+  world.fleet.workers.get('w0')!.fault = WorkerFault.Unreachable;
+  await world.clock.advance(25_000);
+  expect([world.getRecord('j1')?.attempts, countRunning(world)]).toEqual([1, 2]);
+  await world.clock.advance(25_000);
+  const record = world.getRecord('j1');
+  expect([record?.attempts, record?.state, countRunning(world)]).toEqual([2, JobState.Running, 4]);
+});
+
+// Guards against a reclaim that discards work although a checkpoint was possible.
+test('a stop with grace asks for a checkpoint first', async () => {
+  const schedulers: ReturnType<typeof createFakeScheduler>[] = [];
+  const createScheduler = () => {
+    const scheduler = createFakeScheduler();
+    schedulers.push(scheduler);
+    return scheduler;
+  };
+  const world = createWorld({ createScheduler });
+  world.startDaemon('d1');
+  await world.submit('j1', 2, 500_000);
+  await world.clock.advance(10_000);
+  schedulers.at(-1)!.requestStop('j1');
+  await world.submit('j2', 1, 1_000);
+  await world.clock.advance(2_000);
+  const stopped = world.fleet.listTasks().filter(({ task }) => task.state === TaskState.Stopped);
+  expect(stopped.map(({ task }) => task.hasCheckpoint)).toEqual([true, true]);
+  expect(world.getRecord('j1')?.attempts).toEqual(2);
+});
+
+// Guards against work lost in a change of owner: running gangs stay, others start anew.
+test('a new owner recovers running gangs and starts waiting jobs', async () => {
+  const world = createWorld({ workers: 3, accelerators: 2 });
+  const first = world.startDaemon('d1');
+  await world.submit('j1', 4, 60_000);
+  await world.clock.advance(2_000);
+  first.process.kill();
+  await world.submit('j2', 2, 10_000);
+  world.startDaemon('d2');
+  await world.clock.advance(15_000);
+  expect([world.getRecord('j1')?.attempts, world.getJobState('j1')]).toEqual([1, JobState.Running]);
+  await world.clock.advance(60_000);
+  expect([world.getJobState('j1'), world.getJobState('j2')]).toEqual([
+    JobState.Done,
+    JobState.Done,
+  ]);
+});
+
+// Guards against a planned restart that disturbs running gangs.
+test('a stopped owner hands over at once', async () => {
+  const world = createWorld();
+  const first = world.startDaemon('d1');
+  await world.submit('j1', 4, 60_000);
+  world.startDaemon('d2');
+  await world.clock.advance(1_000);
+  const stopped = first.owner.stop();
+  await world.clock.advance(2_000);
+  await stopped;
+  expect(world.daemons[1]!.owner.isOwner()).toEqual(true);
+  expect([world.getRecord('j1')?.attempts, countRunning(world)]).toEqual([1, 4]);
+});
+
+// Guards against tasks that die because the store is down, with the owner alive or dead.
+test('task leases are renewed through a store outage', async () => {
+  const world = createWorld();
+  const first = world.startDaemon('d1');
+  await world.submit('j1', 4, 500_000);
+  world.startDaemon('d2', true);
+  await world.clock.advance(2_000);
+  world.state.fault = TableFault.Down;
+  await world.clock.advance(60_000);
+  expect(countRunning(world)).toEqual(4);
+  first.process.kill();
+  await world.clock.advance(60_000);
+  expect(countRunning(world)).toEqual(4);
+  world.state.fault = TableFault.None;
+  await world.clock.advance(10_000);
+  expect([world.getRecord('j1')?.attempts, countRunning(world)]).toEqual([1, 4]);
+});
--- /dev/null
+++ b/packages/execution/tests/world.ts
@@ -0,0 +1,161 @@
+import { createJobStore } from '@bergamotreach/ownership';
+import type { GroupCommitterOptions, JobState } from '@bergamotreach/ownership';
+import { Adjacency } from '@bergamotreach/placement';
+import type { JobSpec, PlacementConfig, Scheduler } from '@bergamotreach/placement';
+import { InstanceKind, InstanceState } from '@bergamotreach/platform';
+import type { Instance } from '@bergamotreach/platform';
+import { createNullLogger, createNullMetrics, settlePromises } from '@bergamotreach/protocol';
+import type { FakeProcess } from '../../ownership/tests/fakeprocess.ts';
+import { createLease, createNode, createState, region } from '../../ownership/tests/setup.ts';
+import { createRegionOwner } from '../src/index.ts';
+import type { GangJobRecord, GangJobStore, OwnerSettings, RegionOwner } from '../src/index.ts';
+import { createFakeScheduler } from './fakescheduler.ts';
+import { FakeWorkerClient, WorkerFleet } from './fakeworkers.ts';
+
+/** A daemon of the test with its region owner. */
+export interface Daemon {
+  process: FakeProcess;
+  owner: RegionOwner;
+  jobStore: GangJobStore;
+}
+
+const config: PlacementConfig = {
+  accounts: [{ id: 'a', weight: 1, quotaAccelerators: 0, guarantees: [] }],
+  weights: { completion: 1, fragmentation: 1 },
+  lossReserve: {},
+  reservationAfterMs: 60_000,
+  reclaimMs: 1_000,
+  urgentReclaimMs: 300,
+  maxAttempts: 3,
+  quarantineAfterJobs: 3,
+  quarantineMs: 60_000,
+  quarantineMaxMs: 600_000,
+  acceleratorShare: 0.5,
+};
+
+function createInstance(id: string, accelerators: number): Instance {
+  const capacity = { accelerators, cores: 64, memoryMb: 64_000, slots: 0, connections: 0 };
+  const place = { region, dataCentre: 'a', rack: 'r', service: '' };
+  const state = InstanceState.Live;
+  return { id, kind: InstanceKind.Worker, address: id, state, capacity, ...place };
+}
+
+function createSpec(jobId: string, members: number): JobSpec {
+  return {
+    jobId,
+    account: 'a',
+    members,
+    accelerators: 1,
+    cores: 1,
+    memoryMb: 1,
+    within: Adjacency.DataCentre,
+    urgent: false,
+    declaredSeconds: 1,
+    dataCentre: '',
+  };
+}
+
+export interface WorldOptions {
+  workers?: number;
+  accelerators?: number;
+  settings?: Partial<OwnerSettings>;
+  committer?: Partial<GroupCommitterOptions>;
+  createScheduler?: () => Scheduler;
+}
+
+/** One table, one fleet of workers and any number of daemons over them. */
+export function createWorld(options: WorldOptions = {}) {
+  const { clock, state } = createState();
+  const fleet = new WorkerFleet(clock);
+  const accelerators = options.accelerators ?? 2;
+  for (let n = 0; n < (options.workers ?? 3); n += 1) fleet.add(`w${n}`, accelerators);
+  let instances = [...fleet.workers.keys()].map((id) => createInstance(id, accelerators));
+  const daemons: Daemon[] = [];
+
+  function startDaemon(id: string, isCaretaker = false): Daemon {
+    const node = createNode(state, id, options.committer);
+    const { process, table, committer } = node;
+    const getWallMs = (): number => clock.getNowMs();
+    const jobStore: GangJobStore = createJobStore({ table, committer, region, getWallMs });
+    const owner = createRegionOwner({
+      region,
+      createScheduler: options.createScheduler ?? createFakeScheduler,
+      createLease: (onChange) => createLease(node, onChange),
+      jobStore,
+      workerClient: new FakeWorkerClient(fleet, process),
+      clock: process,
+      logger: createNullLogger(),
+      metrics: createNullMetrics(),
+      getWallMs,
+      isCaretaker: () => isCaretaker,
+      ...(options.settings === undefined ? {} : { settings: options.settings }),
+    });
+    owner.applyConfig(config);
+    owner.applyInstances(instances);
+    owner.start();
+    const daemon = { process, owner, jobStore };
+    daemons.push(daemon);
+    return daemon;
+  }
+
+  /** Submits through a process of its own, as any daemon may. */
+  const caller = createNode(state, 'caller', { burst: 1000, commitsPerSecond: 1000 });
+  const callerStore: GangJobStore = createJobStore({
+    table: caller.table,
+    committer: caller.committer,
+    region,
+    getWallMs: () => clock.getNowMs(),
+  });
+
+  function wakeAll(jobId: string): void {
+    for (const { process, owner } of daemons) if (process.isAlive()) owner.wake([jobId]);
+  }
+
+  async function submit(jobId: string, members: number, runMs: number): Promise<boolean> {
+    const spec = createSpec(jobId, members);
+    const submission = { jobId, account: 'a', spec, payload: String(runMs), digest: 'x' };
+    const inserted = callerStore.insertJob(submission);
+    await settlePromises();
+    await clock.advance(20);
+    const result = await inserted;
+    wakeAll(jobId);
+    return result.isOk();
+  }
+
+  async function cancel(jobId: string): Promise<void> {
+    const cancelled = callerStore.cancelJob(jobId);
+    await settlePromises();
+    await clock.advance(50);
+    await cancelled;
+    wakeAll(jobId);
+  }
+
+  function getRecord(jobId: string): GangJobRecord | undefined {
+    const row = state.rows.get(`job/${region}/${jobId}`);
+    return row?.value as unknown as GangJobRecord | undefined;
+  }
+
+  function getJobState(jobId: string): JobState | undefined {
+    return getRecord(jobId)?.state;
+  }
+
+  function removeInstance(id: string): void {
+    instances = instances.filter((one) => one.id !== id);
+    for (const { owner } of daemons) owner.applyInstances(instances);
+  }
+
+  return {
+    clock,
+    state,
+    fleet,
+    daemons,
+    startDaemon,
+    submit,
+    cancel,
+    getRecord,
+    getJobState,
+    removeInstance,
+  };
+}
+
+export type World = ReturnType<typeof createWorld>;
--- /dev/null
+++ b/packages/ownership/src/committer.ts
@@ -0,0 +1,263 @@
+import { CommitStatus, maxCommitWrites } from '@bergamotreach/platform';
+import type { Table } from '@bergamotreach/platform';
+import { waitFor } from '@bergamotreach/protocol';
+import type { CancelTimer, Clock, Logger, Metrics } from '@bergamotreach/protocol';
+import { match } from 'ts-pattern';
+import { createCommitBudget } from './budget.ts';
+import { readBack } from './readback.ts';
+import type { ReadBack } from './readback.ts';
+import { TransactionStatus, WritePriority, isGuarded, writePriorities } from './transaction.ts';
+import type {
+  PendingTransaction,
+  Transaction,
+  TransactionGroup,
+  TransactionReply,
+} from './transaction.ts';
+import { createWriteQueue } from './writequeue.ts';
+
+/** Options of a group committer. Durations are in milliseconds. */
+export interface GroupCommitterOptions {
+  table: Table;
+  clock: Clock;
+  logger: Logger;
+  metrics: Metrics;
+  /** Returns an id that no other attempt of any process uses. */
+  createOperationId: () => string;
+  /** Table commits per second of this process. Default 40: nine processes stay under 400. */
+  commitsPerSecond?: number;
+  /** Commits that may follow at once after a pause. */
+  burst?: number;
+  /** Largest number of waiting transactions. */
+  maxQueued?: number;
+  /** Longest wait in the queue before a transaction is given up. */
+  maxQueueMs?: number;
+  /** Commits under way at once, besides one of the lease. */
+  maxInFlight?: number;
+  /** How long a lost reply is read back before the fate is reported as unknown. */
+  resolveForMs?: number;
+  resolveRetryMs?: number;
+}
+
+/** State of a committer for the dump. */
+export interface CommitterDump {
+  /** Waiting transactions by priority, highest first. */
+  queued: number[];
+  inFlight: number;
+  tokens: number;
+  commits: number;
+  writes: number;
+  readBacks: number;
+}
+
+/** Merges small transactions into few table commits. */
+export interface GroupCommitter {
+  /** Resolves once the fate is decided; never rejects. */
+  submit(transaction: Transaction): Promise<TransactionReply>;
+  getDump(): CommitterDump;
+  /** Gives up the waiting transactions and takes no further ones. */
+  close(): void;
+}
+
+const defaults = {
+  commitsPerSecond: 40,
+  burst: 10,
+  maxQueued: 2000,
+  maxQueueMs: 2000,
+  maxInFlight: 2,
+  resolveForMs: 3000,
+  resolveRetryMs: 200,
+};
+
+function giveUp(entry: PendingTransaction, message: string): void {
+  const isUncertain = entry.pastIds.length > 0;
+  const status = isUncertain ? TransactionStatus.Unknown : TransactionStatus.Unavailable;
+  entry.sendReply({ status, message });
+}
+
+/** Creates a group committer. Transactions with an unguarded write are rejected as a bug. */
+export function createGroupCommitter(options: GroupCommitterOptions): GroupCommitter {
+  const { table, clock, logger, metrics } = options;
+  const settings = { ...defaults, ...options };
+  const queue = createWriteQueue(settings.maxQueued);
+  const budget = createCommitBudget(clock, settings.commitsPerSecond, settings.burst);
+  const totals = { commits: 0, writes: 0, readBacks: 0 };
+  let inFlight = 0;
+  let isLeaseInFlight = false;
+  let isClosed = false;
+  let cancelPump: CancelTimer | undefined;
+  let pumpDueMs = Infinity;
+
+  function putBack(entries: PendingTransaction[]): void {
+    if (isClosed) for (const entry of entries) giveUp(entry, 'committer closed');
+    else queue.addFront(entries);
+  }
+
+  function planPump(delayMs: number): void {
+    const dueMs = clock.getNowMs() + delayMs;
+    if (dueMs >= pumpDueMs) return;
+    cancelPump?.();
+    pumpDueMs = dueMs;
+    cancelPump = clock.setTimer(delayMs, () => {
+      pumpDueMs = Infinity;
+      pump();
+    });
+  }
+
+  function dropExpired(): void {
+    for (const entry of queue.takeExpired(clock.getNowMs() - settings.maxQueueMs)) {
+      metrics.count('store.expired');
+      giveUp(entry, 'waited too long for the store');
+    }
+  }
+
+  function pump(): void {
+    dropExpired();
+    if (!isLeaseInFlight && queue.has(WritePriority.Lease)) {
+      budget.take(true);
+      isLeaseInFlight = true;
+      void commitGroup(queue.takeGroup(maxCommitWrites, true)).finally(() => {
+        isLeaseInFlight = false;
+        pump();
+      });
+    }
+    while (inFlight < settings.maxInFlight && hasOrdinary() && budget.take(false)) {
+      inFlight += 1;
+      void commitGroup(queue.takeGroup(maxCommitWrites, false)).finally(() => {
+        inFlight -= 1;
+        pump();
+      });
+    }
+    if (queue.getSize() === 0) return;
+    const isFull = inFlight >= settings.maxInFlight;
+    planPump(isFull ? settings.maxQueueMs / 4 : Math.max(budget.getWaitMs(), 1));
+  }
+
+  function hasOrdinary(): boolean {
+    return writePriorities.some(
+      (priority) => priority !== WritePriority.Lease && queue.has(priority),
+    );
+  }
+
+  async function commitGroup(group: TransactionGroup): Promise<void> {
+    const operationId = settings.createOperationId();
+    const writes = group.listWrites();
+    totals.commits += 1;
+    totals.writes += writes.length;
+    metrics.count('store.commits');
+    metrics.count('store.writes', writes.length);
+    const conditions = group.listConditions();
+    const reply = await table.commit({ operationId, conditions, writes });
+    await match(reply)
+      .with({ status: CommitStatus.Committed }, ({ versions }) => {
+        handleCommitted(group, versions);
+      })
+      .with({ status: CommitStatus.Conflict }, ({ conflicts }) =>
+        handleConflict(group.pending, conflicts),
+      )
+      .with({ status: CommitStatus.Unavailable }, ({ message }) => {
+        for (const entry of group.pending) handleUnavailable(entry, message);
+      })
+      .with({ status: CommitStatus.Ambiguous }, () => handleAmbiguous(group.pending, operationId))
+      .exhaustive();
+  }
+
+  function handleCommitted(group: TransactionGroup, versions: Record<string, number>): void {
+    for (const { transaction, sendReply } of group.pending) {
+      const own = transaction.writes.map(({ key }) => [key, versions[key] ?? 0] as const);
+      sendReply({ status: TransactionStatus.Committed, versions: Object.fromEntries(own) });
+    }
+  }
+
+  /** Drops the transactions in conflict; the others are committed under a new operation id. */
+  async function handleConflict(pending: PendingTransaction[], conflicts: string[]): Promise<void> {
+    const keys = new Set(conflicts);
+    const isHit = (entry: PendingTransaction): boolean =>
+      entry.transaction.conditions.some(({ key }) => keys.has(key));
+    const hit = pending.filter(isHit);
+    metrics.count('store.conflicts', hit.length);
+    // A reply that names no known key says that nothing was written, but not whose fault it is.
+    const refused = hit.length > 0 ? hit : pending;
+    putBack(pending.filter((entry) => !refused.includes(entry)));
+    for (const entry of refused.filter((one) => one.pastIds.length === 0)) {
+      entry.sendReply({ status: TransactionStatus.Conflict, conflicts });
+    }
+    // The conflict may stem from an earlier attempt of the same transaction that took effect late.
+    const uncertain = refused.filter((one) => one.pastIds.length > 0);
+    await Promise.all(uncertain.map((entry) => resolveConflict(entry, conflicts)));
+  }
+
+  async function resolveConflict(entry: PendingTransaction, conflicts: string[]): Promise<void> {
+    const results = await readUntilDecided([entry]);
+    const result = results?.[0];
+    if (result === undefined) giveUp(entry, 'reply lost and store not readable');
+    else if (result.isDecided) entry.sendReply(result.reply);
+    // A broken condition stays broken, so the earlier attempt cannot take effect any more.
+    else entry.sendReply({ status: TransactionStatus.Conflict, conflicts });
+  }
+
+  function handleUnavailable(entry: PendingTransaction, message: string): void {
+    const isLate = clock.getNowMs() - entry.submittedMs > settings.resolveForMs;
+    if (entry.pastIds.length === 0 || isLate || isClosed) {
+      giveUp(entry, message);
+      return;
+    }
+    clock.setTimer(settings.resolveRetryMs, () => {
+      putBack([entry]);
+      pump();
+    });
+  }
+
+  async function handleAmbiguous(pending: PendingTransaction[], id: string): Promise<void> {
+    for (const entry of pending) entry.pastIds.push(id);
+    logger.warn('store_reply_lost', { operation: id, transactions: pending.length });
+    const results = await readUntilDecided(pending);
+    const repeated: PendingTransaction[] = [];
+    for (const [index, entry] of pending.entries()) {
+      const result = results?.[index];
+      if (result === undefined) giveUp(entry, 'reply lost and store not readable');
+      else if (result.isDecided) entry.sendReply(result.reply);
+      else repeated.push(entry);
+    }
+    putBack(repeated);
+  }
+
+  async function readUntilDecided(
+    pending: readonly PendingTransaction[],
+  ): Promise<ReadBack[] | undefined> {
+    const untilMs = clock.getNowMs() + settings.resolveForMs;
+    while (!isClosed) {
+      totals.readBacks += 1;
+      metrics.count('store.read_backs');
+      const results = await readBack(table, pending);
+      if (results !== undefined || clock.getNowMs() >= untilMs) return results;
+      await waitFor(clock, settings.resolveRetryMs);
+    }
+    return undefined;
+  }
+
+  return {
+    submit(transaction) {
+      if (!isGuarded(transaction)) throw new Error('transaction writes a row without a condition');
+      return new Promise((resolve) => {
+        const submittedMs = clock.getNowMs();
+        const entry = { transaction, sendReply: resolve, pastIds: [], submittedMs };
+        if (isClosed) {
+          giveUp(entry, 'committer closed');
+          return;
+        }
+        const shed = queue.add(entry);
+        if (shed !== undefined) {
+          metrics.count('store.shed');
+          giveUp(shed, 'write queue full');
+        }
+        // Transactions submitted in the same turn go into one group.
+        planPump(0);
+      });
+    },
+    getDump: () => ({ queued: queue.listSizes(), inFlight, tokens: budget.getTokens(), ...totals }),
+    close() {
+      isClosed = true;
+      for (const entry of queue.takeExpired(Infinity)) giveUp(entry, 'committer closed');
+    },
+  };
+}
--- /dev/null
+++ b/packages/ownership/src/lease.ts
@@ -0,0 +1,292 @@
+import type { Row, RowCondition, RowValue, Table } from '@bergamotreach/platform';
+import { runEvery } from '@bergamotreach/protocol';
+import type { CancelTimer, Clock, Logger, Metrics } from '@bergamotreach/protocol';
+import type { GroupCommitter } from './committer.ts';
+import { TransactionStatus, WritePriority } from './transaction.ts';
+import type { TransactionReply } from './transaction.ts';
+
+/** What a daemon knows of its part in a region's lease. */
+export enum LeaseState {
+  /** Another daemon holds the lease, or nobody does. */
+  Waiting = 'waiting',
+  /** This daemon holds the lease and may cause effects. */
+  Holding = 'holding',
+  /** The deadline passed without a renewal, but no takeover was seen; no effect is allowed. */
+  Suspended = 'suspended',
+}
+
+/** Options of a region lease. Durations are in milliseconds. */
+export interface RegionLeaseOptions {
+  table: Table;
+  committer: GroupCommitter;
+  clock: Clock;
+  logger: Logger;
+  metrics: Metrics;
+  region: string;
+  /** Id of this process, never used by another one before. */
+  holder: string;
+  /** Address at which other daemons reach this one. */
+  address: string;
+  leaseMs?: number;
+  marginMs?: number;
+  renewMs?: number;
+  /** Called after each change of the state or the epoch. */
+  onChange?: (state: LeaseState, epoch: number) => void;
+}
+
+/** The lease row as last read. */
+export interface LeaseRecord {
+  /** Empty when the last holder released the lease. */
+  holder: string;
+  address: string;
+  epoch: number;
+  renewal: number;
+}
+
+/** State of a lease for the dump. */
+export interface LeaseDump {
+  region: string;
+  state: LeaseState;
+  epoch: number;
+  deadlineMs: number;
+  owner: LeaseRecord | undefined;
+  /** Time since the lease row was read or written last. */
+  storeSeenAgoMs: number;
+}
+
+/** Lease on the placement of a region. */
+export interface RegionLease {
+  /** Begins to contend for the lease. */
+  start(): void;
+  /** Stops contending; releases the lease when held, so that another daemon takes over at once. */
+  stop(): Promise<void>;
+  /** Whether an effect of `epoch` is allowed now. To be asked right before each effect. */
+  isHolding(epoch: number): boolean;
+  getState(): LeaseState;
+  /** Epoch of this daemon's last takeover; 0 before the first. */
+  getEpoch(): number;
+  /** Condition for each owner write; undefined when this daemon does not own the region. */
+  getEpochCondition(): RowCondition | undefined;
+  /** The lease row as last seen. */
+  getOwner(): LeaseRecord | undefined;
+  /** Time since the store last answered about the lease row. */
+  getStoreSeenAgoMs(): number;
+  getDump(): LeaseDump;
+}
+
+const defaults = { leaseMs: 3000, marginMs: 500, renewMs: 1000 };
+
+interface Hold {
+  epoch: number;
+  epochVersion: number;
+  rowVersion: number;
+  renewal: number;
+  deadlineMs: number;
+}
+
+interface Sighting {
+  version: number;
+  record: LeaseRecord | undefined;
+  sinceMs: number;
+}
+
+function parseRecord(row: Row | undefined): LeaseRecord | undefined {
+  return row === undefined ? undefined : (row.value as unknown as LeaseRecord);
+}
+
+/** Creates the lease of a region; `start` begins to contend for it. */
+export function createRegionLease(options: RegionLeaseOptions): RegionLease {
+  const { table, committer, clock, logger, metrics, region, holder, address } = options;
+  const { leaseMs, marginMs, renewMs } = { ...defaults, ...options };
+  const ownerKey = `owner/${region}`;
+  const epochKey = `epoch/${region}`;
+  let hold: Hold | undefined;
+  let sighting: Sighting | undefined;
+  let lastEpoch = 0;
+  let reported = LeaseState.Waiting;
+  let storeSeenMs = clock.getNowMs();
+  let cancelTick: CancelTimer | undefined;
+  let cancelDeadline: CancelTimer | undefined;
+  let step: Promise<void> | undefined;
+  let isStopped = true;
+
+  function getState(): LeaseState {
+    if (hold === undefined) return LeaseState.Waiting;
+    return clock.getNowMs() < hold.deadlineMs ? LeaseState.Holding : LeaseState.Suspended;
+  }
+
+  function reportState(): void {
+    const state = getState();
+    if (state === reported) return;
+    reported = state;
+    metrics.count('lease.changes', 1, { state });
+    logger.info('lease_state', { region, state, epoch: lastEpoch });
+    options.onChange?.(state, lastEpoch);
+  }
+
+  function planDeadline(): void {
+    cancelDeadline?.();
+    if (hold === undefined) return;
+    cancelDeadline = clock.setTimer(hold.deadlineMs - clock.getNowMs(), reportState);
+  }
+
+  function encodeRecord(epoch: number, renewal: number, isReleased = false): RowValue {
+    const holderName = isReleased ? '' : holder;
+    return { holder: holderName, address, epoch, renewal };
+  }
+
+  function submitLease(
+    conditions: RowCondition[],
+    writes: { key: string; value: RowValue }[],
+  ): Promise<TransactionReply> {
+    return committer.submit({ conditions, writes, priority: WritePriority.Lease });
+  }
+
+  function dropHold(why: string): void {
+    logger.warn('lease_lost', { region, epoch: lastEpoch, why });
+    hold = undefined;
+    sighting = undefined;
+    reportState();
+  }
+
+  async function renewHold(current: Hold): Promise<void> {
+    const sentMs = clock.getNowMs();
+    const renewal = current.renewal + 1;
+    const reply = await submitLease(
+      [
+        { key: ownerKey, version: current.rowVersion },
+        { key: epochKey, version: current.epochVersion },
+      ],
+      [{ key: ownerKey, value: encodeRecord(current.epoch, renewal) }],
+    );
+    if (reply.status === TransactionStatus.Committed) {
+      storeSeenMs = clock.getNowMs();
+      current.renewal = renewal;
+      current.rowVersion = reply.versions[ownerKey] ?? 0;
+      current.deadlineMs = sentMs + leaseMs - marginMs;
+      planDeadline();
+    } else if (reply.status === TransactionStatus.Conflict) {
+      dropHold('row changed');
+    } else if (reply.status === TransactionStatus.Unknown) {
+      await checkHold(current);
+    }
+    reportState();
+  }
+
+  /** After a renewal of unknown fate the row's version tells whether the next one can succeed. */
+  async function checkHold(current: Hold): Promise<void> {
+    const result = await table.getRow(ownerKey);
+    if (result.isErr()) return;
+    const record = parseRecord(result.value);
+    if (record?.holder !== holder || record.epoch !== current.epoch) dropHold('taken over');
+    else {
+      current.rowVersion = result.value?.version ?? 0;
+      current.renewal = record.renewal;
+    }
+  }
+
+  async function watchRow(): Promise<void> {
+    const result = await table.getRow(ownerKey);
+    if (result.isErr()) return;
+    storeSeenMs = clock.getNowMs();
+    const row = result.value;
+    const version = row?.version ?? 0;
+    // The row is unchanged since the first read that showed this version returned.
+    if (sighting?.version !== version) {
+      sighting = { version, record: parseRecord(row), sinceMs: storeSeenMs };
+    }
+    const isFree = sighting.record === undefined || sighting.record.holder === '';
+    const isExpired = storeSeenMs - sighting.sinceMs >= leaseMs + marginMs;
+    if ((isFree || isExpired) && !isStopped) await takeOver(sighting);
+  }
+
+  async function takeOver(seen: Sighting): Promise<void> {
+    const epochRow = await table.getRow(epochKey);
+    if (epochRow.isErr()) return;
+    const epoch = Math.max(seen.record?.epoch ?? 0, getEpochValue(epochRow.value)) + 1;
+    const sentMs = clock.getNowMs();
+    const reply = await submitLease(
+      [
+        { key: ownerKey, version: seen.version },
+        { key: epochKey, version: epochRow.value?.version ?? 0 },
+      ],
+      [
+        { key: ownerKey, value: encodeRecord(epoch, 0) },
+        { key: epochKey, value: { epoch, holder } },
+      ],
+    );
+    // After an unknown fate the row is watched like anybody else's: it may be this daemon's own.
+    if (reply.status !== TransactionStatus.Committed) return;
+    const epochVersion = reply.versions[epochKey];
+    const rowVersion = reply.versions[ownerKey];
+    // A takeover read back after the row was taken from this daemon again is void.
+    if (epochVersion === undefined || rowVersion === undefined) return;
+    const deadlineMs = sentMs + leaseMs - marginMs;
+    hold = { epoch, epochVersion, rowVersion, renewal: 0, deadlineMs };
+    lastEpoch = epoch;
+    planDeadline();
+    reportState();
+  }
+
+  function getEpochValue(row: Row | undefined): number {
+    return row === undefined ? 0 : (row.value as { epoch: number }).epoch;
+  }
+
+  async function runStep(): Promise<void> {
+    if (hold !== undefined) await renewHold(hold);
+    else await watchRow();
+  }
+
+  function tick(): void {
+    reportState();
+    step ??= runStep().finally(() => {
+      step = undefined;
+    });
+  }
+
+  async function releaseHold(current: Hold): Promise<void> {
+    hold = undefined;
+    reportState();
+    await submitLease(
+      [{ key: ownerKey, version: current.rowVersion }],
+      [{ key: ownerKey, value: encodeRecord(current.epoch, current.renewal + 1, true) }],
+    );
+  }
+
+  return {
+    start() {
+      isStopped = false;
+      cancelTick = runEvery(clock, renewMs, tick);
+      tick();
+    },
+    async stop() {
+      isStopped = true;
+      cancelTick?.();
+      await step;
+      cancelDeadline?.();
+      if (hold !== undefined) await releaseHold(hold);
+    },
+    isHolding: (epoch) => hold?.epoch === epoch && getState() === LeaseState.Holding,
+    getState,
+    getEpoch: () => lastEpoch,
+    getEpochCondition: () =>
+      hold === undefined ? undefined : { key: epochKey, version: hold.epochVersion },
+    getOwner: () =>
+      hold === undefined
+        ? sighting?.record
+        : { holder, address, epoch: hold.epoch, renewal: hold.renewal },
+    getStoreSeenAgoMs: () => clock.getNowMs() - storeSeenMs,
+    getDump: () => ({
+      region,
+      state: getState(),
+      epoch: lastEpoch,
+      deadlineMs: hold?.deadlineMs ?? 0,
+      owner: hold === undefined ? sighting?.record : { ...encodeOwner(hold) },
+      storeSeenAgoMs: clock.getNowMs() - storeSeenMs,
+    }),
+  };
+
+  function encodeOwner(current: Hold): LeaseRecord {
+    return { holder, address, epoch: current.epoch, renewal: current.renewal };
+  }
+}
--- /dev/null
+++ b/packages/ownership/src/transaction.ts
@@ -0,0 +1,111 @@
+import type { RowCondition, RowWrite } from '@bergamotreach/platform';
+
+/** Order in which writes get the store; the last is shed first. */
+export enum WritePriority {
+  Lease = 0,
+  /** Results of claims and ends of jobs. */
+  Outcome = 1,
+  Configuration = 2,
+  NewWork = 3,
+}
+
+/** All priorities, highest first. */
+export const writePriorities: readonly WritePriority[] = [
+  WritePriority.Lease,
+  WritePriority.Outcome,
+  WritePriority.Configuration,
+  WritePriority.NewWork,
+];
+
+/**
+ * A small transaction to be merged with others. Every written row needs a condition on the same
+ * row, so that two attempts of one transaction can never both take effect.
+ */
+export interface Transaction {
+  conditions: RowCondition[];
+  writes: RowWrite[];
+  priority: WritePriority;
+}
+
+/** How a transaction ended. */
+export enum TransactionStatus {
+  /** All its writes are in force. */
+  Committed = 'committed',
+  /** A condition did not hold; none of its writes is or will be in force. */
+  Conflict = 'conflict',
+  /** The store is down or the queue is full; none of its writes is or will be in force. */
+  Unavailable = 'unavailable',
+  /** The reply was lost and reading back did not decide; its writes may be in force. */
+  Unknown = 'unknown',
+}
+
+/** Reply to a transaction. `versions` may lack rows that others have overwritten since. */
+export type TransactionReply =
+  | { status: TransactionStatus.Committed; versions: Record<string, number> }
+  | { status: TransactionStatus.Conflict; conflicts: string[] }
+  | { status: TransactionStatus.Unavailable; message: string }
+  | { status: TransactionStatus.Unknown; message: string };
+
+/** A transaction that waits for its reply. */
+export interface PendingTransaction {
+  transaction: Transaction;
+  sendReply: (reply: TransactionReply) => void;
+  /** Operation ids of attempts whose reply was lost. */
+  pastIds: string[];
+  submittedMs: number;
+}
+
+/** Finds the version that a transaction requires of a row. */
+export function getRequiredVersion(transaction: Transaction, key: string): number | undefined {
+  return transaction.conditions.find((condition) => condition.key === key)?.version;
+}
+
+/** Tells whether every written row has a condition, and no key occurs twice among the writes. */
+export function isGuarded(transaction: Transaction): boolean {
+  const keys = new Set(transaction.writes.map((write) => write.key));
+  if (keys.size !== transaction.writes.length) return false;
+  return transaction.writes.every(
+    (write) => getRequiredVersion(transaction, write.key) !== undefined,
+  );
+}
+
+/** Transactions merged into one commit. */
+export interface TransactionGroup {
+  readonly pending: PendingTransaction[];
+  /** Adds a transaction when it is independent of those in the group and fits; else false. */
+  add(pending: PendingTransaction): boolean;
+  listConditions(): RowCondition[];
+  listWrites(): RowWrite[];
+}
+
+/** Creates an empty group of at most `maxWrites` writes. */
+export function createGroup(maxWrites: number): TransactionGroup {
+  const required = new Map<string, number>();
+  const written = new Set<string>();
+  const pending: PendingTransaction[] = [];
+  let writeCount = 0;
+
+  function isIndependent(transaction: Transaction): boolean {
+    const hasClash = transaction.conditions.some(({ key, version }) => {
+      const other = required.get(key);
+      return written.has(key) || (other !== undefined && other !== version);
+    });
+    return !hasClash && !transaction.writes.some(({ key }) => required.has(key));
+  }
+
+  return {
+    pending,
+    add(entry) {
+      const { transaction } = entry;
+      if (writeCount + transaction.writes.length > maxWrites) return false;
+      if (!isIndependent(transaction)) return false;
+      for (const { key, version } of transaction.conditions) required.set(key, version);
+      for (const { key } of transaction.writes) written.add(key);
+      writeCount += transaction.writes.length;
+      pending.push(entry);
+      return true;
+    },
+    listConditions: () => [...required].map(([key, version]) => ({ key, version })),
+    listWrites: () => pending.flatMap((entry) => entry.transaction.writes),
+  };
+}
--- /dev/null
+++ b/packages/ownership/src/writequeue.ts
@@ -0,0 +1,88 @@
+import { WritePriority, createGroup, writePriorities } from './transaction.ts';
+import type { PendingTransaction, TransactionGroup } from './transaction.ts';
+
+/** Bounded queue of transactions by priority. */
+export interface WriteQueue {
+  /** Adds a transaction; returns the one that has to go when the queue is full. */
+  add(entry: PendingTransaction): PendingTransaction | undefined;
+  /** Puts transactions back at the front of their priority. */
+  addFront(entries: PendingTransaction[]): void;
+  /**
+   * Takes the next group: of lease transactions, or of all others in order of priority. Lease
+   * transactions go apart, so that a conflict or a large group never delays a renewal.
+   */
+  takeGroup(maxWrites: number, isLease: boolean): TransactionGroup;
+  /** Removes the transactions submitted before `beforeMs`. */
+  takeExpired(beforeMs: number): PendingTransaction[];
+  has(priority: WritePriority): boolean;
+  getSize(): number;
+  listSizes(): number[];
+}
+
+/** Creates a queue of at most `maxQueued` transactions. */
+export function createWriteQueue(maxQueued: number): WriteQueue {
+  const queues = new Map<WritePriority, PendingTransaction[]>(
+    writePriorities.map((priority) => [priority, []]),
+  );
+
+  function getSize(): number {
+    return listSizes().reduce((sum, size) => sum + size, 0);
+  }
+
+  function listSizes(): number[] {
+    return writePriorities.map((priority) => getQueue(priority).length);
+  }
+
+  function getQueue(priority: WritePriority): PendingTransaction[] {
+    return queues.get(priority) ?? [];
+  }
+
+  /** The newest transaction of the lowest priority below `priority`. */
+  function takeLowest(priority: WritePriority): PendingTransaction | undefined {
+    const lower = writePriorities.slice(writePriorities.indexOf(priority) + 1);
+    for (const level of lower.toReversed()) {
+      const victim = getQueue(level).pop();
+      if (victim !== undefined) return victim;
+    }
+    return undefined;
+  }
+
+  return {
+    add(entry) {
+      const { priority } = entry.transaction;
+      let victim: PendingTransaction | undefined;
+      if (getSize() >= maxQueued) {
+        victim = takeLowest(priority);
+        if (victim === undefined) return entry;
+      }
+      getQueue(priority).push(entry);
+      return victim;
+    },
+    addFront(entries) {
+      for (const entry of entries.toReversed()) getQueue(entry.transaction.priority).unshift(entry);
+    },
+    takeGroup(maxWrites, isLease) {
+      const group = createGroup(maxWrites);
+      for (const priority of writePriorities) {
+        if ((priority === WritePriority.Lease) !== isLease) continue;
+        const left = getQueue(priority).filter((entry) => !group.add(entry));
+        queues.set(priority, left);
+      }
+      return group;
+    },
+    takeExpired(beforeMs) {
+      const expired: PendingTransaction[] = [];
+      for (const [priority, queue] of queues) {
+        expired.push(...queue.filter((entry) => entry.submittedMs < beforeMs));
+        queues.set(
+          priority,
+          queue.filter((entry) => entry.submittedMs >= beforeMs),
+        );
+      }
+      return expired;
+    },
+    has: (priority) => getQueue(priority).length > 0,
+    getSize,
+    listSizes,
+  };
+}
--- /dev/null
+++ b/packages/ownership/tests/claims.test.ts
@@ -0,0 +1,82 @@
+import { test } from 'node:test';
+import { ObjectStore } from '@bergamotreach/platform';
+import { FaultCode, createFault, settlePromises } from '@bergamotreach/protocol';
+import { expect } from 'earl';
+import { Err, Ok } from 'ts-results-es';
+import { ClaimStatus, createClaims, maxStoredBodyBytes } from '../src/index.ts';
+import { TableFault } from './faketable.ts';
+import { createNode, createState } from './setup.ts';
+
+class FakeObjects extends ObjectStore {
+  private readonly contents: string[] = [];
+
+  putObject(content: string) {
+    return Promise.resolve(Ok(String(this.contents.push(content) - 1)));
+  }
+
+  getObject(hash: string) {
+    const content = this.contents[Number(hash)];
+    const missing = Err(createFault(FaultCode.NotFound, hash));
+    return Promise.resolve(content === undefined ? missing : Ok(content));
+  }
+}
+
+function createSetup() {
+  const { clock, state } = createState();
+  const objects = new FakeObjects();
+  const create = (id: string) => {
+    const { table, committer } = createNode(state, id);
+    return createClaims({ table, committer, objects, daemon: id });
+  };
+  const run = async <T>(call: Promise<T>): Promise<T> => {
+    await settlePromises();
+    await clock.advance(50);
+    return call;
+  };
+  return { state, run, first: create('d1'), second: create('d2') };
+}
+
+const key = { account: 'a', requestId: 'r/1', digest: 'x' };
+const outcome = { status: 200, contentType: 'text/plain', body: 'aGk=' };
+
+// Guards against a non-idempotent request that runs twice on two daemons.
+test('a claim is acquired once, and a repeat gets what is known', async () => {
+  const { run, first, second } = createSetup();
+  const both = await run(Promise.all([first.claim(key), second.claim(key)]));
+  expect(both.map((reply) => reply.unwrap().status)).toEqual([
+    ClaimStatus.Acquired,
+    ClaimStatus.Unknown,
+  ]);
+  expect((await run(first.storeOutcome(key, outcome))).isOk()).toEqual(true);
+  const repeat = await run(second.claim(key));
+  expect(repeat.unwrap()).toEqual({ status: ClaimStatus.Stored, outcome });
+  const reuse = await run(second.claim({ ...key, digest: 'y' }));
+  expect(reuse.unwrap().status).toEqual(ClaimStatus.Mismatch);
+});
+
+// Guards against answers too long for a row.
+test('a long body is kept in the object store', async () => {
+  const { run, first, state } = createSetup();
+  const long = { ...outcome, body: 'A'.repeat(maxStoredBodyBytes + 4) };
+  await run(first.claim(key));
+  await run(first.storeOutcome(key, long));
+  expect(JSON.stringify([...state.rows.values()]).length < 1000).toEqual(true);
+  const repeat = await run(first.claim(key));
+  expect(repeat.unwrap()).toEqual({ status: ClaimStatus.Stored, outcome: long });
+});
+
+// Guards against a request that can never be sent again although it did not run.
+test('a released claim may be acquired again', async () => {
+  const { run, first, second } = createSetup();
+  await run(first.claim(key));
+  expect((await run(first.releaseClaim(key))).isOk()).toEqual(true);
+  expect((await run(second.claim(key))).unwrap().status).toEqual(ClaimStatus.Acquired);
+});
+
+// Guards against dispatching without a durable claim.
+test('no claim is acquired while the store is down', async () => {
+  const { run, first, state } = createSetup();
+  state.fault = TableFault.Down;
+  const reply = await run(first.claim(key));
+  expect(reply.isErr() && reply.error.code).toEqual(FaultCode.StoreUnavailable);
+});
--- /dev/null
+++ b/packages/ownership/tests/committer.test.ts
@@ -0,0 +1,103 @@
+import { test } from 'node:test';
+import { expect } from 'earl';
+import { TransactionStatus, WritePriority } from '../src/index.ts';
+import type { Transaction } from '../src/index.ts';
+import { TableFault } from './faketable.ts';
+import { createNode, createState } from './setup.ts';
+
+function createInsert(key: string, priority = WritePriority.NewWork): Transaction {
+  return { conditions: [{ key, version: 0 }], writes: [{ key, value: key }], priority };
+}
+
+// Guards against one table commit per small transaction.
+test('independent transactions share a commit of at most 100 writes', async () => {
+  const { clock, state } = createState();
+  const { committer } = createNode(state, 'd1');
+  const replies = Array.from({ length: 250 }, (_, n) => committer.submit(createInsert(`k${n}`)));
+  await clock.advance(100);
+  const statuses = (await Promise.all(replies)).map((reply) => reply.status);
+  expect(new Set(statuses)).toEqual(new Set([TransactionStatus.Committed]));
+  expect(state.accepted.map((commit) => commit.writes.length)).toEqual([100, 100, 50]);
+});
+
+// Guards against one refused transaction failing the whole group.
+test('a conflict drops only the transactions concerned', async () => {
+  const { clock, state } = createState();
+  state.apply({ operationId: 'x', conditions: [], writes: [{ key: 'b', value: 1 }] }, 'x', 0);
+  const { committer } = createNode(state, 'd1');
+  const replies = ['a', 'b', 'c'].map((key) => committer.submit(createInsert(key)));
+  await clock.advance(100);
+  const statuses = (await Promise.all(replies)).map((reply) => reply.status);
+  const { Committed, Conflict } = TransactionStatus;
+  expect(statuses).toEqual([Committed, Conflict, Committed]);
+  expect(state.accepted.at(-1)?.operationId).not.toEqual('d1/0');
+});
+
+// Guards against a failure reported for a write that is in force, and against repeating it.
+test('a lost reply is resolved by reading back', async () => {
+  const { clock, state } = createState();
+  state.fault = TableFault.LostReply;
+  const { committer } = createNode(state, 'd1');
+  const reply = committer.submit(createInsert('a'));
+  await clock.advance(10);
+  expect(await reply).toEqual({ status: TransactionStatus.Committed, versions: { a: 1 } });
+  expect(state.accepted.length).toEqual(1);
+});
+
+// Guards against a request that was lost being reported as written, and against a late effect
+// of the first attempt being reported as the conflict of another writer.
+test('a lost request is sent again, and a late one is recognised', async () => {
+  for (const fault of [TableFault.LostRequest, TableFault.LateEffect]) {
+    const { clock, state } = createState();
+    state.fault = fault;
+    state.lateMs = 40;
+    const { committer } = createNode(state, 'd1', { commitsPerSecond: 10, burst: 1 });
+    const reply = committer.submit(createInsert('a'));
+    await clock.advance(20);
+    state.fault = TableFault.None;
+    await clock.advance(1000);
+    expect((await reply).status).toEqual(TransactionStatus.Committed);
+    expect(state.accepted.length).toEqual(1);
+  }
+});
+
+// Guards against an unlimited queue and against new work displacing lease renewals.
+test('a full queue sheds the lowest priority first', async () => {
+  const { clock, state } = createState();
+  const { committer } = createNode(state, 'd1', { maxQueued: 2 });
+  const low = committer.submit(createInsert('low'));
+  const lower = committer.submit(createInsert('lower'));
+  const lease = committer.submit(createInsert('lease', WritePriority.Lease));
+  const refused = committer.submit(createInsert('refused'));
+  await clock.advance(100);
+  const replies = await Promise.all([low, lower, lease, refused]);
+  const { Committed, Unavailable } = TransactionStatus;
+  expect(replies.map((reply) => reply.status)).toEqual([
+    Committed,
+    Unavailable,
+    Committed,
+    Unavailable,
+  ]);
+});
+
+// Guards against one process using up the store's writes.
+test('commits stay within the budget per second', async () => {
+  const { clock, state } = createState();
+  const { committer } = createNode(state, 'd1', { commitsPerSecond: 20, burst: 5 });
+  for (let n = 0; n < 1000; n += 1) {
+    void committer.submit(createInsert(`k${n}`));
+    await clock.advance(5);
+  }
+  expect(state.commits <= 5 + 20 * 5 + 1).toEqual(true);
+  expect(state.commits > 90).toEqual(true);
+});
+
+// Guards against callers that wait for a store that is down.
+test('a store that is down is reported at once as unavailable', async () => {
+  const { clock, state } = createState();
+  state.fault = TableFault.Down;
+  const { committer } = createNode(state, 'd1');
+  const reply = committer.submit(createInsert('a'));
+  await clock.advance(10);
+  expect((await reply).status).toEqual(TransactionStatus.Unavailable);
+});
--- /dev/null
+++ b/packages/ownership/tests/faketable.ts
@@ -0,0 +1,126 @@
+import { CommitStatus, Table } from '@bergamotreach/platform';
+import type { Commit, CommitReply, Row, RowPage } from '@bergamotreach/platform';
+import { FaultCode, createFault } from '@bergamotreach/protocol';
+import type { Fault, ManualClock } from '@bergamotreach/protocol';
+import { Err, Ok } from 'ts-results-es';
+import type { Result } from 'ts-results-es';
+import type { FakeProcess } from './fakeprocess.ts';
+
+/** What happens to the next commits. */
+export enum TableFault {
+  None = 'none',
+  /** Refuses every call at once. */
+  Down = 'down',
+  /** Commits take effect, but their replies are lost. */
+  LostReply = 'lostReply',
+  /** Commits are lost on the way. */
+  LostRequest = 'lostRequest',
+  /** The reply is lost and the commit takes effect `lateMs` later, if its conditions still hold. */
+  LateEffect = 'lateEffect',
+}
+
+/** A commit that took effect. */
+export interface AcceptedCommit extends Commit {
+  processId: string;
+  sentMs: number;
+  atMs: number;
+}
+
+/** Rows and faults that the tables of all processes share. */
+export class TableState {
+  readonly rows = new Map<string, Row>();
+  readonly accepted: AcceptedCommit[] = [];
+  readonly listeners: ((commit: AcceptedCommit) => void)[] = [];
+  fault = TableFault.None;
+  lateMs = 1500;
+  latencyMs = 0;
+  reads = 0;
+  commits = 0;
+
+  constructor(readonly clock: ManualClock) {}
+
+  apply(commit: Commit, processId: string, sentMs: number): CommitReply {
+    const conflicts = commit.conditions
+      .filter(({ key, version }) => (this.rows.get(key)?.version ?? 0) !== version)
+      .map(({ key }) => key);
+    if (conflicts.length > 0) return { status: CommitStatus.Conflict, conflicts };
+    const versions: Record<string, number> = {};
+    for (const { key, value } of commit.writes) {
+      const version = (this.rows.get(key)?.version ?? 0) + 1;
+      if (value === null) this.rows.delete(key);
+      else {
+        const copy = structuredClone(value);
+        this.rows.set(key, { key, version, value: copy, operationId: commit.operationId });
+      }
+      versions[key] = version;
+    }
+    const accepted = { ...commit, processId, sentMs, atMs: this.clock.getNowMs() };
+    this.accepted.push(accepted);
+    for (const listener of this.listeners) listener(accepted);
+    return { status: CommitStatus.Committed, versions };
+  }
+
+  listKeys(prefix: string): string[] {
+    return [...this.rows.keys()].filter((key) => key.startsWith(prefix)).sort();
+  }
+}
+
+/** In-memory table as seen by one process. */
+export class FakeTable extends Table {
+  constructor(
+    private readonly state: TableState,
+    private readonly process: FakeProcess,
+  ) {
+    super();
+  }
+
+  async getRow(key: string): Promise<Result<Row | undefined, Fault>> {
+    return this.read(() => this.state.rows.get(key));
+  }
+
+  async listRows(prefix: string, after = '', limit = 100): Promise<Result<RowPage, Fault>> {
+    return this.read(() => {
+      const keys = this.state.listKeys(prefix).filter((key) => key > after);
+      const rows = keys.slice(0, limit).flatMap((key) => this.state.rows.get(key) ?? []);
+      const last = rows.at(-1)?.key;
+      const hasMore = keys.length > limit && last !== undefined;
+      return { rows, ...(hasMore ? { next: last } : {}) };
+    });
+  }
+
+  async commit(commit: Commit): Promise<CommitReply> {
+    const sentMs = this.process.getNowMs();
+    const { state } = this;
+    return this.process.call(() => {
+      state.commits += 1;
+      return this.applyFault(commit, sentMs);
+    }, state.latencyMs);
+  }
+
+  private applyFault(commit: Commit, sentMs: number): CommitReply {
+    const { state, process } = this;
+    const lost: CommitReply = { status: CommitStatus.Ambiguous, message: 'reply lost' };
+    switch (state.fault) {
+      case TableFault.None:
+        return state.apply(commit, process.id, sentMs);
+      case TableFault.Down:
+        return { status: CommitStatus.Unavailable, message: 'connection refused' };
+      case TableFault.LostReply:
+        state.apply(commit, process.id, sentMs);
+        return lost;
+      case TableFault.LostRequest:
+        return lost;
+      case TableFault.LateEffect:
+        state.clock.setTimer(state.lateMs, () => state.apply(commit, process.id, sentMs));
+        return lost;
+    }
+  }
+
+  private async read<T>(getValue: () => T): Promise<Result<T, Fault>> {
+    return this.process.call(() => {
+      this.state.reads += 1;
+      if (this.state.fault !== TableFault.Down) return Ok(structuredClone(getValue()));
+      return Err(createFault(FaultCode.StoreUnavailable, 'connection refused'));
+    }, this.state.latencyMs);
+  }
+}
--- /dev/null
+++ b/packages/ownership/tests/lease.test.ts
@@ -0,0 +1,73 @@
+import { test } from 'node:test';
+import { settlePromises } from '@bergamotreach/protocol';
+import { expect } from 'earl';
+import { LeaseState } from '../src/index.ts';
+import { TableFault } from './faketable.ts';
+import { createLease, createNode, createState, region } from './setup.ts';
+
+// Guards against two holders and against an epoch that does not grow.
+test('a lease is held by one and taken over after silence', async () => {
+  const { clock, state } = createState();
+  const nodes = [createNode(state, 'd1'), createNode(state, 'd2')];
+  const [first, second] = nodes.map((node) => createLease(node));
+  first!.start();
+  await clock.advance(100);
+  second!.start();
+  await clock.advance(10_000);
+  expect([first!.getState(), second!.getState()]).toEqual([LeaseState.Holding, LeaseState.Waiting]);
+  nodes[0]!.process.kill();
+  await clock.advance(3_400);
+  expect(second!.getState()).toEqual(LeaseState.Waiting);
+  await clock.advance(2_000);
+  expect([second!.getState(), second!.getEpoch()]).toEqual([LeaseState.Holding, 2]);
+  expect(state.rows.get(`epoch/${region}`)?.value).toEqual({ epoch: 2, holder: 'd2' });
+});
+
+// Guards against effects of a holder that was paused beyond its lease.
+test('a paused holder does not hold after its deadline', async () => {
+  const { clock, state } = createState();
+  const node = createNode(state, 'd1');
+  const lease = createLease(node);
+  lease.start();
+  await clock.advance(1_000);
+  expect(lease.isHolding(1)).toEqual(true);
+  node.process.pause();
+  await clock.advance(2_600);
+  expect(lease.isHolding(1)).toEqual(false);
+  await node.process.resume();
+  await clock.advance(1_100);
+  // Nobody took over, so the same epoch continues.
+  expect([lease.isHolding(1), lease.isHolding(2)]).toEqual([true, false]);
+});
+
+// Guards against a takeover or a second epoch during a store outage.
+test('an outage suspends the holder and ends with the same holder', async () => {
+  const { clock, state } = createState();
+  const [first, second] = ['d1', 'd2'].map((id) => createLease(createNode(state, id)));
+  first!.start();
+  await clock.advance(100);
+  second!.start();
+  await clock.advance(2_000);
+  state.fault = TableFault.Down;
+  await clock.advance(20_000);
+  expect(first!.getState()).toEqual(LeaseState.Suspended);
+  expect(second!.getStoreSeenAgoMs() > 15_000).toEqual(true);
+  state.fault = TableFault.None;
+  await clock.advance(1_100);
+  expect([first!.getState(), second!.getState()]).toEqual([LeaseState.Holding, LeaseState.Waiting]);
+});
+
+// Guards against a planned restart that costs a whole lease of waiting.
+test('a released lease is taken over at the next poll', async () => {
+  const { clock, state } = createState();
+  const [first, second] = ['d1', 'd2'].map((id) => createLease(createNode(state, id)));
+  first!.start();
+  await clock.advance(100);
+  second!.start();
+  await clock.advance(1_000);
+  const stopped = first!.stop();
+  await settlePromises();
+  await clock.advance(1_100);
+  await stopped;
+  expect([second!.isHolding(2), first!.getState()]).toEqual([true, LeaseState.Waiting]);
+});
