--- a/packages/placement/src/enter.ts
+++ b/packages/placement/src/enter.ts
@@ -6,7 +6,7 @@
 import type { Plan } from './guaranteed.ts';
 import { listVictims } from './lent.ts';
 import { isUsable, setSlotUse } from './state.ts';
-import type { Binding, Claim, CoreState, Gang, Job, MemberSlots } from './state.ts';
+import type { Account, Binding, Claim, CoreState, Gang, Job, MemberSlots } from './state.ts';
 
 function listBindings(members: readonly MemberSlots[]): Binding[] {
   const bindings = new Set<Binding>();
@@ -65,7 +65,6 @@
     bindings,
     startedAtMs: state.nowMs,
     attainedAtStart: job.attainedSeconds,
-    protectedUntilMs: 0,
     isRunning: false,
     stopAtMs: undefined,
   };
@@ -84,12 +83,12 @@
 
 function startClaim(state: CoreState, claim: Claim, actions: PlacementAction[]): void {
   const { job } = claim;
-  const gang = addGang(state, job, createPlacement(claim), claim.members, [...claim.bindings]);
+  const placement = createPlacement(claim);
+  addGang(state, job, placement, claim.members, [...claim.bindings]);
   for (const binding of claim.bindings) binding.users.delete(claim);
-  gang.protectedUntilMs = claim.isReservation ? state.nowMs + state.config.reservationAfterMs : 0;
   job.claim = undefined;
   state.claims.delete(claim);
-  actions.push({ kind: ActionKind.StartGang, placement: gang.placement });
+  actions.push({ kind: ActionKind.StartGang, placement });
 }
 
 /** Stops a gang; repeated only when it must stop sooner than asked before. */
@@ -166,11 +165,17 @@
   for (const gang of victims) stopGang(state, gang, StopReason.Reclaim, graceMs, actions);
 }
 
+/** Whether the account uses more than its quota, which may have been lowered. */
+function isOverQuota({ spec, usedAccelerators }: Account): boolean {
+  return spec.quotaAccelerators > 0 && usedAccelerators > spec.quotaAccelerators;
+}
+
 /** Starts the claims whose cells are clear; gives up those that lost a cell. */
 export function startReadyClaims(state: CoreState, actions: PlacementAction[]): void {
   for (const claim of [...state.claims]) {
     const slots = claim.members.flatMap((member) => member.slots);
-    if (slots.some((slot) => slot.claim !== claim || !isUsable(slot.worker))) {
+    const hasLostCell = slots.some((slot) => slot.claim !== claim || !isUsable(slot.worker));
+    if (hasLostCell || isOverQuota(claim.job.account)) {
       dropClaim(state, claim);
     } else if (slots.every((slot) => slot.gang === undefined)) {
       startClaim(state, claim, actions);
--- a/packages/placement/src/pass.ts
+++ b/packages/placement/src/pass.ts
@@ -48,16 +48,25 @@
   return enterUnlessBlocked(pass, job.shapeKey, () => planLent(pass.state, job));
 }
 
+/** A single accelerator is never held up by scattered ones, so such a job needs no reservation. */
 function hasWaitedLong(state: CoreState, job: Job): boolean {
-  return state.nowMs - job.queuedAtMs >= state.config.reservationAfterMs;
+  return job.accelerators > 1 && state.nowMs - job.queuedAtMs >= state.config.reservationAfterMs;
+}
+
+function isLater(a: Job, b: Job): boolean {
+  return a.acceptedAtMs === b.acceptedAtMs
+    ? a.sequence > b.sequence
+    : a.acceptedAtMs > b.acceptedAtMs;
 }
 
 /**
- * Stops lent work for a job that goes before it. A job that has waited `reservationAfterMs` may
- * stop any lent gang but those that got their own cells this way less than `reservationAfterMs`
- * ago. So a gang that fits beside the guaranteed work, and before which n gangs have waited that
- * long, starts within `(n + 1) * (reservationAfterMs + reclaimMs)`, plus the time until stops are
- * confirmed, whatever the number of smaller jobs that arrive.
+ * Stops lent work for a job that goes before it: work of a higher level of attained service, and,
+ * once the job has waited `reservationAfterMs`, also work of its own level that was accepted later.
+ * Jobs accepted later therefore delay a gang that has not run yet, and that fits beside the
+ * guaranteed work, by at most `reservationAfterMs + reclaimMs` and the time until the stops are
+ * confirmed, however many they are. A lent gang accepted earlier delays it until it ends or has
+ * attained the first level. The order by acceptance keeps two gangs from stopping each other in
+ * turn.
  */
 function startByStopping(pass: Pass, job: Job): boolean {
   const { state } = pass;
@@ -70,9 +79,10 @@
     return false;
   }
   pass.stopPlans += 1;
-  const canStop = (gang: Gang): boolean =>
-    (isLong && state.nowMs >= gang.protectedUntilMs) ||
-    computePriority(gang.job, state.nowMs) > level;
+  const canStop = (gang: Gang): boolean => {
+    const gangLevel = computePriority(gang.job, state.nowMs);
+    return gangLevel > level || (isLong && gangLevel === level && isLater(gang.job, job));
+  };
   const plan = planStopping(state, job, canStop);
   if (plan === undefined) pass.unstoppable.add(key);
   else enterPlan(state, plan, isLong, pass.actions);
--- a/packages/placement/src/state.ts
+++ b/packages/placement/src/state.ts
@@ -113,8 +113,6 @@
   startedAtMs: number;
   /** Attained accelerator-seconds when the gang started. */
   attainedAtStart: number;
-  /** Not stopped for another reservation before this time, so that two gangs cannot alternate. */
-  protectedUntilMs: number;
   isRunning: boolean;
   /** When the members are stopped, once a stop was decided. */
   stopAtMs: number | undefined;
--- a/packages/placement/tests/scenario.test.ts
+++ b/packages/placement/tests/scenario.test.ts
@@ -89,21 +89,49 @@
   expect(format(scheduler.decide(2))).toEqual(['report a 8 0']);
 });
 
-// Guards against a faulty worker that is blamed on its jobs, and a faulty job on its workers.
-test('faulty worker and faulty job', () => {
+function listStarted(actions: PlacementAction[]) {
+  return actions.flatMap((action) =>
+    action.kind === ActionKind.StartGang ? [action.placement] : [],
+  );
+}
+
+// Guards against a job at fault that is retried for ever, or taken for a fault of its workers.
+test('job that fails on distinct workers is at fault', () => {
   const scheduler = createScheduler(createConfig([createAccount('a')]), createWorkers(5, 1));
-  const run = (jobId: string, attempt: number, nowMs: number): string[] => {
-    scheduler.applyEvents([createArrival(createJob(jobId, 'a'))], nowMs);
-    const [start] = scheduler.decide(nowMs);
-    if (start?.kind !== ActionKind.StartGang) throw new Error('the job was not started');
-    const worker = start.placement.members[0]!.worker;
-    scheduler.applyEvents([createEnd(jobId, attempt, GangEnd.MemberFailed, worker)], nowMs + 1);
-    return [];
-  };
-  run('bad', 1, 0);
-  run('bad', 2, 10);
-  run('bad', 3, 20);
-  expect(format(scheduler.decide(30))).toEqual(['fail bad']);
+  scheduler.applyEvents([createArrival(createJob('bad', 'a'))], 0);
+  const used = new Set<string>();
+  for (let attempt = 1; attempt <= 3; attempt += 1) {
+    const worker = listStarted(scheduler.decide(attempt))[0]!.members[0]!.worker;
+    used.add(worker);
+    const end = createEnd('bad', attempt, GangEnd.MemberFailed, worker);
+    scheduler.applyEvents([end], attempt);
+  }
+  expect(used.size).toEqual(3);
+  expect(format(scheduler.decide(4))).toEqual(['fail bad']);
+});
+
+// Guards against a faulty worker that fails good jobs for ever, or that never comes back.
+test('worker that fails distinct jobs is quarantined', () => {
+  const scheduler = createScheduler(createConfig([createAccount('a')]), createWorkers(2, 4));
+  const names = ['j1', 'j2', 'j3', 'j4', 'j5', 'j6', 'j7', 'j8'];
+  scheduler.applyEvents(
+    names.map((id) => createArrival(createJob(id, 'a'))),
+    0,
+  );
+  const onFirst = listStarted(scheduler.decide(0)).filter(
+    ({ members }) => members[0]!.worker === 'a-0',
+  );
+  const failed = onFirst.slice(0, 3).map(({ jobId }) => jobId);
+  scheduler.applyEvents(
+    failed.map((id) => createEnd(id, 1, GangEnd.MemberFailed, 'a-0')),
+    1,
+  );
+  expect(format(scheduler.decide(1))).toEqual(['quarantineWorker a-0']);
+  expect(format(scheduler.decide(60_000)).includes('releaseWorker a-0')).toEqual(false);
+  expect(scheduler.getNextWakeMs()).toEqual(60_001);
+  const back = format(scheduler.decide(60_001));
+  expect(back.slice(0, 1)).toEqual(['releaseWorker a-0']);
+  expect(back.filter((line) => line.startsWith('start')).length).toEqual(3);
 });
 
 // Guards against a cancellation wave that is handled job by job.
