Grant slots between daemons by delegated shares

A router used only its own share of each endpoint's slots, so an uneven load left slots idle. A share is promised in the answer to the grantor's own request, because a heartbeat gives its receiver no bound on when it was sent; the promise is counted from the sending of that request. Holders have one request outstanding, so the ledger counts only the grants that a holder can still use.

--- a/packages/routing/src/attempt.ts
+++ b/packages/routing/src/attempt.ts
@@ -21,7 +21,12 @@
 }
 
 /** Checked right before the first byte: a pause may have used up the deadline or the credit. */
-function checkStart(context: RouterContext, ticket: Ticket, endpoint: Endpoint): Fault | undefined {
+function checkStart(
+  context: RouterContext,
+  ticket: Ticket,
+  endpoint: Endpoint,
+  running: RunningExchange,
+): Fault | undefined {
   const nowMs = context.clock.getNowMs();
   if (nowMs >= ticket.deadlineMs) {
     return createFault(FaultCode.DeadlineExceeded, 'deadline passed before dispatch');
@@ -29,6 +34,7 @@
   if (endpoint.running.size > context.credits.countSlots(endpoint, nowMs)) {
     return createFault(FaultCode.NoEndpoint, 'slot credit expired before dispatch');
   }
+  running.grantor = context.credits.getGrantor(endpoint.instance.id);
   return undefined;
 }
 
@@ -63,8 +69,10 @@
   const startMs = context.clock.getNowMs();
   const limits = context.getConfig().limits;
   const endMs = ticket.request.isIdempotent ? ticket.deadlineMs : startMs + limits.maxRequestMs;
-  const running: RunningExchange = { startMs, endMs };
+  const grantor = context.credits.getGrantor(endpoint.instance.id);
+  const running: RunningExchange = { startMs, endMs, grantor };
   endpoint.running.add(running);
+  endpoint.peakRunning = Math.max(endpoint.peakRunning, endpoint.running.size);
   const exchange = startExchange(connection.client, {
     requestId: ticket.request.requestId,
     method: ticket.request.method,
@@ -72,7 +80,7 @@
     headers: makeRequestHeaders(ticket, startMs),
     body: ticket.request.body,
     maxAnswerBytes: limits.maxAnswerBytes,
-    checkStart: () => checkStart(context, ticket, endpoint),
+    checkStart: () => checkStart(context, ticket, endpoint, running),
     handleProgress: () => {
       endpoint.lastProgressMs = context.clock.getNowMs();
     },
--- a/packages/routing/src/context.ts
+++ b/packages/routing/src/context.ts
@@ -4,6 +4,7 @@
 import type { RoutingConfig } from './config.ts';
 import type { SlotCredits } from './credits.ts';
 import type { EndpointSet } from './endpointset.ts';
+import type { OpenWork } from './openwork.ts';
 import type { ByteCounter } from './regionchoice.ts';
 import type { RetryBudget } from './retrybudget.ts';
 
@@ -26,4 +27,5 @@
   credits: SlotCredits;
   retryBudget: RetryBudget;
   byteCounter: ByteCounter;
+  work: OpenWork;
 }
--- a/packages/routing/src/credits.ts
+++ b/packages/routing/src/credits.ts
@@ -1,28 +1,207 @@
+import { MessageType, runEvery } from '@bergamotreach/protocol';
+import type { CancelTimer, Clock, CreditDemand, CreditGrantMessage } from '@bergamotreach/protocol';
 import type { Membership } from '@bergamotreach/membership';
+import { computeLongestMs, countRunning } from './endpoint.ts';
 import type { Endpoint } from './endpoint.ts';
+import type { EndpointSet } from './endpointset.ts';
+import { createGranting } from './granting.ts';
+import { createGrantorChoice, listSharers } from './grantor.ts';
+import { createOwnShare } from './ownshare.ts';
+import { createPeerDemands } from './peerdemands.ts';
+import type { PeerDemands } from './peerdemands.ts';
+import { createCreditWallet } from './wallet.ts';
 
 /** Slots that this router may use now. */
 export interface SlotCredits {
   /** Slots of an endpoint whose credit is valid at `nowMs`. */
   countSlots(endpoint: Endpoint, nowMs: number): number;
+  /** Daemon that granted the slots held at an endpoint. */
+  getGrantor(endpoint: string): string;
+  /** Whether a daemon that can grant slots of the endpoint is reachable. */
+  hasGrantor(endpoint: Endpoint): boolean;
+  /** Part of the endpoint's slots that an even division would give to this daemon. */
+  computeEvenSlots(endpoint: Endpoint): number;
+  /** Asks the grantors for slots now. */
+  requestSlots(): void;
+  /** Asks the grantors for slots soon instead of at the next period. */
+  requestSoon(): void;
+  getDump(): Record<string, unknown>;
+  close(): void;
 }
 
 /** Options of the slot credits. */
 export interface SlotCreditsOptions {
+  clock: Clock;
   membership: Membership;
-  getMinDaemons: () => number;
+  selfId: string;
+  dataCentre: string;
+  endpoints: EndpointSet;
+  getLimits: () => { creditMs: number; maxRequestMs: number; minDaemons: number };
+  /** Slots wanted at an endpoint in total. */
+  computeWanted: (endpoint: Endpoint, nowMs: number) => number;
+  /** Called when slots may have become available. */
+  handleCredit: () => void;
+  /** Above every request number of an earlier process with the same id. */
+  firstSequence: number;
 }
 
-/** Creates credits that are this daemon's own share of each endpoint's slots. */
+const periodMs = 250;
+const soonMs = 20;
+
+/** Creates the credit task: asks grantors for slots, and grants on delegated shares. */
 export function createSlotCredits(options: SlotCreditsOptions): SlotCredits {
-  function countDaemons(dataCentre: string): number {
-    const members = options.membership.getView().members;
-    const count = members.filter((member) => member.dataCentre === dataCentre && !member.isGone);
-    return Math.max(1, options.getMinDaemons(), count.length);
+  const { clock, membership, selfId, endpoints, getLimits } = options;
+  const wallet = createCreditWallet(options.firstSequence);
+  const getPreferred = createGrantorChoice(membership);
+  const granting = createGranting({
+    ...options,
+    ownShare: createOwnShare({
+      ...options,
+      getMinDaemons: () => getLimits().minDaemons,
+      getPromiseMs,
+    }),
+    getPromiseMs,
+    getPreferred,
+  });
+  /** Endpoints for which each member last heard of slots wanted or in use. */
+  let reported = new Map<string, Set<string>>();
+  let lastRequestMs = -Infinity;
+  let cancelSoon: CancelTimer | undefined;
+
+  /** A promise must outlive the grants made on it, and leave time to renew it. */
+  function getPromiseMs(): number {
+    const { creditMs, maxRequestMs } = getLimits();
+    return maxRequestMs + 3 * creditMs;
+  }
+
+  function createDemand(
+    endpoint: Endpoint,
+    grantor: string,
+    wanted: number,
+    nowMs: number,
+  ): CreditDemand {
+    return {
+      endpoint: endpoint.instance.id,
+      wanted,
+      inUse: countRunning(endpoint, grantor),
+      longestDeadlineMs: computeLongestMs(endpoint, grantor, nowMs),
+    };
+  }
+
+  function addSlotDemands(
+    demands: PeerDemands,
+    endpoint: Endpoint,
+    preferred: string | undefined,
+    nowMs: number,
+  ): void {
+    const { id } = endpoint.instance;
+    if (preferred !== undefined) {
+      const inUse = countRunning(endpoint, preferred);
+      const wanted = Math.max(inUse, options.computeWanted(endpoint, nowMs));
+      const demand = createDemand(endpoint, preferred, wanted, nowMs);
+      const isKnown = reported.get(preferred)?.has(id) === true;
+      if (wanted > 0 || isKnown) demands.addSlots(preferred, demand);
+    }
+    // An earlier grantor learns when the requests dispatched on its grants have ended.
+    for (const [peer, ids] of reported) {
+      if (peer === preferred || !ids.has(id)) continue;
+      demands.addSlots(peer, createDemand(endpoint, peer, 0, nowMs));
+    }
+  }
+
+  function addShareDemands(demands: PeerDemands, endpoint: Endpoint): void {
+    const sharers = listSharers(membership.getView().members, endpoint.instance);
+    if (!sharers.some((member) => member.id === selfId)) return;
+    for (const member of sharers) {
+      if (member.id === selfId || !member.isTwoWay) continue;
+      demands.addShare(member.id, endpoint.instance.id);
+    }
+  }
+
+  function sendRequest(
+    peer: string,
+    demands: CreditDemand[],
+    shares: readonly string[],
+    nowMs: number,
+  ): boolean {
+    const sequence = wallet.startRequest(peer, demands, getLimits().creditMs / 2, nowMs);
+    if (sequence === undefined) return false;
+    if (peer === selfId) {
+      const grants = granting.grantSlots(selfId, sequence, demands, nowMs) ?? [];
+      wallet.applyGrant(selfId, sequence, grants, getLimits().creditMs);
+      return true;
+    }
+    granting.addShareRequest(peer, sequence, shares, nowMs);
+    membership.send(peer, { type: MessageType.CreditRequest, sequence, demands });
+    return true;
   }
 
+  function createDemands(nowMs: number): PeerDemands {
+    const demands = createPeerDemands();
+    for (const endpoint of endpoints.listEndpoints()) {
+      const preferred = getPreferred(endpoint);
+      granting.updateShares(endpoint, preferred, nowMs);
+      addSlotDemands(demands, endpoint, preferred, nowMs);
+      if (preferred === selfId) addShareDemands(demands, endpoint);
+    }
+    return demands;
+  }
+
+  function requestSlots(): void {
+    const nowMs = clock.getNowMs();
+    cancelSoon?.();
+    cancelSoon = undefined;
+    lastRequestMs = nowMs;
+    const demands = createDemands(nowMs);
+    const next = new Map<string, Set<string>>();
+    for (const peer of new Set([...demands.listPeers(), ...reported.keys()])) {
+      const { slots, all, shares } = demands.getDemands(peer);
+      const isSent = sendRequest(peer, all, shares, nowMs);
+      const ids = isSent ? slots : new Set([...slots, ...(reported.get(peer) ?? [])]);
+      if (ids.size > 0) next.set(peer, ids);
+    }
+    reported = next;
+    options.handleCredit();
+  }
+
+  function requestSoon(): void {
+    if (cancelSoon !== undefined) return;
+    const delayMs = Math.max(0, lastRequestMs + soonMs - clock.getNowMs());
+    cancelSoon = clock.setTimer(delayMs, requestSlots);
+  }
+
+  function handleGrant(from: string, message: CreditGrantMessage): void {
+    const { creditMs } = getLimits();
+    const { sequence, grants, ttlMs } = message;
+    // Promised shares last longer than a request runs, grants of slots much shorter.
+    if (ttlMs > 2 * creditMs) granting.addShares(from, sequence, grants, ttlMs);
+    else if (wallet.applyGrant(from, sequence, grants, Math.min(ttlMs, creditMs))) {
+      options.handleCredit();
+    }
+  }
+
+  membership.addHandler(MessageType.CreditGrant, handleGrant);
+  const stop = runEvery(clock, periodMs, () => {
+    for (const endpoint of endpoints.listEndpoints()) {
+      endpoint.peakRunning = Math.max(endpoint.running.size, endpoint.peakRunning - 1);
+    }
+    requestSlots();
+  });
+
   return {
-    countSlots: ({ instance }) =>
-      Math.floor(instance.capacity.slots / countDaemons(instance.dataCentre)),
+    countSlots: (endpoint, nowMs) => wallet.countSlots(endpoint.instance.id, nowMs),
+    getGrantor: (endpoint) => wallet.getGrantor(endpoint) ?? selfId,
+    hasGrantor: (endpoint) => getPreferred(endpoint) !== undefined,
+    computeEvenSlots: ({ instance }) => {
+      const sharers = listSharers(membership.getView().members, instance);
+      return instance.capacity.slots / Math.max(1, sharers.length);
+    },
+    requestSlots,
+    requestSoon,
+    getDump: () => granting.getDump(clock.getNowMs()),
+    close: () => {
+      stop();
+      cancelSoon?.();
+    },
   };
 }
--- a/packages/routing/src/endpoint.ts
+++ b/packages/routing/src/endpoint.ts
@@ -8,6 +8,8 @@
 export interface RunningExchange {
   startMs: number;
   endMs: number;
+  /** Daemon that granted the slot. */
+  grantor: string;
 }
 
 /** What a router knows about one endpoint. */
@@ -16,11 +18,15 @@
   health: EndpointHealth;
   connections: Connections;
   running: Set<RunningExchange>;
+  /** Most requests in progress of late; falls by one with each credit round. */
+  peakRunning: number;
   /** Last time at which the endpoint answered anything. */
   lastProgressMs: number;
   /** Mean time of recent requests. */
   serviceMs: number;
-  /** Takes no new work: the platform, a peer or the endpoint itself said so. */
+  /** Takes no new work before this time, because the endpoint itself or a peer said so. */
+  avoidedUntilMs: number;
+  /** Takes no new work, because the platform says so. */
   isLeaving: boolean;
 }
 
@@ -31,8 +37,10 @@
     health: createEndpointHealth(),
     connections: createConnections(instance.address, Math.max(1, instance.capacity.connections)),
     running: new Set(),
+    peakRunning: 0,
     lastProgressMs: -Infinity,
     serviceMs,
+    avoidedUntilMs: -Infinity,
     isLeaving: false,
   };
 }
@@ -54,12 +62,22 @@
 
 /** Whether new work may go to the endpoint at all. */
 export function isUsable(endpoint: Endpoint, nowMs: number): boolean {
-  return !endpoint.isLeaving && endpoint.health.getState(nowMs) !== HealthState.Out;
+  if (endpoint.isLeaving || nowMs < endpoint.avoidedUntilMs) return false;
+  return endpoint.health.getState(nowMs) !== HealthState.Out;
 }
 
-/** Longest time until a request in progress has ended, in milliseconds. */
-export function computeLongestMs(endpoint: Endpoint, nowMs: number): number {
+/** Requests in progress on slots of a grantor. */
+export function countRunning(endpoint: Endpoint, grantor: string): number {
+  let count = 0;
+  for (const exchange of endpoint.running) if (exchange.grantor === grantor) count += 1;
+  return count;
+}
+
+/** Longest time until a request in progress on slots of a grantor has ended, in milliseconds. */
+export function computeLongestMs(endpoint: Endpoint, grantor: string, nowMs: number): number {
   let longestMs = 0;
-  for (const { endMs } of endpoint.running) longestMs = Math.max(longestMs, endMs - nowMs);
+  for (const exchange of endpoint.running) {
+    if (exchange.grantor === grantor) longestMs = Math.max(longestMs, exchange.endMs - nowMs);
+  }
   return longestMs;
 }
--- a/packages/routing/src/endpointset.ts
+++ b/packages/routing/src/endpointset.ts
@@ -11,11 +11,17 @@
   listEndpoints(): Endpoint[];
   /** Endpoints of a service. */
   listService(service: string): readonly Endpoint[];
-  /** Stops new work at an endpoint. False when it is unknown or leaves already. */
-  setLeaving(id: string): boolean;
+  /**
+   * Stops new work at an endpoint until the instance list has caught up. False when it is unknown
+   * or avoided already.
+   */
+  setLeaving(id: string, nowMs: number): boolean;
   close(): void;
 }
 
+/** Longer than the instance list lags. */
+const avoidMs = 15_000;
+
 /** Creates the set; `getServiceMs` gives the first guess of a service's request time. */
 export function createEndpointSet(getServiceMs: (service: string) => number): EndpointSet {
   const endpoints = new Map<string, Endpoint>();
@@ -25,7 +31,7 @@
     const known = endpoints.get(instance.id);
     if (known?.instance.address === instance.address) {
       known.instance = instance;
-      if (instance.state === InstanceState.Leaving) known.isLeaving = true;
+      known.isLeaving = instance.state === InstanceState.Leaving;
       return;
     }
     // The same id at another address is a replacement, with its own health and connections.
@@ -65,11 +71,14 @@
     getEndpoint: (id) => endpoints.get(id),
     listEndpoints: () => [...endpoints.values()],
     listService: (service) => byService.get(service) ?? [],
-    setLeaving: (id) => {
+    setLeaving: (id, nowMs) => {
       const endpoint = endpoints.get(id);
-      if (endpoint === undefined || endpoint.isLeaving) return false;
-      endpoint.isLeaving = true;
-      return true;
+      if (endpoint === undefined) return false;
+      const isNew = !endpoint.isLeaving && nowMs >= endpoint.avoidedUntilMs;
+      endpoint.avoidedUntilMs = nowMs + avoidMs;
+      // When the list never confirms it, the endpoint returns with a probe.
+      endpoint.health.applyHint(nowMs);
+      return isNew;
     },
     close: () => {
       for (const endpoint of endpoints.values()) endpoint.connections.close();
--- /dev/null
+++ b/packages/routing/src/granting.ts
@@ -0,0 +1,168 @@
+import { MessageType } from '@bergamotreach/protocol';
+import type {
+  Clock,
+  CreditDemand,
+  CreditRequestMessage,
+  CreditReturnMessage,
+  CreditSlots,
+} from '@bergamotreach/protocol';
+import type { Membership } from '@bergamotreach/membership';
+import { createDelegations } from './delegation.ts';
+import type { Endpoint } from './endpoint.ts';
+import type { EndpointSet } from './endpointset.ts';
+import { createCreditLedger } from './ledger.ts';
+import type { LedgerLimits } from './ledger.ts';
+import type { OwnShare } from './ownshare.ts';
+import { createShareRequests } from './sharerequests.ts';
+
+/** A daemon's part in granting slots: it delegates its own shares and grants on those of others. */
+export interface Granting {
+  /** Takes up or gives up the shares of an endpoint, as `preferred` is this daemon or another. */
+  updateShares(endpoint: Endpoint, preferred: string | undefined, nowMs: number): void;
+  /** Grants slots to a holder; `undefined` when a later request was seen. */
+  grantSlots(
+    holder: string,
+    sequence: number,
+    demands: readonly CreditDemand[],
+    nowMs: number,
+  ): CreditSlots[] | undefined;
+  /** Records that a request asked `peer` for its shares. */
+  addShareRequest(peer: string, sequence: number, shares: readonly string[], nowMs: number): void;
+  /** Takes the shares that answer a request, promised for `ttlMs` from its sending. */
+  addShares(peer: string, sequence: number, shares: readonly CreditSlots[], ttlMs: number): void;
+  getDump(nowMs: number): Record<string, unknown>;
+}
+
+/** Options of granting. */
+export interface GrantingOptions {
+  clock: Clock;
+  membership: Membership;
+  selfId: string;
+  endpoints: EndpointSet;
+  ownShare: OwnShare;
+  getLimits: () => LedgerLimits;
+  getPromiseMs: () => number;
+  getPreferred: (endpoint: Endpoint) => string | undefined;
+}
+
+/** Creates the granting part and registers its message handlers. */
+export function createGranting(options: GrantingOptions): Granting {
+  const { clock, membership, selfId, endpoints, ownShare, getLimits } = options;
+  const ledger = createCreditLedger(getLimits);
+  const delegations = createDelegations();
+  const shareRequests = createShareRequests();
+  const lastSequences = new Map<string, number>();
+  let ownSequence = 0;
+
+  function getSlots(endpoint: string): number {
+    return endpoints.getEndpoint(endpoint)?.instance.capacity.slots ?? 0;
+  }
+
+  function updateOwnShare(endpoint: Endpoint, nowMs: number): void {
+    const { id } = endpoint.instance;
+    const share = ownShare.computeShare(endpoint, nowMs);
+    const isOwn = delegations.chooseGrantor(id, selfId, nowMs) === selfId;
+    if (isOwn && share > 0) ledger.setShare(id, selfId, share, Infinity);
+    else ledger.removeShare(id, selfId);
+  }
+
+  /** Gives all shares back once no holder can be using slots granted on them. */
+  function releaseShares(id: string, nowMs: number): void {
+    const delegators = ledger.listDelegators(id);
+    for (const delegator of delegators) ledger.setShare(id, delegator, 0, -Infinity);
+    if (delegators.length === 0 || ledger.countHeld(id, nowMs) > 0) return;
+    for (const delegator of delegators) {
+      ledger.removeShare(id, delegator);
+      shareRequests.removeEndpoint(delegator, id);
+      if (delegator === selfId) delegations.endPromise(id, selfId, ownSequence, nowMs);
+      else sendReturn(delegator, id);
+    }
+  }
+
+  function sendReturn(delegator: string, endpoint: string): void {
+    const sequence = lastSequences.get(delegator);
+    if (sequence === undefined) return;
+    const returns = [{ endpoint, slots: 0 }];
+    membership.send(delegator, { type: MessageType.CreditReturn, sequence, returns });
+  }
+
+  function grantSlots(
+    holder: string,
+    sequence: number,
+    demands: readonly CreditDemand[],
+    nowMs: number,
+  ): CreditSlots[] | undefined {
+    const grants = ledger.handleRequest(holder, sequence, demands, getSlots, nowMs);
+    const { creditMs, maxRequestMs } = getLimits();
+    for (const { endpoint, slots } of grants ?? []) {
+      if (slots === 0 || !ledger.listDelegators(endpoint).includes(selfId)) continue;
+      ownSequence += 1;
+      const untilMs = nowMs + creditMs + maxRequestMs;
+      delegations.addPromise(endpoint, selfId, ownSequence, untilMs, nowMs);
+    }
+    return grants;
+  }
+
+  function promiseShare(
+    from: string,
+    sequence: number,
+    id: string,
+    nowMs: number,
+  ): CreditSlots | undefined {
+    const endpoint = endpoints.getEndpoint(id);
+    if (endpoint === undefined || options.getPreferred(endpoint) !== from) return undefined;
+    const slots = ownShare.computeShare(endpoint, nowMs);
+    if (slots === 0 || ledger.listDelegators(id).includes(selfId)) return undefined;
+    const untilMs = nowMs + options.getPromiseMs();
+    const isPromised = delegations.addPromise(id, from, sequence, untilMs, nowMs);
+    return isPromised ? { endpoint: id, slots } : undefined;
+  }
+
+  function handleRequest(from: string, message: CreditRequestMessage): void {
+    const nowMs = clock.getNowMs();
+    const { sequence, demands } = message;
+    const grants = grantSlots(from, sequence, demands, nowMs);
+    if (grants === undefined) return;
+    const type = MessageType.CreditGrant as const;
+    membership.send(from, { type, sequence, grants, ttlMs: getLimits().creditMs });
+    // A demand for nothing asks for this daemon's own share.
+    const shares = demands
+      .filter((demand) => demand.wanted === 0)
+      .map((demand) => promiseShare(from, sequence, demand.endpoint, nowMs))
+      .filter((share) => share !== undefined);
+    if (shares.length === 0) return;
+    membership.send(from, { type, sequence, grants: shares, ttlMs: options.getPromiseMs() });
+  }
+
+  function handleReturn(from: string, message: CreditReturnMessage): void {
+    const nowMs = clock.getNowMs();
+    for (const { endpoint } of message.returns) {
+      delegations.endPromise(endpoint, from, message.sequence, nowMs);
+    }
+  }
+
+  membership.addHandler(MessageType.CreditRequest, handleRequest);
+  membership.addHandler(MessageType.CreditReturn, handleReturn);
+
+  return {
+    updateShares: (endpoint, preferred, nowMs) => {
+      if (preferred === selfId) updateOwnShare(endpoint, nowMs);
+      else releaseShares(endpoint.instance.id, nowMs);
+    },
+    grantSlots,
+    addShareRequest: (peer, sequence, shares, nowMs) => {
+      lastSequences.set(peer, sequence);
+      shareRequests.addRequest(peer, sequence, shares, nowMs);
+    },
+    addShares: (peer, sequence, shares, ttlMs) => {
+      for (const { endpoint, slots } of shares) {
+        const sentAtMs = shareRequests.getSentAt(peer, sequence, endpoint);
+        if (sentAtMs !== undefined) ledger.setShare(endpoint, peer, slots, sentAtMs + ttlMs);
+      }
+    },
+    getDump: (nowMs) => ({
+      granted: ledger.getDump(nowMs),
+      delegated: delegations.getDump(nowMs),
+    }),
+  };
+}
--- /dev/null
+++ b/packages/routing/src/ownshare.ts
@@ -0,0 +1,62 @@
+import { MessageType } from '@bergamotreach/protocol';
+import type { Clock } from '@bergamotreach/protocol';
+import type { Membership } from '@bergamotreach/membership';
+import type { Endpoint } from './endpoint.ts';
+import { listSharers } from './grantor.ts';
+import { createShareCount } from './sharecount.ts';
+import type { ShareCount } from './sharecount.ts';
+
+/** This daemon's share of the slots of endpoints. */
+export interface OwnShare {
+  /** Share of an endpoint's slots, a fraction; 0 when this daemon has none. */
+  computeShare(endpoint: Endpoint, nowMs: number): number;
+}
+
+/** Options of the share. */
+export interface OwnShareOptions {
+  clock: Clock;
+  membership: Membership;
+  selfId: string;
+  dataCentre: string;
+  getMinDaemons: () => number;
+  /** How long a share may stay promised. */
+  getPromiseMs: () => number;
+}
+
+/** Heartbeats come twice a second, so a member with a higher number has run for 10 s. */
+const youngHeartbeats = 20;
+const joinMs = 5000;
+
+/** Creates the share; a daemon that joins running ones has none until their promises have ended. */
+export function createOwnShare(options: OwnShareOptions): OwnShare {
+  const { clock, membership, selfId } = options;
+  const counts = new Map<string, ShareCount>();
+  const heard = new Set<string>();
+  const startMs = clock.getNowMs();
+  let withheldUntilMs = -Infinity;
+
+  function handleHeartbeat(from: string, sequence: number): void {
+    const member = membership.getView().members.find(({ id }) => id === from);
+    if (member?.dataCentre !== options.dataCentre || heard.has(from)) return;
+    heard.add(from);
+    const isStarting = clock.getNowMs() - startMs < joinMs;
+    if (!isStarting || sequence <= youngHeartbeats) return;
+    withheldUntilMs = startMs + joinMs + options.getPromiseMs();
+  }
+
+  function computeShare(endpoint: Endpoint, nowMs: number): number {
+    const { dataCentre, capacity } = endpoint.instance;
+    const sharers = listSharers(membership.getView().members, endpoint.instance);
+    let count = counts.get(dataCentre);
+    if (count === undefined) counts.set(dataCentre, (count = createShareCount()));
+    const known = Math.max(1, options.getMinDaemons(), sharers.length);
+    const divisor = count.update(known, options.getPromiseMs(), nowMs);
+    const isSharer = sharers.some((member) => member.id === selfId);
+    return isSharer && nowMs >= withheldUntilMs ? capacity.slots / divisor : 0;
+  }
+
+  membership.addHandler(MessageType.Heartbeat, (from, message) => {
+    handleHeartbeat(from, message.sequence);
+  });
+  return { computeShare };
+}
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -1,21 +1,22 @@
-import { ClaimStatus } from '@bergamotreach/ownership';
-import type { ClaimKey } from '@bergamotreach/ownership';
 import { createFault, FaultCode, MessageType, runEvery } from '@bergamotreach/protocol';
 import type { Fault } from '@bergamotreach/protocol';
 import type { Instance } from '@bergamotreach/platform';
+import { createClaimFlow } from './claimflow.ts';
 import { createRoutingConfig, defaultService } from './config.ts';
 import type { RoutingConfig } from './config.ts';
 import type { RouterContext, RouterOptions } from './context.ts';
 import { createSlotCredits } from './credits.ts';
 import { createDispatcher } from './dispatcher.ts';
-import type { Dispatcher, ServiceDump, TicketHandlers } from './dispatcher.ts';
+import type { Dispatcher, ServiceDump } from './dispatcher.ts';
 import { isStalled } from './endpoint.ts';
 import { createEndpointSet } from './endpointset.ts';
-import { createClaimKey, createRepeatAnswer, createStoredOutcome } from './outcome.ts';
+import { HealthState } from './health.ts';
+import { createOpenWork } from './openwork.ts';
 import { createByteCounter } from './regionchoice.ts';
-import { createFaultAnswer } from './request.ts';
-import type { CallerAnswer, CallerRequest, EndpointAnswer } from './request.ts';
+import { AnswerKind, createFaultAnswer } from './request.ts';
+import type { CallerAnswer, CallerRequest } from './request.ts';
 import { createRetryBudget } from './retrybudget.ts';
+import type { TicketHandlers } from './settlement.ts';
 import { createTicket } from './ticket.ts';
 import type { Ticket } from './ticket.ts';
 
@@ -28,6 +29,7 @@
   endpoints: Record<string, { running: number; slots: number; state: string; isLeaving: boolean }>;
   retryTokens: Record<string, number>;
   crossRegionBytes: Record<string, number>;
+  credits: Record<string, unknown>;
 }
 
 /** Routes caller requests to endpoints. */
@@ -46,87 +48,54 @@
 }
 
 const checkPeriodMs = 250;
-/** Longest time that a refusal waits for the release of its claim, or an answer for its storage. */
-const storeWaitMs = 500;
-
 /** Creates the router task of a daemon. */
 export function createRouter(options: RouterOptions): Router {
   let config = createRoutingConfig();
   let isDraining = false;
-  let openCount = 0;
-  let idleWaiters: (() => void)[] = [];
+  let lastOut = new Set<string>();
+  const work = createOpenWork();
+  const claimFlow = createClaimFlow({ ...options, work });
   const dispatchers = new Map<string, Dispatcher>();
+  const endpoints = createEndpointSet(
+    (service) => (config.services[service] ?? defaultService).expectedServiceMs,
+  );
+  const credits = createSlotCredits({
+    ...options,
+    endpoints,
+    getLimits: () => config.limits,
+    computeWanted: (endpoint, nowMs) =>
+      getDispatcher(endpoint.instance.service).computeWanted(endpoint, nowMs),
+    handleCredit: startAllWaiting,
+    // Also unique across restarts; numbers grow by a few per second only.
+    firstSequence: Date.now(),
+  });
   const context: RouterContext = {
     ...options,
     getConfig: () => config,
-    endpoints: createEndpointSet(
-      (service) => (config.services[service] ?? defaultService).expectedServiceMs,
-    ),
-    credits: createSlotCredits({
-      membership: options.membership,
-      getMinDaemons: () => config.limits.minDaemons,
-    }),
+    endpoints,
+    credits,
     retryBudget: createRetryBudget(() => config.limits),
     byteCounter: createByteCounter(),
+    work,
   };
 
-  function addOpen(): void {
-    openCount += 1;
-  }
-
-  function removeOpen(): void {
-    openCount -= 1;
-    if (openCount > 0) return;
-    const waiters = idleWaiters;
-    idleWaiters = [];
-    for (const resolve of waiters) resolve();
-  }
-
-  /** Runs `action` at the end of `work` or after `storeWaitMs`, whichever is first. */
-  function runAfter(work: Promise<unknown>, action: () => void): void {
-    addOpen();
-    const cancelTimer = options.clock.setTimer(storeWaitMs, action);
-    void work
-      .catch(() => undefined)
-      .then(() => {
-        cancelTimer();
-        action();
-        removeOpen();
-      });
-  }
-
   const handlers: TicketHandlers = {
     handleRefusal(ticket, fault) {
-      const { claimKey } = ticket;
-      if (claimKey === undefined) {
-        ticket.answer(createFaultAnswer(fault));
-        return;
-      }
-      delete ticket.claimKey;
-      runAfter(options.claims.releaseClaim(claimKey), () => {
-        ticket.answer(createFaultAnswer(fault));
-      });
+      claimFlow.refuse(ticket, fault);
     },
     handleAnswer(ticket, answer) {
-      if (ticket.claimKey === undefined) ticket.answer(answer);
-      else storeAnswer(ticket, ticket.claimKey, answer);
+      claimFlow.storeAnswer(ticket, answer);
     },
     handleLoss(ticket, fault) {
       ticket.answer(createFaultAnswer(fault));
     },
     handleLeaving(endpointId) {
-      if (!context.endpoints.setLeaving(endpointId)) return;
+      if (!endpoints.setLeaving(endpointId, options.clock.getNowMs())) return;
       options.logger.info('endpoint_leaving', { endpoint: endpointId });
       options.membership.sendAll({ type: MessageType.Leaving, instances: [endpointId] });
     },
   };
 
-  function storeAnswer(ticket: Ticket, key: ClaimKey, answer: EndpointAnswer): void {
-    runAfter(options.claims.storeOutcome(key, createStoredOutcome(answer)), () => {
-      ticket.answer(answer);
-    });
-  }
-
   function getDispatcher(service: string): Dispatcher {
     let dispatcher = dispatchers.get(service);
     if (dispatcher === undefined) {
@@ -152,39 +121,10 @@
     return createFault(FaultCode.DeadlineExceeded, 'the deadline has passed');
   }
 
-  async function takeClaim(ticket: Ticket): Promise<boolean> {
-    const key = createClaimKey(ticket.request);
-    ticket.cancelTimer = options.clock.setTimer(ticket.deadlineMs - ticket.arrivedMs, () => {
-      // An earlier request with this id may have run, so this cannot be `not_run`.
-      const fault = createFault(FaultCode.UnknownOutcome, 'the claim was not confirmed in time');
-      ticket.answer(createFaultAnswer(fault));
-    });
-    const reply = await options.claims.claim(key);
-    ticket.cancelTimer();
-    if (reply.isErr()) {
-      ticket.answer(createFaultAnswer(reply.error));
-      return false;
-    }
-    if (reply.value.status === ClaimStatus.Acquired) {
-      ticket.claimKey = key;
-      return true;
-    }
-    if (reply.value.status === ClaimStatus.Stored) {
-      ticket.answer(createRepeatAnswer(reply.value.outcome));
-    } else if (reply.value.status === ClaimStatus.Mismatch) {
-      const fault = createFault(FaultCode.DuplicateId, 'the id was used for another request');
-      ticket.answer(createFaultAnswer(fault));
-    } else {
-      const fault = createFault(FaultCode.UnknownOutcome, 'an earlier request has this id');
-      ticket.answer(createFaultAnswer(fault));
-    }
-    return false;
-  }
-
   async function startClaimed(ticket: Ticket): Promise<void> {
-    if (!(await takeClaim(ticket))) return;
+    if (!(await claimFlow.takeClaim(ticket))) return;
     if (ticket.isAnswered || ticket.isCallerGone) {
-      handlers.handleRefusal(ticket, createFault(FaultCode.DeadlineExceeded, 'claimed too late'));
+      claimFlow.refuse(ticket, createFault(FaultCode.DeadlineExceeded, 'claimed too late'));
       return;
     }
     getDispatcher(ticket.request.service).addTicket(ticket);
@@ -200,6 +140,13 @@
     } else if (ticket.request.isIdempotent) ticket.exchange?.stop('caller_gone');
   }
 
+  function reportAnswer(request: CallerRequest, answer: CallerAnswer, startMs: number): void {
+    const result = answer.kind === AnswerKind.Answer ? 'answer' : answer.fault.code;
+    const tags = { service: request.service, result };
+    options.metrics.count('requests.answered', 1, tags);
+    options.metrics.reportTiming('requests.duration', options.clock.getNowMs() - startMs, tags);
+  }
+
   function startRequest(request: CallerRequest, resolve: (answer: CallerAnswer) => void): void {
     const refused = checkRequest(request);
     if (refused !== undefined) {
@@ -207,18 +154,22 @@
       return;
     }
     const nowMs = options.clock.getNowMs();
-    addOpen();
+    work.addOne();
     const handleAbort = (): void => {
       handleCallerGone(ticket);
     };
     const ticket = createTicket(request, nowMs, config.limits.maxRequestMs, (answer) => {
       request.signal?.removeEventListener('abort', handleAbort);
+      reportAnswer(request, answer, nowMs);
       resolve(answer);
-      removeOpen();
+      work.removeOne();
     });
     request.signal?.addEventListener('abort', handleAbort, { once: true });
     context.retryBudget.addRequest(request.account);
-    if (request.isIdempotent) getDispatcher(request.service).addTicket(ticket);
+    if (request.signal?.aborted === true) handleAbort();
+    if (ticket.isCallerGone) {
+      claimFlow.refuse(ticket, createFault(FaultCode.DeadlineExceeded, 'the caller has gone'));
+    } else if (request.isIdempotent) getDispatcher(request.service).addTicket(ticket);
     else void startClaimed(ticket);
   }
 
@@ -228,15 +179,33 @@
 
   function checkEndpoints(): void {
     const nowMs = options.clock.getNowMs();
-    for (const endpoint of context.endpoints.listEndpoints()) {
-      if (!isStalled(endpoint, nowMs, config.limits.stallMs)) continue;
-      endpoint.health.reportStall(nowMs);
+    const out = new Set<string>();
+    for (const endpoint of endpoints.listEndpoints()) {
+      const { id } = endpoint.instance;
+      if (isStalled(endpoint, nowMs, config.limits.stallMs)) endpoint.health.reportStall(nowMs);
+      if (endpoint.health.getState(nowMs) === HealthState.Out) out.add(id);
     }
+    for (const dispatcher of dispatchers.values()) dispatcher.stopStalled(nowMs);
+    reportOut(out);
     startAllWaiting();
   }
 
+  /** Tells the peers about endpoints that went out of service since the last check. */
+  function reportOut(out: Set<string>): void {
+    const unhealthy = [...out].filter((id) => !lastOut.has(id));
+    lastOut = out;
+    if (unhealthy.length === 0) return;
+    options.logger.warn('endpoints_out', { endpoints: unhealthy.join(',') });
+    options.membership.sendAll({ type: MessageType.Hint, unhealthy });
+  }
+
   options.membership.addHandler(MessageType.Leaving, (_from, message) => {
-    for (const id of message.instances) context.endpoints.setLeaving(id);
+    const nowMs = options.clock.getNowMs();
+    for (const id of message.instances) endpoints.setLeaving(id, nowMs);
+  });
+  options.membership.addHandler(MessageType.Hint, (_from, message) => {
+    const nowMs = options.clock.getNowMs();
+    for (const id of message.unhealthy) endpoints.getEndpoint(id)?.health.applyHint(nowMs);
   });
   const stopChecks = runEvery(options.clock, checkPeriodMs, checkEndpoints);
 
@@ -253,11 +222,12 @@
     ]);
     return {
       isDraining,
-      open: openCount,
+      open: work.count(),
       services: Object.fromEntries([...dispatchers].map(([name, one]) => [name, one.getDump()])),
       endpoints: Object.fromEntries(endpoints) as RouterDump['endpoints'],
       retryTokens: context.retryBudget.getDump(),
       crossRegionBytes: context.byteCounter.getDump(),
+      credits: credits.getDump(),
     };
   }
 
@@ -268,7 +238,7 @@
     },
     applyInstances: (instances) => {
       context.endpoints.applyInstances(instances);
-      startAllWaiting();
+      credits.requestSlots();
     },
     handleRequest: (request) =>
       new Promise((resolve) => {
@@ -277,15 +247,11 @@
     startDraining: () => {
       isDraining = true;
     },
-    waitIdle: () =>
-      openCount === 0
-        ? Promise.resolve()
-        : new Promise((resolve) => {
-            idleWaiters.push(resolve);
-          }),
+    waitIdle: () => work.waitIdle(),
     getDump,
     close: () => {
       stopChecks();
+      credits.close();
       context.endpoints.close();
     },
   };
--- a/packages/routing/src/ticket.ts
+++ b/packages/routing/src/ticket.ts
@@ -18,6 +18,10 @@
   exchange?: Exchange;
   /** Endpoints that failed this request. */
   failedAt: Set<string>;
+  /** A retry has been taken from the budget and not been used yet. */
+  hasRetry: boolean;
+  /** An attempt was dispatched and lost, so a later refusal is not `not_run`. */
+  mayHaveRun: boolean;
   isAnswered: boolean;
   isCallerGone: boolean;
   cancelTimer: CancelTimer;
@@ -37,6 +41,8 @@
     arrivedMs: nowMs,
     deadlineMs: nowMs + Math.min(request.deadlineMs, maxRequestMs),
     failedAt: new Set(),
+    hasRetry: false,
+    mayHaveRun: false,
     isAnswered: false,
     isCallerGone: false,
     cancelTimer: () => undefined,
