--- a/packages/daemon/src/routingconfig.ts
+++ b/packages/daemon/src/routingconfig.ts
@@ -1,11 +1,30 @@
-import type { AccountConfig, EffectiveConfig, ServiceConfig } from '@bergamotreach/config';
+import type {
+  AccountConfig,
+  EffectiveConfig,
+  LinkConfig,
+  ServiceConfig,
+} from '@bergamotreach/config';
 import { createRoutingConfig, defaultService } from '@bergamotreach/routing';
-import type { AccountRouting, RoutingConfig, ServiceRouting } from '@bergamotreach/routing';
+import type {
+  AccountRouting,
+  RegionCost,
+  RoutingConfig,
+  ServiceRouting,
+} from '@bergamotreach/routing';
+
+const kilobytesPerMegabyte = 1000;
+
+function createRegionCost(link: LinkConfig): RegionCost {
+  return {
+    latencyMs: link.latencyMs,
+    costMsPerKilobyte: link.costMsPerMb / kilobytesPerMegabyte,
+  };
+}
 
 function createServiceRouting(service: ServiceConfig, ownRegion: string): ServiceRouting {
   return {
-    defaultLink: service.defaultLink,
-    links: service.links[ownRegion] ?? {},
+    defaultLink: createRegionCost(service.defaultLink),
+    links: mapValues(service.links[ownRegion] ?? {}, createRegionCost),
     expectedServiceMs: defaultService.expectedServiceMs,
   };
 }
--- a/packages/execution/tests/fakescheduler.ts
+++ b/packages/execution/tests/fakescheduler.ts
@@ -153,6 +153,8 @@
     },
     getNextWakeMs: () => undefined,
     listGuarantees: () => [],
+    listUsage: () => [],
+    listQuarantined: () => [],
     getDump: () => ({ jobs: jobs.size }),
     requestStop(jobId) {
       const gang = jobs.get(jobId)?.gang;
