--- /dev/null
+++ b/packages/cli/src/commands/serve.ts
@@ -0,0 +1,25 @@
+import type { CommandDef } from 'citty';
+import { createCommand } from '../command.ts';
+
+interface DaemonModule {
+  runDaemon: (settingsPath: string) => Promise<number>;
+}
+
+/** Creates `serve`, which runs the daemon until it is stopped. */
+export function createServeCommand(): CommandDef {
+  return createCommand({
+    meta: { name: 'serve', description: 'Run a daemon' },
+    args: {
+      settings: {
+        type: 'string',
+        required: true,
+        valueHint: 'FILE',
+        description: 'Settings of the daemon, JSON',
+      },
+    },
+    run: async ({ args }) => {
+      const { runDaemon } = (await import('@bergamotreach/daemon')) as unknown as DaemonModule;
+      return runDaemon(args.settings);
+    },
+  });
+}
--- /dev/null
+++ b/packages/cli/src/configchange.ts
@@ -0,0 +1,109 @@
+import { FaultCode, createFault } from '@bergamotreach/protocol';
+import type { Fault } from '@bergamotreach/protocol';
+import { Err, Ok } from 'ts-results-es';
+import type { Result } from 'ts-results-es';
+import { createOperatorClient } from './client.ts';
+import type { ServerFlags } from './client.ts';
+import { checkLocally, computeChange, loadServed, sendChange } from './configclient.ts';
+import type { FolderChange, ServedConfig } from './configclient.ts';
+import { readFiles, readFolder } from './folder.ts';
+import type { CliIo } from './io.ts';
+import type { CommandOutput } from './output.ts';
+
+type Files = Record<string, string>;
+type Plan = (served: ServedConfig) => Result<FolderChange, Fault>;
+
+/** Checks a folder without a server. Faults: `config_invalid`, `oversold`, `not_found`. */
+export async function checkDirectory(path: string): Promise<Result<CommandOutput, Fault>> {
+  const files = await readFolder(path);
+  if (files.isErr()) return files;
+  const checked = await checkLocally(files.value);
+  if (checked.isErr()) return checked;
+  const count = Object.keys(files.value).length;
+  return Ok({ data: { isValid: true, files: count }, text: `${count} files are valid\n` });
+}
+
+/** Puts a whole folder in force. Faults: those of a change, `not_found` for the folder. */
+export async function applyFolder(
+  io: CliIo,
+  flags: ServerFlags,
+  path: string,
+  isDryRun: boolean,
+): Promise<Result<CommandOutput, Fault>> {
+  const files = await readFolder(path);
+  if (files.isErr()) return files;
+  const checked = await checkLocally(files.value);
+  if (checked.isErr()) return checked;
+  return runChange(io, flags, isDryRun, (served) => Ok(computeChange(served.files, files.value)));
+}
+
+/** Adds or replaces files. Faults: those of a change, `not_found` for a file. */
+export async function putFiles(
+  io: CliIo,
+  flags: ServerFlags,
+  paths: readonly string[],
+  isDryRun: boolean,
+): Promise<Result<CommandOutput, Fault>> {
+  const files = await readFiles(paths);
+  if (files.isErr()) return files;
+  return runChange(io, flags, isDryRun, (served) =>
+    Ok(computeChange(served.files, { ...served.files, ...files.value })),
+  );
+}
+
+/** Removes files. Faults: those of a change, `not_found` for a name. */
+export function removeFiles(
+  io: CliIo,
+  flags: ServerFlags,
+  names: readonly string[],
+  isDryRun: boolean,
+): Promise<Result<CommandOutput, Fault>> {
+  return runChange(io, flags, isDryRun, (served) => {
+    const missing = names.find((name) => !Object.hasOwn(served.files, name));
+    if (missing === undefined) return Ok({ put: {}, remove: [...new Set(names)] });
+    const message = `file ${missing} is not in revision ${served.revision}`;
+    return Err(createFault(FaultCode.NotFound, message));
+  });
+}
+
+async function runChange(
+  io: CliIo,
+  flags: ServerFlags,
+  isDryRun: boolean,
+  plan: Plan,
+): Promise<Result<CommandOutput, Fault>> {
+  const client = createOperatorClient(io, flags);
+  if (client.isErr()) return client;
+  const served = await loadServed(client.value);
+  if (served.isErr()) return served;
+  const { revision, files } = served.value;
+  const planned = plan(served.value);
+  if (planned.isErr()) return planned;
+  const change = planned.value;
+  const checked = await checkLocally(applyChange(files, change));
+  if (checked.isErr()) return checked;
+  if (isEmpty(change)) return Ok(renderChange(revision, change, 'no change; in force is'));
+  if (isDryRun) return Ok(renderChange(revision, change, 'not sent; in force is'));
+  const sent = await sendChange(io, client.value, revision, change);
+  return sent.map((accepted) => renderChange(accepted, change, 'accepted as'));
+}
+
+function applyChange(files: Files, change: FolderChange): Files {
+  const kept = Object.entries(files).filter(([name]) => !change.remove.includes(name));
+  return { ...Object.fromEntries(kept), ...change.put };
+}
+
+function isEmpty({ put, remove }: FolderChange): boolean {
+  return Object.keys(put).length + remove.length === 0;
+}
+
+function renderChange(revision: number, change: FolderChange, verb: string): CommandOutput {
+  const put = Object.keys(change.put).sort();
+  const remove = [...change.remove].sort();
+  const lines = [
+    ...put.map((name) => `put     ${name}`),
+    ...remove.map((name) => `remove  ${name}`),
+    `${verb} revision ${revision}`,
+  ];
+  return { data: { revision, put, remove }, text: lines.map((line) => `${line}\n`).join('') };
+}
--- /dev/null
+++ b/packages/cli/src/folder.ts
@@ -0,0 +1,44 @@
+import { readFile, readdir } from 'node:fs/promises';
+import { basename, join } from 'node:path';
+import { FaultCode, createFault } from '@bergamotreach/protocol';
+import type { Fault } from '@bergamotreach/protocol';
+import { Err, Ok } from 'ts-results-es';
+import type { Result } from 'ts-results-es';
+
+/** Reads the `.json` files of a folder, by name. Faults: `not_found`, `bad_request` when none is there. */
+export async function readFolder(path: string): Promise<Result<Record<string, string>, Fault>> {
+  try {
+    const entries = await readdir(path, { withFileTypes: true });
+    const names = entries
+      .filter((entry) => !entry.isDirectory() && entry.name.endsWith('.json'))
+      .map(({ name }) => join(path, name));
+    if (names.length > 0) return await readFiles(names);
+    // Applying an empty folder would remove the whole configuration, most likely by mistake.
+    return Err(createFault(FaultCode.BadRequest, `folder ${path} has no .json file`));
+  } catch (error) {
+    return Err(createReadFault(path, error));
+  }
+}
+
+/** Reads files and keys them by their base name. Faults: `not_found`, `bad_request`. */
+export async function readFiles(
+  paths: readonly string[],
+): Promise<Result<Record<string, string>, Fault>> {
+  const files: Record<string, string> = {};
+  for (const path of paths) {
+    const name = basename(path);
+    if (Object.hasOwn(files, name)) {
+      return Err(createFault(FaultCode.BadRequest, `two files are named ${name}`));
+    }
+    try {
+      files[name] = await readFile(path, 'utf8');
+    } catch (error) {
+      return Err(createReadFault(path, error));
+    }
+  }
+  return Ok(files);
+}
+
+function createReadFault(path: string, error: unknown): Fault {
+  return createFault(FaultCode.NotFound, `cannot read ${path}: ${(error as Error).message}`);
+}
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export * from './io.ts';
+export * from './run.ts';
