--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -83,7 +83,7 @@
 };
 
 export default tseslint.config(
-  { ignores: ['**/node_modules/**', 'dist/**', 'model/work/**', '**/*.mjs'] },
+  { ignores: ['**/node_modules/**', 'dist/**', 'model/work/**', '**/*.mjs', '**/*.cjs'] },
   ...tseslint.configs.strictTypeChecked,
   ...tseslint.configs.stylisticTypeChecked,
   {
--- a/packages/bench/src/demo/main.ts
+++ b/packages/bench/src/demo/main.ts
@@ -14,10 +14,8 @@
 interface Deployment {
   layout: PlatformLayout;
   folder: string;
-  tokens: string[];
-  /** Token of the account that submits the gang job. */
-  jobToken: string;
-  jobAccount: string;
+  /** Accounts that send requests; the first one submits the gang job. */
+  accounts: string[];
 }
 
 const daemonsPerRegion = 2;
@@ -34,19 +32,20 @@
   {
     layout: ezelpadLayout,
     folder: 'examples/ezelpad',
-    tokens: ['demo-token-1'],
-    jobToken: 'demo-token-1',
-    jobAccount: 'account',
+    accounts: ['lamapost', 'veldroute', 'bergpad', 'dagtocht'],
   },
   {
     layout: trinacriaLayout,
     folder: 'examples/trinacria',
-    tokens: ['demo-token-1'],
-    jobToken: 'demo-token-1',
-    jobAccount: 'account',
+    accounts: ['vasche-etna', 'corallo', 'sale-marino', 'acquari-conca'],
   },
 ];
 
+/** Demo token of an account, as documented for the example folders. */
+function getToken(deployment: Deployment, account = ''): string {
+  return `${deployment.layout.name}-${account}-demo-token`;
+}
+
 function getFirst(cluster: Cluster): DaemonProcess {
   const first = cluster.daemons.find((daemon) => !daemon.hasExited());
   if (first === undefined) throw new Error('no daemon runs');
@@ -76,9 +75,13 @@
   const size = ['--members', String(gangMembers), '--accelerators', String(gangAccelerators)];
   const payload = ['--payload', JSON.stringify({ runMs: gangRunMs }), '--within', 'rack'];
   const url = cluster.getUrl(getFirst(cluster));
-  const submitted = await runProgram(url, [...args, ...size, ...payload], deployment.jobToken);
+  const submitted = await runProgram(
+    url,
+    [...args, ...size, ...payload],
+    getToken(deployment, deployment.accounts[0]),
+  );
   if (submitted.exitCode !== 0) throw new Error(`job submit: ${submitted.stderr}`);
-  return `${deployment.jobAccount}:${jobId}`;
+  return `${deployment.accounts[0] ?? ''}:${jobId}`;
 }
 
 async function killOwner(cluster: Cluster, region: string, checks: Checklist): Promise<void> {
@@ -113,7 +116,7 @@
 ): Promise<void> {
   const url = cluster.getUrl(getFirst(cluster));
   const args = ['job', 'wait', jobId, '--timeout', jobTimeoutSeconds];
-  const waited = await runProgram(url, args, deployment.jobToken);
+  const waited = await runProgram(url, args, getToken(deployment, deployment.accounts[0]));
   checks.check('gang job completed', waited.exitCode === 0, waited.stderr.trim() || 'state done');
   const gang = loadGangAccount(cluster.platform, jobId, gangMembers);
   const text = `${gang.done} members on ${gang.workers.length} workers, ${gang.attempts} attempt(s)`;
@@ -151,7 +154,7 @@
       true,
       `${gangMembers} members of ${gangAccelerators} accelerators`,
     );
-    const { tokens } = deployment;
+    const tokens = deployment.accounts.map((account) => getToken(deployment, account));
     const { service } = layout;
     const load = runLoad({ cluster, service, tokens, count: requestCount, concurrency });
     await sleep(200);
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -42,6 +42,8 @@
 interface RunState {
   config: EffectiveConfig | undefined;
   isDraining: boolean;
+  /** Set once the listener is open. */
+  server: HttpServer | undefined;
 }
 
 function listConfigRegions(config: EffectiveConfig | undefined): string[] {
@@ -87,11 +89,10 @@
 /** Starts all tasks of a daemon. Rejects when an address cannot be used. */
 export async function startDaemon(base: DaemonBase): Promise<Daemon> {
   const { settings, clock, logger, metrics, clients } = base;
-  const state: RunState = { config: undefined, isDraining: false };
+  const state: RunState = { config: undefined, isDraining: false, server: undefined };
   const tasks = await createTasks(base, applyConfig);
   const auth = createAuthenticator(settings.operatorTokenHash);
   const bodies = createBodyReader(bodyBudgetBytes);
-  let server: HttpServer | undefined;
   let finish: () => void = () => undefined;
   const finished = new Promise<void>((resolve) => {
     finish = resolve;
@@ -106,7 +107,7 @@
   function applyConfig(config: EffectiveConfig): void {
     state.config = config;
     auth.applyConfig(config);
-    server?.applyLimits(config.limits);
+    state.server?.applyLimits(config.limits);
     tasks.router.applyConfig(buildRoutingConfig(config, settings.region));
     tasks.owner.applyConfig(config.placement);
   }
@@ -136,11 +137,11 @@
     state.isDraining = true;
     logger.info('drain_started');
     tasks.membership.startDraining();
-    server?.startDraining();
+    state.server?.startDraining();
     await tasks.owner.stop();
     await waitFor(clock, drainNoticeMs);
     tasks.router.startDraining();
-    const closed = server?.close();
+    const closed = state.server?.close();
     await tasks.router.waitIdle();
     await closed;
     logger.info('drain_finished');
@@ -158,7 +159,7 @@
     tasks.router.close();
     tasks.committer.close();
     tasks.membership.stop();
-    server?.closeNow();
+    state.server?.closeNow();
     void clients.close();
     metrics.close();
   }
@@ -196,10 +197,11 @@
     startDraining,
   });
   const listener = getRequestListener(app.fetch);
-  server = await startHttpServer({
+  const server = await startHttpServer({
     address: settings.httpAddress,
     handler: (request, response) => void listener(request, response),
   });
+  state.server = server;
   const poller = startInstancePoller({
     list: clients.instanceList,
     clock,
--- a/packages/daemon/src/jobservice.ts
+++ b/packages/daemon/src/jobservice.ts
@@ -12,6 +12,9 @@
 /** A job as shown to callers. */
 export interface JobView extends Omit<GangJobRecord, 'digest' | 'payload'> {
   region: string;
+  /** Not shown: they may be large. */
+  digest: undefined;
+  payload: undefined;
 }
 
 /** Accepts, shows and cancels jobs of all regions. */
@@ -47,8 +50,8 @@
 }
 
 function createView(region: string, record: GangJobRecord): JobView {
-  const { digest: _digest, payload: _payload, ...shown } = record;
-  return { region, ...shown };
+  const hidden = { digest: undefined, payload: undefined };
+  return { region, ...record, ...hidden };
 }
 
 function createNotFound(name: string): Fault {
--- a/packages/daemon/src/jobsubmission.ts
+++ b/packages/daemon/src/jobsubmission.ts
@@ -66,21 +66,30 @@
   return undefined;
 }
 
+function findAdjacency(text: string): Adjacency | undefined {
+  const values: Record<string, Adjacency> = {
+    worker: Adjacency.Worker,
+    rack: Adjacency.Rack,
+    dataCentre: Adjacency.DataCentre,
+  };
+  return Object.hasOwn(values, text) ? values[text] : undefined;
+}
+
 function findTextFault(input: Record<string, unknown>): Fault | undefined {
   const wrong = textKeys.find((key) => input[key] !== undefined && typeof input[key] !== 'string');
   if (wrong !== undefined) return createFieldFault(wrong, 'must be a string');
-  if (!jobIdPattern.test(String(input['jobId']))) {
+  if (!jobIdPattern.test(String(input.jobId))) {
     return createFieldFault(
       'jobId',
       'must be 1 to 64 letters, digits, dots, dashes or underscores',
     );
   }
-  const within = input['within'] ?? Adjacency.DataCentre;
-  if (!Object.values(Adjacency).includes(within as Adjacency)) {
+  const within = getText(input, 'within', Adjacency.DataCentre);
+  if (findAdjacency(within) === undefined) {
     const allowed = Object.values(Adjacency).join(', ');
-    return createFieldFault('within', `must be one of ${allowed}, found "${String(within)}"`);
+    return createFieldFault('within', `must be one of ${allowed}, found "${within}"`);
   }
-  if (input['urgent'] !== undefined && typeof input['urgent'] !== 'boolean') {
+  if (input.urgent !== undefined && typeof input.urgent !== 'boolean') {
     return createFieldFault('urgent', 'must be true or false');
   }
   return undefined;
@@ -103,8 +112,8 @@
     accelerators: getNumber(input, 'accelerators'),
     cores: getNumber(input, 'cores'),
     memoryMb: getNumber(input, 'memoryMb'),
-    within: getText(input, 'within', Adjacency.DataCentre) as Adjacency,
-    urgent: input['urgent'] === true,
+    within: findAdjacency(getText(input, 'within', '')) ?? Adjacency.DataCentre,
+    urgent: input.urgent === true,
     declaredSeconds: getNumber(input, 'declaredSeconds'),
     dataCentre: getText(input, 'dataCentre', ''),
   };
--- a/packages/daemon/src/parts.ts
+++ b/packages/daemon/src/parts.ts
@@ -152,7 +152,7 @@
   const { settings, clock, logger, metrics, clients } = base;
   const { table, objectStore } = clients;
   const { id, region, dataCentre } = settings;
-  let configTask: ConfigTask | undefined;
+  const holder: { configTask?: ConfigTask } = {};
   const committer = createGroupCommitter({
     table,
     clock,
@@ -167,13 +167,13 @@
     metrics,
     secret: settings.peerSecret,
     getHeartbeatSource: () => ({
-      configRevision: configTask?.getStatus().revision ?? 0,
+      configRevision: holder.configTask?.getStatus().revision ?? 0,
       epochs: {},
       delegations: [],
     }),
   });
   const configParts = createConfigParts(base, membership, onConfig);
-  configTask = configParts.configTask;
+  holder.configTask = configParts.configTask;
   const claims = createClaims({ table, committer, objects: objectStore, daemon: id });
   const router = createRouter({
     clock,
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -1,6 +1,6 @@
 import { readFile } from 'node:fs/promises';
-import { FaultCode, LogLevel, createFault } from '@bergamotreach/protocol';
-import type { Fault } from '@bergamotreach/protocol';
+import { FaultCode, createFault } from '@bergamotreach/protocol';
+import type { Fault, LogLevel } from '@bergamotreach/protocol';
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
 
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -45,7 +45,9 @@
 async function buildBinary() {
   const config = { main: bundlePath, output: blobPath, disableExperimentalSEAWarning: true };
   writeFileSync(seaConfigPath, JSON.stringify(config));
-  execFileSync(process.execPath, ['--experimental-sea-config', seaConfigPath], { stdio: 'inherit' });
+  execFileSync(process.execPath, ['--experimental-sea-config', seaConfigPath], {
+    stdio: 'inherit',
+  });
   copyFileSync(process.execPath, binaryPath);
   chmodSync(binaryPath, 0o755);
   await inject(binaryPath, 'NODE_SEA_BLOB', readFileSync(blobPath), { sentinelFuse: seaFuse });
--- a/scripts/undici-lean.cjs
+++ b/scripts/undici-lean.cjs
@@ -8,4 +8,13 @@
 
 Object.assign(Dispatcher.prototype, api);
 
-module.exports = { Client, Dispatcher, Pool, errors };
+// One request on a connection of its own, as the command line needs it.
+function request(url, options) {
+  const { origin, pathname, search } = new URL(url);
+  const client = new Client(origin);
+  const answer = client.request({ method: 'GET', ...options, path: `${pathname}${search}` });
+  void client.close();
+  return answer;
+}
+
+module.exports = { Client, Dispatcher, Pool, errors, request };
