Read the member view from a cache

Cause: every call of getView rebuilt all members; the router asks for it per endpoint and check, which took 32 % of a core in an idle daemon (profile: createMember and garbage collection lead).

--- a/packages/bench/src/cluster/daemonprocess.ts
+++ b/packages/bench/src/cluster/daemonprocess.ts
@@ -1,7 +1,6 @@
 import { spawn } from 'node:child_process';
 import type { ChildProcess } from 'node:child_process';
-import { createWriteStream } from 'node:fs';
-import { writeFile } from 'node:fs/promises';
+import { open, writeFile } from 'node:fs/promises';
 import { join } from 'node:path';
 import type { DaemonSettings } from '@bergamotreach/daemon';
 
@@ -34,12 +33,11 @@
 ): Promise<DaemonProcess> {
   const settingsPath = join(directory, `${settings.id}.json`);
   await writeFile(settingsPath, JSON.stringify(settings, null, 2));
-  const log = createWriteStream(join(directory, `${settings.id}.log`));
+  const log = await open(join(directory, `${settings.id}.log`), 'a');
   const child = spawn(process.execPath, [bundlePath, 'serve', '--settings', settingsPath], {
-    stdio: ['ignore', 'pipe', 'pipe'],
+    stdio: ['ignore', log.fd, log.fd],
   });
-  child.stdout.pipe(log);
-  child.stderr.pipe(log, { end: false });
+  await log.close();
   const exited = waitForExit(child);
   return {
     settings,
--- a/packages/membership/src/members.ts
+++ b/packages/membership/src/members.ts
@@ -36,6 +36,8 @@
   listHeard(nowMs: number): string[];
   listAddresses(): MemberAddress[];
   getConfigRevision(id: string): number;
+  /** The view as last computed. */
+  getView(): MemberView;
   /** Recomputes the view; the same object while nothing changed. */
   updateView(nowMs: number): MemberView;
   /** Drops members gone for long; returns their ids. */
@@ -173,6 +175,7 @@
       [...records].filter(([, record]) => isHeard(record, nowMs)).map(([id]) => id),
     listAddresses: () => [self, ...[...records.values()].map((record) => record.address)],
     getConfigRevision: (id) => records.get(id)?.configRevision ?? 0,
+    getView: () => view,
     updateView,
     removeForgotten,
   };
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -269,7 +269,8 @@
   );
   return {
     address: listener.address,
-    getView: () => table.updateView(clock.getNowMs()),
+    // Readers ask many times a second; the view is recomputed on messages and by a timer only.
+    getView: () => table.getView(),
     addViewListener: (notify) => {
       viewListeners.add(notify);
       return () => viewListeners.delete(notify);
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -13,8 +13,17 @@
 const seaConfigPath = `${outDir}/sea-config.json`;
 const seaFuse = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
 
-// Optional native add-ons of the libraries; each library loads without them.
-const external = ['dtrace-provider', 'mv', 'unix-dgram', 'cbor-extract', 'source-map-support'];
+// Optional native add-ons of the libraries; each library loads without them. A module that throws
+// stands in for them, because a single executable warns about each require of a module on disk.
+const absentAddOns = {
+  name: 'absent-add-ons',
+  setup(bundle) {
+    const filter = /^(dtrace-provider|mv|unix-dgram|cbor-extract|source-map-support)$/;
+    const contents = 'throw new Error("optional add-on is not bundled");';
+    bundle.onResolve({ filter }, ({ path }) => ({ path, namespace: 'absent' }));
+    bundle.onLoad({ filter: /.*/, namespace: 'absent' }, () => ({ contents, loader: 'js' }));
+  },
+};
 
 // An alias would also match undici/lib/..., so the exact name is resolved by a plugin.
 const leanUndici = {
@@ -34,8 +43,7 @@
     target: 'node20',
     format: 'cjs',
     mainFields: ['module', 'main'],
-    external,
-    plugins: [leanUndici],
+    plugins: [leanUndici, absentAddOns],
     // Heap flags must be set before anything is loaded.
     banner: { js: readFileSync('scripts/heapflags.cjs', 'utf8') },
     logLevel: 'warning',
