--- a/packages/cli/src/table.ts
+++ b/packages/cli/src/table.ts
@@ -25,9 +25,10 @@
   const widths = columns.map(({ heading }, index) =>
     Math.max(heading.length, ...texts.map((row) => row[index]?.length ?? 0)),
   );
-  const isNumeric = columns.map((_, index) =>
-    cells.every((row) => row[index] === undefined || typeof row[index] === 'number'),
-  );
+  const isNumeric = columns.map((_, index) => {
+    const present = cells.map((row) => row[index]).filter((value) => value !== undefined);
+    return present.length > 0 && present.every((value) => typeof value === 'number');
+  });
   const formatLine = (line: readonly string[]): string =>
     line
       .map((text, index) => {
--- /dev/null
+++ b/packages/cli/tests/line.test.ts
@@ -0,0 +1,132 @@
+import { ExitCode, FaultCode, faultAnswers } from '@bergamotreach/protocol';
+import { expect } from 'earl';
+import { test } from 'node:test';
+import { createError, runLine, startFake } from './fakes.ts';
+
+const closedPort = 'http://127.0.0.1:9';
+
+test('wrong command lines are usage errors that name the nearest word', async () => {
+  const cases: [string[], string][] = [
+    [[], 'USAGE bergamotreach'],
+    [['config'], 'USAGE bergamotreach config'],
+    [['conifg'], 'nearest known: config'],
+    [['toString'], 'unknown command'],
+    [['config', 'aply', 'x'], 'nearest known: apply'],
+    [['config', 'ls', '--sever', closedPort], 'nearest known: --server'],
+    [['config', 'ls', '--no-json'], 'unknown flag "--no-json"'],
+    [['config', 'ls', '-x'], 'unknown flag "-x"'],
+    [['config', 'ls', '--server'], "'--server <value>' argument missing"],
+    [['config', 'check'], 'Missing required positional argument: DIR'],
+    [['config', 'check', 'a', 'b'], 'surplus argument "b"'],
+    [['config', 'ls'], 'set --server or BERGAMOTREACH_SERVER'],
+    [['config', 'ls', '--server', 'ftp://x'], 'not of the form http://ip:port'],
+    [['job', 'submit', '--members', '1e3', '--server', closedPort], '--members is "1e3"'],
+    [['serve'], 'Missing required argument: --settings'],
+  ];
+  for (const [line, expected] of cases) {
+    const { exitCode, out, err } = await runLine(line);
+    expect([line, exitCode, out]).toEqual([line, ExitCode.Usage, '']);
+    expect(err.includes(expected) ? expected : err).toEqual(expected);
+  }
+});
+
+test('every command has help', async () => {
+  const groups = ['serve', 'config', 'account', 'job', 'worker', 'instance', 'drain', 'dump'];
+  const leaves = [
+    ...['check', 'apply', 'put', 'rm', 'ls', 'show', 'history'].map((name) => ['config', name]),
+    ...['submit', 'status', 'ls', 'cancel', 'wait'].map((name) => ['job', name]),
+    ...['ls', 'show'].map((name) => ['account', name]),
+  ];
+  for (const words of [[], ...groups.map((name) => [name]), ...leaves]) {
+    const { exitCode, out } = await runLine([...words, '--help']);
+    expect([words, exitCode]).toEqual([words, ExitCode.Ok]);
+    expect(out).toEqual(expect.includes(['USAGE', 'bergamotreach', ...words].join(' ')));
+    expect(out.includes('\u001B')).toEqual(false);
+  }
+});
+
+test('each error kind of the daemon has the exit code of the table', async (context) => {
+  let code = FaultCode.BadRequest;
+  const fake = await startFake(context, () => createError(faultAnswers[code].status, code));
+  for (code of Object.values(FaultCode)) {
+    const line = ['worker', 'ls', '--server', fake.url];
+    const { exitCode, err } = await runLine(line);
+    expect([code, exitCode]).toEqual([code, faultAnswers[code].exitCode]);
+    expect(err).toEqual(expect.includes(`error: ${code}: reason of ${code}`));
+    const json = await runLine([...line, '--json']);
+    expect((JSON.parse(json.err) as { error: { code: string } }).error.code).toEqual(code);
+  }
+});
+
+test('daemon that does not answer, or not in JSON, is unavailable', async (context) => {
+  const refused = await runLine(['worker', 'ls', '--server', closedPort]);
+  expect(refused.exitCode).toEqual(ExitCode.Unavailable);
+  const dropping = await startFake(context, () => undefined);
+  const dropped = await runLine(['worker', 'ls', '--server', dropping.url]);
+  expect(dropped.exitCode).toEqual(ExitCode.Unavailable);
+  const other = await startFake(context, () => ({ status: 200, body: '<html>' }));
+  const html = await runLine(['worker', 'ls', '--server', other.url]);
+  expect(html.exitCode).toEqual(ExitCode.Unavailable);
+});
+
+test('server and token come from flags before the environment', async (context) => {
+  const fake = await startFake(context, () => ({ status: 200, body: { workers: [] } }));
+  const env = { BERGAMOTREACH_SERVER: fake.url, BERGAMOTREACH_TOKEN: 'env-token' };
+  await runLine(['worker', 'ls'], env);
+  await runLine(['worker', 'ls', '--token', 'flag-token'], env);
+  expect(fake.calls.map(({ authorization }) => authorization)).toEqual([
+    'Bearer env-token',
+    'Bearer flag-token',
+  ]);
+});
+
+test('lists are tables, or the answer as JSON', async (context) => {
+  const worker = {
+    id: 'noord-1-w0',
+    region: 'noord',
+    dataCentre: 'noord-1',
+    rack: 'noord-1-r0',
+    state: 'live',
+    capacity: { accelerators: 8 },
+    isQuarantined: false,
+  };
+  const fake = await startFake(context, () => ({ status: 200, body: { workers: [worker] } }));
+  const line = ['worker', 'ls', '--server', fake.url];
+  expect((await runLine(line)).out).toEqual(
+    'ID          REGION  DATA CENTRE  RACK        STATE  ACCELERATORS  IS QUARANTINED\n' +
+      'noord-1-w0  noord   noord-1      noord-1-r0  live              8  false\n',
+  );
+  const json = await runLine([...line, '--json']);
+  expect(JSON.parse(json.out)).toEqual({ workers: [worker] });
+});
+
+test('account show gives its guarantees only', async (context) => {
+  const body = {
+    accounts: [
+      { id: 'a', weight: 1 },
+      { id: 'b', weight: 2 },
+    ],
+    guarantees: [
+      { account: 'a', accelerators: 8 },
+      { account: 'b', accelerators: 4 },
+    ],
+  };
+  const fake = await startFake(context, () => ({ status: 200, body }));
+  const found = await runLine(['account', 'show', 'b', '--json', '--server', fake.url]);
+  expect(JSON.parse(found.out)).toEqual({
+    account: { id: 'b', weight: 2 },
+    guarantees: [{ account: 'b', accelerators: 4 }],
+  });
+  const missing = await runLine(['account', 'show', 'c', '--server', fake.url]);
+  expect(missing.exitCode).toEqual(ExitCode.NotFound);
+});
+
+test('drain and dump call the daemon', async (context) => {
+  const fake = await startFake(context, () => ({ status: 200, body: { state: 'draining' } }));
+  expect((await runLine(['drain', '--server', fake.url])).out).toEqual('draining\n');
+  expect((await runLine(['dump', '--server', fake.url, '--json'])).exitCode).toEqual(ExitCode.Ok);
+  expect(fake.calls.map(({ method, path }) => `${method} ${path}`)).toEqual([
+    'POST /v1/drain',
+    'GET /v1/dump',
+  ]);
+});
