Load less for a local configuration check

A check of 200 files took 0.52 to 0.61 s as a bundled binary (7 runs, load average 8.7 on 10 cores, 1,500 expected workers): 65 ms went into loading the HTTP client through the package index, 40 ms into pattern matching of the defaults, and files were read one after another.

--- a/packages/cli/src/configclient.ts
+++ b/packages/cli/src/configclient.ts
@@ -51,7 +51,8 @@
 export async function checkLocally(
   files: Readonly<Record<string, string>>,
 ): Promise<Result<void, Fault>> {
-  const { checkFolder } = await import('@bergamotreach/config');
+  // The whole package would load the HTTP client too, which a local check does not need.
+  const { checkFolder } = await import('@bergamotreach/config/check');
   const checked = await checkFolder(files);
   if (checked.isOk()) return Ok(undefined);
   const faults = checked.error;
--- a/packages/cli/src/folder.ts
+++ b/packages/cli/src/folder.ts
@@ -2,8 +2,7 @@
 import { basename, join } from 'node:path';
 import { FaultCode, createFault } from '@bergamotreach/protocol';
 import type { Fault } from '@bergamotreach/protocol';
-import { Err, Ok } from 'ts-results-es';
-import type { Result } from 'ts-results-es';
+import { Err, Ok, Result } from 'ts-results-es';
 
 /** Reads the `.json` files of a folder, by name. Faults: `not_found`, `bad_request` when none is there. */
 export async function readFolder(path: string): Promise<Result<Record<string, string>, Fault>> {
@@ -24,19 +23,23 @@
 export async function readFiles(
   paths: readonly string[],
 ): Promise<Result<Record<string, string>, Fault>> {
-  const files: Record<string, string> = {};
-  for (const path of paths) {
-    const name = basename(path);
-    if (Object.hasOwn(files, name)) {
-      return Err(createFault(FaultCode.BadRequest, `two files are named ${name}`));
-    }
-    try {
-      files[name] = await readFile(path, 'utf8');
-    } catch (error) {
-      return Err(createReadFault(path, error));
-    }
+  const names = paths.map((path) => basename(path));
+  const twice = names.find((name, index) => names.indexOf(name) !== index);
+  if (twice !== undefined) {
+    return Err(createFault(FaultCode.BadRequest, `two files are named ${twice}`));
+  }
+  const contents = await Promise.all(paths.map(readText));
+  return Result.all(contents).map((texts) =>
+    Object.fromEntries(texts.map((text, index) => [names[index] ?? '', text])),
+  );
+}
+
+async function readText(path: string): Promise<Result<string, Fault>> {
+  try {
+    return Ok(await readFile(path, 'utf8'));
+  } catch (error) {
+    return Err(createReadFault(path, error));
   }
-  return Ok(files);
 }
 
 function createReadFault(path: string, error: unknown): Fault {
--- a/packages/config/src/defaults.ts
+++ b/packages/config/src/defaults.ts
@@ -1,4 +1,3 @@
-import { match } from 'ts-pattern';
 import { FieldKind } from './field.ts';
 import type { Field, GroupField, MapField } from './field.ts';
 import { isObject } from './merge.ts';
@@ -9,13 +8,19 @@
  * can use a revision that a newer daemon has accepted.
  */
 export function applyDefaults(field: Field, value: JsonValue | undefined): unknown {
-  return match(field)
-    .with({ kind: FieldKind.Group }, (group) => applyGroup(group, value))
-    .with({ kind: FieldKind.Map }, (map) => applyMap(map, value))
-    .with({ kind: FieldKind.List }, (list) =>
-      Array.isArray(value) ? value.map((item) => applyDefaults(list.value, item)) : [],
-    )
-    .otherwise((scalar) => value ?? scalar.default);
+  // A switch, because pattern matching took 40 ms for the fields of a folder of 200 files.
+  switch (field.kind) {
+    case FieldKind.Group:
+      return applyGroup(field, value);
+    case FieldKind.Map:
+      return applyMap(field, value);
+    case FieldKind.List:
+      return Array.isArray(value) ? value.map((item) => applyDefaults(field.value, item)) : [];
+    case FieldKind.Number:
+    case FieldKind.Text:
+    case FieldKind.Flag:
+      return value ?? field.default;
+  }
 }
 
 function applyGroup(group: GroupField, value: JsonValue | undefined): unknown {
