--- a/packages/cli/src/commands/account.ts
+++ b/packages/cli/src/commands/account.ts
@@ -50,10 +50,16 @@
 
 async function listAccounts(io: CliIo, flags: ServerFlags): Promise<Result<CommandOutput, Fault>> {
   const answer = await loadAccounts(io, flags);
-  return answer.map((data) => ({
-    data,
-    text: renderTable(listRecords(data, 'accounts'), accountColumns, hasColours(io)),
-  }));
+  return answer.map((data) => {
+    const table = renderTable(listRecords(data, 'accounts'), accountColumns, hasColours(io));
+    return { data, text: `${table}${formatMissing(data.unreachableRegions)}` };
+  });
+}
+
+// The use in regions that did not answer is missing from the sums.
+function formatMissing(regions: unknown): string {
+  const isPartial = Array.isArray(regions) && regions.length > 0;
+  return isPartial ? `without regions that did not answer: ${regions.join(', ')}\n` : '';
 }
 
 async function showAccount(
--- a/packages/config/src/check.ts
+++ b/packages/config/src/check.ts
@@ -29,6 +29,9 @@
 /** Largest number of files in a folder. */
 export const maxFolderFiles = 1000;
 
+/** Faults listed at once; a folder full of unknown keys would otherwise fill the memory. */
+export const maxListedFaults = 1000;
+
 /**
  * Checks a configuration folder and returns the merged result with defaults. All faults are
  * returned at once: `config_invalid` and `oversold` with the path `[file, key, ...]` and details
@@ -43,7 +46,7 @@
   const { listIssues } = await import('./schema.ts');
   const issues = listIssues(folder.merged).flatMap((issue) => buildIssueFaults(folder, issue));
   const faults = [...folder.faults, ...issues];
-  if (faults.length > 0) return Err(faults);
+  if (faults.length > 0) return Err(cutFaults(faults));
   return checkRules(folder);
 }
 
@@ -59,6 +62,15 @@
   return fault === undefined ? Ok(buildEffectiveConfig(folder.merged)) : Err(fault);
 }
 
+function cutFaults(faults: Fault[]): Fault[] {
+  if (faults.length <= maxListedFaults) return faults;
+  const message = `there are more than ${maxListedFaults} faults; the others are not listed`;
+  return [
+    ...faults.slice(0, maxListedFaults),
+    createFault(FaultCode.ConfigInvalid, message, { details: { file: '' } }),
+  ];
+}
+
 function checkSize(files: Readonly<Record<string, string>>): Fault | undefined {
   const contents = Object.values(files);
   const bytes = contents.reduce((sum, content) => sum + Buffer.byteLength(content), 0);
@@ -80,7 +92,8 @@
 
 function buildIssueFaults(folder: MergedFolder, issue: SchemaIssue): Fault[] {
   if (issue.unknownKeys.length > 0) {
-    return issue.unknownKeys.map((key) => buildUnknownKey(folder, issue.path, key));
+    const keys = issue.unknownKeys.slice(0, maxListedFaults + 1);
+    return keys.map((key) => buildUnknownKey(folder, issue.path, key));
   }
   const value = findValue(folder.merged, issue.path);
   const field = findField(issue.path);
--- a/packages/config/src/conflict.ts
+++ b/packages/config/src/conflict.ts
@@ -3,6 +3,8 @@
 import type { ObjectStore } from '@bergamotreach/platform';
 import { buildHistoryEntry, loadManifest } from './history.ts';
 import type { HistoryEntry, StoredManifest } from './history.ts';
+import { runInBatches } from './objects.ts';
+import { Ok } from 'ts-results-es';
 
 /** A change that an operator wants to make to the folder. */
 export interface ConfigChange {
@@ -69,22 +71,18 @@
   const headFiles = chain[0]?.manifest.files;
   const baseFiles = await loadBaseFiles(objectStore, chain);
   const names = [...new Set([...theirs, ...yours])].sort();
-  return Promise.all(
-    names.map(async (name) => {
-      const base = await loadContent(objectStore, baseFiles, name);
-      const head = await loadContent(objectStore, headFiles, name);
-      const file: ConflictFile = {
-        name,
-        isChangedByTheirs: theirs.has(name),
-        isChangedByYours: yours.has(name),
-      };
-      const wanted = yours.has(name) ? (change.put[name] ?? null) : base;
-      if (base !== undefined) file.base = base;
-      if (head !== undefined) file.theirs = head;
-      if (wanted !== undefined) file.yours = wanted;
-      return file;
-    }),
-  );
+  const files = await runInBatches(names, async (name) => {
+    const base = await loadContent(objectStore, baseFiles, name);
+    const head = await loadContent(objectStore, headFiles, name);
+    const wanted = yours.has(name) ? (change.put[name] ?? null) : base;
+    const isChangedByTheirs = theirs.has(name);
+    const file: ConflictFile = { name, isChangedByTheirs, isChangedByYours: yours.has(name) };
+    if (base !== undefined) file.base = base;
+    if (head !== undefined) file.theirs = head;
+    if (wanted !== undefined) file.yours = wanted;
+    return Ok(file);
+  });
+  return files.unwrapOr([]);
 }
 
 async function loadBaseFiles(
--- a/packages/config/src/keys.ts
+++ b/packages/config/src/keys.ts
@@ -47,8 +47,8 @@
 });
 
 const service = createGroup({
-  maxBodyBytes: createInteger('bytes, 0 for limits.maxBodyBytes', 0, 64 * mebibyte, 0),
-  maxAnswerBytes: createInteger('bytes, 0 for limits.maxAnswerBytes', 0, 64 * mebibyte, 0),
+  maxBodyBytes: createInteger('bytes, 0 for limits.maxBodyBytes', 0, 16 * mebibyte, 0),
+  maxAnswerBytes: createInteger('bytes, 0 for limits.maxAnswerBytes', 0, 16 * mebibyte, 0),
   maxRequestMs: createInteger('ms, 0 for limits.maxRequestMs', 0, hourMs, 0),
   expectedServiceMs: createDecimal('ms', 0.001, hourMs, 20),
   defaultLink: link,
@@ -84,8 +84,8 @@
 });
 
 const limits = createGroup({
-  maxBodyBytes: createInteger('bytes', 1, 64 * mebibyte, mebibyte),
-  maxAnswerBytes: createInteger('bytes', 1, 64 * mebibyte, 4 * mebibyte),
+  maxBodyBytes: createInteger('bytes', 1, 16 * mebibyte, mebibyte),
+  maxAnswerBytes: createInteger('bytes', 1, 16 * mebibyte, 4 * mebibyte),
   maxHeaderBytes: createInteger('bytes', 1024, mebibyte, 16_384),
   maxRequestMs: createInteger('ms', 1, hourMs, 60_000),
   defaultRequestMs: createInteger('ms', 1, hourMs, 30_000),
--- a/packages/config/src/merge.ts
+++ b/packages/config/src/merge.ts
@@ -22,6 +22,9 @@
 /** Pattern of file names in a configuration folder. */
 export const fileNamePattern = /^[A-Za-z0-9][A-Za-z0-9._-]{0,99}\.json$/u;
 
+// The deepest key of the schema has 7 parts; deeper objects only cost stack.
+const maxDepth = 16;
+
 /** Tells whether a value is a JSON object (not an array, not null). */
 export function isObject(value: unknown): value is JsonObject {
   return typeof value === 'object' && value !== null && !Array.isArray(value);
@@ -57,13 +60,19 @@
   }
   try {
     const value: unknown = JSON.parse(content);
-    if (isObject(value)) return { value };
-    return createFileFault(name, 'content is not a JSON object');
+    if (!isObject(value)) return createFileFault(name, 'content is not a JSON object');
+    if (!isDeeper(value, maxDepth)) return { value };
+    return createFileFault(name, `objects are nested more than ${maxDepth} deep`);
   } catch (error) {
     return createFileFault(name, `content is not JSON: ${(error as Error).message}`);
   }
 }
 
+function isDeeper(value: JsonValue, depth: number): boolean {
+  if (!isObject(value)) return false;
+  return depth === 0 || Object.values(value).some((inner) => isDeeper(inner, depth - 1));
+}
+
 function createFileFault(name: string, message: string): Fault {
   return createFault(FaultCode.ConfigInvalid, `${name}: ${message}`, {
     path: [name],
--- a/packages/config/src/objects.ts
+++ b/packages/config/src/objects.ts
@@ -46,7 +46,8 @@
   return { loadFiles, putFiles };
 }
 
-async function runInBatches<T, R>(
+/** Runs calls on items, a few at a time, and stops at the first batch with a fault. */
+export async function runInBatches<T, R>(
   items: readonly T[],
   run: (item: T) => Promise<Result<R, Fault>>,
 ): Promise<Result<R[], Fault>> {
--- a/packages/config/tests/check.test.ts
+++ b/packages/config/tests/check.test.ts
@@ -2,7 +2,13 @@
 import { expect } from 'earl';
 import fc from 'fast-check';
 import { test } from 'node:test';
-import { buildAccepted, checkFolder, computeHash, maxFolderBytes } from '../src/index.ts';
+import {
+  buildAccepted,
+  checkFolder,
+  computeHash,
+  maxFolderBytes,
+  maxListedFaults,
+} from '../src/index.ts';
 import { mergeFolder } from '../src/merge.ts';
 import { formatAccount } from './fakes.ts';
 
@@ -157,3 +163,12 @@
   const faults = (await checkFolder({ 'a.json': ' '.repeat(maxFolderBytes + 1) })).unwrapErr();
   expect(faults.map(({ code }) => code)).toEqual([FaultCode.TooLarge]);
 });
+
+// Guards against a stack overflow and an answer that does not fit into the daemon's memory.
+test('deep nesting and floods of unknown keys are bounded', async () => {
+  const deep = await listMessages({ 'a.json': '{"a":'.repeat(50_000) + '1' + '}'.repeat(50_000) });
+  expect(deep).toEqual(['a.json: objects are nested more than 16 deep']);
+  const keys = Array.from({ length: 20_000 }, (_, index) => [`k${index}`, 1]);
+  const flood = await listMessages({ 'a.json': JSON.stringify(Object.fromEntries(keys)) });
+  expect(flood.length).toEqual(maxListedFaults + 1);
+});
