--- a/packages/daemon/src/routingconfig.ts
+++ b/packages/daemon/src/routingconfig.ts
@@ -1,6 +1,16 @@
-import type { AccountConfig, EffectiveConfig, LinkConfig, ServiceConfig } from '@bergamotreach/config';
+import type {
+  AccountConfig,
+  EffectiveConfig,
+  LinkConfig,
+  ServiceConfig,
+} from '@bergamotreach/config';
 import { createRoutingConfig, defaultService } from '@bergamotreach/routing';
-import type { AccountRouting, RegionCost, RoutingConfig, ServiceRouting } from '@bergamotreach/routing';
+import type {
+  AccountRouting,
+  RegionCost,
+  RoutingConfig,
+  ServiceRouting,
+} from '@bergamotreach/routing';
 
 const kilobytesPerMegabyte = 1000;
 
@@ -12,12 +22,9 @@
 }
 
 function createServiceRouting(service: ServiceConfig, ownRegion: string): ServiceRouting {
-  const links = Object.entries(service.links[ownRegion] ?? {}).map(
-    ([region, link]) => [region, createRegionCost(link)] as const,
-  );
   return {
     defaultLink: createRegionCost(service.defaultLink),
-    links: Object.fromEntries(links),
+    links: mapValues(service.links[ownRegion] ?? {}, createRegionCost),
     expectedServiceMs: defaultService.expectedServiceMs,
   };
 }
