Use zod/mini and a closed undici client in config and cli

The settings of the daemon are checked with zod/mini, so the schema uses it too and the bundle holds one form of zod. The bundle has only Client and Pool of undici, so the command line opens a Client per call instead of request.

--- a/packages/cli/src/client.ts
+++ b/packages/cli/src/client.ts
@@ -66,19 +66,24 @@
 }
 
 async function sendRequest(call: Call): Promise<Result<JsonRecord, Fault>> {
-  const { request } = await import('undici');
+  const { Client } = await import('undici');
+  const client = new Client(call.origin, {
+    headersTimeout: answerTimeoutMs,
+    bodyTimeout: answerTimeoutMs,
+  });
   try {
-    const answer = await request(`${call.origin}${call.path}`, {
+    const answer = await client.request({
       method: call.method,
+      path: call.path,
       headers: createHeaders(call),
       body: call.body === undefined ? null : JSON.stringify(call.body),
-      headersTimeout: answerTimeoutMs,
-      bodyTimeout: answerTimeoutMs,
     });
     const text = await answer.body.text();
     return readAnswer(call, answer.statusCode, text, answer.headers['x-outcome']);
   } catch (error) {
     return Err(createCallFault(call, error));
+  } finally {
+    await client.destroy();
   }
 }
 
--- a/packages/cli/src/commands/daemon.ts
+++ b/packages/cli/src/commands/daemon.ts
@@ -14,7 +14,7 @@
   return createCommand({
     meta: { name: 'drain', description: 'Shut the called daemon down gracefully' },
     args: { ...serverFlags },
-    run: ({ args }) => finishCommand(io, args.json, drainDaemon(io, args)),
+    run: ({ args }) => finishCommand(io, args.json, requestDrain(io, args)),
   });
 }
 
@@ -27,7 +27,7 @@
   });
 }
 
-async function drainDaemon(io: CliIo, flags: ServerFlags): Promise<Result<CommandOutput, Fault>> {
+async function requestDrain(io: CliIo, flags: ServerFlags): Promise<Result<CommandOutput, Fault>> {
   const client = createOperatorClient(io, flags);
   if (client.isErr()) return client;
   const answer = await client.value.sendRequest(HttpMethod.Post, '/v1/drain', {});
--- a/packages/cli/src/commands/serve.ts
+++ b/packages/cli/src/commands/serve.ts
@@ -1,10 +1,6 @@
 import type { CommandDef } from 'citty';
 import { createCommand } from '../command.ts';
 
-interface DaemonModule {
-  runDaemon: (settingsPath: string) => Promise<number>;
-}
-
 /** Creates `serve`, which runs the daemon until it is stopped. */
 export function createServeCommand(): CommandDef {
   return createCommand({
@@ -18,7 +14,7 @@
       },
     },
     run: async ({ args }) => {
-      const { runDaemon } = (await import('@bergamotreach/daemon')) as unknown as DaemonModule;
+      const { runDaemon } = await import('@bergamotreach/daemon');
       return runDaemon(args.settings);
     },
   });
--- a/packages/cli/tests/config.test.ts
+++ b/packages/cli/tests/config.test.ts
@@ -10,7 +10,7 @@
 
 const served = { 'a.json': formatAccount('a', 1), 'b.json': formatAccount('b', 1) };
 
-function serveConfig(answerPost: (call: FakeCall) => FakeAnswer) {
+function answerConfig(answerPost: (call: FakeCall) => FakeAnswer) {
   return (call: FakeCall): FakeAnswer =>
     call.method === 'GET'
       ? { status: 200, body: { revision: 4, manifest: 'm', files: served } }
@@ -44,7 +44,7 @@
 });
 
 test('apply sends only the difference, on the revision it was made for', async (context) => {
-  const fake = await startFake(context, serveConfig(accept));
+  const fake = await startFake(context, answerConfig(accept));
   const folder = writeFolder({ 'a.json': formatAccount('a', 2), 'c.json': formatAccount('c', 1) });
   const { exitCode, out } = await runLine(['config', 'apply', folder, '--server', fake.url]);
   expect([exitCode, out]).toEqual([
@@ -60,7 +60,7 @@
 });
 
 test('apply that changes nothing, is invalid or is a dry run sends nothing', async (context) => {
-  const fake = await startFake(context, serveConfig(accept));
+  const fake = await startFake(context, answerConfig(accept));
   const run = async (files: Record<string, string>, ...flags: string[]) =>
     runLine(['config', 'apply', writeFolder(files), '--server', fake.url, ...flags]);
   expect((await run(served)).out).toEqual('no change; in force is revision 4\n');
@@ -70,7 +70,7 @@
 });
 
 test('put and rm change single files', async (context) => {
-  const fake = await startFake(context, serveConfig(accept));
+  const fake = await startFake(context, answerConfig(accept));
   const folder = writeFolder({ 'a.json': formatAccount('a', 2), 'c.json': formatAccount('c', 1) });
   await runLine(['config', 'put', `${folder}/a.json`, `${folder}/c.json`, '--server', fake.url]);
   await runLine(['config', 'rm', 'a.json', 'b.json', '--server', fake.url]);
@@ -88,7 +88,7 @@
   let posts = 0;
   const fake = await startFake(
     context,
-    serveConfig(() => ((posts += 1) < 3 ? undefined : accept())),
+    answerConfig(() => ((posts += 1) < 3 ? undefined : accept())),
   );
   const { exitCode } = await runLine(['config', 'rm', 'b.json', '--server', fake.url]);
   expect(exitCode).toEqual(ExitCode.Ok);
@@ -101,7 +101,7 @@
 test('answer that stays lost is an unknown outcome', async (context) => {
   const fake = await startFake(
     context,
-    serveConfig(() => undefined),
+    answerConfig(() => undefined),
   );
   const { exitCode, err } = await runLine(['config', 'rm', 'b.json', '--server', fake.url]);
   expect(exitCode).toEqual(ExitCode.Unknown);
@@ -120,7 +120,7 @@
   };
   const fake = await startFake(
     context,
-    serveConfig(() => createError(409, 'conflict', details)),
+    answerConfig(() => createError(409, 'conflict', details)),
   );
   const { exitCode, err } = await runLine(['config', 'rm', 'b.json', '--server', fake.url]);
   expect(exitCode).toEqual(ExitCode.Conflict);
--- a/packages/config/src/check.ts
+++ b/packages/config/src/check.ts
@@ -46,7 +46,7 @@
   const { listIssues } = await import('./schema.ts');
   const issues = listIssues(folder.merged).flatMap((issue) => buildIssueFaults(folder, issue));
   const faults = [...folder.faults, ...issues];
-  if (faults.length > 0) return Err(cutFaults(faults));
+  if (faults.length > 0) return Err(limitFaults(faults));
   return checkRules(folder);
 }
 
@@ -62,7 +62,7 @@
   return fault === undefined ? Ok(buildEffectiveConfig(folder.merged)) : Err(fault);
 }
 
-function cutFaults(faults: Fault[]): Fault[] {
+function limitFaults(faults: Fault[]): Fault[] {
   if (faults.length <= maxListedFaults) return faults;
   const message = `there are more than ${maxListedFaults} faults; the others are not listed`;
   return [
--- a/packages/config/src/schema.ts
+++ b/packages/config/src/schema.ts
@@ -1,5 +1,5 @@
 import { match } from 'ts-pattern';
-import { z } from 'zod';
+import * as z from 'zod/mini';
 import { FieldKind, namePattern } from './field.ts';
 import type { Field, GroupField, MapField, NumberField, TextField } from './field.ts';
 import { configKeys } from './keys.ts';
@@ -24,38 +24,39 @@
   return { path, unknownKeys: issue.code === 'unrecognized_keys' ? issue.keys : [] };
 }
 
-function buildSchema(field: Field): z.ZodType {
+function buildSchema(field: Field): z.ZodMiniType {
   return match(field)
     .with({ kind: FieldKind.Number }, buildNumber)
     .with({ kind: FieldKind.Text }, buildText)
-    .with({ kind: FieldKind.Flag }, () => z.boolean().optional())
+    .with({ kind: FieldKind.Flag }, () => z.optional(z.boolean()))
     .with({ kind: FieldKind.Group }, buildGroup)
     .with({ kind: FieldKind.Map }, buildMap)
     .with({ kind: FieldKind.List }, (list) =>
-      z.array(buildSchema(list.value)).max(list.maxEntries).optional(),
+      z.optional(z.array(buildSchema(list.value)).check(z.maxLength(list.maxEntries))),
     )
     .exhaustive();
 }
 
-function buildNumber(field: NumberField): z.ZodType {
-  const range = z.number().min(field.min).max(field.max);
-  const number = field.isInteger ? range.int() : range;
-  return field.default === undefined ? number : number.optional();
+function buildNumber(field: NumberField): z.ZodMiniType {
+  const type = field.isInteger ? z.int() : z.number();
+  const number = type.check(z.gte(field.min), z.lte(field.max));
+  return field.default === undefined ? number : z.optional(number);
 }
 
-function buildText(field: TextField): z.ZodType {
-  const text = field.values.length > 0 ? z.enum(field.values) : z.string().regex(field.pattern);
-  return field.default === undefined ? text : text.optional();
+function buildText(field: TextField): z.ZodMiniType {
+  const text =
+    field.values.length > 0 ? z.enum(field.values) : z.string().check(z.regex(field.pattern));
+  return field.default === undefined ? text : z.optional(text);
 }
 
-function buildGroup(group: GroupField): z.ZodType {
+function buildGroup(group: GroupField): z.ZodMiniType {
   const entries = Object.entries(group.keys).map(([key, field]) => [key, buildSchema(field)]);
-  return z.strictObject(Object.fromEntries(entries) as Record<string, z.ZodType>).optional();
+  const keys = Object.fromEntries(entries) as Record<string, z.ZodMiniType>;
+  return z.optional(z.strictObject(keys));
 }
 
-function buildMap(map: MapField): z.ZodType {
-  return z
-    .record(z.string().regex(namePattern), buildSchema(map.value))
-    .refine((value) => Object.keys(value).length <= map.maxEntries)
-    .optional();
+function buildMap(map: MapField): z.ZodMiniType {
+  const record = z.record(z.string().check(z.regex(namePattern)), buildSchema(map.value));
+  const isSmall = z.refine<object>((value) => Object.keys(value).length <= map.maxEntries);
+  return z.optional(record.check(isSmall));
 }
--- a/packages/config/tests/fakes.ts
+++ b/packages/config/tests/fakes.ts
@@ -18,7 +18,7 @@
   Refused = 'refused',
 }
 
-const down = (): Result<never, Fault> =>
+const refuseCall = (): Result<never, Fault> =>
   Err(createFault(FaultCode.StoreUnavailable, 'store is down'));
 
 /** Table in memory with lost replies, late commits and outages. */
@@ -32,7 +32,7 @@
   private readonly late: Commit[] = [];
 
   getRow(key: string): Promise<Result<Row | undefined, Fault>> {
-    return Promise.resolve(this.isDown ? down() : Ok(this.rows.get(key)));
+    return Promise.resolve(this.isDown ? refuseCall() : Ok(this.rows.get(key)));
   }
 
   listRows(): Promise<Result<RowPage, Fault>> {
@@ -81,7 +81,7 @@
   reads = 0;
 
   putObject(content: string): Promise<Result<string, Fault>> {
-    if (this.isDown) return Promise.resolve(down());
+    if (this.isDown) return Promise.resolve(refuseCall());
     const hash = computeHash(content);
     this.contents.set(hash, content);
     return Promise.resolve(Ok(hash));
@@ -89,7 +89,7 @@
 
   getObject(hash: string): Promise<Result<string, Fault>> {
     this.reads += 1;
-    if (this.isDown) return Promise.resolve(down());
+    if (this.isDown) return Promise.resolve(refuseCall());
     const content = this.contents.get(hash);
     const missing = createFault(FaultCode.NotFound, `no object ${hash}`);
     return Promise.resolve(content === undefined ? Err(missing) : Ok(content));
