--- a/packages/cli/src/configview.ts
+++ b/packages/cli/src/configview.ts
@@ -81,6 +81,12 @@
   });
 }
 
+// A first apply puts every file of a folder, which would make a line of any length.
+const maxShownNames = 4;
+
 function formatNames(names: unknown): string {
-  return Array.isArray(names) ? names.join(' ') : '';
+  if (!Array.isArray(names)) return '';
+  const hidden = names.length - maxShownNames;
+  const shown = names.slice(0, maxShownNames).join(' ');
+  return hidden > 0 ? `${shown} and ${hidden} more` : shown;
 }
--- a/packages/cli/tests/config.test.ts
+++ b/packages/cli/tests/config.test.ts
@@ -1,3 +1,4 @@
+import { loadSettings } from '@bergamotreach/daemon';
 import { ExitCode } from '@bergamotreach/protocol';
 import { expect } from 'earl';
 import { test } from 'node:test';
@@ -23,6 +24,7 @@
   for (const name of ['ezelpad', 'trinacria']) {
     expect((await runLine(['config', 'check', `examples/${name}`])).exitCode).toEqual(ExitCode.Ok);
   }
+  expect((await loadSettings('examples/settings.json')).isOk()).toEqual(true);
 });
 
 test('check prints every fault', async () => {
@@ -141,7 +143,8 @@
 });
 
 test('ls, show and history', async (context) => {
-  const entries = [{ revision: 4, manifest: 'm', author: 'ann', put: ['a.json'], remove: [] }];
+  const remove = ['a', 'b', 'c', 'd', 'e'];
+  const entries = [{ revision: 4, manifest: 'm', author: 'ann', put: ['a.json'], remove }];
   const fake = await startFake(context, ({ path }) =>
     path.endsWith('/history')
       ? { status: 200, body: { entries } }
@@ -157,6 +160,6 @@
     accounts: { a: { weight: 1 }, b: { weight: 1 } },
   });
   expect((await show('history')).out).toEqual(
-    'REVISION  AUTHOR  PUT     REMOVED\n       4  ann     a.json  -\n',
+    'REVISION  AUTHOR  PUT     REMOVED\n       4  ann     a.json  a b c d and 1 more\n',
   );
 });
