Strengthen the property tests of store and task

Operators race over rounds of lost, late and refused commits: whatever was reported as accepted is in force once, and whatever was reported as not run is not.

--- a/packages/config/tests/store.test.ts
+++ b/packages/config/tests/store.test.ts
@@ -1,8 +1,9 @@
 import { FaultCode, createManualClock, getOutcome, Outcome } from '@bergamotreach/protocol';
 import { expect } from 'earl';
+import fc from 'fast-check';
 import { test } from 'node:test';
 import { createConfigStore } from '../src/index.ts';
-import type { ConfigChange, ConflictDetails } from '../src/index.ts';
+import type { ConfigChange, ConflictDetails, Manifest } from '../src/index.ts';
 import {
   advanceUntil,
   CommitFate,
@@ -33,19 +34,18 @@
   return (await setup.store.loadRevision(head)).unwrap().files;
 }
 
-test('first change creates revision 1', async () => {
-  const setup = setUp();
-  const put = { 'a.json': formatAccount('acme', 1) };
-  const result = await setup.store.commitChange(createChange(0, { put }));
-  expect(result.unwrap().revision).toEqual(1);
-  expect(await loadFiles(setup)).toEqual(put);
-});
+const first = { 'a.json': formatAccount('acme', 1), 'b.json': formatAccount('bolt', 1) };
+
+/** Starts the change that creates revision 1, with the given fates of its commits. */
+function startFirst(setup: ReturnType<typeof setUp>, ...fates: CommitFate[]) {
+  setup.table.fates.push(...fates);
+  return setup.store.commitChange(createChange(0, { put: first }));
+}
 
 // Guards against a merge that silently drops the change of the slower operator.
 test('racing operators: one wins and the other sees both changes', async () => {
   const setup = setUp();
-  const first = { 'a.json': formatAccount('acme', 1), 'b.json': formatAccount('bolt', 1) };
-  await setup.store.commitChange(createChange(0, { put: first }));
+  (await startFirst(setup)).unwrap();
   const ann = createChange(1, { put: { 'a.json': formatAccount('acme', 2) }, author: 'ann' });
   const bob = createChange(1, { remove: ['b.json'], author: 'bob' });
   setup.table.beforeCommit = async () => {
@@ -78,62 +78,51 @@
   expect(await loadFiles(setup)).toEqual({ ...first, ...ann.put });
 });
 
-test('change on an old base is a conflict before anything is stored', async () => {
+test('change on an old base is a conflict before anything is sent', async () => {
   const setup = setUp();
-  const put = { 'a.json': formatAccount('acme', 1) };
-  await setup.store.commitChange(createChange(0, { put }));
-  const commits = setup.table.commits;
-  const fault = (await setup.store.commitChange(createChange(0, { put }))).unwrapErr();
-  expect(fault.code).toEqual(FaultCode.Conflict);
-  expect(setup.table.commits).toEqual(commits);
+  (await startFirst(setup)).unwrap();
+  expect((await startFirst(setup)).unwrapErr().code).toEqual(FaultCode.Conflict);
+  expect(setup.table.commits).toEqual(1);
 });
 
 // Guards against a lost reply being sent twice or reported as a failure.
 test('lost reply is read back and not repeated', async () => {
   const setup = setUp();
-  setup.table.fates.push(CommitFate.LostReply);
-  const put = { 'a.json': formatAccount('acme', 1) };
-  const pending = setup.store.commitChange(createChange(0, { put }));
-  expect((await finish(setup.clock, pending)).unwrap().revision).toEqual(1);
+  const result = await finish(setup.clock, startFirst(setup, CommitFate.LostReply));
+  expect(result.unwrap().revision).toEqual(1);
   expect(setup.table.commits).toEqual(1);
+  expect(await loadFiles(setup)).toEqual(first);
 });
 
 test('lost reply overtaken by another change still counts as accepted', async () => {
   const setup = setUp();
-  setup.table.fates.push(CommitFate.LostReply);
-  const put = { 'a.json': formatAccount('acme', 1) };
-  const pending = setup.store.commitChange(createChange(0, { put }));
+  const pending = startFirst(setup, CommitFate.LostReply);
   await advanceUntil(setup.clock, () => setup.table.commits === 1);
-  const other = createChange(1, { put: { 'b.json': formatAccount('bolt', 1) } });
+  const other = createChange(1, { put: { 'c.json': formatAccount('cold', 1) } });
   (await setup.store.commitChange(other)).unwrap();
   expect((await finish(setup.clock, pending)).unwrap().revision).toEqual(1);
-  expect(Object.keys(await loadFiles(setup))).toEqual(['a.json', 'b.json']);
+  expect(Object.keys(await loadFiles(setup))).toEqual(['a.json', 'b.json', 'c.json']);
 });
 
 test('commit that arrives late takes effect once', async () => {
   const setup = setUp();
-  setup.table.fates.push(CommitFate.Late);
-  const put = { 'a.json': formatAccount('acme', 1) };
-  const pending = setup.store.commitChange(createChange(0, { put }));
-  expect((await finish(setup.clock, pending)).unwrap().revision).toEqual(1);
+  const result = await finish(setup.clock, startFirst(setup, CommitFate.Late));
   setup.table.deliverLate();
+  expect(result.unwrap().revision).toEqual(1);
   expect((await setup.store.loadHead()).unwrap().revision).toEqual(1);
 });
 
 test('repeat under the same operation id returns its revision', async () => {
   const setup = setUp();
-  const change = createChange(0, { put: { 'a.json': formatAccount('acme', 1) } });
+  const change = createChange(0, { put: first });
   (await setup.store.commitChange(change)).unwrap();
-  const other = createChange(1, { put: { 'b.json': formatAccount('bolt', 1) } });
-  (await setup.store.commitChange(other)).unwrap();
+  (await setup.store.commitChange(createChange(1, { remove: ['b.json'] }))).unwrap();
   expect((await setup.store.commitChange(change)).unwrap().revision).toEqual(1);
 });
 
 test('outage after a lost reply is an unknown outcome', async () => {
   const setup = setUp();
-  setup.table.fates.push(CommitFate.LostReply);
-  const put = { 'a.json': formatAccount('acme', 1) };
-  const pending = setup.store.commitChange(createChange(0, { put }));
+  const pending = startFirst(setup, CommitFate.LostReply);
   await advanceUntil(setup.clock, () => setup.table.commits === 1);
   setup.table.isDown = true;
   const fault = (await finish(setup.clock, pending)).unwrapErr();
@@ -142,13 +131,49 @@
 
 test('refused commits are certain not to have taken effect', async () => {
   const setup = setUp();
-  const refused = [1, 2, 3, 4].map(() => CommitFate.Refused);
-  setup.table.fates.push(...refused);
-  const put = { 'a.json': formatAccount('acme', 1) };
-  const pending = setup.store.commitChange(createChange(0, { put }));
+  const { Refused } = CommitFate;
+  const pending = startFirst(setup, Refused, Refused, Refused, Refused);
   const fault = (await finish(setup.clock, pending)).unwrapErr();
   expect([fault.code, getOutcome(fault)]).toEqual([FaultCode.StoreUnavailable, Outcome.NotRun]);
-  expect((await setup.store.loadHead()).unwrap().revision).toEqual(0);
+});
+
+async function listOperations({ store, objectStore }: ReturnType<typeof setUp>): Promise<string[]> {
+  const entries = (await store.loadHistory(1000)).unwrap();
+  const texts = entries.map(({ manifest }) => objectStore.contents.get(manifest) ?? '');
+  return texts.map((text) => (JSON.parse(text) as Manifest).operationId);
+}
+
+// Each round two operators change the same revision while commits are lost, late or refused.
+test('operators are told what happened, and nothing accepted is lost', async () => {
+  const fates = fc.array(fc.constantFrom(...Object.values(CommitFate)), { maxLength: 8 });
+  const rounds = fc.array(fates, { minLength: 1, maxLength: 4 });
+  async function runRounds(faults: CommitFate[][]): Promise<void> {
+    const setup = setUp();
+    const accepted: string[] = [];
+    const notRun: string[] = [];
+    for (const faultsOfRound of faults) {
+      const base = (await setup.store.loadHead()).unwrap().revision;
+      setup.table.fates.splice(0, Infinity, ...faultsOfRound);
+      const changes = ['ann', 'bob'].map((author) =>
+        createChange(base, {
+          author,
+          put: { [`${author}.json`]: formatAccount(author, base + 1) },
+        }),
+      );
+      const pending = Promise.all(changes.map((change) => setup.store.commitChange(change)));
+      for (const [index, result] of (await finish(setup.clock, pending)).entries()) {
+        const { operationId } = changes[index]!;
+        if (result.isOk()) accepted.push(operationId);
+        else if (getOutcome(result.error) === Outcome.NotRun) notRun.push(operationId);
+      }
+      setup.table.deliverLate();
+    }
+    const inForce = await listOperations(setup);
+    expect(new Set(inForce).size).toEqual(inForce.length);
+    expect(accepted.filter((id) => !inForce.includes(id))).toEqual([]);
+    expect(notRun.filter((id) => inForce.includes(id))).toEqual([]);
+  }
+  await fc.assert(fc.asyncProperty(rounds, runRounds), { seed: 20260406, numRuns: 100 });
 });
 
 test('invalid change is refused with all faults', async () => {
@@ -183,8 +208,7 @@
 
 test('only changed files are read again', async () => {
   const setup = setUp();
-  const put = { 'a.json': formatAccount('a', 1), 'b.json': formatAccount('b', 1) };
-  await setup.store.commitChange(createChange(0, { put }));
+  (await startFirst(setup)).unwrap();
   await loadFiles(setup);
   const change = createChange(1, { put: { 'a.json': formatAccount('a', 2) } });
   (await setup.store.commitChange(change)).unwrap();
@@ -195,8 +219,7 @@
 
 test('content that fails its hash is refused', async () => {
   const setup = setUp();
-  const put = { 'a.json': formatAccount('a', 1) };
-  await setup.store.commitChange(createChange(0, { put }));
+  (await startFirst(setup)).unwrap();
   for (const hash of setup.objectStore.contents.keys()) {
     setup.objectStore.contents.set(hash, `${setup.objectStore.contents.get(hash) ?? ''} `);
   }
--- a/packages/config/tests/task.test.ts
+++ b/packages/config/tests/task.test.ts
@@ -3,7 +3,7 @@
 import fc from 'fast-check';
 import { test } from 'node:test';
 import { createConfigStore, createConfigTask, manifestEntry } from '../src/index.ts';
-import type { ConfigPush, ConfigTask } from '../src/index.ts';
+import type { ConfigPush } from '../src/index.ts';
 import { FakeObjects, FakeTable, createListLogger, finish, formatAccount } from './fakes.ts';
 
 const seed = 20260405;
@@ -90,6 +90,7 @@
   node.receive(older);
   await platform.clock.advance(1000);
   node.receive(newer);
+  node.receive(older);
   expect(node.revisions).toEqual([1, 2]);
   expect(node.pushed).toEqual([]);
 });
@@ -175,23 +176,42 @@
   expect(node.revisions).toEqual([2]);
 });
 
-enum StepKind {
-  Change = 'change',
-  Wait = 'wait',
-  Deliver = 'deliver',
-  Drop = 'drop',
-  Restart = 'restart',
-  ToggleTable = 'toggleTable',
-  ToggleObjects = 'toggleObjects',
-}
-
 interface Delivery {
   to: number;
   push: ConfigPush;
 }
 
+interface World {
+  platform: Platform;
+  nodes: ReturnType<typeof createNode>[];
+  queue: Delivery[];
+}
+
+function takeDelivery({ queue }: World, pick: number): Delivery | undefined {
+  return queue.splice(pick % Math.max(1, queue.length), 1)[0];
+}
+
+const actions: Record<string, (world: World, pick: number) => void | Promise<void>> = {
+  change: ({ platform }) => platform.addRevision(),
+  wait: ({ platform }, pick) => platform.clock.advance(500 + pick),
+  deliver: (world, pick) => {
+    const taken = takeDelivery(world, pick);
+    if (taken !== undefined) world.nodes[taken.to]!.receive(taken.push);
+  },
+  drop: (world, pick) => void takeDelivery(world, pick),
+  restart: ({ platform, nodes }, pick) => {
+    nodes[pick % nodes.length]!.task.stop();
+    nodes[pick % nodes.length] = createNode(platform);
+  },
+  toggleTable: ({ platform }) => void (platform.table.isDown = !platform.table.isDown),
+  toggleObjects: ({ platform }) =>
+    void (platform.objectStore.isDown = !platform.objectStore.isDown),
+};
+
+// Late messages are what takes a daemon back, so they and what leads to them occur more often.
+const frequent = ['change', 'wait', 'deliver', 'deliver'];
 const step = fc.record({
-  kind: fc.constantFrom(...Object.values(StepKind)),
+  name: fc.constantFrom(...Object.keys(actions), ...frequent),
   pick: fc.nat({ max: 1000 }),
 });
 
@@ -209,26 +229,6 @@
   });
 }
 
-async function runStep(
-  platform: Platform,
-  nodes: ReturnType<typeof createNode>[],
-  queue: Delivery[],
-  { kind, pick }: { kind: StepKind; pick: number },
-): Promise<void> {
-  if (kind === StepKind.Change) await platform.addRevision();
-  if (kind === StepKind.Wait) await platform.clock.advance(500 + pick);
-  if (kind === StepKind.ToggleTable) platform.table.isDown = !platform.table.isDown;
-  if (kind === StepKind.ToggleObjects) platform.objectStore.isDown = !platform.objectStore.isDown;
-  if (kind === StepKind.Restart) {
-    nodes[pick % nodes.length]!.task.stop();
-    nodes[pick % nodes.length] = createNode(platform);
-  }
-  queue.push(...listDeliveries(nodes));
-  const isMessage = kind === StepKind.Deliver || kind === StepKind.Drop;
-  const [taken] = isMessage ? queue.splice(pick % Math.max(1, queue.length), 1) : [];
-  if (taken !== undefined && kind === StepKind.Deliver) nodes[taken.to]!.receive(taken.push);
-}
-
 function isRising(revisions: readonly number[]): boolean {
   return revisions.every((revision, index) => index === 0 || revision > revisions[index - 1]!);
 }
@@ -239,9 +239,10 @@
       const platform = createPlatform();
       const nodes = [0, 1, 2].map(() => createNode(platform));
       const all = [...nodes];
-      const queue: Delivery[] = [];
-      for (const next of steps) {
-        await runStep(platform, nodes, queue, next);
+      const world: World = { platform, nodes, queue: [] };
+      for (const { name, pick } of steps) {
+        await actions[name]!(world, pick);
+        world.queue.push(...listDeliveries(nodes));
         all.push(...nodes.filter((node) => !all.includes(node)));
       }
       platform.table.isDown = false;
@@ -250,10 +251,8 @@
       expect(all.every(({ revisions }) => isRising(revisions))).toEqual(true);
       const served = nodes.map(({ task }) => task.getStatus().revision);
       expect(served).toEqual(nodes.map(() => platform.getHead()));
-      nodes.forEach(({ task }: { task: ConfigTask }) => {
-        task.stop();
-      });
+      for (const { task } of nodes) task.stop();
     }),
-    { seed, numRuns: 60 },
+    { seed, numRuns: 100 },
   );
 });
