Ask peers for a revision once a period, and wait for a known higher one

Every heartbeat of a peer with a higher revision made a daemon ask all peers, and each answered with the whole folder: with 9 daemons up to 64 answers a round. A daemon now asks only while the store does not answer, once a poll period.

--- a/packages/cli/tests/line.test.ts
+++ b/packages/cli/tests/line.test.ts
@@ -98,6 +98,9 @@
   );
   const json = await runLine([...line, '--json']);
   expect(JSON.parse(json.out)).toEqual({ workers: [worker] });
+  const isColoured = async (env: Record<string, string>) =>
+    (await runLine(line, env, true)).out.includes('\u001B');
+  expect([await isColoured({}), await isColoured({ NO_COLOR: '1' })]).toEqual([true, false]);
 });
 
 test('account show gives its guarantees only', async (context) => {
--- a/packages/config/src/active.ts
+++ b/packages/config/src/active.ts
@@ -43,9 +43,15 @@
   logger: Logger;
   /** Time that a daemon without configuration collects pushes, in milliseconds. */
   collectMs: number;
+  /** Highest revision that peers are known to serve. */
+  getHighestKnown: () => number;
   onChange?: ((active: ActiveConfig) => void) | undefined;
 }
 
+// A peer that is known to serve a higher revision may be gone before it sends it, so the wait for it
+// ends after this many periods of collection.
+const maxCollectPeriods = 10;
+
 /** Creates the holder of the revision in force; nothing is in force at first. */
 export function createActiveRevision(options: ActiveRevisionOptions): ActiveRevision {
   const { clock, logger, collectMs } = options;
@@ -53,6 +59,7 @@
   let push: ConfigPush | undefined;
   let best: ConfigRevision | undefined;
   let cancelCollect: CancelTimer | undefined;
+  let periods = 0;
   let lastRefusal = '';
   let isStopped = false;
 
@@ -97,6 +104,12 @@
   }
 
   function applyBest(): void {
+    periods += 1;
+    const isLower = (best?.revision ?? 0) < options.getHighestKnown();
+    if (active === undefined && isLower && periods < maxCollectPeriods) {
+      cancelCollect = clock.setTimer(collectMs, applyBest);
+      return;
+    }
     if (best !== undefined) applyRevision(best, RevisionSource.Peer);
     best = undefined;
     cancelCollect = undefined;
--- a/packages/config/src/task.ts
+++ b/packages/config/src/task.ts
@@ -54,7 +54,7 @@
   /** Configuration in force; `undefined` until the first one is. */
   getActive(): ActiveConfig | undefined;
   getStatus(): ConfigStatus;
-  /** Takes a peer's revision from its heartbeat and asks for it when it is higher. */
+  /** Takes a peer's revision from its heartbeat; without the store, asks for it when higher. */
   handlePeerRevision(revision: number): void;
   /** Builds the answer to a peer's request; `undefined` when there is nothing newer. */
   buildPush(aboveRevision: number): ConfigPush | undefined;
@@ -68,11 +68,17 @@
 export function createConfigTask(options: ConfigTaskOptions): ConfigTask {
   const { store, clock, logger, onChange } = options;
   const collectMs = options.collectMs ?? defaultCollectMs;
-  const revisions = createActiveRevision({ clock, logger, collectMs, onChange });
+  const pollMs = options.pollMs ?? defaultPollMs;
+  const revisions = createActiveRevision({
+    ...{ clock, logger, collectMs, onChange },
+    getHighestKnown: () => highestKnown,
+  });
   const contact = createStoreContact(clock, logger, options.cutOffMs ?? defaultCutOffMs);
   let polling: Promise<void> | undefined;
   let highestKnown = 0;
   let storeRevision = 0;
+  let hasPollFailed = false;
+  let lastRequestMs = -Infinity;
   let cancelPoll: CancelTimer = () => undefined;
 
   async function pollStore(): Promise<void> {
@@ -94,11 +100,20 @@
         : undefined;
       if (push !== undefined) options.sendPush(push);
     }
+    hasPollFailed = false;
     contact.addSuccess(revisions.getRevision());
   }
 
   function handleStoreFault(fault: Fault): void {
+    hasPollFailed = true;
     contact.checkSilence(revisions.getRevision(), fault.message);
+    requestFromPeers();
+  }
+
+  // Each peer answers with a whole revision, so one request a period is enough.
+  function requestFromPeers(): void {
+    if (clock.getNowMs() - lastRequestMs < pollMs) return;
+    lastRequestMs = clock.getNowMs();
     options.sendRequest?.(revisions.getRevision());
   }
 
@@ -127,7 +142,7 @@
       revisions.takePushed(readPush(push));
     });
     void runPoll();
-    cancelPoll = runEvery(clock, options.pollMs ?? defaultPollMs, () => {
+    cancelPoll = runEvery(clock, pollMs, () => {
       // A read that never returns must not keep the report from being made.
       contact.checkSilence(revisions.getRevision(), 'no answer');
       void runPoll();
@@ -136,7 +151,8 @@
 
   function handlePeerRevision(revision: number): void {
     highestKnown = Math.max(highestKnown, revision);
-    if (revision > revisions.getRevision()) options.sendRequest?.(revisions.getRevision());
+    // While the store answers, the next poll brings the revision.
+    if (hasPollFailed && revision > revisions.getRevision()) requestFromPeers();
   }
 
   return {
