Test the router's failures and the safety of slot grants

The property test found two faults: the number of daemons was first taken when a share was first computed, so a daemon that saw only the time after a crash divided by too little; it is now taken with each change of the view.

--- a/packages/routing/src/attempt.ts
+++ b/packages/routing/src/attempt.ts
@@ -45,7 +45,7 @@
   nowMs: number,
 ): void {
   if (result.end === ExchangeEnd.Answered) {
-    addServiceTime(endpoint, nowMs - startMs);
+    addServiceTime(endpoint, nowMs - startMs, nowMs);
     if (result.status >= 502 && result.status <= 504) endpoint.health.reportFailure(nowMs);
     else endpoint.health.reportSuccess(nowMs);
     return;
--- a/packages/routing/src/credits.ts
+++ b/packages/routing/src/credits.ts
@@ -53,13 +53,14 @@
   const { clock, membership, selfId, endpoints, getLimits } = options;
   const wallet = createCreditWallet(options.firstSequence);
   const getPreferred = createGrantorChoice(membership);
+  const ownShare = createOwnShare({
+    ...options,
+    getMinDaemons: () => getLimits().minDaemons,
+    getPromiseMs,
+  });
   const granting = createGranting({
     ...options,
-    ownShare: createOwnShare({
-      ...options,
-      getMinDaemons: () => getLimits().minDaemons,
-      getPromiseMs,
-    }),
+    ownShare,
     getPromiseMs,
     getPreferred,
   });
@@ -140,6 +141,8 @@
     const demands = createPeerDemands();
     for (const endpoint of endpoints.listEndpoints()) {
       const preferred = getPreferred(endpoint);
+      // Keeps the count of daemons up to date.
+      ownShare.computeShare(endpoint, nowMs);
       granting.updateShares(endpoint, preferred, nowMs);
       addSlotDemands(demands, endpoint, preferred, nowMs);
       if (preferred === selfId) addShareDemands(demands, endpoint);
--- a/packages/routing/src/endpoint.ts
+++ b/packages/routing/src/endpoint.ts
@@ -22,8 +22,10 @@
   peakRunning: number;
   /** Last time at which the endpoint answered anything. */
   lastProgressMs: number;
-  /** Mean time of recent requests. */
+  /** Mean time of recent requests; meaningless before `measuredMs`. */
   serviceMs: number;
+  /** Time of the last measurement, or minus infinity. */
+  measuredMs: number;
   /** Takes no new work before this time, because the endpoint itself or a peer said so. */
   avoidedUntilMs: number;
   /** Takes no new work, because the platform says so. */
@@ -31,7 +33,7 @@
 }
 
 /** Creates the record of an endpoint that was not known before. */
-export function createEndpoint(instance: Instance, serviceMs: number): Endpoint {
+export function createEndpoint(instance: Instance): Endpoint {
   return {
     instance,
     health: createEndpointHealth(),
@@ -39,17 +41,30 @@
     running: new Set(),
     peakRunning: 0,
     lastProgressMs: -Infinity,
-    serviceMs,
+    serviceMs: 0,
+    measuredMs: -Infinity,
     avoidedUntilMs: -Infinity,
     isLeaving: false,
   };
 }
 
 const serviceMsGain = 0.1;
+const forgetMs = 10_000;
 
 /** Adds a measured request time to the mean. */
-export function addServiceTime(endpoint: Endpoint, durationMs: number): void {
-  endpoint.serviceMs += serviceMsGain * (durationMs - endpoint.serviceMs);
+export function addServiceTime(endpoint: Endpoint, durationMs: number, nowMs: number): void {
+  const gain = endpoint.measuredMs === -Infinity ? 1 : serviceMsGain;
+  endpoint.serviceMs += gain * (durationMs - endpoint.serviceMs);
+  endpoint.measuredMs = nowMs;
+}
+
+/**
+ * Expected time of a request; `undefined` before the first measurement. It falls while nothing is
+ * measured, so that an endpoint which was slow once is tried again.
+ */
+export function computeServiceMs(endpoint: Endpoint, nowMs: number): number | undefined {
+  if (endpoint.measuredMs === -Infinity) return undefined;
+  return endpoint.serviceMs * 2 ** ((endpoint.measuredMs - nowMs) / forgetMs);
 }
 
 /** Whether requests have been in progress for `stallMs` and none was answered meanwhile. */
--- a/packages/routing/src/endpointset.ts
+++ b/packages/routing/src/endpointset.ts
@@ -22,8 +22,8 @@
 /** Longer than the instance list lags. */
 const avoidMs = 15_000;
 
-/** Creates the set; `getServiceMs` gives the first guess of a service's request time. */
-export function createEndpointSet(getServiceMs: (service: string) => number): EndpointSet {
+/** Creates an empty set. */
+export function createEndpointSet(): EndpointSet {
   const endpoints = new Map<string, Endpoint>();
   let byService = new Map<string, Endpoint[]>();
 
@@ -36,7 +36,7 @@
     }
     // The same id at another address is a replacement, with its own health and connections.
     if (known !== undefined) known.connections.close();
-    const endpoint = createEndpoint(instance, getServiceMs(instance.service));
+    const endpoint = createEndpoint(instance);
     endpoint.isLeaving = instance.state === InstanceState.Leaving;
     endpoints.set(instance.id, endpoint);
   }
--- a/packages/routing/src/ownshare.ts
+++ b/packages/routing/src/ownshare.ts
@@ -1,6 +1,6 @@
 import { MessageType } from '@bergamotreach/protocol';
 import type { Clock } from '@bergamotreach/protocol';
-import type { Membership } from '@bergamotreach/membership';
+import type { MemberView, Membership } from '@bergamotreach/membership';
 import type { Endpoint } from './endpoint.ts';
 import { listSharers } from './grantor.ts';
 import { createShareCount } from './sharecount.ts';
@@ -44,13 +44,24 @@
     withheldUntilMs = startMs + joinMs + options.getPromiseMs();
   }
 
+  function updateCount(dataCentre: string, known: number, nowMs: number): number {
+    let count = counts.get(dataCentre);
+    if (count === undefined) counts.set(dataCentre, (count = createShareCount()));
+    return count.update(Math.max(1, options.getMinDaemons(), known), options.getPromiseMs(), nowMs);
+  }
+
+  /** A count first taken after a crash would be too small, so each change of the view is seen. */
+  function updateOwnCount(view: MemberView): void {
+    const { dataCentre } = options;
+    const present = view.members.filter((member) => !member.isGone);
+    const local = present.filter((member) => member.dataCentre === dataCentre);
+    updateCount(dataCentre, local.length, clock.getNowMs());
+  }
+
   function computeShare(endpoint: Endpoint, nowMs: number): number {
     const { dataCentre, capacity } = endpoint.instance;
     const sharers = listSharers(membership.getView().members, endpoint.instance);
-    let count = counts.get(dataCentre);
-    if (count === undefined) counts.set(dataCentre, (count = createShareCount()));
-    const known = Math.max(1, options.getMinDaemons(), sharers.length);
-    const divisor = count.update(known, options.getPromiseMs(), nowMs);
+    const divisor = updateCount(dataCentre, sharers.length, nowMs);
     const isSharer = sharers.some((member) => member.id === selfId);
     return isSharer && nowMs >= withheldUntilMs ? capacity.slots / divisor : 0;
   }
@@ -58,5 +69,7 @@
   membership.addHandler(MessageType.Heartbeat, (from, message) => {
     handleHeartbeat(from, message.sequence);
   });
+  membership.addViewListener(updateOwnCount);
+  updateOwnCount(membership.getView());
   return { computeShare };
 }
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -2,7 +2,7 @@
 import type { Fault } from '@bergamotreach/protocol';
 import type { Instance } from '@bergamotreach/platform';
 import { createClaimFlow } from './claimflow.ts';
-import { createRoutingConfig, defaultService } from './config.ts';
+import { createRoutingConfig } from './config.ts';
 import type { RoutingConfig } from './config.ts';
 import type { RouterContext, RouterOptions } from './context.ts';
 import { createSlotCredits } from './credits.ts';
@@ -56,9 +56,7 @@
   const work = createOpenWork();
   const claimFlow = createClaimFlow({ ...options, work });
   const dispatchers = new Map<string, Dispatcher>();
-  const endpoints = createEndpointSet(
-    (service) => (config.services[service] ?? defaultService).expectedServiceMs,
-  );
+  const endpoints = createEndpointSet();
   const credits = createSlotCredits({
     ...options,
     endpoints,
--- a/packages/routing/src/selection.ts
+++ b/packages/routing/src/selection.ts
@@ -2,7 +2,7 @@
 import type { RegionCost } from './config.ts';
 import type { Connection } from './connections.ts';
 import type { RouterContext } from './context.ts';
-import { isUsable } from './endpoint.ts';
+import { computeServiceMs, isUsable } from './endpoint.ts';
 import type { Endpoint } from './endpoint.ts';
 import { chooseEndpoint } from './endpointchoice.ts';
 import type { EndpointCandidate } from './endpointchoice.ts';
@@ -64,11 +64,20 @@
       region: endpoint.instance.region,
       inUse: endpoint.running.size,
       slots: endpoint.health.computeUsable(credit, nowMs),
-      serviceMs: endpoint.serviceMs,
+      serviceMs: computeServiceMs(endpoint, nowMs) ?? Infinity,
       endpoint,
     };
   }
 
+  /** An endpoint that was never measured counts as the fastest one. */
+  function setUnmeasured(candidates: Candidate[]): Candidate[] {
+    const least = Math.min(...candidates.map((candidate) => candidate.serviceMs));
+    for (const candidate of candidates) {
+      if (candidate.serviceMs === Infinity) candidate.serviceMs = least === Infinity ? 1 : least;
+    }
+    return candidates;
+  }
+
   function chooseFrom(ticket: Ticket, open: readonly Candidate[]): Candidate | undefined {
     turn += 1;
     if (ticket.failedAt.size === 0) return chooseEndpoint(open, turn);
@@ -105,7 +114,8 @@
 
   return {
     listUsable,
-    listCandidates: (nowMs) => listUsable(nowMs).map((one) => createCandidate(one, nowMs)),
+    listCandidates: (nowMs) =>
+      setUnmeasured(listUsable(nowMs).map((one) => createCandidate(one, nowMs))),
     takeTarget,
     getLink,
   };
--- /dev/null
+++ b/packages/routing/tests/decisions.test.ts
@@ -0,0 +1,199 @@
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { expect } from 'earl';
+import { FaultCode } from '@bergamotreach/protocol';
+import { checkAdmission } from '../src/admission.ts';
+import { defaultAccount } from '../src/config.ts';
+import { chooseEndpoint } from '../src/endpointchoice.ts';
+import { createFairQueue } from '../src/fairqueue.ts';
+import { createEndpointHealth, HealthState } from '../src/health.ts';
+import { computeFairParts, createCreditLedger } from '../src/ledger.ts';
+import { chooseRegion, createByteCounter } from '../src/regionchoice.ts';
+import { createRetryBudget } from '../src/retrybudget.ts';
+import { createCreditWallet } from '../src/wallet.ts';
+
+const demand = { endpoint: 'e', wanted: 4, inUse: 0, longestDeadlineMs: 0 };
+
+// Guards against slots used after their expiry by a holder that was paused or whose reply was late.
+test('a wallet counts validity from the sending of the request', () => {
+  const wallet = createCreditWallet(0);
+  const sequence = wallet.startRequest('g', [demand], 500, 1000)!;
+  expect(wallet.applyGrant('g', sequence, [{ endpoint: 'e', slots: 4 }], 1000)).toEqual(true);
+  expect([wallet.countSlots('e', 1999), wallet.countSlots('e', 2000)]).toEqual([4, 0]);
+  expect(wallet.applyGrant('g', sequence, [{ endpoint: 'e', slots: 4 }], 1000)).toEqual(false);
+});
+
+// Guards against a holder that uses slots which its grantor no longer counts.
+test('a wallet gives everything up before it repeats an unanswered request', () => {
+  const wallet = createCreditWallet(0);
+  const first = wallet.startRequest('g', [demand], 500, 0)!;
+  wallet.applyGrant('g', first, [{ endpoint: 'e', slots: 4 }], 1000);
+  const second = wallet.startRequest('g', [demand], 500, 100)!;
+  expect(wallet.startRequest('g', [demand], 500, 200)).toEqual(undefined);
+  expect(wallet.countSlots('e', 200)).toEqual(4);
+  wallet.startRequest('g', [demand], 500, 650);
+  expect(wallet.countSlots('e', 650)).toEqual(0);
+  expect(wallet.applyGrant('g', second, [{ endpoint: 'e', slots: 4 }], 1000)).toEqual(false);
+});
+
+// Guards against a grantor that forgets a grant which its holder still uses.
+test('a ledger counts the last grant until a request dispatched on it must have ended', () => {
+  const ledger = createCreditLedger(() => ({ creditMs: 1000, maxRequestMs: 5000 }));
+  ledger.setShare('e', 'g', 4, Infinity);
+  const request = (holder: string, sequence: number, wanted: number, nowMs: number): number =>
+    ledger.handleRequest(holder, sequence, [{ ...demand, wanted }], () => 4, nowMs)![0]!.slots;
+  expect(request('a', 1, 4, 0)).toEqual(4);
+  expect(request('b', 1, 4, 100)).toEqual(0);
+  // Holder a asks for half of its slots; until then it may have started more.
+  expect(request('a', 2, 2, 200)).toEqual(2);
+  expect(request('b', 2, 4, 300)).toEqual(2);
+  expect(ledger.countHeld('e', 6100)).toEqual(4);
+  expect(request('b', 3, 4, 6250)).toEqual(4);
+  expect(ledger.handleRequest('b', 3, [demand], () => 4, 6260)).toEqual(undefined);
+});
+
+// Guards against a grant that the holder may still use while its next request is on the way.
+test('a ledger counts the grant before the last until the next report', () => {
+  const ledger = createCreditLedger(() => ({ creditMs: 1000, maxRequestMs: 5000 }));
+  ledger.setShare('e', 'g', 4, Infinity);
+  ledger.handleRequest('a', 1, [demand], () => 4, 0);
+  ledger.handleRequest('b', 1, [demand], () => 4, 50);
+  ledger.handleRequest('a', 2, [demand], () => 4, 100);
+  expect(ledger.handleRequest('b', 2, [demand], () => 4, 200)).toEqual([
+    { endpoint: 'e', slots: 0 },
+  ]);
+  expect(ledger.countHeld('e', 200)).toEqual(4);
+  ledger.handleRequest('a', 3, [demand], () => 4, 300);
+  expect(ledger.handleRequest('b', 3, [demand], () => 4, 400)![0]!.slots).toEqual(2);
+});
+
+// Guards against slots that are lost or invented when they are divided.
+test('fair parts use the capacity and no more', () => {
+  const wants = fc.array(fc.nat(12), { maxLength: 6 });
+  fc.assert(
+    fc.property(fc.nat(20), wants, (capacity, wanted) => {
+      const list = wanted.map((one, index) => ({ id: String(index), wanted: one }));
+      const total = [...computeFairParts(capacity, list).values()].reduce((a, b) => a + b, 0);
+      expect(total).toEqual(
+        Math.min(
+          capacity,
+          wanted.reduce((a, b) => a + b, 0),
+        ),
+      );
+    }),
+    { seed: 3 },
+  );
+});
+
+function serve(queue: ReturnType<typeof createFairQueue<string>>, count: number): string[] {
+  const served: string[] = [];
+  while (served.length < count) {
+    const entry = queue.getNext(10);
+    if (entry === undefined) break;
+    queue.takeEntry(entry);
+    queue.releaseSlot(entry.account);
+    served.push(entry.account);
+  }
+  return served;
+}
+
+// Guards against one account that pushes the others back by sending more.
+test('accounts are served by weight, however many requests each sends', () => {
+  const weights: Record<string, number> = { big: 1, small: 2 };
+  const queue = createFairQueue<string>((account) => ({
+    ...defaultAccount,
+    weight: weights[account]!,
+  }));
+  for (let index = 0; index < 200; index += 1) queue.addEntry('big', 1000, 'x');
+  for (let index = 0; index < 20; index += 1) queue.addEntry('small', 1000, 'x');
+  const served = serve(queue, 30);
+  expect(served.filter((account) => account === 'small').length).toBeGreaterThanOrEqual(19);
+});
+
+// Guards against an account that saves up service while it sends nothing, and against no bound.
+test('an idle account gets no arrears and the queue is bounded', () => {
+  const queue = createFairQueue<string>(() => ({ ...defaultAccount, maxQueued: 50 }));
+  for (let index = 0; index < 50; index += 1) queue.addEntry('a', 1000, 'x');
+  const refused = queue.addEntry('a', 1000, 'x');
+  expect(refused.isErr() && refused.error.code).toEqual(FaultCode.QueueFull);
+  serve(queue, 30);
+  for (let index = 0; index < 20; index += 1) queue.addEntry('late', 1000, 'x');
+  const served = serve(queue, 20).filter((account) => account === 'late').length;
+  expect([9, 10, 11]).toInclude(served);
+});
+
+// Guards against a sold share that has to wait behind other accounts.
+test('an account below its guaranteed share goes first', () => {
+  const queue = createFairQueue<string>((account) => ({
+    ...defaultAccount,
+    guaranteedShare: account === 'sold' ? 0.5 : 0,
+  }));
+  for (let index = 0; index < 20; index += 1) queue.addEntry('other', 1000, 'x');
+  for (let index = 0; index < 20; index += 1) queue.addEntry('sold', 1000, 'x');
+  const order = Array.from({ length: 8 }, () => {
+    const entry = queue.getNext(10)!;
+    queue.takeEntry(entry);
+    return entry.account;
+  });
+  expect(order.slice(0, 5)).toEqual(['sold', 'sold', 'sold', 'sold', 'sold']);
+  expect(order.slice(5)).toInclude('other');
+});
+
+// Guards against requests that wait although they cannot be served in time.
+test('a request that cannot meet its deadline is refused with a retry time', () => {
+  const input = { leftMs: 100, waiting: 40, share: 0.5, slots: 8, serviceMs: 20 };
+  expect(checkAdmission(input)?.retryAfterMs).toEqual(120);
+  expect(checkAdmission({ ...input, waiting: 10 })).toEqual(undefined);
+});
+
+// Guards against retries that multiply the load of an outage.
+test('retries stay within a tenth of the requests', () => {
+  const budget = createRetryBudget(() => ({ retryRatio: 0.1, maxRetryTokens: 10 }));
+  let retries = 0;
+  for (let request = 0; request < 1000; request += 1) {
+    budget.addRequest('a');
+    while (budget.takeRetry('a')) retries += 1;
+  }
+  expect(retries).toBeLessThanOrEqual(101);
+  expect(retries).toBeGreaterThanOrEqual(99);
+});
+
+// Guards against a broken endpoint that keeps its work, and one that returns with a burst.
+test('an endpoint goes out after three failures and returns slowly', () => {
+  const health = createEndpointHealth();
+  for (let count = 0; count < 3; count += 1) health.reportFailure(100);
+  expect(health.computeUsable(8, 200)).toEqual(0);
+  expect([health.getState(1100), health.computeUsable(8, 1100)]).toEqual([HealthState.Probing, 1]);
+  health.reportFailure(1200);
+  expect(health.getState(3100)).toEqual(HealthState.Out);
+  health.reportSuccess(3300);
+  expect([3300, 5900, 8300].map((nowMs) => health.computeUsable(10, nowMs))).toEqual([1, 5, 10]);
+});
+
+// Guards against a slow endpoint that gets as much work as the others.
+test('the endpoint with the smallest expected load is chosen', () => {
+  const slow = { id: 'slow', inUse: 0, slots: 8, serviceMs: 200 };
+  const fast = { id: 'fast', inUse: 4, slots: 8, serviceMs: 20 };
+  expect(chooseEndpoint([slow, fast], 0)?.id).toEqual('fast');
+  expect(chooseEndpoint([slow, { ...fast, inUse: 8 }], 0)?.id).toEqual('slow');
+});
+
+// Guards against billed traffic that saves no time.
+test('a request leaves its region only when the wait outweighs link and bytes', () => {
+  const choose = (waitMs: number, bytes: number): string | undefined =>
+    chooseRegion(
+      'own',
+      [
+        { region: 'own', waitMs },
+        { region: 'far', waitMs: 0 },
+      ],
+      bytes,
+      () => ({ latencyMs: 20, costMsPerKilobyte: 1 }),
+    );
+  expect([choose(40, 0), choose(45, 0), choose(45, 10_240)]).toEqual(['own', 'far', 'own']);
+  expect(choose(Infinity, 1e6)).toEqual('far');
+  const counter = createByteCounter();
+  counter.addBytes('a', 'far', 5);
+  counter.addBytes('a', 'far', 7);
+  expect(counter.getDump()).toEqual({ 'a/far': 12 });
+});
--- a/packages/routing/tests/fakes.ts
+++ b/packages/routing/tests/fakes.ts
@@ -96,7 +96,7 @@
   close(): Promise<void>;
 }
 
-function createInstance(id: string, address: string, slots: number): Instance {
+export function createInstance(id: string, address: string, slots: number): Instance {
   return {
     id,
     kind: InstanceKind.Endpoint,
