--- a/packages/protocol/src/message.ts
+++ b/packages/protocol/src/message.ts
@@ -10,6 +10,8 @@
   JobWake = 'jobWake',
   Leaving = 'leaving',
   Hint = 'hint',
+  ReportRequest = 'reportRequest',
+  Report = 'report',
 }
 
 /** Whether a daemon takes new work. */
@@ -18,7 +20,16 @@
   Draining = 'draining',
 }
 
-/** First message on every connection, in both directions. */
+/** Where a daemon can be reached. */
+export interface MemberAddress {
+  id: string;
+  region: string;
+  dataCentre: string;
+  /** `ip:port` of the peer listener. */
+  peerAddress: string;
+}
+
+/** First message on every connection, sent by the side that opened it. */
 export interface HelloMessage {
   type: MessageType.Hello;
   id: string;
@@ -30,6 +41,8 @@
   incarnation: string;
   /** Shared secret of the deployment, compared in constant time. */
   secret: string;
+  /** Daemons known to the sender, so that a new one finds members while the store is down. */
+  members: MemberAddress[];
 }
 
 /** A promise to count one's share of the slots of a grantor until it runs out. */
@@ -134,6 +147,20 @@
   unhealthy: string[];
 }
 
+/** Asks the owner of a region for its report; daemons that own none do not answer. */
+export interface ReportRequestMessage {
+  type: MessageType.ReportRequest;
+  sequence: number;
+}
+
+/** State of a region for operators, as plain data. */
+export interface ReportMessage {
+  type: MessageType.Report;
+  /** Sequence of the request answered. */
+  sequence: number;
+  report: unknown;
+}
+
 /** Every message between daemons. */
 export type PeerMessage =
   | HelloMessage
@@ -145,4 +172,6 @@
   | CreditReturnMessage
   | JobWakeMessage
   | LeavingMessage
-  | HintMessage;
+  | HintMessage
+  | ReportRequestMessage
+  | ReportMessage;
