Return the slots of a grantor that ended within seconds

The share of a daemon stayed promised to a crashed grantor for up to maxRequestMs plus three credit periods, 33 s with the example limits. When a process has certainly ended, its exchanges ended with their connections, so each router now takes over the requests that it dispatched on the grants of the ended daemon, reports them to all members and the promises end once every other member has reported.

--- a/packages/routing/src/credits.ts
+++ b/packages/routing/src/credits.ts
@@ -1,11 +1,12 @@
 import { MessageType, runEvery } from '@bergamotreach/protocol';
 import type { CancelTimer, Clock, CreditDemand, CreditGrantMessage } from '@bergamotreach/protocol';
 import type { Membership } from '@bergamotreach/membership';
-import { computeLongestMs, countRunning } from './endpoint.ts';
+import { computeLongestMs, countRunning, endedGrantor } from './endpoint.ts';
 import type { Endpoint } from './endpoint.ts';
 import type { EndpointSet } from './endpointset.ts';
 import { createGranting } from './granting.ts';
 import { createGrantorChoice, listSharers } from './grantor.ts';
+import { createHandover } from './handover.ts';
 import { createOwnShare } from './ownshare.ts';
 import { createPeerDemands } from './peerdemands.ts';
 import type { PeerDemands } from './peerdemands.ts';
@@ -52,6 +53,7 @@
 export function createSlotCredits(options: SlotCreditsOptions): SlotCredits {
   const { clock, membership, selfId, endpoints, getLimits } = options;
   const wallet = createCreditWallet(options.firstSequence);
+  const handover = createHandover();
   const getPreferred = createGrantorChoice(membership);
   const ownShare = createOwnShare({
     ...options,
@@ -63,6 +65,9 @@
     ownShare,
     getPromiseMs,
     getPreferred,
+    handleDemands: (from, demands) => {
+      handover.applyReports(from, demands);
+    },
   });
   /** Endpoints for which each member last heard of slots wanted or in use. */
   let reported = new Map<string, Set<string>>();
@@ -81,11 +86,14 @@
     wanted: number,
     nowMs: number,
   ): CreditDemand {
+    const ownMs = computeLongestMs(endpoint, grantor, nowMs);
+    const endedMs = computeLongestMs(endpoint, endedGrantor, nowMs);
     return {
       endpoint: endpoint.instance.id,
       wanted,
-      inUse: countRunning(endpoint, grantor),
-      longestDeadlineMs: computeLongestMs(endpoint, grantor, nowMs),
+      // Requests on grants of a daemon that has ended count at every grantor.
+      inUse: countRunning(endpoint, grantor) + countRunning(endpoint, endedGrantor),
+      longestDeadlineMs: Math.max(ownMs, endedMs),
     };
   }
 
@@ -97,23 +105,54 @@
   ): void {
     const { id } = endpoint.instance;
     if (preferred !== undefined) {
-      const inUse = countRunning(endpoint, preferred);
-      const wanted = Math.max(inUse, options.computeWanted(endpoint, nowMs));
-      const demand = createDemand(endpoint, preferred, wanted, nowMs);
+      const asked = createDemand(endpoint, preferred, 0, nowMs);
+      const wanted = Math.max(asked.inUse, options.computeWanted(endpoint, nowMs));
+      const demand = { ...asked, wanted };
       const isKnown = reported.get(preferred)?.has(id) === true;
       if (wanted > 0 || isKnown) demands.addSlots(preferred, demand);
     }
     // An earlier grantor learns when the requests dispatched on its grants have ended.
     for (const [peer, ids] of reported) {
-      if (peer === preferred || !ids.has(id)) continue;
+      if (peer === preferred || !ids.has(id) || handover.isEnded(peer)) continue;
       demands.addSlots(peer, createDemand(endpoint, peer, 0, nowMs));
     }
   }
 
+  /** Tells all members about the requests dispatched on grants of daemons that have ended. */
+  function addReports(demands: PeerDemands, nowMs: number): void {
+    const reports = handover.createReports(nowMs);
+    if (reports.length === 0) return;
+    const affected = endpoints
+      .listEndpoints()
+      .filter((endpoint) => countRunning(endpoint, endedGrantor) > 0);
+    for (const { id, isTwoWay } of membership.getView().members) {
+      if (id === selfId || !isTwoWay) continue;
+      for (const report of reports) demands.addSlots(id, report);
+      for (const endpoint of affected) {
+        if (getPreferred(endpoint) === id) continue;
+        demands.addSlots(id, createDemand(endpoint, id, 0, nowMs));
+      }
+    }
+  }
+
+  function applyView(): void {
+    const nowMs = clock.getNowMs();
+    for (const ended of handover.applyView(membership.getView(), nowMs)) {
+      wallet.removeGrantor(ended);
+      granting.removeHolder(ended);
+      for (const endpoint of endpoints.listEndpoints()) {
+        for (const exchange of endpoint.running) {
+          if (exchange.grantor === ended) exchange.grantor = endedGrantor;
+        }
+      }
+    }
+    const settled = handover.listSettled(membership.getView());
+    ownShare.applySettled(settled);
+    for (const ended of settled) granting.endPromises(ended, nowMs);
+  }
+
   function addShareDemands(demands: PeerDemands, endpoint: Endpoint): void {
-    const sharers = listSharers(membership.getView().members, endpoint.instance);
-    if (!sharers.some((member) => member.id === selfId)) return;
-    for (const member of sharers) {
+    for (const member of listSharers(membership.getView().members, endpoint.instance)) {
       if (member.id === selfId || !member.isTwoWay) continue;
       demands.addShare(member.id, endpoint.instance.id);
     }
@@ -145,8 +184,10 @@
       ownShare.computeShare(endpoint, nowMs);
       granting.updateShares(endpoint, preferred, nowMs);
       addSlotDemands(demands, endpoint, preferred, nowMs);
-      if (preferred === selfId) addShareDemands(demands, endpoint);
+      const canCollect = preferred === selfId && granting.canCollect(endpoint, nowMs);
+      if (canCollect) addShareDemands(demands, endpoint);
     }
+    addReports(demands, nowMs);
     return demands;
   }
 
@@ -155,9 +196,11 @@
     cancelSoon?.();
     cancelSoon = undefined;
     lastRequestMs = nowMs;
+    applyView();
     const demands = createDemands(nowMs);
     const next = new Map<string, Set<string>>();
     for (const peer of new Set([...demands.listPeers(), ...reported.keys()])) {
+      if (handover.isEnded(peer)) continue;
       const { slots, all, shares } = demands.getDemands(peer);
       const isSent = sendRequest(peer, all, shares, nowMs);
       const ids = isSent ? slots : new Set([...slots, ...(reported.get(peer) ?? [])]);
@@ -184,6 +227,7 @@
   }
 
   membership.addHandler(MessageType.CreditGrant, handleGrant);
+  membership.addViewListener(applyView);
   const stop = runEvery(clock, periodMs, () => {
     for (const endpoint of endpoints.listEndpoints()) {
       endpoint.peakRunning = Math.max(endpoint.running.size, endpoint.peakRunning - 1);
--- a/packages/routing/src/endpoint.ts
+++ b/packages/routing/src/endpoint.ts
@@ -81,6 +81,9 @@
   return endpoint.health.getState(nowMs) !== HealthState.Out;
 }
 
+/** Stands for grantors that have ended, in requests dispatched on their grants. */
+export const endedGrantor = '';
+
 /** Requests in progress on slots of a grantor. */
 export function countRunning(endpoint: Endpoint, grantor: string): number {
   let count = 0;
--- a/packages/routing/src/granting.ts
+++ b/packages/routing/src/granting.ts
@@ -19,6 +19,12 @@
 export interface Granting {
   /** Takes up or gives up the shares of an endpoint, as `preferred` is this daemon or another. */
   updateShares(endpoint: Endpoint, preferred: string | undefined, nowMs: number): void;
+  /** Whether this daemon may collect the shares of others: it has one and has promised it to none. */
+  canCollect(endpoint: Endpoint, nowMs: number): boolean;
+  /** Ends the promises to a grantor that has ended and whose grants are accounted for. */
+  endPromises(grantor: string, nowMs: number): void;
+  /** Forgets what a daemon held that has ended. */
+  removeHolder(holder: string): void;
   /** Grants slots to a holder; `undefined` when a later request was seen. */
   grantSlots(
     holder: string,
@@ -43,6 +49,8 @@
   getLimits: () => LedgerLimits;
   getPromiseMs: () => number;
   getPreferred: (endpoint: Endpoint) => string | undefined;
+  /** Takes every request of a member before it is answered. */
+  handleDemands: (from: string, demands: readonly CreditDemand[]) => void;
 }
 
 /** Creates the granting part and registers its message handlers. */
@@ -103,7 +111,7 @@
     return grants;
   }
 
-  function promiseShare(
+  function addSharePromise(
     from: string,
     sequence: number,
     id: string,
@@ -121,6 +129,7 @@
   function handleRequest(from: string, message: CreditRequestMessage): void {
     const nowMs = clock.getNowMs();
     const { sequence, demands } = message;
+    options.handleDemands(from, demands);
     const grants = grantSlots(from, sequence, demands, nowMs);
     if (grants === undefined) return;
     const type = MessageType.CreditGrant as const;
@@ -128,7 +137,7 @@
     // A demand for nothing asks for this daemon's own share.
     const shares = demands
       .filter((demand) => demand.wanted === 0)
-      .map((demand) => promiseShare(from, sequence, demand.endpoint, nowMs))
+      .map((demand) => addSharePromise(from, sequence, demand.endpoint, nowMs))
       .filter((share) => share !== undefined);
     if (shares.length === 0) return;
     membership.send(from, { type, sequence, grants: shares, ttlMs: options.getPromiseMs() });
@@ -149,6 +158,19 @@
       if (preferred === selfId) updateOwnShare(endpoint, nowMs);
       else releaseShares(endpoint.instance.id, nowMs);
     },
+    canCollect: (endpoint, nowMs) => {
+      const { id } = endpoint.instance;
+      const isOwn = delegations.chooseGrantor(id, selfId, nowMs) === selfId;
+      return isOwn && ownShare.computeShare(endpoint, nowMs) > 0;
+    },
+    endPromises: (grantor, nowMs) => {
+      for (const endpoint of endpoints.listEndpoints()) {
+        delegations.endPromise(endpoint.instance.id, grantor, Infinity, nowMs);
+      }
+    },
+    removeHolder: (holder) => {
+      ledger.removeHolder(holder);
+    },
     grantSlots,
     addShareRequest: (peer, sequence, shares, nowMs) => {
       lastSequences.set(peer, sequence);
--- a/packages/routing/src/ledger.ts
+++ b/packages/routing/src/ledger.ts
@@ -30,6 +30,8 @@
     getSlots: (endpoint: string) => number,
     nowMs: number,
   ): CreditSlots[] | undefined;
+  /** Forgets a holder whose process has ended, and its exchanges with it. */
+  removeHolder(holder: string): void;
   /** Slots that holders may be using, silent and paused holders included. */
   countHeld(endpoint: string, nowMs: number): number;
   getDump(nowMs: number): Record<string, { shares: number; held: Record<string, number> }>;
@@ -228,6 +230,10 @@
     listDelegators: (endpoint) => [...(shares.get(endpoint)?.keys() ?? [])],
     computeCapacity,
     handleRequest,
+    removeHolder: (holder) => {
+      dropUnlisted(holder, new Set());
+      holders.delete(holder);
+    },
     countHeld: (endpoint, nowMs) => countHeldBy(endpoint, nowMs),
     getDump,
   };
--- a/packages/routing/src/ownshare.ts
+++ b/packages/routing/src/ownshare.ts
@@ -10,6 +10,11 @@
 export interface OwnShare {
   /** Share of an endpoint's slots, a fraction; 0 when this daemon has none. */
   computeShare(endpoint: Endpoint, nowMs: number): number;
+  /**
+   * Takes the settled members among those that ended. A daemon that is left alone in its data centre
+   * has all slots as soon as nobody uses grants of the others.
+   */
+  applySettled(settled: readonly string[]): void;
 }
 
 /** Options of the share. */
@@ -66,10 +71,19 @@
     return isSharer && nowMs >= withheldUntilMs ? capacity.slots / divisor : 0;
   }
 
+  function applySettled(settled: readonly string[]): void {
+    const { members } = membership.getView();
+    const local = members.filter((member) => member.dataCentre === options.dataCentre);
+    const others = local.filter((member) => member.id !== selfId);
+    const isAlone = others.every((member) => member.isGone && settled.includes(member.id));
+    if (others.length === 0 || !isAlone) return;
+    counts.get(options.dataCentre)?.reset(Math.max(1, options.getMinDaemons()));
+  }
+
   membership.addHandler(MessageType.Heartbeat, (from, message) => {
     handleHeartbeat(from, message.sequence);
   });
   membership.addViewListener(updateOwnCount);
   updateOwnCount(membership.getView());
-  return { computeShare };
+  return { computeShare, applySettled };
 }
--- a/packages/routing/src/sharecount.ts
+++ b/packages/routing/src/sharecount.ts
@@ -2,6 +2,8 @@
 export interface ShareCount {
   /** Takes the number of daemons known now; returns the one to divide by. */
   update(count: number, holdMs: number, nowMs: number): number;
+  /** Takes a smaller number at once. */
+  reset(count: number): void;
 }
 
 /**
@@ -31,5 +33,11 @@
     return present;
   }
 
-  return { update };
+  return {
+    update,
+    reset: (count) => {
+      present = count;
+      smallerSinceMs = undefined;
+    },
+  };
 }
--- a/packages/routing/src/wallet.ts
+++ b/packages/routing/src/wallet.ts
@@ -23,6 +23,8 @@
     grants: readonly CreditSlots[],
     ttlMs: number,
   ): boolean;
+  /** Gives up everything held from a grantor; grants on their way are dropped. */
+  removeGrantor(grantor: string): void;
   /** Slots that may be in use at `nowMs`. */
   countSlots(endpoint: string, nowMs: number): number;
   /** Grantor of the slots held at an endpoint. */
@@ -102,6 +104,10 @@
   return {
     startRequest,
     applyGrant,
+    removeGrantor: (grantor) => {
+      dropHeld(grantor, new Map());
+      outstanding.delete(grantor);
+    },
     countSlots: (endpoint, nowMs) => {
       const entry = held.get(endpoint);
       return entry !== undefined && nowMs < entry.expiresAtMs ? entry.slots : 0;
--- a/packages/routing/tests/credits.test.ts
+++ b/packages/routing/tests/credits.test.ts
@@ -74,11 +74,25 @@
   const sim = createCreditSim(11, 3, slots, 0);
   sim.run(8000);
   sim.crash(0);
-  sim.run(16_000);
+  sim.run(3500);
+  // Two of three daemons share the slots until the promises of the third must have ended.
+  expect(sim.countHeld(1) + sim.countHeld(2)).toBeGreaterThanOrEqual(2 * 5);
+  sim.run(12_500);
   expect(sim.countRunning()).toBeGreaterThanOrEqual(2 * (slots - 2));
   expect(sim.getWorstExcess()).toBeLessThanOrEqual(0);
 });
 
+// Guards against a last daemon that waits for promises of daemons which have ended.
+test('a daemon left alone uses all slots at once', () => {
+  const sim = createCreditSim(17, 3, slots, 0);
+  sim.run(8000);
+  sim.crash(0);
+  sim.crash(2);
+  sim.run(3500);
+  expect(sim.countHeld(1)).toEqual(2 * slots);
+  expect(sim.getWorstExcess()).toBeLessThanOrEqual(0);
+});
+
 // Guards against a planned stop that takes slots away for the length of a promise.
 test('a draining grantor hands its shares over within two seconds', () => {
   const sim = createCreditSim(13, 3, slots, 0);
--- a/packages/routing/tests/creditsim.ts
+++ b/packages/routing/tests/creditsim.ts
@@ -11,8 +11,14 @@
 import { createInstance, createMember } from './fakes.ts';
 
 export const maxRequestMs = 2000;
+const maxNoticeMs = 800;
 const limits = { creditMs: 1000, maxRequestMs, minDaemons: 1 };
 
+interface Work {
+  node: SimNode;
+  endMs: number;
+}
+
 interface Task {
   dueMs: number;
   order: number;
@@ -52,6 +58,8 @@
   /** Most requests in progress at once at any endpoint, less its slots. */
   getWorstExcess(): number;
   countRunning(): number;
+  /** Slots that the node may use now, at all endpoints. */
+  countHeld(node: number): number;
 }
 
 /** Several routers that share endpoints, in virtual time with a faulty network. */
@@ -69,8 +77,11 @@
   let order = 0;
   let tasks: Task[] = [];
   let worstExcess = -Infinity;
-  /** End of each request at an endpoint, whatever its router believes. */
-  const work = new Map<string, number[]>(endpointIds.map((id) => [id, []]));
+  /**
+   * Requests at an endpoint, whatever their router believes. An exchange ends with its connection,
+   * and so with its router's process.
+   */
+  const work = new Map<string, Work[]>(endpointIds.map((id) => [id, []]));
   const nodes: SimNode[] = [];
 
   function addTask(node: SimNode, delayMs: number, run: () => void): Task {
@@ -188,12 +199,12 @@
     const endMs = nowMs + (isLong ? maxRequestMs : getRandom() * 300);
     const grantor = node.credits.getGrantor(endpoint.instance.id);
     endpoint.running.add({ startMs: nowMs, endMs, grantor });
-    work.get(endpoint.instance.id)?.push(endMs);
+    work.get(endpoint.instance.id)?.push({ node, endMs });
   }
 
   function checkWork(): void {
-    for (const [id, ends] of work) {
-      const present = ends.filter((endMs) => endMs > nowMs);
+    for (const [id, list] of work) {
+      const present = list.filter((one) => one.endMs > nowMs && !one.node.isCrashed);
       work.set(id, present);
       worstExcess = Math.max(worstExcess, present.length - slots);
     }
@@ -245,8 +256,11 @@
     crash: (index) => {
       const node = nodes[index];
       if (node !== undefined) node.isCrashed = true;
-      for (let other = 0; other < nodeCount; other += 1) {
-        updateMember(other, index, { isTwoWay: false, isGone: true });
+      for (const [other, seer] of nodes.entries()) {
+        // Each node sees the end at another time.
+        addTask(seer, getRandom() * maxNoticeMs, () => {
+          updateMember(other, index, { isTwoWay: false, isGone: true });
+        });
       }
     },
     setDraining: (index) => {
@@ -255,6 +269,11 @@
       }
     },
     getWorstExcess: () => worstExcess,
-    countRunning: () => [...work.values()].reduce((sum, ends) => sum + ends.length, 0),
+    countHeld: (index) => {
+      const node = nodes[index];
+      const list = node?.isCrashed === false ? node.endpoints.listEndpoints() : [];
+      return list.reduce((sum, one) => sum + (node?.credits.countSlots(one, nowMs) ?? 0), 0);
+    },
+    countRunning: () => [...work.values()].reduce((sum, list) => sum + list.length, 0),
   };
 }
--- a/packages/routing/tests/decisions.test.ts
+++ b/packages/routing/tests/decisions.test.ts
@@ -85,7 +85,7 @@
   );
 });
 
-function serve(queue: ReturnType<typeof createFairQueue<string>>, count: number): string[] {
+function takeSome(queue: ReturnType<typeof createFairQueue<string>>, count: number): string[] {
   const served: string[] = [];
   while (served.length < count) {
     const entry = queue.getNext(10);
@@ -106,7 +106,7 @@
   }));
   for (let index = 0; index < 200; index += 1) queue.addEntry('big', 1000, 'x');
   for (let index = 0; index < 20; index += 1) queue.addEntry('small', 1000, 'x');
-  const served = serve(queue, 30);
+  const served = takeSome(queue, 30);
   expect(served.filter((account) => account === 'small').length).toBeGreaterThanOrEqual(19);
 });
 
@@ -116,9 +116,9 @@
   for (let index = 0; index < 50; index += 1) queue.addEntry('a', 1000, 'x');
   const refused = queue.addEntry('a', 1000, 'x');
   expect(refused.isErr() && refused.error.code).toEqual(FaultCode.QueueFull);
-  serve(queue, 30);
+  takeSome(queue, 30);
   for (let index = 0; index < 20; index += 1) queue.addEntry('late', 1000, 'x');
-  const served = serve(queue, 20).filter((account) => account === 'late').length;
+  const served = takeSome(queue, 20).filter((account) => account === 'late').length;
   expect([9, 10, 11]).toInclude(served);
 });
 
--- a/packages/routing/tests/failures.test.ts
+++ b/packages/routing/tests/failures.test.ts
@@ -20,7 +20,7 @@
   return answer.kind === AnswerKind.Answer ? 'answer' : getOutcome(answer.fault);
 }
 
-async function withRouter(
+async function runRouter(
   endpoints: FakeEndpoint[],
   run: (parts: TestRouter) => Promise<void>,
   config = createRoutingConfig(),
@@ -68,7 +68,7 @@
   // Guards against a broken answer passed on as whole, and against a second run.
   test(`a ${name} answer to a non-idempotent request is unknown and never repeated`, async () => {
     const endpoint = await startRawEndpoint('e1', behave);
-    await withRouter([endpoint], async ({ router }) => {
+    await runRouter([endpoint], async ({ router }) => {
       const request = createRequest({ isIdempotent: false });
       expect(getText(await router.handleRequest(request))).toEqual(FaultCode.UnknownOutcome);
       expect(getText(await router.handleRequest(request))).toEqual(FaultCode.UnknownOutcome);
@@ -80,7 +80,7 @@
   test(`a ${name} answer to an idempotent request is retried elsewhere`, async () => {
     const broken = await startRawEndpoint('e1', behave);
     const good = await startHttpEndpoint('e2', (_request, response) => response.end('good'));
-    await withRouter([broken, good], async ({ router }) => {
+    await runRouter([broken, good], async ({ router }) => {
       const answers = [];
       for (let count = 0; count < 2; count += 1) {
         answers.push(getText(await router.handleRequest(createRequest())));
@@ -102,7 +102,7 @@
     },
     1,
   );
-  await withRouter([endpoint], async ({ router }) => {
+  await runRouter([endpoint], async ({ router }) => {
     const requests = Array.from({ length: 60 }, () => createRequest());
     const answers = await Promise.all(requests.map((one) => router.handleRequest(one)));
     answers.forEach((answer, index) => {
@@ -121,7 +121,7 @@
     sockets.set(socket, [...(sockets.get(socket) ?? []), id]);
     socket.write(formatAnswer('ok', { 'x-request-id': id }));
   });
-  await withRouter([endpoint], async ({ router }) => {
+  await runRouter([endpoint], async ({ router }) => {
     for (const account of ['a', 'b', 'c']) {
       await router.handleRequest(createRequest({ account, requestId: 'same' }));
     }
@@ -132,7 +132,7 @@
 // Guards against a refusal as `not_run` after an attempt that may have run.
 test('an idempotent request that was lost is not refused as not run', async () => {
   const endpoint = await startRawEndpoint('e1', brokenAnswers.lost!);
-  await withRouter([endpoint], async ({ router }) => {
+  await runRouter([endpoint], async ({ router }) => {
     for (let count = 0; count < 5; count += 1) {
       const before = endpoint.seen.length;
       const outcome = getOutcomeOf(await router.handleRequest(createRequest()));
@@ -160,7 +160,7 @@
 // Guards against a request that runs without a claim while the store is away.
 test('without the store idempotent requests run and others are refused as not run', async () => {
   const endpoint = await startHttpEndpoint('e1', (_request, response) => response.end('good'));
-  await withRouter([endpoint], async ({ router, claims }) => {
+  await runRouter([endpoint], async ({ router, claims }) => {
     claims.setDown(true);
     const refused = await router.handleRequest(createRequest({ isIdempotent: false }));
     expect(getOutcomeOf(refused)).toEqual(Outcome.NotRun);
@@ -179,7 +179,7 @@
     });
     finish.push(() => response.end('booked'));
   });
-  await withRouter([endpoint], async ({ router, claims }) => {
+  await runRouter([endpoint], async ({ router, claims }) => {
     const gone = new AbortController();
     const stopped = router.handleRequest(createRequest({ signal: gone.signal }));
     const kept = createRequest({ signal: gone.signal, isIdempotent: false });
@@ -196,9 +196,10 @@
 
 // Guards against an outage that multiplies the load on the endpoints that are left.
 test('a total outage sends at most 1.1 attempts per request', async () => {
-  const lost: RawBehaviour = (socket) => socket.end();
-  const endpoints = await Promise.all(['e1', 'e2', 'e3'].map((id) => startRawEndpoint(id, lost)));
-  await withRouter(endpoints, async ({ router }) => {
+  const endpoints = await Promise.all(
+    ['e1', 'e2', 'e3'].map((id) => startRawEndpoint(id, brokenAnswers.lost!)),
+  );
+  await runRouter(endpoints, async ({ router }) => {
     const requests = Array.from({ length: 300 }, () => createRequest({ deadlineMs: 1000 }));
     const answers = await Promise.all(requests.map((one) => router.handleRequest(one)));
     const attempts = endpoints.reduce((sum, endpoint) => sum + endpoint.seen.length, 0);
@@ -213,7 +214,7 @@
     socket.end('HTTP/1.1 503 Leaving\r\nconnection: close\r\ncontent-length: 0\r\n\r\n');
   });
   const good = await startHttpEndpoint('e2', (_request, response) => response.end('good'));
-  await withRouter([leaving, good], async ({ router }) => {
+  await runRouter([leaving, good], async ({ router }) => {
     for (let count = 0; count < 20; count += 1) await router.handleRequest(createRequest());
     expect(leaving.seen.length).toEqual(1);
   });
@@ -229,7 +230,7 @@
     },
     2,
   );
-  await withRouter([endpoint], async ({ router }) => {
+  await runRouter([endpoint], async ({ router }) => {
     const accepted = Array.from({ length: 6 }, () => router.handleRequest(createRequest()));
     while (finish.length < 2) await new Promise((resolve) => setTimeout(resolve, 5));
     router.startDraining();
@@ -252,7 +253,7 @@
   const stalled = await startRawEndpoint('e1', () => undefined);
   const good = await startHttpEndpoint('e2', (_request, response) => response.end('good'));
   const config = createRoutingConfig({ limits: { stallMs: 50 } });
-  await withRouter(
+  await runRouter(
     [stalled, good],
     async ({ router }) => {
       const answers = [];
--- a/packages/routing/tests/fakes.ts
+++ b/packages/routing/tests/fakes.ts
@@ -55,11 +55,11 @@
   const rows: FakeClaims['rows'] = new Map();
   let isDown = false;
   const getId = (key: ClaimKey): string => `${key.account}/${key.requestId}`;
-  const fault = (): Result<never, Fault> =>
+  const createDownFault = (): Result<never, Fault> =>
     Err(createFault(FaultCode.StoreUnavailable, 'store is away', { retryAfterMs: 1000 }));
 
   function claim(key: ClaimKey): Result<ClaimReply, Fault> {
-    if (isDown) return fault();
+    if (isDown) return createDownFault();
     const row = rows.get(getId(key));
     if (row === undefined) {
       rows.set(getId(key), { digest: key.digest });
@@ -77,12 +77,12 @@
     },
     claim: (key) => Promise.resolve(claim(key)),
     storeOutcome: (key, outcome) => {
-      if (isDown) return Promise.resolve(fault());
+      if (isDown) return Promise.resolve(createDownFault());
       rows.set(getId(key), { digest: key.digest, outcome });
       return Promise.resolve(Ok(undefined));
     },
     releaseClaim: (key) => {
-      if (isDown) return Promise.resolve(fault());
+      if (isDown) return Promise.resolve(createDownFault());
       rows.delete(getId(key));
       return Promise.resolve(Ok(undefined));
     },
