Model check shows a design fault: a caretaker keeps a partial gang running

The specification holds when the caretaker renews a gang only while it sees all of its members executing; execution/src/caretaker.ts does not do so, and tasks do not state the size of their gang. The protocol is not changed here.

--- /dev/null
+++ b/model/check.ts
@@ -0,0 +1,106 @@
+/**
+ * Explores every specification completely and checks that each seeded protocol fault and each
+ * literal reading of the design that the specifications refute is caught by the expected property.
+ */
+import { spawn } from 'node:child_process';
+import { mkdir, rm } from 'node:fs/promises';
+import { join } from 'node:path';
+import { parseOutput } from './output.ts';
+import { Expectation, runs } from './runs.ts';
+import type { Exploration } from './output.ts';
+import type { Run } from './runs.ts';
+
+const maxProcesses = 4;
+const maxRunMs = 240_000;
+const maxDepth = 2_000_000;
+const memoryLimitMb = 2_000;
+const modelDirectory = import.meta.dirname;
+
+interface Outcome {
+  run: Run;
+  exploration: Exploration;
+  problem: string;
+}
+
+/** Runs a program in a directory and returns its output; ends it by id when it takes too long. */
+function runProgram(directory: string, program: string, args: string[]): Promise<string> {
+  return new Promise((resolve) => {
+    const child = spawn(program, args, { cwd: directory });
+    const timer = setTimeout(() => child.kill('SIGKILL'), maxRunMs);
+    const chunks: string[] = [];
+    const keep = (chunk: Buffer) => chunks.push(chunk.toString());
+    child.stdout.on('data', keep);
+    child.stderr.on('data', keep);
+    child.on('error', (error) => chunks.push(`error: ${error.message}`));
+    child.on('close', () => {
+      clearTimeout(timer);
+      resolve(chunks.join(''));
+    });
+  });
+}
+
+/** Says why the outcome is not the expected one; empty when it is. */
+function checkExploration(run: Run, exploration: Exploration, output: string): string {
+  if (run.expectation === Expectation.Holds) {
+    if (exploration.violated !== '') return `violates ${exploration.violated}`;
+    if (!exploration.isComplete) return `not explored completely: ${output.slice(-400)}`;
+    return '';
+  }
+  if (exploration.violated === run.property) return '';
+  return `expected a violation of ${run.property}, found ${exploration.violated || 'none'}`;
+}
+
+/** Generates, compiles and explores one specification. */
+async function runOne(run: Run, index: number): Promise<Outcome> {
+  const directory = join(modelDirectory, 'work', `${index}-${run.specification}`);
+  await rm(directory, { recursive: true, force: true });
+  await mkdir(directory, { recursive: true });
+  const defines = run.defines.map((define) => `-D${define}`);
+  const source = join(modelDirectory, `${run.specification}.pml`);
+  const generated = await runProgram(directory, 'spin', ['-a', ...defines, source]);
+  const mode = run.isLiveness ? ['-DNFAIR=3'] : ['-DSAFETY', '-DNOCLAIM'];
+  const compile = ['-O2', '-w', `-DMEMLIM=${memoryLimitMb}`, ...mode, '-o', 'pan', 'pan.c'];
+  const compiled = await runProgram(directory, 'gcc', compile);
+  const search = run.isLiveness ? ['-a', '-f', '-N', run.property] : [];
+  const explored = await runProgram(directory, './pan', [`-m${maxDepth}`, '-w22', ...search]);
+  const exploration = parseOutput(explored, run.isLiveness ? run.property : '');
+  const problem = checkExploration(run, exploration, generated + compiled + explored);
+  await rm(join(directory, 'pan'), { force: true });
+  return { run, exploration, problem };
+}
+
+/** Renders one line of the table. */
+function renderOutcome({ run, exploration, problem }: Outcome): string {
+  const cells = [
+    run.specification.padEnd(10),
+    run.expectation.padEnd(8),
+    run.label.padEnd(26),
+    (run.property || 'all assertions').padEnd(20),
+    String(exploration.states).padStart(9),
+    `${exploration.seconds.toFixed(1)} s`.padStart(8),
+  ];
+  return `${cells.join(' ')}  ${problem === '' ? 'ok' : `FAILED: ${problem}`}`;
+}
+
+/** Runs everything with a bounded number of processes and prints each outcome when it is known. */
+async function runAll(): Promise<Outcome[]> {
+  const outcomes: Outcome[] = [];
+  const waiting = [...runs.entries()];
+  const runLane = async () => {
+    for (let next = waiting.shift(); next !== undefined; next = waiting.shift()) {
+      const outcome = await runOne(next[1], next[0]);
+      console.log(renderOutcome(outcome));
+      outcomes.push(outcome);
+    }
+  };
+  await Promise.all(Array.from({ length: maxProcesses }, runLane));
+  return outcomes;
+}
+
+const startedAt = performance.now();
+const outcomes = await runAll();
+const failed = outcomes.filter((outcome) => outcome.problem !== '');
+const states = outcomes.reduce((sum, outcome) => sum + outcome.exploration.states, 0);
+const seconds = ((performance.now() - startedAt) / 1000).toFixed(1);
+console.log(`${outcomes.length} runs, ${states} states, ${seconds} s, ${failed.length} failed`);
+process.exitCode = failed.length === 0 ? 0 : 1;
