--- a/packages/cli/src/table.ts
+++ b/packages/cli/src/table.ts
@@ -38,7 +38,7 @@
       .join('  ')
       .trimEnd();
   const heading = formatLine(columns.map((column) => column.heading));
-  const first = canColour ? styleText('bold', heading) : heading;
+  const first = canColour ? styleText('bold', heading, { validateStream: false }) : heading;
   return [first, ...texts.map(formatLine)].map((line) => `${line}\n`).join('');
 }
 
