--- a/packages/config/src/task.ts
+++ b/packages/config/src/task.ts
@@ -78,6 +78,7 @@
   let highestKnown = 0;
   let storeRevision = 0;
   let hasPollFailed = false;
+  let silenceReason = 'no answer';
   let lastRequestMs = -Infinity;
   let cancelPoll: CancelTimer = () => undefined;
 
@@ -101,12 +102,14 @@
       if (push !== undefined) options.sendPush(push);
     }
     hasPollFailed = false;
+    silenceReason = 'no answer';
     contact.addSuccess(revisions.getRevision());
   }
 
   function handleStoreFault(fault: Fault): void {
     hasPollFailed = true;
-    contact.checkSilence(revisions.getRevision(), fault.message);
+    silenceReason = fault.message;
+    contact.checkSilence(revisions.getRevision(), silenceReason);
     requestFromPeers();
   }
 
@@ -144,7 +147,7 @@
     void runPoll();
     cancelPoll = runEvery(clock, pollMs, () => {
       // A read that never returns must not keep the report from being made.
-      contact.checkSilence(revisions.getRevision(), 'no answer');
+      contact.checkSilence(revisions.getRevision(), silenceReason);
       void runPoll();
     });
   }
--- a/packages/config/tests/task.test.ts
+++ b/packages/config/tests/task.test.ts
@@ -131,7 +131,8 @@
   expect(node.task.getStatus().isCutOff).toEqual(false);
   await platform.clock.advance(2000);
   expect(node.task.getStatus().isCutOff).toEqual(true);
-  expect(findEvent(node, 'config_cut_off')?.revision).toEqual(1);
+  const report = findEvent(node, 'config_cut_off');
+  expect([report?.revision, report?.reason]).toEqual([1, 'store is down']);
   expect(node.requested.length > 0).toEqual(true);
   platform.table.isDown = false;
   await platform.clock.advance(1000);
