Renew only complete gangs as caretaker; mark repeats; guarantees per region

Cause: the model check (RENEW_INCOMPLETE) showed that a caretaker keeps a part of a gang running for a whole outage when the owner died between two releases; WHOLE_REQUEST showed that a repeat of a request that ran can be refused as not_run while the store is down. The region owner reported the guarantees of other regions as broken, as it was given all of them. Limits for credits, stalls, retries and service times in the configuration had no effect. Change: tasks state the size of their gang; the caretaker renews a gang only when every member executes or is done; a repeat marked x-repeat is answered unknown instead of not_run; each owner gets the guarantees of its own data centres; the limits reach the router. The linter's rule on directions also covers subpaths.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -61,7 +61,7 @@
         patterns: packageNames
           .filter((other) => other !== name && !allowed.includes(other))
           .map((other) => ({
-            regex: `^@bergamotreach/${other}$`,
+            regex: `^@bergamotreach/${other}(/|$)`,
             message: `package ${name} must not depend on package ${other}`,
           })),
       },
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,7 +1,7 @@
 import { getRequestListener } from '@hono/node-server';
 import type { EffectiveConfig } from '@bergamotreach/config';
 import { createScheduler } from '@bergamotreach/placement';
-import type { JobSpec, WorkerSpec } from '@bergamotreach/placement';
+import type { JobSpec, PlacementConfig, WorkerSpec } from '@bergamotreach/placement';
 import { InstanceKind } from '@bergamotreach/platform';
 import type { Instance } from '@bergamotreach/platform';
 import { MessageType, waitFor } from '@bergamotreach/protocol';
@@ -51,6 +51,17 @@
   return [...new Set(regions)].sort();
 }
 
+/** Placement settings with the guarantees of one region's data centres only. */
+function selectRegionPlacement(config: EffectiveConfig, region: string): PlacementConfig {
+  const accounts = config.placement.accounts.map((account) => ({
+    ...account,
+    guarantees: account.guarantees.filter(
+      ({ dataCentre }) => config.dataCentres[dataCentre]?.region === region,
+    ),
+  }));
+  return { ...config.placement, accounts };
+}
+
 function listWorkerSpecs(instances: readonly Instance[], region: string): WorkerSpec[] {
   return instances
     .filter((instance) => instance.kind === InstanceKind.Worker && instance.region === region)
@@ -101,7 +112,7 @@
   function checkJob(region: string, spec: JobSpec): Result<void, Fault> {
     if (region === settings.region || state.config === undefined) return tasks.owner.checkJob(spec);
     const workers = listWorkerSpecs(poller.getInstances(), region);
-    return createScheduler(state.config.placement, workers).checkJob(spec);
+    return createScheduler(selectRegionPlacement(state.config, region), workers).checkJob(spec);
   }
 
   function applyConfig(config: EffectiveConfig): void {
@@ -109,7 +120,7 @@
     auth.applyConfig(config);
     state.server?.applyLimits(config.limits);
     tasks.router.applyConfig(buildRoutingConfig(config, settings.region));
-    tasks.owner.applyConfig(config.placement);
+    tasks.owner.applyConfig(selectRegionPlacement(config, settings.region));
   }
 
   function applyInstances(instances: readonly Instance[]): void {
--- a/packages/daemon/src/requestroutes.ts
+++ b/packages/daemon/src/requestroutes.ts
@@ -1,6 +1,6 @@
 import { randomUUID } from 'node:crypto';
 import type { EffectiveConfig } from '@bergamotreach/config';
-import { FaultCode, createFault } from '@bergamotreach/protocol';
+import { FaultCode, Outcome, createFault, getOutcome } from '@bergamotreach/protocol';
 import type { Fault } from '@bergamotreach/protocol';
 import { AnswerKind } from '@bergamotreach/routing';
 import type { CallerAnswer, CallerRequest, Router } from '@bergamotreach/routing';
@@ -22,6 +22,8 @@
   requestId: string;
   deadlineMs: number;
   isIdempotent: boolean;
+  /** The caller sent the request before under the same id. */
+  isRepeat: boolean;
 }
 
 const requestIdPattern = /^[!-~]{1,128}$/u;
@@ -71,6 +73,7 @@
     requestId: requestId.value,
     deadlineMs: deadlineMs.value,
     isIdempotent: isIdempotent.value,
+    isRepeat: context.req.header('x-repeat') === 'true',
   });
 }
 
@@ -91,6 +94,16 @@
   return controller.signal;
 }
 
+/**
+ * Answers a refused repeat of a non-idempotent request as unknown: the refusal says nothing about the
+ * earlier exchange, which may have run (model/claims.pml, WHOLE_REQUEST).
+ */
+function limitRepeat(answer: CallerAnswer, head: RequestHead): CallerAnswer {
+  if (answer.kind !== AnswerKind.Fault || !head.isRepeat || head.isIdempotent) return answer;
+  if (getOutcome(answer.fault) !== Outcome.NotRun) return answer;
+  return { kind: AnswerKind.Fault, fault: { ...answer.fault, outcome: Outcome.Unknown } };
+}
+
 function createAnswerResponse(answer: CallerAnswer, requestId: string): Response {
   if (answer.kind === AnswerKind.Fault) {
     const response = createFaultResponse(answer.fault);
@@ -124,8 +137,11 @@
   if (head.isErr()) return createFaultResponse(head.error);
   const body = await parts.bodies.readBody(context.env.incoming, serviceConfig.maxBodyBytes);
   if (body.isErr()) return createFaultResponse(body.error);
+  const { requestId, deadlineMs, isIdempotent } = head.value;
   const request: CallerRequest = {
-    ...head.value,
+    requestId,
+    deadlineMs,
+    isIdempotent,
     account: context.get('caller').account,
     service,
     method: context.req.method,
@@ -136,7 +152,7 @@
   };
   const answer = await parts.router.handleRequest(request);
   parts.bodies.release(body.value);
-  return createAnswerResponse(answer, request.requestId);
+  return createAnswerResponse(limitRepeat(answer, head.value), request.requestId);
 }
 
 /** Adds the callers' routes: any method on `/v1/services/<service>/requests[/path]`. */
--- a/packages/daemon/src/routingconfig.ts
+++ b/packages/daemon/src/routingconfig.ts
@@ -4,7 +4,7 @@
   LinkConfig,
   ServiceConfig,
 } from '@bergamotreach/config';
-import { createRoutingConfig, defaultService } from '@bergamotreach/routing';
+import { createRoutingConfig } from '@bergamotreach/routing';
 import type {
   AccountRouting,
   RegionCost,
@@ -25,7 +25,7 @@
   return {
     defaultLink: createRegionCost(service.defaultLink),
     links: mapValues(service.links[ownRegion] ?? {}, createRegionCost),
-    expectedServiceMs: defaultService.expectedServiceMs,
+    expectedServiceMs: service.expectedServiceMs,
   };
 }
 
@@ -52,6 +52,9 @@
       maxBodyBytes: config.limits.maxBodyBytes,
       maxAnswerBytes: config.limits.maxAnswerBytes,
       maxRequestMs: config.limits.maxRequestMs,
+      creditMs: config.limits.creditMs,
+      stallMs: config.limits.stallMs,
+      maxRetryTokens: config.limits.maxRetryTokens,
     },
   });
 }
--- a/packages/execution/src/caretaker.ts
+++ b/packages/execution/src/caretaker.ts
@@ -1,7 +1,7 @@
 import { LeaseState } from '@bergamotreach/ownership';
 import type { RegionLease } from '@bergamotreach/ownership';
 import { CommandKind, TaskState } from '@bergamotreach/platform';
-import type { Instance, WorkerClient } from '@bergamotreach/platform';
+import type { Instance, TaskStatus, WorkerClient, WorkerTasks } from '@bergamotreach/platform';
 import { runEvery } from '@bergamotreach/protocol';
 import type { CancelTimer, Clock, Logger, Metrics } from '@bergamotreach/protocol';
 import { createLimiter } from './limiter.ts';
@@ -32,7 +32,34 @@
  */
 const storeSilenceMs = 4_000;
 
-/** Creates a caretaker. It starts and stops nothing, and renews under the workers' own epoch. */
+interface WorkerView {
+  worker: Instance;
+  listed: WorkerTasks;
+}
+
+/** Identifies one start of a gang: the task id without its member. */
+function getGangKey(task: TaskStatus): string {
+  return task.taskId.slice(0, task.taskId.lastIndexOf('/'));
+}
+
+/**
+ * Gangs of which every member is seen executing or done. Renewing others could keep a part of a
+ * gang running for the whole outage when the owner died between two releases (model/caretaker.pml).
+ */
+function listCompleteGangs(views: readonly WorkerView[]): Set<string> {
+  const missing = new Map<string, number>();
+  for (const task of views.flatMap(({ listed }) => listed.tasks)) {
+    if (task.state !== TaskState.Running && task.state !== TaskState.Done) continue;
+    const key = getGangKey(task);
+    missing.set(key, (missing.get(key) ?? task.gangSize) - 1);
+  }
+  return new Set([...missing].filter(([, count]) => count <= 0).map(([key]) => key));
+}
+
+/**
+ * Creates a caretaker. It starts and stops nothing, and renews complete gangs under the workers' own
+ * epoch; the tasks of other gangs stop when their leases expire.
+ */
 export function createCaretaker(options: CaretakerOptions): Caretaker {
   const { lease, workerClient, clock, logger, metrics, settings } = options;
   const calls = createLimiter(settings.maxRoundCalls);
@@ -40,20 +67,33 @@
   let isRunning = false;
   let cancelTimer: CancelTimer | undefined;
 
-  async function renewWorker({ id, address }: Instance): Promise<void> {
-    const listed = await workerClient.listTasks(address, id);
-    if (listed.isErr() || !isActive) return;
-    const { epoch, tasks } = listed.value;
-    const taskIds = tasks
-      .filter(({ state }) => state === TaskState.Held || state === TaskState.Running)
+  async function listWorkerTasks(worker: Instance): Promise<WorkerView | undefined> {
+    const listed = await workerClient.listTasks(worker.address, worker.id);
+    return listed.isErr() ? undefined : { worker, listed: listed.value };
+  }
+
+  async function renewWorker(view: WorkerView, complete: ReadonlySet<string>): Promise<void> {
+    const { worker, listed } = view;
+    const taskIds = listed.tasks
+      .filter((task) => task.state === TaskState.Running && complete.has(getGangKey(task)))
       .map(({ taskId }) => taskId);
-    if (taskIds.length === 0) return;
+    if (taskIds.length === 0 || !isActive) return;
     const { taskLeaseMs: leaseMs } = settings;
     const commands = [{ kind: CommandKind.Renew, taskIds, leaseMs } as const];
-    await workerClient.sendCommands(address, id, { epoch, commands });
+    await workerClient.sendCommands(worker.address, worker.id, { epoch: listed.epoch, commands });
     metrics.count('caretaker.renewals', taskIds.length);
   }
 
+  async function renewCompleteGangs(): Promise<void> {
+    const workers = options.listWorkers();
+    const listed = await Promise.all(
+      workers.map((worker) => calls.run(() => listWorkerTasks(worker))),
+    );
+    const views = listed.filter((view) => view !== undefined);
+    const complete = listCompleteGangs(views);
+    await Promise.all(views.map((view) => calls.run(() => renewWorker(view, complete))));
+  }
+
   function setActive(next: boolean): void {
     if (next !== isActive) logger.warn('caretaker', { isActive: next });
     isActive = next;
@@ -64,8 +104,7 @@
     setActive(isStoreSilent && lease.getState() === LeaseState.Waiting && options.isCaretaker());
     if (!isActive || isRunning) return;
     isRunning = true;
-    const workers = options.listWorkers();
-    await Promise.all(workers.map((worker) => calls.run(() => renewWorker(worker))));
+    await renewCompleteGangs();
     isRunning = false;
   }
 
--- a/packages/execution/src/gang.ts
+++ b/packages/execution/src/gang.ts
@@ -143,6 +143,7 @@
 /** Builds the task of a member. */
 export function createTask(record: GangJobRecord, member: GangMember): TaskSpec {
   const { jobId, account, spec, payload } = record;
-  const { accelerators, cores, memoryMb } = spec;
-  return { taskId: member.taskId, jobId, account, accelerators, cores, memoryMb, payload };
+  const { accelerators, cores, memoryMb, members: gangSize } = spec;
+  const { taskId } = member;
+  return { taskId, jobId, gangSize, account, accelerators, cores, memoryMb, payload };
 }
--- /dev/null
+++ b/packages/execution/tests/caretaker.test.ts
@@ -0,0 +1,95 @@
+import { test } from 'node:test';
+import { LeaseState } from '@bergamotreach/ownership';
+import type { RegionLease } from '@bergamotreach/ownership';
+import { CommandKind, TaskState, WorkerClient } from '@bergamotreach/platform';
+import type { CommandBatch, CommandResult, Instance, WorkerTasks } from '@bergamotreach/platform';
+import { createManualClock, createNullLogger, createNullMetrics } from '@bergamotreach/protocol';
+import { expect } from 'earl';
+import { Ok } from 'ts-results-es';
+import { createCaretaker } from '../src/caretaker.ts';
+import { defaultOwnerSettings } from '../src/index.ts';
+
+const epoch = 4;
+
+/** Task states by task id, of gangs of two members. */
+class ListedWorkers extends WorkerClient {
+  readonly renewed: string[] = [];
+
+  constructor(private readonly states: Record<string, Record<string, TaskState>>) {
+    super();
+  }
+
+  async listTasks(_address: string, workerId: string) {
+    const tasks = Object.entries(this.states[workerId] ?? {}).map(([taskId, state]) => ({
+      taskId,
+      jobId: taskId.slice(0, 1),
+      gangSize: 2,
+      account: 'a',
+      accelerators: 1,
+      state,
+      leaseLeftMs: 10_000,
+      usedSeconds: 0,
+      hasCheckpoint: false,
+      reason: '',
+    }));
+    return Promise.resolve(Ok<WorkerTasks>({ epoch, tasks }));
+  }
+
+  async sendCommands(_address: string, _workerId: string, batch: CommandBatch) {
+    expect(batch.epoch).toEqual(epoch);
+    for (const command of batch.commands) {
+      if (command.kind === CommandKind.Renew) this.renewed.push(...command.taskIds);
+      else throw new Error(`caretaker sent ${command.kind}`);
+    }
+    return Promise.resolve(Ok<CommandResult[]>([]));
+  }
+}
+
+async function runRound(states: Record<string, Record<string, TaskState>>): Promise<string[]> {
+  const clock = createManualClock();
+  const workerClient = new ListedWorkers(states);
+  const caretaker = createCaretaker({
+    lease: {
+      getStoreSeenAgoMs: () => 60_000,
+      getState: () => LeaseState.Waiting,
+    } as unknown as RegionLease,
+    workerClient,
+    clock,
+    logger: createNullLogger(),
+    metrics: createNullMetrics(),
+    settings: defaultOwnerSettings,
+    isCaretaker: () => true,
+    listWorkers: () => Object.keys(states).map((id) => ({ id, address: id }) as Instance),
+  });
+  caretaker.start();
+  await clock.advance(defaultOwnerSettings.roundMs);
+  caretaker.stop();
+  return workerClient.renewed.sort();
+}
+
+// Guards against running jobs that stop because their owner died while the store was down.
+test('caretaker renews a gang whose members all execute', async () => {
+  const renewed = await runRound({
+    w0: { 'j/1/0': TaskState.Running },
+    w1: { 'j/1/1': TaskState.Running },
+  });
+  expect(renewed).toEqual(['j/1/0', 'j/1/1']);
+});
+
+// Guards against a part of a gang that runs alone for the whole outage (model/caretaker.pml).
+test('caretaker lets an incomplete gang run out', async () => {
+  const renewed = await runRound({
+    w0: { 'j/1/0': TaskState.Running, 'k/1/0': TaskState.Running },
+    w1: { 'j/1/1': TaskState.Held, 'k/2/1': TaskState.Running },
+  });
+  expect(renewed).toEqual([]);
+});
+
+// Guards against stopping the rest of a gang because one member has already finished.
+test('caretaker counts a finished member as present', async () => {
+  const renewed = await runRound({
+    w0: { 'j/1/0': TaskState.Done },
+    w1: { 'j/1/1': TaskState.Running },
+  });
+  expect(renewed).toEqual(['j/1/1']);
+});
--- a/packages/execution/tests/fakeworkers.ts
+++ b/packages/execution/tests/fakeworkers.ts
@@ -90,6 +90,7 @@
     const tasks = [...this.tasks.values()].map((task): TaskStatus => ({
       taskId: task.spec.taskId,
       jobId: task.spec.jobId,
+      gangSize: task.spec.gangSize,
       account: task.spec.account,
       accelerators: task.spec.accelerators,
       state: task.state,
--- a/packages/platform/src/worker.ts
+++ b/packages/platform/src/worker.ts
@@ -31,6 +31,8 @@
   /** `<jobId>/<attempt>/<memberIndex>`; unique for ever. */
   taskId: string;
   jobId: string;
+  /** Members of the gang; lets any reader of task lists see whether the gang is complete. */
+  gangSize: number;
   account: string;
   accelerators: number;
   cores: number;
@@ -66,6 +68,7 @@
 export interface TaskStatus {
   taskId: string;
   jobId: string;
+  gangSize: number;
   account: string;
   accelerators: number;
   state: TaskState;
--- a/packages/standin/src/workeragent.ts
+++ b/packages/standin/src/workeragent.ts
@@ -206,6 +206,7 @@
     return {
       taskId: record.spec.taskId,
       jobId: record.spec.jobId,
+      gangSize: record.spec.gangSize,
       account: record.spec.account,
       accelerators: record.spec.accelerators,
       state: record.state,
--- a/packages/standin/tests/platform.test.ts
+++ b/packages/standin/tests/platform.test.ts
@@ -33,6 +33,7 @@
   const task = {
     taskId,
     jobId: 'j',
+    gangSize: 1,
     account: 'a',
     accelerators,
     cores: 1,
