Add the placement benchmark; make policy choices explicit

Cause: the policy constants were guesses, and nothing compared the core with simpler policies. Aged gangs no longer stop each other in turn: a running gang keeps the credit of its wait. Reservations go in order of acceptance before stops by level; candidates for a stop are listed once a pass.

--- /dev/null
+++ b/packages/bench/src/placement/variants.ts
@@ -0,0 +1,17 @@
+import type { PlacementPolicy } from '@bergamotreach/placement';
+
+/** The shipped policy with one choice left out or replaced each. */
+export const policyVariants: readonly (readonly [
+  name: string,
+  change: Partial<PlacementPolicy>,
+])[] = [
+  ['no levels of service', { hasLevels: false }],
+  ['levels by accelerator-s', { widthPower: 1 }],
+  ['no declared time', { usesDeclared: false }],
+  ['no preemption', { hasPreemption: false }],
+  ['no reservation', { hasReservation: false }],
+  ['first cells', { hasCellChoice: false }],
+  ['free before reclaim', { prefersFree: true }],
+  ['no migration', { hasMigration: false }],
+  ['migration', { hasMigration: true }],
+];
--- a/packages/placement/src/bind.ts
+++ b/packages/placement/src/bind.ts
@@ -8,7 +8,7 @@
 } from './feasibility.ts';
 import type { CellDemand } from './feasibility.ts';
 import { CapacityClass } from './event.ts';
-import { getLostSeconds, isUsable, listCellSlots } from './state.ts';
+import { computeStopCost, isUsable, listCellSlots } from './state.ts';
 import type { Binding, CoreState, Gang, Guarantee, Site, Slot } from './state.ts';
 
 /** Unbound cells of a site, counting those in `taken` as bound. */
@@ -74,7 +74,7 @@
     if (slot.gang !== undefined) gangs.add(slot.gang);
     if (slot.reservedFor !== undefined || slot.claim !== undefined) cost += reservedCostSeconds;
   }
-  for (const gang of gangs) cost += 1 + getLostSeconds(gang, state.nowMs);
+  for (const gang of gangs) cost += 1 + computeStopCost(state, gang);
   return cost;
 }
 
@@ -98,7 +98,9 @@
       listDescendants(parent, demand.level).map((node) => ({
         node,
         parent,
-        lostSeconds: computeCellCost(state, guarantee.site, node),
+        lostSeconds:
+          computeCellCost(state, guarantee.site, node) +
+          state.policy.splitCostSeconds * (2 ** parent.level - 2 ** node.level),
       })),
     )
     .sort((a, b) => a.lostSeconds - b.lostSeconds || a.parent.level - b.parent.level);
--- a/packages/placement/src/core.ts
+++ b/packages/placement/src/core.ts
@@ -9,6 +9,8 @@
 import { releaseWorkers } from './failure.ts';
 import { canFitEmpty } from './pack.ts';
 import { runPass } from './pass.ts';
+import { createPolicy } from './policy.ts';
+import type { PlacementPolicy } from './policy.ts';
 import { repairGuarantees, reportGuarantees } from './repair.ts';
 import type { Scheduler } from './scheduler.ts';
 import { addWorkers } from './site.ts';
@@ -16,9 +18,10 @@
 import type { CoreState } from './state.ts';
 import { createDump, listAccountUsage, listGuaranteeStatus, listQuarantined } from './status.ts';
 
-function createState(config: PlacementConfig): CoreState {
+function createState(config: PlacementConfig, policy: PlacementPolicy): CoreState {
   return {
     config,
+    policy,
     nowMs: 0,
     sites: new Map(),
     workers: new Map(),
@@ -29,6 +32,7 @@
     claims: new Set(),
     pending: [],
     blockedShapes: new Set(),
+    unstoppable: new Map(),
     isGuaranteeDirty: true,
     isCapacityDirty: true,
     hasArrivals: false,
@@ -95,10 +99,14 @@
 
 /**
  * Creates the decision core of one region. It holds all its state in memory and reads no clock;
- * `nowMs` of the calls must not go back.
+ * `nowMs` of the calls must not go back. `policy` replaces choices that follow from the weights.
  */
-export function createScheduler(config: PlacementConfig, workers: WorkerSpec[]): Scheduler {
-  const state = createState(config);
+export function createScheduler(
+  config: PlacementConfig,
+  workers: WorkerSpec[],
+  policy: Partial<PlacementPolicy> = {},
+): Scheduler {
+  const state = createState(config, { ...createPolicy(config.weights), ...policy });
   addWorkers(state, workers);
   applyConfig(state, config);
   return {
--- a/packages/placement/src/enter.ts
+++ b/packages/placement/src/enter.ts
@@ -5,6 +5,7 @@
 import type { GangPlacement } from './event.ts';
 import type { Plan } from './guaranteed.ts';
 import { listVictims } from './lent.ts';
+import { computeAgeCredit } from './queue.ts';
 import { isUsable, setSlotUse } from './state.ts';
 import type { Account, Binding, Claim, CoreState, Gang, Job, MemberSlots } from './state.ts';
 
@@ -65,6 +66,7 @@
     bindings,
     startedAtMs: state.nowMs,
     attainedAtStart: job.attainedSeconds,
+    ageCredit: computeAgeCredit(state, job),
     isRunning: false,
     stopAtMs: undefined,
   };
@@ -78,6 +80,7 @@
   job.attainedAtMs = state.nowMs;
   state.queue.delete(job);
   state.gangs.add(gang);
+  if (job.accelerators > 0) state.sites.get(gangPlacement.dataCentre)?.gangs.add(gang);
   return gang;
 }
 
@@ -191,6 +194,7 @@
   addPlainUse(gang, -1);
   releaseBindings(state, gang);
   state.gangs.delete(gang);
+  state.sites.get(gang.placement.dataCentre)?.gangs.delete(gang);
   gang.job.gang = undefined;
   gang.job.account.usedAccelerators -= gang.job.accelerators;
   state.isCapacityDirty = true;
--- a/packages/placement/src/guaranteed.ts
+++ b/packages/placement/src/guaranteed.ts
@@ -4,7 +4,16 @@
 import { placeMembers } from './pack.ts';
 import type { SlotSource } from './pack.ts';
 import { Adjacency } from './spec.ts';
-import type { CoreState, Guarantee, Job, MemberSlots, Site, Slot, Worker } from './state.ts';
+import type {
+  Binding,
+  CoreState,
+  Guarantee,
+  Job,
+  MemberSlots,
+  Site,
+  Slot,
+  Worker,
+} from './state.ts';
 
 /** A placement that has been worked out but not yet entered. */
 export interface Plan {
@@ -64,8 +73,15 @@
   };
 }
 
+function countFree(binding: Binding): number {
+  let free = 0;
+  for (const slot of binding.slots) if (isGuaranteedFree(slot)) free += 1;
+  return free;
+}
+
 function planInBoundCell(state: CoreState, job: Job, guarantee: Guarantee): Plan | undefined {
   for (const binding of guarantee.bindings) {
+    if (countFree(binding) < job.accelerators) continue;
     const members = placeInAreas(state, job, [binding.slots]);
     if (members !== undefined) return createPlan(job, guarantee, members, []);
   }
@@ -103,6 +119,13 @@
   return job.spec.dataCentre === '' || job.spec.dataCentre === site.id;
 }
 
+/** Whether the cells of the guarantee, bound or not, have enough accelerators left. */
+function hasRoom(job: Job, guarantee: Guarantee): boolean {
+  let room = countUnused(guarantee) * 2 ** computeLevel(guarantee.spec.accelerators);
+  for (const binding of guarantee.bindings) room += countFree(binding);
+  return room >= job.accelerators;
+}
+
 /**
  * Works out a placement under the guarantees of the job's account: in a cell that it has bound
  * already, else in a new cell, else over several cells; smallest guaranteed shapes first.
@@ -110,7 +133,7 @@
 export function planGuaranteed(state: CoreState, job: Job): Plan | undefined {
   if (job.accelerators === 0) return undefined;
   const guarantees = job.account.guarantees
-    .filter((guarantee) => isAllowedSite(job, guarantee.site))
+    .filter((guarantee) => isAllowedSite(job, guarantee.site) && hasRoom(job, guarantee))
     .sort((a, b) => a.spec.accelerators - b.spec.accelerators);
   for (const plan of [planInBoundCell, planInNewCell, planInManyCells]) {
     for (const guarantee of guarantees) {
--- a/packages/placement/src/lent.ts
+++ b/packages/placement/src/lent.ts
@@ -1,12 +1,14 @@
 import { CapacityClass } from './event.ts';
 import { listMaximalCells } from './feasibility.ts';
 import type { Plan } from './guaranteed.ts';
+import { computePriority } from './queue.ts';
 import { placeMembers, placePlainMembers } from './pack.ts';
 import type { SlotSource } from './pack.ts';
-import { getLostSeconds, isUsable } from './state.ts';
+import { computeStopCost, isUsable } from './state.ts';
 import type { CoreState, Gang, Job, MemberSlots, Site, Slot, Worker } from './state.ts';
 
-function isFree(slot: Slot): boolean {
+/** Whether nothing runs on the slot and no claim keeps it. */
+export function isFree(slot: Slot): boolean {
   return slot.gang === undefined && slot.claim === undefined;
 }
 
@@ -28,14 +30,16 @@
 }
 
 /** Fills the smallest free cells first, so that large ones stay whole. */
-function createFreeSource(site: Site): SlotSource {
-  const levels = computeFreeLevels(site);
+function createFreeSource(site: Site, hasCellChoice: boolean): SlotSource {
+  const levels = hasCellChoice ? computeFreeLevels(site) : new Map<Slot, number>();
   const getLevel = (slot: Slot): number => levels.get(slot) ?? 0;
   return {
     countSlots: (worker) => worker.freeSlots,
     listSlots: (worker) => worker.slots.filter(isFree).sort((a, b) => getLevel(a) - getLevel(b)),
     rankWorker: (worker) =>
-      worker.slots.reduce((least, slot) => Math.min(least, levels.get(slot) ?? least), 64),
+      !hasCellChoice
+        ? 0
+        : worker.slots.reduce((least, slot) => Math.min(least, levels.get(slot) ?? least), 64),
   };
 }
 
@@ -59,22 +63,40 @@
     const members =
       job.accelerators === 0
         ? placePlainMembers(site.workers, job, state.config)
-        : placeMembers(site.workers, job, state.config, createFreeSource(site));
+        : placeMembers(
+            site.workers,
+            job,
+            state.config,
+            createFreeSource(site, state.policy.hasCellChoice),
+          );
     if (members !== undefined) return createLentPlan(job, site, members);
   }
   return undefined;
 }
 
-function listStoppable(state: CoreState, site: Site, canStop: (gang: Gang) => boolean): Gang[] {
-  const gangs = new Set<Gang>();
-  for (const worker of site.workers) {
-    if (!isUsable(worker)) continue;
-    for (const { gang } of worker.slots) {
-      if (gang?.capacityClass === CapacityClass.Lent && canStop(gang)) gangs.add(gang);
+/** A lent gang that may be stopped, with what its choice depends on. */
+export interface StopCandidate {
+  gang: Gang;
+  level: number;
+  cost: number;
+}
+
+/** Lent gangs of each site that use accelerators, the cheapest to stop first. */
+export function listStopCandidates(state: CoreState): Map<Site, StopCandidate[]> {
+  const candidates = new Map<Site, StopCandidate[]>();
+  for (const site of state.sites.values()) {
+    const list: StopCandidate[] = [];
+    for (const gang of site.gangs) {
+      if (gang.capacityClass !== CapacityClass.Lent) continue;
+      const level = computePriority(state, gang.job);
+      list.push({ gang, level, cost: computeStopCost(state, gang) });
     }
+    candidates.set(
+      site,
+      list.sort((a, b) => a.cost - b.cost),
+    );
   }
-  const costs = new Map([...gangs].map((gang) => [gang, getLostSeconds(gang, state.nowMs)]));
-  return [...gangs].sort((a, b) => (costs.get(a) ?? 0) - (costs.get(b) ?? 0));
+  return candidates;
 }
 
 function createStoppingSource(stopped: ReadonlySet<Gang>): SlotSource {
@@ -129,20 +151,31 @@
 
 /**
  * Works out a placement that stops lent work, the least attained first, at the site where the
- * least is lost. Only gangs that pass `canStop` are stopped.
+ * least is lost. Only gangs that pass `canStop` are stopped, of at most `mostAccelerators`.
  */
 export function planStopping(
   state: CoreState,
   job: Job,
-  canStop: (gang: Gang) => boolean,
+  candidates: ReadonlyMap<Site, StopCandidate[]>,
+  canStop: (candidate: StopCandidate) => boolean,
+  mostAccelerators: number,
 ): Plan | undefined {
   let best: Plan | undefined;
   let bestCost = Infinity;
   for (const site of listSites(state, job)) {
-    const members = planWithPrefix(state, job, site, listStoppable(state, site, canStop));
+    const gangs = (candidates.get(site) ?? [])
+      .filter((item) => item.gang.job.accelerators <= mostAccelerators && canStop(item))
+      .map((item) => item.gang);
+    if (gangs.length === 0) continue;
+    const members = planWithPrefix(state, job, site, gangs);
     if (members === undefined) continue;
     let cost = 0;
-    for (const gang of listVictims(members)) cost += getLostSeconds(gang, state.nowMs);
+    let stopped = 0;
+    for (const gang of listVictims(members)) {
+      cost += computeStopCost(state, gang);
+      stopped += gang.job.accelerators;
+    }
+    if (stopped > mostAccelerators) continue;
     if (cost >= bestCost) continue;
     best = createLentPlan(job, site, members);
     bestCost = cost;
--- a/packages/placement/src/pass.ts
+++ b/packages/placement/src/pass.ts
@@ -1,21 +1,28 @@
 import type { PlacementAction } from './action.ts';
 import { enterPlan } from './enter.ts';
 import { planGuaranteed } from './guaranteed.ts';
-import { planLent, planStopping } from './lent.ts';
+import type { Plan } from './guaranteed.ts';
+import { isFree, listStopCandidates, planLent, planStopping } from './lent.ts';
+import type { StopCandidate } from './lent.ts';
 import { computePriority, listInOrder } from './queue.ts';
-import type { CoreState, Gang, Job } from './state.ts';
+import type { CoreState, Job, Site } from './state.ts';
 
 // Bounds the time of one pass; the rest of the queue follows in the next one.
 const maxStopPlans = 8;
-const retryStopMs = 1000;
+// Running gangs gain levels and waiting jobs age, so stops are considered again this often.
+const stopPeriodMs = 60_000;
+// How long it is taken as known that no higher level can be stopped for a shape.
+const unstoppableMs = 10_000;
+// Bounds the memory for this; beyond it all shapes are considered again.
+const maxUnstoppable = 1000;
 
 /** State of one pass over the queue. */
 interface Pass {
   state: CoreState;
   actions: PlacementAction[];
   stopPlans: number;
-  /** Shapes for which nothing can be stopped in this pass. */
-  unstoppable: Set<string>;
+  /** Lent gangs as they were when the first stop of the pass was considered. */
+  candidates: Map<Site, StopCandidate[]> | undefined;
 }
 
 function isWithinQuota(job: Job): boolean {
@@ -38,19 +45,41 @@
   return found !== undefined;
 }
 
+/**
+ * Starts the job under a guarantee of its account. Where that would stop other work although the
+ * job fits in free capacity, it starts there as lent work; the guarantee stays unused.
+ */
 function startGuaranteed(pass: Pass, job: Job): boolean {
+  const { state } = pass;
   if (job.account.guarantees.length === 0) return false;
   const key = `${job.account.spec.id}:${job.shapeKey}`;
-  return enterUnlessBlocked(pass, key, () => planGuaranteed(pass.state, job));
+  return enterUnlessBlocked(pass, key, () => {
+    const plan = planGuaranteed(state, job);
+    if (plan === undefined || !state.policy.prefersFree || isFreePlan(plan)) return plan;
+    return planLent(state, job) ?? plan;
+  });
+}
+
+function isFreePlan(plan: Plan): boolean {
+  return plan.members.every(({ slots }) => slots.every(isFree));
 }
 
 function startLent(pass: Pass, job: Job): boolean {
   return enterUnlessBlocked(pass, job.shapeKey, () => planLent(pass.state, job));
 }
 
+/** Whether a shape was found lately not to start by stopping work. */
+function isUnstoppable(state: CoreState, key: string): boolean {
+  return (state.unstoppable.get(key) ?? 0) > state.nowMs;
+}
+
 /** A single accelerator is never held up by scattered ones, so such a job needs no reservation. */
 function hasWaitedLong(state: CoreState, job: Job): boolean {
-  return job.accelerators > 1 && state.nowMs - job.queuedAtMs >= state.config.reservationAfterMs;
+  return (
+    state.policy.hasReservation &&
+    job.accelerators > 1 &&
+    state.nowMs - job.queuedAtMs >= state.config.reservationAfterMs
+  );
 }
 
 function isLater(a: Job, b: Job): boolean {
@@ -59,34 +88,58 @@
     : a.acceptedAtMs > b.acceptedAtMs;
 }
 
+function enterStopping(
+  pass: Pass,
+  job: Job,
+  canStop: (candidate: StopCandidate) => boolean,
+  mostAccelerators: number,
+): boolean {
+  const { state } = pass;
+  pass.candidates ??= listStopCandidates(state);
+  const plan = planStopping(state, job, pass.candidates, canStop, mostAccelerators);
+  if (plan !== undefined) enterPlan(state, plan, true, pass.actions);
+  return plan !== undefined;
+}
+
 /**
- * Stops lent work for a job that goes before it: work of a higher level of attained service, and,
- * once the job has waited `reservationAfterMs`, also work of its own level that was accepted later.
- * Jobs accepted later therefore delay a gang that has not run yet, and that fits beside the
- * guaranteed work, by at most `reservationAfterMs + reclaimMs` and the time until the stops are
- * confirmed, however many they are. A lent gang accepted earlier delays it until it ends or has
- * attained the first level. The order by acceptance keeps two gangs from stopping each other in
- * turn.
+ * Stops lent work of a higher level of attained service for a job. A shape for which nothing can
+ * be stopped is passed over for a while.
  */
-function startByStopping(pass: Pass, job: Job): boolean {
+function startByLevel(pass: Pass, job: Job): boolean {
   const { state } = pass;
-  const isLong = hasWaitedLong(state, job);
-  const level = computePriority(job, state.nowMs);
-  const key = `${isLong ? 'long' : level}:${job.shapeKey}`;
-  if (job.accelerators === 0 || pass.unstoppable.has(key)) return false;
-  if (pass.stopPlans >= maxStopPlans) {
-    state.nextWakeMs = state.nowMs + retryStopMs;
-    return false;
-  }
+  const { hasPreemption, stopLevels, maxStopRatio } = state.policy;
+  const level = computePriority(state, job);
+  const key = `${level}:${job.shapeKey}`;
+  if (!hasPreemption || job.accelerators === 0 || isUnstoppable(state, key)) return false;
+  if (pass.stopPlans >= maxStopPlans) return false;
   pass.stopPlans += 1;
-  const canStop = (gang: Gang): boolean => {
-    const gangLevel = computePriority(gang.job, state.nowMs);
-    return gangLevel > level || (isLong && gangLevel === level && isLater(gang.job, job));
-  };
-  const plan = planStopping(state, job, canStop);
-  if (plan === undefined) pass.unstoppable.add(key);
-  else enterPlan(state, plan, isLong, pass.actions);
-  return plan !== undefined;
+  const canStop = (candidate: StopCandidate): boolean => candidate.level >= level + stopLevels;
+  const isEntered = enterStopping(pass, job, canStop, maxStopRatio * job.accelerators);
+  if (!isEntered) state.unstoppable.set(key, state.nowMs + unstoppableMs);
+  return isEntered;
+}
+
+/**
+ * Stops lent work for jobs that have waited `reservationAfterMs`, in the order of acceptance: work
+ * of a higher level, and work of the same level that was accepted later. Jobs accepted later
+ * therefore delay a gang that has not run yet, and that fits beside the guaranteed work, by at most
+ * `reservationAfterMs + reclaimMs` and the time until the stops are confirmed, however many they
+ * are. A lent gang accepted earlier delays it until it ends or has attained the first level. The
+ * order by acceptance keeps two gangs from stopping each other in turn.
+ */
+function startReserved(pass: Pass, order: readonly Job[]): void {
+  const { state } = pass;
+  const failed = new Set<string>();
+  const waiting = order.filter((job) => state.queue.has(job) && hasWaitedLong(state, job));
+  waiting.sort((a, b) => (isLater(a, b) ? 1 : -1));
+  for (const job of waiting) {
+    const level = computePriority(state, job);
+    const key = `${level}:${job.shapeKey}`;
+    if (failed.has(key) || !isWithinQuota(job)) continue;
+    const canStop = ({ level: other, gang }: StopCandidate): boolean =>
+      other > level || (other === level && isLater(gang.job, job));
+    if (!enterStopping(pass, job, canStop, Infinity)) failed.add(key);
+  }
 }
 
 /** Next time at which the job's position changes by itself. */
@@ -95,25 +148,34 @@
   return [job.notBeforeMs, reservedAtMs].filter((timeMs) => timeMs > state.nowMs);
 }
 
+function updateWake(state: CoreState): void {
+  let nextMs = Infinity;
+  for (const job of state.queue) {
+    if (job.accelerators > 0) nextMs = Math.min(nextMs, state.nowMs + stopPeriodMs);
+    for (const wakeMs of listWakes(state, job)) nextMs = Math.min(nextMs, wakeMs);
+  }
+  state.nextWakeMs = nextMs === Infinity ? undefined : nextMs;
+}
+
+function startWaiting(
+  pass: Pass,
+  order: readonly Job[],
+  start: (pass: Pass, job: Job) => boolean,
+): void {
+  for (const job of order) if (pass.state.queue.has(job) && isWithinQuota(job)) start(pass, job);
+}
+
 /** Starts what can be started, guaranteed work first, in the order of the queue. */
 export function runPass(state: CoreState, actions: PlacementAction[]): void {
-  const pass: Pass = { state, actions, stopPlans: 0, unstoppable: new Set() };
+  const pass: Pass = { state, actions, stopPlans: 0, candidates: undefined };
   if (state.isCapacityDirty) state.blockedShapes.clear();
+  if (state.unstoppable.size > maxUnstoppable) state.unstoppable.clear();
   state.isCapacityDirty = false;
   state.hasArrivals = false;
-  state.nextWakeMs = undefined;
-  const order = listInOrder(state.queue, state.nowMs).filter(
-    (job) => job.notBeforeMs <= state.nowMs,
-  );
+  const order = listInOrder(state).filter((job) => job.notBeforeMs <= state.nowMs);
   for (const job of order) if (isWithinQuota(job)) startGuaranteed(pass, job);
-  for (const start of [startLent, startByStopping]) {
-    for (const job of order) {
-      if (state.queue.has(job) && isWithinQuota(job)) start(pass, job);
-    }
-  }
-  for (const job of state.queue) {
-    const wakes = listWakes(state, job);
-    state.nextWakeMs = Math.min(state.nextWakeMs ?? Infinity, ...wakes);
-  }
-  if (state.nextWakeMs === Infinity) state.nextWakeMs = undefined;
+  startWaiting(pass, order, startLent);
+  startReserved(pass, order);
+  startWaiting(pass, order, startByLevel);
+  updateWake(state);
 }
--- a/packages/placement/src/queue.ts
+++ b/packages/placement/src/queue.ts
@@ -1,34 +1,54 @@
+import type { PlacementPolicy } from './policy.ts';
 import { getAttainedSeconds } from './state.ts';
-import type { Job } from './state.ts';
+import type { CoreState, Job } from './state.ts';
 
-// Accelerator-seconds of the first level; each further level is four times as long.
-const firstLevelSeconds = 600;
-const levelRatio = 4;
-// One level is gained for each of these periods of waiting.
-const ageingMs = 30 * 60_000;
+/** Levels gained by waiting. */
+export function computeAgeCredit(state: CoreState, job: Job): number {
+  return Math.max(0, Math.floor((state.nowMs - job.queuedAtMs) / state.policy.ageingMs));
+}
+
+function computeLevel(attainedSeconds: number, policy: PlacementPolicy): number {
+  const { firstLevelSeconds, levelRatio, hasLevels } = policy;
+  if (!hasLevels || attainedSeconds < firstLevelSeconds) return 0;
+  return 1 + Math.floor(Math.log(attainedSeconds / firstLevelSeconds) / Math.log(levelRatio));
+}
 
 /**
  * Priority level by attained service (lower goes first): the logarithm of the accelerator-seconds
- * attained per unit of account weight, less one level for each period of waiting.
+ * attained per unit of account weight, less one level for each period of waiting. A running gang
+ * keeps the credit of the wait before its start; without it, two aged gangs would stop each other
+ * in turn without running.
+ */
+export function computePriority(state: CoreState, job: Job): number {
+  const width = Math.max(1, job.accelerators) ** (1 - state.policy.widthPower);
+  const attained = getAttainedSeconds(job, state.nowMs) / width / job.account.spec.weight;
+  const age = job.gang?.ageCredit ?? computeAgeCredit(state, job);
+  return Math.max(0, computeLevel(attained, state.policy) - age);
+}
+
+/**
+ * Position within a level. The declared work is a hint only: a wrong one moves a job within its
+ * level, and each period of waiting makes up for a factor of `levelRatio`.
  */
-export function computePriority(job: Job, nowMs: number): number {
-  const attained = getAttainedSeconds(job, nowMs) / job.account.spec.weight;
-  const level =
-    attained < firstLevelSeconds
-      ? 0
-      : 1 + Math.floor(Math.log(attained / firstLevelSeconds) / Math.log(levelRatio));
-  const age = job.gang === undefined ? Math.floor((nowMs - job.queuedAtMs) / ageingMs) : 0;
-  return Math.max(0, level - age);
+function computeRank(state: CoreState, job: Job): number {
+  if (!state.policy.usesDeclared) return job.acceptedAtMs;
+  const work = Math.max(1, job.spec.declaredSeconds * Math.max(1, job.accelerators));
+  const aged = (state.nowMs - job.queuedAtMs) / state.policy.ageingMs;
+  return Math.log(work) / Math.log(state.policy.levelRatio) - aged;
 }
 
-/** Orders waiting jobs: by priority level, urgent ones first within a level, then by age. */
-export function listInOrder(jobs: Iterable<Job>, nowMs: number): Job[] {
-  const ranked = [...jobs].map((job) => ({ job, level: computePriority(job, nowMs) }));
+/** Orders waiting jobs: by priority level, urgent ones first within a level, then by rank. */
+export function listInOrder(state: CoreState): Job[] {
+  const ranked = [...state.queue].map((job) => ({
+    job,
+    level: computePriority(state, job),
+    rank: computeRank(state, job),
+  }));
   ranked.sort(
     (a, b) =>
       a.level - b.level ||
       Number(b.job.spec.urgent) - Number(a.job.spec.urgent) ||
-      a.job.acceptedAtMs - b.job.acceptedAtMs ||
+      a.rank - b.rank ||
       a.job.sequence - b.job.sequence,
   );
   return ranked.map(({ job }) => job);
--- a/packages/placement/src/repair.ts
+++ b/packages/placement/src/repair.ts
@@ -4,7 +4,7 @@
 import { computeMissing, listSiteGuarantees, listUnboundCells } from './bind.ts';
 import { computeLevel } from './cell.ts';
 import { listMaximalCells } from './feasibility.ts';
-import { getLostSeconds, isUsable } from './state.ts';
+import { computeStopCost, isUsable } from './state.ts';
 import type { Binding, CoreState, Guarantee, GuaranteeReport, Site } from './state.ts';
 
 const noSlots = new Set<never>();
@@ -32,7 +32,7 @@
 function computeReleaseCost(state: CoreState, binding: Binding): number {
   let cost = 0;
   for (const user of binding.users) {
-    if ('placement' in user) cost += getLostSeconds(user, state.nowMs);
+    if ('placement' in user) cost += computeStopCost(state, user);
   }
   return cost;
 }
--- a/packages/placement/src/site.ts
+++ b/packages/placement/src/site.ts
@@ -1,4 +1,4 @@
-import { buildForest, getHardwareType, listRacks } from './cell.ts';
+import { buildForest, getHardwareType } from './cell.ts';
 import type { WorkerSpec } from './spec.ts';
 import type { CoreState, Site, Worker } from './state.ts';
 
@@ -6,7 +6,7 @@
 export function getSite(state: CoreState, id: string): Site {
   const found = state.sites.get(id);
   if (found !== undefined) return found;
-  const site: Site = { id, workers: [], racks: new Map(), forest: buildForest([]), freeSlots: 0 };
+  const site: Site = { id, workers: [], forest: buildForest([]), gangs: new Set(), freeSlots: 0 };
   state.sites.set(id, site);
   return site;
 }
@@ -96,7 +96,6 @@
   for (const spec of specs) addWorker(state, spec, changed);
   for (const site of changed) {
     site.forest = buildForest(site.workers);
-    site.racks = listRacks(site.workers);
   }
   state.isCapacityDirty = true;
   state.isGuaranteeDirty = true;
--- a/packages/placement/src/state.ts
+++ b/packages/placement/src/state.ts
@@ -1,6 +1,7 @@
 import type { PlacementAction } from './action.ts';
 import type { CellForest, CellNode } from './cell.ts';
 import type { CapacityClass, GangPlacement } from './event.ts';
+import type { PlacementPolicy } from './policy.ts';
 import type { AccountSpec, GuaranteeSpec, JobSpec, PlacementConfig, WorkerSpec } from './spec.ts';
 
 /** One accelerator of a worker. */
@@ -41,8 +42,9 @@
   id: string;
   /** All positions, also those of lost workers, in cell order. */
   workers: Worker[];
-  racks: Map<string, Worker[]>;
   forest: CellForest<Worker>;
+  /** Gangs that use accelerators of the site. */
+  gangs: Set<Gang>;
   freeSlots: number;
 }
 
@@ -113,6 +115,8 @@
   startedAtMs: number;
   /** Attained accelerator-seconds when the gang started. */
   attainedAtStart: number;
+  /** Levels that the job had gained by waiting when the gang started. */
+  ageCredit: number;
   isRunning: boolean;
   /** When the members are stopped, once a stop was decided. */
   stopAtMs: number | undefined;
@@ -140,6 +144,7 @@
 /** Whole state of the core. */
 export interface CoreState {
   config: PlacementConfig;
+  policy: PlacementPolicy;
   nowMs: number;
   sites: Map<string, Site>;
   workers: Map<string, Worker>;
@@ -153,6 +158,8 @@
   pending: PlacementAction[];
   /** Shapes found not to fit since capacity last grew. */
   blockedShapes: Set<string>;
+  /** Shapes for which no set of gangs can be stopped, and until when that is taken as known. */
+  unstoppable: Map<string, number>;
   /** Whether hardware, configuration or guaranteed use changed since guarantees were checked. */
   isGuaranteeDirty: boolean;
   /** Whether capacity grew or a limit moved since the last pass over the queue. */
@@ -204,7 +211,13 @@
   return job.attainedSeconds + (Math.max(0, nowMs - job.attainedAtMs) / 1000) * width;
 }
 
-/** Accelerator-seconds of the present attempt, which a stop without checkpoint would lose. */
-export function getLostSeconds(gang: Gang, nowMs: number): number {
-  return getAttainedSeconds(gang.job, nowMs) - gang.attainedAtStart;
+/**
+ * Accelerator-seconds that a stop is taken to lose: those of the present attempt, and a fixed time
+ * per accelerator for the restart, without which wide gangs that just started would be stopped for
+ * narrow ones. A gang that is being stopped loses nothing more.
+ */
+export function computeStopCost(state: CoreState, gang: Gang): number {
+  if (gang.stopAtMs !== undefined) return 0;
+  const attained = getAttainedSeconds(gang.job, state.nowMs) - gang.attainedAtStart;
+  return attained + state.policy.restartCostSeconds * gang.job.accelerators;
 }
