Bound the cost of a placement pass

Cause: decisions at 1,500 workers took 25 ms at p99; the target is 10 ms. Change: free cells are listed once per change of a site, stops are planned for a few shapes a pass and reservations go on in the next pass, keys are built once a job.

--- a/packages/placement/src/core.ts
+++ b/packages/placement/src/core.ts
@@ -33,6 +33,7 @@
     pending: [],
     blockedShapes: new Set(),
     unstoppable: new Map(),
+    lastReserved: undefined,
     isGuaranteeDirty: true,
     isCapacityDirty: true,
     hasArrivals: false,
@@ -82,7 +83,7 @@
   if (state.isGuaranteeDirty) repairGuarantees(state);
   const actions = state.pending;
   state.pending = [];
-  startReadyClaims(state, actions);
+  if (state.isCapacityDirty) startReadyClaims(state, actions);
   if (isPassDue(state)) runPass(state, actions);
   if (state.isGuaranteeDirty) reportGuarantees(state, actions);
   state.isGuaranteeDirty = false;
--- a/packages/placement/src/enter.ts
+++ b/packages/placement/src/enter.ts
@@ -176,11 +176,11 @@
 /** Starts the claims whose cells are clear; gives up those that lost a cell. */
 export function startReadyClaims(state: CoreState, actions: PlacementAction[]): void {
   for (const claim of [...state.claims]) {
-    const slots = claim.members.flatMap((member) => member.slots);
-    const hasLostCell = slots.some((slot) => slot.claim !== claim || !isUsable(slot.worker));
-    if (hasLostCell || isOverQuota(claim.job.account)) {
-      dropClaim(state, claim);
-    } else if (slots.every((slot) => slot.gang === undefined)) {
+    const isKept = claim.members.every(
+      ({ worker, slots }) => isUsable(worker) && slots.every((slot) => slot.claim === claim),
+    );
+    if (!isKept || isOverQuota(claim.job.account)) dropClaim(state, claim);
+    else if (claim.members.every(({ slots }) => slots.every(({ gang }) => gang === undefined))) {
       startClaim(state, claim, actions);
     }
   }
--- a/packages/placement/src/failure.ts
+++ b/packages/placement/src/failure.ts
@@ -19,6 +19,7 @@
   const durationMs = Math.min(quarantineMs * 2 ** worker.quarantines, quarantineMaxMs);
   worker.quarantines += 1;
   worker.isQuarantined = true;
+  worker.site.version += 1;
   worker.quarantineUntilMs = state.nowMs + durationMs;
   // The worker was at fault, so its failures no longer count against the jobs.
   for (const jobId of worker.failedJobs) {
@@ -75,6 +76,7 @@
   for (const worker of state.workers.values()) {
     if (!worker.isQuarantined || worker.quarantineUntilMs > state.nowMs) continue;
     worker.isQuarantined = false;
+    worker.site.version += 1;
     state.isGuaranteeDirty = true;
     state.isCapacityDirty = true;
     state.pending.push({ kind: ActionKind.ReleaseWorker, worker: worker.spec.id });
--- a/packages/placement/src/footprint.ts
+++ b/packages/placement/src/footprint.ts
@@ -12,6 +12,7 @@
   acceleratorShare: number,
 ): number | undefined {
   if (worker.accelerators < job.accelerators) return undefined;
+  if (job.cores === 0 && job.memoryMb === 0) return job.accelerators;
   const cores = worker.cores * acceleratorShare;
   const memoryMb = worker.memoryMb * acceleratorShare;
   if (job.cores > cores || job.memoryMb > memoryMb) return undefined;
--- a/packages/placement/src/job.ts
+++ b/packages/placement/src/job.ts
@@ -32,6 +32,8 @@
     gang: undefined,
     claim: undefined,
     shapeKey: getShapeKey(spec),
+    accountShapeKey: `${spec.account}:${getShapeKey(spec)}`,
+    level: 0,
     sequence: state.nextSequence,
   };
 }
--- a/packages/placement/src/lent.ts
+++ b/packages/placement/src/lent.ts
@@ -13,7 +13,8 @@
 }
 
 /** Level of the largest whole free cell around each free slot. */
-function computeFreeLevels(site: Site): Map<Slot, number> {
+function computeFreeLevels(site: Site): ReadonlyMap<Slot, number> {
+  if (site.freeLevels?.version === site.version) return site.freeLevels.levels;
   const levels = new Map<Slot, number>();
   const cells = listMaximalCells(site.forest, (leaf) => {
     const slot = leaf.worker.slots[leaf.index];
@@ -26,6 +27,7 @@
       if (slot !== undefined) levels.set(slot, level);
     }
   }
+  site.freeLevels = { version: site.version, levels };
   return levels;
 }
 
@@ -102,16 +104,32 @@
 function createStoppingSource(stopped: ReadonlySet<Gang>): SlotSource {
   const canUse = (slot: Slot): boolean =>
     slot.claim === undefined && (slot.gang === undefined || stopped.has(slot.gang));
-  const countBusy = (worker: Worker): number =>
-    worker.slots.filter((slot) => canUse(slot) && slot.gang !== undefined).length;
+  const countSlots = ({ slots }: Worker): number => {
+    let count = 0;
+    for (const slot of slots) if (canUse(slot)) count += 1;
+    return count;
+  };
   return {
-    countSlots: (worker) => worker.slots.filter(canUse).length,
+    countSlots,
     listSlots: (worker) =>
       worker.slots.filter(canUse).sort((a, b) => Number(!isFree(a)) - Number(!isFree(b))),
-    rankWorker: countBusy,
+    // Workers where nothing has to stop come first.
+    rankWorker: (worker) => countSlots(worker) - worker.freeSlots,
   };
 }
 
+/** Number of gangs, in order, whose accelerators with the free ones are as many as needed. */
+function countLeast(site: Site, job: Job, gangs: readonly Gang[]): number {
+  let accelerators = site.freeSlots;
+  let count = 0;
+  for (const gang of gangs) {
+    if (accelerators >= job.accelerators) break;
+    accelerators += gang.job.accelerators;
+    count += 1;
+  }
+  return accelerators >= job.accelerators ? count : Infinity;
+}
+
 /** The shortest prefix of `gangs`, by halving, whose stop makes the job fit. */
 function planWithPrefix(
   state: CoreState,
@@ -119,17 +137,18 @@
   site: Site,
   gangs: readonly Gang[],
 ): MemberSlots[] | undefined {
-  const place = (count: number): MemberSlots[] | undefined =>
-    placeMembers(
-      site.workers,
-      job,
-      state.config,
-      createStoppingSource(new Set(gangs.slice(0, count))),
-    );
-  let members = place(gangs.length);
+  const place = (count: number): MemberSlots[] | undefined => {
+    const source = createStoppingSource(new Set(gangs.slice(0, count)));
+    return placeMembers(site.workers, job, state.config, source);
+  };
+  let low = countLeast(site, job, gangs);
+  if (low === Infinity) return undefined;
+  let members = place(low);
+  if (members !== undefined) return members;
+  members = place(gangs.length);
   if (members === undefined) return undefined;
-  let low = 0;
   let high = gangs.length;
+  low += 1;
   while (low < high) {
     const middle = Math.floor((low + high) / 2);
     const found = place(middle);
--- a/packages/placement/src/pass.ts
+++ b/packages/placement/src/pass.ts
@@ -4,11 +4,13 @@
 import type { Plan } from './guaranteed.ts';
 import { isFree, listStopCandidates, planLent, planStopping } from './lent.ts';
 import type { StopCandidate } from './lent.ts';
-import { computePriority, listInOrder } from './queue.ts';
+import { listInOrder } from './queue.ts';
 import type { CoreState, Job, Site } from './state.ts';
 
 // Bounds the time of one pass; the rest of the queue follows in the next one.
-const maxStopPlans = 8;
+const maxStopPlans = 4;
+const maxReservedPlans = 4;
+const nextReservedMs = 100;
 // Running gangs gain levels and waiting jobs age, so stops are considered again this often.
 const stopPeriodMs = 60_000;
 // How long it is taken as known that no higher level can be stopped for a shape.
@@ -52,8 +54,7 @@
 function startGuaranteed(pass: Pass, job: Job): boolean {
   const { state } = pass;
   if (job.account.guarantees.length === 0) return false;
-  const key = `${job.account.spec.id}:${job.shapeKey}`;
-  return enterUnlessBlocked(pass, key, () => {
+  return enterUnlessBlocked(pass, job.accountShapeKey, () => {
     const plan = planGuaranteed(state, job);
     if (plan === undefined || !state.policy.prefersFree || isFreePlan(plan)) return plan;
     return planLent(state, job) ?? plan;
@@ -69,8 +70,9 @@
 }
 
 /** Whether a shape was found lately not to start by stopping work. */
-function isUnstoppable(state: CoreState, key: string): boolean {
-  return (state.unstoppable.get(key) ?? 0) > state.nowMs;
+function isUnstoppable(state: CoreState, job: Job): boolean {
+  const known = state.unstoppable.get(job.shapeKey);
+  return known !== undefined && known.untilMs > state.nowMs && job.level >= known.level;
 }
 
 /** A single accelerator is never held up by scattered ones, so such a job needs no reservation. */
@@ -108,14 +110,13 @@
 function startByLevel(pass: Pass, job: Job): boolean {
   const { state } = pass;
   const { hasPreemption, stopLevels, maxStopRatio } = state.policy;
-  const level = computePriority(state, job);
-  const key = `${level}:${job.shapeKey}`;
-  if (!hasPreemption || job.accelerators === 0 || isUnstoppable(state, key)) return false;
-  if (pass.stopPlans >= maxStopPlans) return false;
+  const { level, shapeKey } = job;
+  if (!hasPreemption || job.accelerators === 0 || pass.stopPlans >= maxStopPlans) return false;
+  if (isUnstoppable(state, job)) return false;
   pass.stopPlans += 1;
   const canStop = (candidate: StopCandidate): boolean => candidate.level >= level + stopLevels;
   const isEntered = enterStopping(pass, job, canStop, maxStopRatio * job.accelerators);
-  if (!isEntered) state.unstoppable.set(key, state.nowMs + unstoppableMs);
+  if (!isEntered) state.unstoppable.set(shapeKey, { level, untilMs: state.nowMs + unstoppableMs });
   return isEntered;
 }
 
@@ -125,17 +126,29 @@
  * therefore delay a gang that has not run yet, and that fits beside the guaranteed work, by at most
  * `reservationAfterMs + reclaimMs` and the time until the stops are confirmed, however many they
  * are. A lent gang accepted earlier delays it until it ends or has attained the first level. The
- * order by acceptance keeps two gangs from stopping each other in turn.
+ * order by acceptance keeps two gangs from stopping each other in turn. A pass tries
+ * `maxReservedPlans` shapes; the next one goes on with the rest.
  */
 function startReserved(pass: Pass, order: readonly Job[]): void {
   const { state } = pass;
   const failed = new Set<string>();
   const waiting = order.filter((job) => state.queue.has(job) && hasWaitedLong(state, job));
   waiting.sort((a, b) => (isLater(a, b) ? 1 : -1));
-  for (const job of waiting) {
-    const level = computePriority(state, job);
+  const last = state.lastReserved;
+  const from = last === undefined ? 0 : waiting.findIndex((job) => isLater(job, last));
+  state.lastReserved = undefined;
+  let plans = 0;
+  let lastTried: Job | undefined;
+  for (const job of waiting.slice(Math.max(0, from))) {
+    if (plans >= maxReservedPlans) {
+      state.lastReserved = lastTried;
+      break;
+    }
+    const { level } = job;
     const key = `${level}:${job.shapeKey}`;
     if (failed.has(key) || !isWithinQuota(job)) continue;
+    plans += 1;
+    lastTried = job;
     const canStop = ({ level: other, gang }: StopCandidate): boolean =>
       other > level || (other === level && isLater(gang.job, job));
     if (!enterStopping(pass, job, canStop, Infinity)) failed.add(key);
@@ -149,7 +162,7 @@
 }
 
 function updateWake(state: CoreState): void {
-  let nextMs = Infinity;
+  let nextMs = state.lastReserved === undefined ? Infinity : state.nowMs + nextReservedMs;
   for (const job of state.queue) {
     if (job.accelerators > 0) nextMs = Math.min(nextMs, state.nowMs + stopPeriodMs);
     for (const wakeMs of listWakes(state, job)) nextMs = Math.min(nextMs, wakeMs);
--- a/packages/placement/src/queue.ts
+++ b/packages/placement/src/queue.ts
@@ -39,14 +39,13 @@
 
 /** Orders waiting jobs: by priority level, urgent ones first within a level, then by rank. */
 export function listInOrder(state: CoreState): Job[] {
-  const ranked = [...state.queue].map((job) => ({
-    job,
-    level: computePriority(state, job),
-    rank: computeRank(state, job),
-  }));
+  const ranked = [...state.queue].map((job) => {
+    job.level = computePriority(state, job);
+    return { job, rank: computeRank(state, job) };
+  });
   ranked.sort(
     (a, b) =>
-      a.level - b.level ||
+      a.job.level - b.job.level ||
       Number(b.job.spec.urgent) - Number(a.job.spec.urgent) ||
       a.rank - b.rank ||
       a.job.sequence - b.job.sequence,
--- a/packages/placement/src/site.ts
+++ b/packages/placement/src/site.ts
@@ -6,7 +6,15 @@
 export function getSite(state: CoreState, id: string): Site {
   const found = state.sites.get(id);
   if (found !== undefined) return found;
-  const site: Site = { id, workers: [], forest: buildForest([]), gangs: new Set(), freeSlots: 0 };
+  const site: Site = {
+    id,
+    workers: [],
+    forest: buildForest([]),
+    gangs: new Set(),
+    freeSlots: 0,
+    version: 0,
+    freeLevels: undefined,
+  };
   state.sites.set(id, site);
   return site;
 }
@@ -73,6 +81,7 @@
   const known = state.workers.get(spec.id);
   if (known !== undefined && isSameSpec(known.spec, spec)) {
     known.isLost = false;
+    known.site.version += 1;
     return;
   }
   // A worker that came back as other hardware: its old position stays behind as lost.
@@ -96,6 +105,7 @@
   for (const spec of specs) addWorker(state, spec, changed);
   for (const site of changed) {
     site.forest = buildForest(site.workers);
+    site.version += 1;
   }
   state.isCapacityDirty = true;
   state.isGuaranteeDirty = true;
@@ -105,7 +115,9 @@
 export function removeWorkers(state: CoreState, workerIds: readonly string[]): void {
   for (const id of workerIds) {
     const worker = state.workers.get(id);
-    if (worker !== undefined) worker.isLost = true;
+    if (worker === undefined) continue;
+    worker.isLost = true;
+    worker.site.version += 1;
   }
   state.isCapacityDirty = true;
   state.isGuaranteeDirty = true;
--- a/packages/placement/src/state.ts
+++ b/packages/placement/src/state.ts
@@ -46,6 +46,10 @@
   /** Gangs that use accelerators of the site. */
   gangs: Set<Gang>;
   freeSlots: number;
+  /** Grows whenever the free slots change. */
+  version: number;
+  /** Largest whole free cell around each free slot, as of a version. */
+  freeLevels: { version: number; levels: ReadonlyMap<Slot, number> } | undefined;
 }
 
 /** A cell bound to a guarantee of an account. */
@@ -95,6 +99,10 @@
   claim: Claim | undefined;
   /** Identifies jobs that need the same cells; see `getShapeKey`. */
   shapeKey: string;
+  /** The same with the account. */
+  accountShapeKey: string;
+  /** Priority level as of the last ordering of the queue. */
+  level: number;
   /** Order of arrival; breaks ties. */
   sequence: number;
 }
@@ -141,6 +149,12 @@
   missing: number;
 }
 
+/** Jobs of a shape at `level` or above are taken not to start by stopping work until `untilMs`. */
+export interface UnstoppableShape {
+  level: number;
+  untilMs: number;
+}
+
 /** Whole state of the core. */
 export interface CoreState {
   config: PlacementConfig;
@@ -158,8 +172,10 @@
   pending: PlacementAction[];
   /** Shapes found not to fit since capacity last grew. */
   blockedShapes: Set<string>;
-  /** Shapes for which no set of gangs can be stopped, and until when that is taken as known. */
-  unstoppable: Map<string, number>;
+  /** Shapes for which no set of gangs can be stopped; see `UnstoppableShape`. */
+  unstoppable: Map<string, UnstoppableShape>;
+  /** Job at which the last pass left off with reservations; the next one goes on after it. */
+  lastReserved: Job | undefined;
   /** Whether hardware, configuration or guaranteed use changed since guarantees were checked. */
   isGuaranteeDirty: boolean;
   /** Whether capacity grew or a limit moved since the last pass over the queue. */
@@ -188,6 +204,8 @@
   if ('claim' in use) slot.claim = use.claim;
   const isFree = slot.gang === undefined && slot.claim === undefined;
   const change = Number(isFree) - Number(wasFree);
+  if (change === 0) return;
+  slot.worker.site.version += 1;
   slot.worker.freeSlots += change;
   slot.worker.site.freeSlots += change;
 }
