Move lent work for gangs that fit but for scattered accelerators

Cause: the migration of the design was missing, and under a heavier weight of fragmentation the order of the queue was the same as under a heavier weight of completion. Change: a waiting gang that fits in the free accelerators of a site may move narrower lent work when that costs less than the gang gains; with a heavier fragmentation weight, wider gangs go first within a level and stop narrower lent work.

--- a/packages/placement/src/enter.ts
+++ b/packages/placement/src/enter.ts
@@ -67,6 +67,7 @@
     startedAtMs: state.nowMs,
     attainedAtStart: job.attainedSeconds,
     ageCredit: computeAgeCredit(state, job),
+    isReserved: false,
     isRunning: false,
     stopAtMs: undefined,
   };
@@ -87,7 +88,8 @@
 function startClaim(state: CoreState, claim: Claim, actions: PlacementAction[]): void {
   const { job } = claim;
   const placement = createPlacement(claim);
-  addGang(state, job, placement, claim.members, [...claim.bindings]);
+  const gang = addGang(state, job, placement, claim.members, [...claim.bindings]);
+  gang.isReserved = claim.isReservation;
   for (const binding of claim.bindings) binding.users.delete(claim);
   job.claim = undefined;
   state.claims.delete(claim);
@@ -147,11 +149,11 @@
 export function enterPlan(
   state: CoreState,
   plan: Plan,
-  isReservation: boolean,
   actions: PlacementAction[],
+  options: { isReservation?: boolean; reason?: StopReason } = {},
 ): void {
   dropConflicts(state, plan);
-  const claim = createClaim(state, plan, isReservation);
+  const claim = createClaim(state, plan, options.isReservation ?? false);
   const { job } = plan;
   for (const binding of claim.bindings) binding.users.add(claim);
   for (const { slots } of plan.members) for (const slot of slots) setSlotUse(slot, { claim });
@@ -165,7 +167,8 @@
     return;
   }
   const graceMs = job.spec.urgent ? state.config.urgentReclaimMs : state.config.reclaimMs;
-  for (const gang of victims) stopGang(state, gang, StopReason.Reclaim, graceMs, actions);
+  const reason = options.reason ?? StopReason.Reclaim;
+  for (const gang of victims) stopGang(state, gang, reason, graceMs, actions);
 }
 
 /** Whether the account uses more than its quota, which may have been lowered. */
--- a/packages/placement/src/lent.ts
+++ b/packages/placement/src/lent.ts
@@ -170,20 +170,20 @@
 
 /**
  * Works out a placement that stops lent work, the least attained first, at the site where the
- * least is lost. Only gangs that pass `canStop` are stopped, of at most `mostAccelerators`.
+ * least is lost. Only gangs that pass `canStop` are stopped, within `limit`.
  */
 export function planStopping(
   state: CoreState,
   job: Job,
   candidates: ReadonlyMap<Site, StopCandidate[]>,
   canStop: (candidate: StopCandidate) => boolean,
-  mostAccelerators: number,
+  limit: { accelerators: number; cost: number },
 ): Plan | undefined {
   let best: Plan | undefined;
   let bestCost = Infinity;
   for (const site of listSites(state, job)) {
     const gangs = (candidates.get(site) ?? [])
-      .filter((item) => item.gang.job.accelerators <= mostAccelerators && canStop(item))
+      .filter((item) => item.gang.job.accelerators <= limit.accelerators && canStop(item))
       .map((item) => item.gang);
     if (gangs.length === 0) continue;
     const members = planWithPrefix(state, job, site, gangs);
@@ -194,7 +194,7 @@
       cost += computeStopCost(state, gang);
       stopped += gang.job.accelerators;
     }
-    if (stopped > mostAccelerators) continue;
+    if (stopped > limit.accelerators || cost > limit.cost) continue;
     if (cost >= bestCost) continue;
     best = createLentPlan(job, site, members);
     bestCost = cost;
--- a/packages/placement/src/pass.ts
+++ b/packages/placement/src/pass.ts
@@ -1,11 +1,12 @@
+import { StopReason } from './action.ts';
 import type { PlacementAction } from './action.ts';
 import { enterPlan } from './enter.ts';
 import { planGuaranteed } from './guaranteed.ts';
 import type { Plan } from './guaranteed.ts';
-import { isFree, listStopCandidates, planLent, planStopping } from './lent.ts';
+import { isFree, listSites, listStopCandidates, planLent, planStopping } from './lent.ts';
 import type { StopCandidate } from './lent.ts';
 import { listInOrder } from './queue.ts';
-import type { CoreState, Job, Site } from './state.ts';
+import type { CoreState, Gang, Job, Site } from './state.ts';
 
 // Bounds the time of one pass; the rest of the queue follows in the next one.
 const maxStopPlans = 4;
@@ -23,6 +24,7 @@
   state: CoreState;
   actions: PlacementAction[];
   stopPlans: number;
+  movePlans: number;
   /** Lent gangs as they were when the first stop of the pass was considered. */
   candidates: Map<Site, StopCandidate[]> | undefined;
 }
@@ -43,7 +45,7 @@
   if (pass.state.blockedShapes.has(key)) return false;
   const found = plan();
   if (found === undefined) pass.state.blockedShapes.add(key);
-  else enterPlan(pass.state, found, false, pass.actions);
+  else enterPlan(pass.state, found, pass.actions);
   return found !== undefined;
 }
 
@@ -94,28 +96,56 @@
   pass: Pass,
   job: Job,
   canStop: (candidate: StopCandidate) => boolean,
-  mostAccelerators: number,
+  limit: { accelerators: number; cost: number },
+  options: Parameters<typeof enterPlan>[3],
 ): boolean {
   const { state } = pass;
   pass.candidates ??= listStopCandidates(state);
-  const plan = planStopping(state, job, pass.candidates, canStop, mostAccelerators);
-  if (plan !== undefined) enterPlan(state, plan, true, pass.actions);
+  const plan = planStopping(state, job, pass.candidates, canStop, limit);
+  if (plan !== undefined) enterPlan(state, plan, pass.actions, options);
   return plan !== undefined;
 }
 
+/** Whether the gang is at most half as wide, so that two gangs never stop each other in turn. */
+function isNarrower(gang: Gang, job: Job): boolean {
+  return 2 * gang.job.accelerators <= job.accelerators;
+}
+
+/**
+ * Moves lent work for a gang that would fit in the free accelerators if they were adjacent. It pays
+ * when the stops cost less than the gang gains; as a restart has a cost per accelerator, the work
+ * moved is then narrower than the gang, so that moves cannot go in a circle.
+ */
+function startByMoving(pass: Pass, job: Job): boolean {
+  const { state } = pass;
+  const { hasMigration, migrationGainSeconds } = state.policy;
+  if (!hasMigration || job.accelerators < 2 || pass.movePlans >= maxStopPlans) return false;
+  const sites = listSites(state, job).filter((site) => site.freeSlots >= job.accelerators);
+  if (sites.length === 0) return false;
+  pass.movePlans += 1;
+  const limit = {
+    accelerators: job.accelerators - 1,
+    cost: migrationGainSeconds * job.accelerators,
+  };
+  return enterStopping(pass, job, () => true, limit, { reason: StopReason.Migrate });
+}
+
 /**
  * Stops lent work of a higher level of attained service for a job. A shape for which nothing can
  * be stopped is passed over for a while.
  */
 function startByLevel(pass: Pass, job: Job): boolean {
   const { state } = pass;
-  const { hasPreemption, stopLevels, maxStopRatio } = state.policy;
+  const { hasPreemption, stopLevels, maxStopRatio, hasWidestFirst } = state.policy;
   const { level, shapeKey } = job;
   if (!hasPreemption || job.accelerators === 0 || pass.stopPlans >= maxStopPlans) return false;
   if (isUnstoppable(state, job)) return false;
   pass.stopPlans += 1;
-  const canStop = (candidate: StopCandidate): boolean => candidate.level >= level + stopLevels;
-  const isEntered = enterStopping(pass, job, canStop, maxStopRatio * job.accelerators);
+  const canStop = (candidate: StopCandidate): boolean =>
+    candidate.level >= level + stopLevels ||
+    (hasWidestFirst && isNarrower(candidate.gang, job) && !candidate.gang.isReserved);
+  const limit = { accelerators: maxStopRatio * job.accelerators, cost: Infinity };
+  const isEntered = enterStopping(pass, job, canStop, limit, {});
   if (!isEntered) state.unstoppable.set(shapeKey, { level, untilMs: state.nowMs + unstoppableMs });
   return isEntered;
 }
@@ -151,7 +181,8 @@
     lastTried = job;
     const canStop = ({ level: other, gang }: StopCandidate): boolean =>
       other > level || (other === level && isLater(gang.job, job));
-    if (!enterStopping(pass, job, canStop, Infinity)) failed.add(key);
+    const limit = { accelerators: Infinity, cost: Infinity };
+    if (!enterStopping(pass, job, canStop, limit, { isReservation: true })) failed.add(key);
   }
 }
 
@@ -180,7 +211,7 @@
 
 /** Starts what can be started, guaranteed work first, in the order of the queue. */
 export function runPass(state: CoreState, actions: PlacementAction[]): void {
-  const pass: Pass = { state, actions, stopPlans: 0, candidates: undefined };
+  const pass: Pass = { state, actions, stopPlans: 0, movePlans: 0, candidates: undefined };
   if (state.isCapacityDirty) state.blockedShapes.clear();
   if (state.unstoppable.size > maxUnstoppable) state.unstoppable.clear();
   state.isCapacityDirty = false;
@@ -189,6 +220,7 @@
   for (const job of order) if (isWithinQuota(job)) startGuaranteed(pass, job);
   startWaiting(pass, order, startLent);
   startReserved(pass, order);
+  startWaiting(pass, order, startByMoving);
   startWaiting(pass, order, startByLevel);
   updateWake(state);
 }
--- a/packages/placement/src/policy.ts
+++ b/packages/placement/src/policy.ts
@@ -34,6 +34,10 @@
   hasCellChoice: boolean;
   /** Moves lent work to gather free accelerators for a shape that would fit. */
   hasMigration: boolean;
+  /** Time per accelerator that a gang is taken to gain when others are moved for it. */
+  migrationGainSeconds: number;
+  /** Orders wider gangs first within a level and stops narrower lent work for them. */
+  hasWidestFirst: boolean;
 }
 
 /** Policy for the given weights. */
@@ -54,6 +58,8 @@
     hasReservation: true,
     splitCostSeconds: 0,
     hasCellChoice: true,
-    hasMigration: false,
+    hasMigration: true,
+    migrationGainSeconds: 600,
+    hasWidestFirst: isFragmentationHeavy,
   };
 }
--- a/packages/placement/src/queue.ts
+++ b/packages/placement/src/queue.ts
@@ -31,6 +31,10 @@
  * level, and each period of waiting makes up for a factor of `levelRatio`.
  */
 function computeRank(state: CoreState, job: Job): number {
+  if (state.policy.hasWidestFirst) {
+    const aged = (state.nowMs - job.queuedAtMs) / state.policy.ageingMs;
+    return -Math.log2(Math.max(1, job.accelerators)) - aged;
+  }
   if (!state.policy.usesDeclared) return job.acceptedAtMs;
   const work = Math.max(1, job.spec.declaredSeconds * Math.max(1, job.accelerators));
   const aged = (state.nowMs - job.queuedAtMs) / state.policy.ageingMs;
--- a/packages/placement/src/state.ts
+++ b/packages/placement/src/state.ts
@@ -125,6 +125,8 @@
   attainedAtStart: number;
   /** Levels that the job had gained by waiting when the gang started. */
   ageCredit: number;
+  /** Whether the gang got its cells because it had waited long; wider ones do not stop it. */
+  isReserved: boolean;
   isRunning: boolean;
   /** When the members are stopped, once a stop was decided. */
   stopAtMs: number | undefined;
