Name the policy variants of the placement benchmark after the present choices

Cause: the list still had migration as an addition, although it is on by default. Change: variants for the split cost and for the order by width. Conclusion: each choice has a variant with or without it.

--- a/packages/bench/src/placement/variants.ts
+++ b/packages/bench/src/placement/variants.ts
@@ -7,11 +7,13 @@
 ])[] = [
   ['no levels of service', { hasLevels: false }],
   ['levels by accelerator-s', { widthPower: 1 }],
-  ['no declared time', { usesDeclared: false }],
+  ['declared time unused', { usesDeclared: false }],
   ['no preemption', { hasPreemption: false }],
   ['no reservation', { hasReservation: false }],
   ['first cells', { hasCellChoice: false }],
   ['free before reclaim', { prefersFree: true }],
   ['no migration', { hasMigration: false }],
-  ['migration', { hasMigration: true }],
+  ['split cost 600 s', { splitCostSeconds: 600 }],
+  ['widest first', { hasWidestFirst: true }],
+  ['not widest first', { hasWidestFirst: false }],
 ];
