--- a/packages/placement/src/state.ts
+++ b/packages/placement/src/state.ts
@@ -1,6 +1,7 @@
 import type { PlacementAction } from './action.ts';
 import type { CellForest, CellNode } from './cell.ts';
 import type { CapacityClass, GangPlacement } from './event.ts';
+import type { PlacementPolicy } from './policy.ts';
 import type { AccountSpec, GuaranteeSpec, JobSpec, PlacementConfig, WorkerSpec } from './spec.ts';
 
 /** One accelerator of a worker. */
@@ -41,9 +42,14 @@
   id: string;
   /** All positions, also those of lost workers, in cell order. */
   workers: Worker[];
-  racks: Map<string, Worker[]>;
   forest: CellForest<Worker>;
+  /** Gangs that use accelerators of the site. */
+  gangs: Set<Gang>;
   freeSlots: number;
+  /** Grows whenever the free slots change. */
+  version: number;
+  /** Largest whole free cell around each free slot, as of a version. */
+  freeLevels: { version: number; levels: ReadonlyMap<Slot, number> } | undefined;
 }
 
 /** A cell bound to a guarantee of an account. */
@@ -93,6 +99,10 @@
   claim: Claim | undefined;
   /** Identifies jobs that need the same cells; see `getShapeKey`. */
   shapeKey: string;
+  /** The same with the account. */
+  accountShapeKey: string;
+  /** Priority level as of the last ordering of the queue. */
+  level: number;
   /** Order of arrival; breaks ties. */
   sequence: number;
 }
@@ -113,6 +123,10 @@
   startedAtMs: number;
   /** Attained accelerator-seconds when the gang started. */
   attainedAtStart: number;
+  /** Levels that the job had gained by waiting when the gang started. */
+  ageCredit: number;
+  /** Whether the gang got its cells because it had waited long; wider ones do not stop it. */
+  isReserved: boolean;
   isRunning: boolean;
   /** When the members are stopped, once a stop was decided. */
   stopAtMs: number | undefined;
@@ -137,9 +151,16 @@
   missing: number;
 }
 
+/** Jobs of a shape at `level` or above are taken not to start by stopping work until `untilMs`. */
+export interface UnstoppableShape {
+  level: number;
+  untilMs: number;
+}
+
 /** Whole state of the core. */
 export interface CoreState {
   config: PlacementConfig;
+  policy: PlacementPolicy;
   nowMs: number;
   sites: Map<string, Site>;
   workers: Map<string, Worker>;
@@ -153,6 +174,10 @@
   pending: PlacementAction[];
   /** Shapes found not to fit since capacity last grew. */
   blockedShapes: Set<string>;
+  /** Shapes for which no set of gangs can be stopped; see `UnstoppableShape`. */
+  unstoppable: Map<string, UnstoppableShape>;
+  /** Job at which the last pass left off with reservations; the next one goes on after it. */
+  lastReserved: Job | undefined;
   /** Whether hardware, configuration or guaranteed use changed since guarantees were checked. */
   isGuaranteeDirty: boolean;
   /** Whether capacity grew or a limit moved since the last pass over the queue. */
@@ -181,6 +206,8 @@
   if ('claim' in use) slot.claim = use.claim;
   const isFree = slot.gang === undefined && slot.claim === undefined;
   const change = Number(isFree) - Number(wasFree);
+  if (change === 0) return;
+  slot.worker.site.version += 1;
   slot.worker.freeSlots += change;
   slot.worker.site.freeSlots += change;
 }
@@ -204,7 +231,13 @@
   return job.attainedSeconds + (Math.max(0, nowMs - job.attainedAtMs) / 1000) * width;
 }
 
-/** Accelerator-seconds of the present attempt, which a stop without checkpoint would lose. */
-export function getLostSeconds(gang: Gang, nowMs: number): number {
-  return getAttainedSeconds(gang.job, nowMs) - gang.attainedAtStart;
+/**
+ * Accelerator-seconds that a stop is taken to lose: those of the present attempt, and a fixed time
+ * per accelerator for the restart, without which wide gangs that just started would be stopped for
+ * narrow ones. A gang that is being stopped loses nothing more.
+ */
+export function computeStopCost(state: CoreState, gang: Gang): number {
+  if (gang.stopAtMs !== undefined) return 0;
+  const attained = getAttainedSeconds(gang.job, state.nowMs) - gang.attainedAtStart;
+  return attained + state.policy.restartCostSeconds * gang.job.accelerators;
 }
