Compute the member view once per credit round

The router asked membership for its view for every endpoint of every request, and membership computes the view anew each time.

A member whose address refused connections before it had started was also taken for ended for ever; it now counts as ended only while the view says so.

--- a/packages/routing/src/credits.ts
+++ b/packages/routing/src/credits.ts
@@ -10,6 +10,7 @@
 import { createOwnShare } from './ownshare.ts';
 import { createPeerDemands } from './peerdemands.ts';
 import type { PeerDemands } from './peerdemands.ts';
+import { createCachedMembership } from './viewcache.ts';
 import { createCreditWallet } from './wallet.ts';
 
 /** Slots that this router may use now. */
@@ -51,17 +52,20 @@
 
 /** Creates the credit task: asks grantors for slots, and grants on delegated shares. */
 export function createSlotCredits(options: SlotCreditsOptions): SlotCredits {
-  const { clock, membership, selfId, endpoints, getLimits } = options;
+  const { clock, selfId, endpoints, getLimits } = options;
+  const membership = createCachedMembership(options.membership);
   const wallet = createCreditWallet(options.firstSequence);
   const handover = createHandover();
   const getPreferred = createGrantorChoice(membership);
   const ownShare = createOwnShare({
     ...options,
+    membership,
     getMinDaemons: () => getLimits().minDaemons,
     getPromiseMs,
   });
   const granting = createGranting({
     ...options,
+    membership,
     ownShare,
     getPromiseMs,
     getPreferred,
@@ -196,6 +200,7 @@
     cancelSoon?.();
     cancelSoon = undefined;
     lastRequestMs = nowMs;
+    membership.updateView();
     applyView();
     const demands = createDemands(nowMs);
     const next = new Map<string, Set<string>>();
--- a/packages/routing/src/handover.ts
+++ b/packages/routing/src/handover.ts
@@ -30,12 +30,11 @@
       .filter((member) => member.isGone && !endedAtMs.has(member.id))
       .map((member) => member.id);
     for (const id of ended) endedAtMs.set(id, nowMs);
+    // A member whose address refuses connections before it has started is not gone later.
+    const gone = new Set(view.members.filter(({ isGone }) => isGone).map(({ id }) => id));
+    for (const id of endedAtMs.keys()) if (!gone.has(id)) endedAtMs.delete(id);
     const known = new Set(view.members.map((member) => member.id));
-    for (const id of [...endedAtMs.keys(), ...reports.keys()]) {
-      if (known.has(id)) continue;
-      endedAtMs.delete(id);
-      reports.delete(id);
-    }
+    for (const id of reports.keys()) if (!known.has(id)) reports.delete(id);
     return ended;
   }
 
@@ -47,8 +46,13 @@
     });
   }
 
+  /** Each request replaces the sender's earlier reports. */
   function applyReports(from: string, demands: readonly CreditDemand[]): void {
-    for (const { endpoint: ended } of demands) {
+    const reported = new Set(demands.map((demand) => demand.endpoint));
+    for (const [ended, reporters] of reports) {
+      if (!reported.has(ended)) reporters.delete(from);
+    }
+    for (const ended of reported) {
       let reporters = reports.get(ended);
       if (reporters === undefined) reports.set(ended, (reporters = new Set()));
       reporters.add(from);
