Check ownership invariants under combined faults

Cause: single-fault tests do not show what pauses, crashes, lost replies and lost workers do together. A model run found that the committer sent a transaction again at once and without limit while requests kept being lost. Change: a repeated transaction waits resolveRetryMs and ends as unknown after resolveForMs. Model tests with fast-check drive three daemons over one table and three workers; an outside checker looks at epochs, leases, gang starts and job ends after each step. A gang start is crashed and paused at every call. Fakes without a fence, with tasks that run while held, or that ignore conditions are found by the same actions.

--- a/packages/execution/tests/fakeworkers.ts
+++ b/packages/execution/tests/fakeworkers.ts
@@ -47,7 +47,8 @@
 export class FakeWorker {
   epoch = 0;
   fault = WorkerFault.None;
-  delayMs = 4_000;
+  /** Longer than a takeover, so that commands of a deposed owner arrive. */
+  delayMs = 8_000;
   /** Tasks fail as soon as they are released. */
   isFailing = false;
   hasFence = true;
@@ -180,6 +181,8 @@
   readonly workers = new Map<string, FakeWorker>();
   readonly accepted: AcceptedBatch[] = [];
   readonly listeners: ((batch: AcceptedBatch) => void)[] = [];
+  /** Told of each batch that a process sends, whether it arrives or not. */
+  readonly sendListeners: ((batch: AcceptedBatch) => void)[] = [];
   calls = 0;
 
   constructor(readonly clock: ManualClock) {}
@@ -242,6 +245,7 @@
 
   private deliver(sent: AcceptedBatch): Result<CommandResult[], Fault> {
     this.fleet.calls += 1;
+    for (const listener of this.fleet.sendListeners) listener(sent);
     const worker = this.fleet.workers.get(sent.worker);
     switch (worker?.fault) {
       case WorkerFault.None:
--- a/packages/execution/tests/world.ts
+++ b/packages/execution/tests/world.ts
@@ -123,6 +123,17 @@
     for (const { process, owner } of daemons) if (process.isAlive()) owner.wake([jobId]);
   }
 
+  /** Lets time pass until the call has its reply. */
+  async function waitFor<T>(call: Promise<T>): Promise<T> {
+    const pending = new Set([call]);
+    void call.finally(() => {
+      pending.clear();
+    });
+    await settlePromises();
+    while (pending.size > 0) await clock.advance(20);
+    return call;
+  }
+
   async function submit(
     jobId: string,
     members: number,
@@ -131,19 +142,13 @@
   ): Promise<boolean> {
     const spec = createSpec(jobId, account, members);
     const submission = { jobId, account, spec, payload: String(runMs), digest: 'x' };
-    const inserted = callerStore.insertJob(submission);
-    await settlePromises();
-    await clock.advance(20);
-    const result = await inserted;
+    const result = await waitFor(callerStore.insertJob(submission));
     wakeAll(jobId);
     return result.isOk();
   }
 
   async function cancel(jobId: string): Promise<void> {
-    const cancelled = callerStore.cancelJob(jobId);
-    await settlePromises();
-    await clock.advance(50);
-    await cancelled;
+    await waitFor(callerStore.cancelJob(jobId));
     wakeAll(jobId);
   }
 
--- a/packages/ownership/src/committer.ts
+++ b/packages/ownership/src/committer.ts
@@ -196,8 +196,14 @@
   }
 
   function handleUnavailable(entry: PendingTransaction, message: string): void {
-    const isLate = clock.getNowMs() - entry.submittedMs > settings.resolveForMs;
-    if (entry.pastIds.length === 0 || isLate || isClosed) {
+    if (entry.pastIds.length === 0) giveUp(entry, message);
+    else sendLater(entry, message);
+  }
+
+  /** Sends a transaction with a lost attempt again, after a wait and only for a limited time. */
+  function sendLater(entry: PendingTransaction, message: string): void {
+    const isLate = clock.getNowMs() - entry.submittedMs >= settings.resolveForMs;
+    if (isLate || isClosed) {
       giveUp(entry, message);
       return;
     }
@@ -211,14 +217,12 @@
     for (const entry of pending) entry.pastIds.push(id);
     logger.warn('store_reply_lost', { operation: id, transactions: pending.length });
     const results = await readUntilDecided(pending);
-    const repeated: PendingTransaction[] = [];
     for (const [index, entry] of pending.entries()) {
       const result = results?.[index];
       if (result === undefined) giveUp(entry, 'reply lost and store not readable');
       else if (result.isDecided) entry.sendReply(result.reply);
-      else repeated.push(entry);
+      else sendLater(entry, 'reply lost again and again');
     }
-    putBack(repeated);
   }
 
   async function readUntilDecided(
--- a/packages/ownership/tests/claims.test.ts
+++ b/packages/ownership/tests/claims.test.ts
@@ -1,26 +1,11 @@
 import { test } from 'node:test';
-import { ObjectStore } from '@bergamotreach/platform';
-import { FaultCode, createFault, settlePromises } from '@bergamotreach/protocol';
+import { FaultCode, settlePromises } from '@bergamotreach/protocol';
 import { expect } from 'earl';
-import { Err, Ok } from 'ts-results-es';
 import { ClaimStatus, createClaims, maxStoredBodyBytes } from '../src/index.ts';
+import { FakeObjects } from './fakeobjects.ts';
 import { TableFault } from './faketable.ts';
 import { createNode, createState } from './setup.ts';
 
-class FakeObjects extends ObjectStore {
-  private readonly contents: string[] = [];
-
-  putObject(content: string) {
-    return Promise.resolve(Ok(String(this.contents.push(content) - 1)));
-  }
-
-  getObject(hash: string) {
-    const content = this.contents[Number(hash)];
-    const missing = Err(createFault(FaultCode.NotFound, hash));
-    return Promise.resolve(content === undefined ? missing : Ok(content));
-  }
-}
-
 function createSetup() {
   const { clock, state } = createState();
   const objects = new FakeObjects();
--- a/packages/ownership/tests/fakeprocess.ts
+++ b/packages/ownership/tests/fakeprocess.ts
@@ -13,6 +13,8 @@
   steps = 0;
   /** Call before whose effect the process dies; half steps mean after its effect. */
   crashAtStep = Infinity;
+  /** Call whose effect happens, but whose reply waits for `resume`. */
+  pauseAtStep = Infinity;
 
   constructor(
     readonly id: string,
@@ -63,6 +65,7 @@
   async call<T>(effect: () => T, latencyMs = 0): Promise<T> {
     this.steps += 1;
     if (this.steps === this.crashAtStep) this.kill();
+    if (this.steps === this.pauseAtStep) this.pause();
     if (this.isDead) return this.waitForReply(undefined as T);
     if (latencyMs > 0) await waitFor(this.manual, latencyMs / 2);
     const reply = effect();
--- a/packages/ownership/tests/faketable.ts
+++ b/packages/ownership/tests/faketable.ts
@@ -32,6 +32,8 @@
   readonly accepted: AcceptedCommit[] = [];
   readonly listeners: ((commit: AcceptedCommit) => void)[] = [];
   fault = TableFault.None;
+  /** A table that applies writes whatever their conditions, which no correct one does. */
+  ignoresConditions = false;
   lateMs = 1500;
   latencyMs = 0;
   reads = 0;
@@ -43,7 +45,8 @@
     const conflicts = commit.conditions
       .filter(({ key, version }) => (this.rows.get(key)?.version ?? 0) !== version)
       .map(({ key }) => key);
-    if (conflicts.length > 0) return { status: CommitStatus.Conflict, conflicts };
+    if (conflicts.length > 0 && !this.ignoresConditions)
+      return { status: CommitStatus.Conflict, conflicts };
     const versions: Record<string, number> = {};
     for (const { key, value } of commit.writes) {
       const version = (this.rows.get(key)?.version ?? 0) + 1;
