Keep workers that leave the instance list until they fall silent

Cause: a worker missing from the lagging list was cut off at once, a worker with an epoch of another table ended the ownership period, and ends of jobs were seen only every 5 s. Change: an unlisted worker counts as leaving, so its gangs get a checkpoint; a worker that is ahead counts as lost and is logged; task lists are read up to 60 times a second, each worker at most once a second; a conflict of the own late renewal no longer drops the lease; a failed read after a wake is repeated.

--- a/packages/execution/src/context.ts
+++ b/packages/execution/src/context.ts
@@ -71,13 +71,20 @@
     options.onClose();
   }
 
+  /** Such a worker answers no command, so it counts as lost until an operator resets it. */
+  function reportAhead(worker: string): void {
+    logger.error('worker_epoch_ahead', { worker, epoch });
+    options.metrics.count('worker.epoch_ahead');
+  }
+
   async function sendBatch(
     entry: WorkerEntry,
     commands: WorkerCommand[],
   ): Promise<Result<CommandResult[], Fault>> {
     const result = await workerClient.sendCommands(entry.address, entry.id, { epoch, commands });
     if (result.isOk()) entry.heardMs = clock.getNowMs();
-    else if (result.error.code === FaultCode.StaleEpoch) close('worker has a later epoch');
+    // Nobody takes over before the own deadline, so this worker's epoch is not from the table.
+    else if (result.error.code === FaultCode.StaleEpoch && canAct()) reportAhead(entry.id);
     return result;
   }
 
--- a/packages/execution/src/monitor.ts
+++ b/packages/execution/src/monitor.ts
@@ -18,6 +18,12 @@
 
 /** A round over all workers is spread over this many steps. */
 const roundSteps = 10;
+/**
+ * Task lists read per second, at most. The end of a job is seen by them, so small regions read
+ * each worker once a second; larger ones approach the period of renewals.
+ */
+const listsPerSecond = 60;
+const minVisitMs = 1_000;
 
 /** Renews task leases, reads task lists and notices lost members and workers. */
 export interface Monitor {
@@ -42,7 +48,16 @@
   let cancelTimer: CancelTimer | undefined;
   let step = 0;
 
+  function getVisitMs(): number {
+    const spreadMs = (workers.list().length * 1000) / listsPerSecond;
+    return Math.min(settings.roundMs, Math.max(minVisitMs, spreadMs));
+  }
+
   async function renewTasks(worker: WorkerEntry): Promise<void> {
+    // Half a visit early rather than late.
+    const dueMs = worker.renewedMs + settings.roundMs - getVisitMs() / 2;
+    if (clock.getNowMs() < dueMs) return;
+    worker.renewedMs = clock.getNowMs();
     const members = jobs
       .listMembers(worker.id)
       .filter(({ gang, member }) => isRenewed(gang) && isPresent(member))
@@ -79,15 +94,15 @@
     if (result?.isOk() === true) applyTasks(worker, result.value, sentMs);
     else if (clock.getNowMs() - worker.heardMs > settings.workerLostMs) {
       removeWorkers([worker], 0);
+      if (!worker.isListed) workers.remove(worker.id);
     }
   }
 
   function applyTasks(worker: WorkerEntry, listed: WorkerTasks, sentMs: number): void {
+    if (listed.epoch > context.epoch) return;
     worker.heardMs = clock.getNowMs();
-    if (listed.epoch > context.epoch) {
-      context.close('worker has a later epoch');
-      return;
-    }
+    // A worker that restarted may have lost its epoch.
+    if (listed.epoch < context.epoch) worker.isFenced = false;
     const placed = jobs.listMembers(worker.id);
     const byId = new Map(placed.map((one) => [one.member.taskId, one]));
     const listedIds = new Set(listed.tasks.map((task) => task.taskId));
@@ -177,7 +192,7 @@
       void visitWorker(worker).finally(() => busy.delete(worker.id));
     });
     step = (step + 1) % roundSteps;
-    cancelTimer = clock.setTimer(settings.roundMs / roundSteps, runStep);
+    cancelTimer = clock.setTimer(getVisitMs() / roundSteps, runStep);
   }
 
   return {
--- a/packages/execution/src/options.ts
+++ b/packages/execution/src/options.ts
@@ -15,7 +15,7 @@
   taskLeaseMs: number;
   /** Allowance for clock rates and call times when a task lease is waited out. */
   taskMarginMs: number;
-  /** Period in which each worker's tasks are renewed and listed once. */
+  /** Period in which each worker's tasks are renewed once, and listed at least once. */
   roundMs: number;
   /** Time from the first hold until the last member must be held. */
   gangStartMs: number;
--- a/packages/execution/src/scanner.ts
+++ b/packages/execution/src/scanner.ts
@@ -1,4 +1,5 @@
 import { isEnded } from '@bergamotreach/ownership';
+import { FaultCode } from '@bergamotreach/protocol';
 import type { CancelTimer } from '@bergamotreach/protocol';
 import type { OwnerContext } from './context.ts';
 import type { JobBook } from './jobs.ts';
@@ -41,7 +42,9 @@
 
   async function readJob(jobId: string): Promise<void> {
     const result = await jobStore.getJob(jobId);
-    if (result.isOk() && context.isOpen()) jobs.addRow(result.value);
+    if (!context.isOpen()) return;
+    if (result.isOk()) jobs.addRow(result.value);
+    else if (result.error.code !== FaultCode.NotFound) planScan(settings.retryMs);
   }
 
   async function scan(): Promise<void> {
--- a/packages/execution/src/session.ts
+++ b/packages/execution/src/session.ts
@@ -238,10 +238,8 @@
       scanner.addWakes(jobIds);
     },
     applyInstances(instances) {
-      const changes = workers.applyInstances(instances, clock.getNowMs());
-      if (!isRecovered) return;
-      monitor.removeWorkers(changes.removed, 0);
-      monitor.removeWorkers(changes.leaving, settings.leavingGraceMs);
+      const leaving = workers.applyInstances(instances, clock.getNowMs());
+      if (isRecovered) monitor.removeWorkers(leaving, settings.leavingGraceMs);
     },
     applyConfig(config) {
       pushEvent({ kind: EventKind.ConfigChanged, config });
--- a/packages/execution/src/workers.ts
+++ b/packages/execution/src/workers.ts
@@ -8,6 +8,10 @@
   address: string;
   spec: WorkerSpec;
   isLeaving: boolean;
+  /** Whether it is in the last instance list. */
+  isListed: boolean;
+  /** When its tasks were renewed last. */
+  renewedMs: number;
   /** Whether the placement core may use it. */
   isPlaced: boolean;
   /** Whether it confirmed the epoch of this owner. */
@@ -15,19 +19,16 @@
   heardMs: number;
 }
 
-/** Changes between two instance lists. */
-export interface WorkerChanges {
-  added: WorkerEntry[];
-  leaving: WorkerEntry[];
-  removed: WorkerEntry[];
-}
-
 /** Workers of the region by id. */
 export interface WorkerBook {
   get(id: string): WorkerEntry | undefined;
   list(): WorkerEntry[];
-  /** Takes a new instance list over and returns what changed. */
-  applyInstances(instances: readonly Instance[], nowMs: number): WorkerChanges;
+  /**
+   * Takes a new instance list over; returns the workers that began to leave. The list lags, so a
+   * worker that is no longer listed counts as leaving and stays until it does not answer.
+   */
+  applyInstances(instances: readonly Instance[], nowMs: number): WorkerEntry[];
+  remove(id: string): void;
 }
 
 function createSpec(instance: Instance): WorkerSpec {
@@ -45,23 +46,25 @@
 export function createWorkerBook(region: string): WorkerBook {
   const entries = new Map<string, WorkerEntry>();
 
-  function addEntry(instance: Instance, nowMs: number): WorkerEntry {
+  function addEntry(instance: Instance, nowMs: number): void {
     const entry: WorkerEntry = {
       id: instance.id,
       address: instance.address,
       spec: createSpec(instance),
       isLeaving: instance.state === InstanceState.Leaving,
+      isListed: true,
+      renewedMs: 0,
       isPlaced: false,
       isFenced: false,
       heardMs: nowMs,
     };
     entries.set(entry.id, entry);
-    return entry;
   }
 
   /** Updates a known worker; returns whether it began to leave. */
   function updateEntry(entry: WorkerEntry, instance: Instance): boolean {
     entry.address = instance.address;
+    entry.isListed = true;
     const wasLeaving = entry.isLeaving;
     entry.isLeaving = instance.state === InstanceState.Leaving;
     return entry.isLeaving && !wasLeaving;
@@ -71,17 +74,24 @@
     get: (id) => entries.get(id),
     list: () => [...entries.values()],
     applyInstances(instances, nowMs) {
-      const changes: WorkerChanges = { added: [], leaving: [], removed: [] };
+      const leaving: WorkerEntry[] = [];
       const listed = new Set<string>();
       for (const instance of listRegionWorkers(instances, region)) {
         listed.add(instance.id);
         const entry = entries.get(instance.id);
-        if (entry === undefined) changes.added.push(addEntry(instance, nowMs));
-        else if (updateEntry(entry, instance)) changes.leaving.push(entry);
+        if (entry === undefined) addEntry(instance, nowMs);
+        else if (updateEntry(entry, instance)) leaving.push(entry);
       }
-      changes.removed = [...entries.values()].filter((entry) => !listed.has(entry.id));
-      for (const entry of changes.removed) entries.delete(entry.id);
-      return changes;
+      for (const entry of entries.values()) {
+        if (listed.has(entry.id)) continue;
+        if (!entry.isLeaving) leaving.push(entry);
+        entry.isLeaving = true;
+        entry.isListed = false;
+      }
+      return leaving;
+    },
+    remove(id) {
+      entries.delete(id);
     },
   };
 }
--- a/packages/execution/tests/owner.test.ts
+++ b/packages/execution/tests/owner.test.ts
@@ -139,3 +139,40 @@
   await world.clock.advance(10_000);
   expect([world.getRecord('j1')?.attempts, countRunning(world)]).toEqual([1, 4]);
 });
+
+// Guards against work cut off on a worker that the platform is about to take away.
+test('gangs leave a worker that is no longer listed, after a checkpoint', async () => {
+  const world = createWorld({ workers: 3, accelerators: 2 });
+  world.startDaemon('d1');
+  await world.submit('j1', 3, 500_000);
+  await world.clock.advance(2_000);
+  const used = world.getRecord('j1')?.placement?.members[0]?.worker ?? '';
+  world.removeInstance(used);
+  await world.clock.advance(12_000);
+  const record = world.getRecord('j1');
+  expect([record?.state, record?.attempts]).toEqual([JobState.Running, 2]);
+  expect(record?.placement?.members.some(({ worker }) => worker === used)).toEqual(false);
+  const tasks = [...world.fleet.workers.get(used)!.tasks.values()];
+  expect(tasks.every((task) => task.hasCheckpoint)).toEqual(true);
+});
+
+// Guards against a job that is never started because the message about it was lost.
+test('a job whose wake was lost is found by reading all rows', async () => {
+  const world = createWorld();
+  const { owner } = world.startDaemon('d1');
+  await world.clock.advance(1_000);
+  owner.wake = () => undefined;
+  await world.submit('j1', 2, 500_000);
+  await world.clock.advance(31_000);
+  expect(world.getJobState('j1')).toEqual(JobState.Running);
+});
+
+// Guards against a region without an owner because one worker reports an epoch of another table.
+test('a worker with a later epoch is left out, and the others are used', async () => {
+  const world = createWorld({ workers: 2, accelerators: 2 });
+  world.fleet.workers.get('w0')!.epoch = 99;
+  world.startDaemon('d1');
+  await world.submit('j1', 2, 5_000);
+  await world.clock.advance(20_000);
+  expect(world.getJobState('j1')).toEqual(JobState.Done);
+});
--- a/packages/execution/tests/world.ts
+++ b/packages/execution/tests/world.ts
@@ -111,7 +111,7 @@
   }
 
   /** Submits through a process of its own, as any daemon may. */
-  const caller = createNode(state, 'caller', { burst: 1000, commitsPerSecond: 1000 });
+  const caller = createNode(state, 'caller');
   const callerStore: GangJobStore = createJobStore({
     table: caller.table,
     committer: caller.committer,
@@ -134,7 +134,8 @@
     return call;
   }
 
-  async function submit(
+  /** Submits without waiting; the owner is woken once the job is accepted. */
+  async function submitSoon(
     jobId: string,
     members: number,
     runMs: number,
@@ -142,16 +143,24 @@
   ): Promise<boolean> {
     const spec = createSpec(jobId, account, members);
     const submission = { jobId, account, spec, payload: String(runMs), digest: 'x' };
-    const result = await waitFor(callerStore.insertJob(submission));
+    const result = await callerStore.insertJob(submission);
     wakeAll(jobId);
     return result.isOk();
   }
 
-  async function cancel(jobId: string): Promise<void> {
-    await waitFor(callerStore.cancelJob(jobId));
+  async function cancelSoon(jobId: string): Promise<void> {
+    await callerStore.cancelJob(jobId);
     wakeAll(jobId);
   }
 
+  async function submit(...job: Parameters<typeof submitSoon>): Promise<boolean> {
+    return waitFor(submitSoon(...job));
+  }
+
+  async function cancel(jobId: string): Promise<void> {
+    await waitFor(cancelSoon(jobId));
+  }
+
   function getRecord(jobId: string): GangJobRecord | undefined {
     const row = state.rows.get(`job/${region}/${jobId}`);
     return row?.value as unknown as GangJobRecord | undefined;
@@ -173,7 +182,9 @@
     daemons,
     startDaemon,
     submit,
+    submitSoon,
     cancel,
+    cancelSoon,
     getRecord,
     getJobState,
     removeInstance,
--- a/packages/ownership/src/lease.ts
+++ b/packages/ownership/src/lease.ts
@@ -165,15 +165,16 @@
       current.rowVersion = reply.versions[ownerKey] ?? 0;
       current.deadlineMs = sentMs + leaseMs - marginMs;
       planDeadline();
-    } else if (reply.status === TransactionStatus.Conflict) {
-      dropHold('row changed');
-    } else if (reply.status === TransactionStatus.Unknown) {
+    } else if (reply.status !== TransactionStatus.Unavailable) {
       await checkHold(current);
     }
     reportState();
   }
 
-  /** After a renewal of unknown fate the row's version tells whether the next one can succeed. */
+  /**
+   * After a conflict or a renewal of unknown fate the row tells whether the lease was taken over,
+   * or whether a renewal of this daemon took effect late; then the next one can succeed.
+   */
   async function checkHold(current: Hold): Promise<void> {
     const result = await table.getRow(ownerKey);
     if (result.isErr()) return;
