--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,7 +1,7 @@
 import { getRequestListener } from '@hono/node-server';
 import type { EffectiveConfig } from '@bergamotreach/config';
 import { createScheduler } from '@bergamotreach/placement';
-import type { JobSpec, WorkerSpec } from '@bergamotreach/placement';
+import type { JobSpec, PlacementConfig, WorkerSpec } from '@bergamotreach/placement';
 import { InstanceKind } from '@bergamotreach/platform';
 import type { Instance } from '@bergamotreach/platform';
 import { MessageType, waitFor } from '@bergamotreach/protocol';
@@ -42,6 +42,8 @@
 interface RunState {
   config: EffectiveConfig | undefined;
   isDraining: boolean;
+  /** Set once the listener is open. */
+  server: HttpServer | undefined;
 }
 
 function listConfigRegions(config: EffectiveConfig | undefined): string[] {
@@ -49,6 +51,17 @@
   return [...new Set(regions)].sort();
 }
 
+/** Placement settings with the guarantees of one region's data centres only. */
+function selectRegionPlacement(config: EffectiveConfig, region: string): PlacementConfig {
+  const accounts = config.placement.accounts.map((account) => ({
+    ...account,
+    guarantees: account.guarantees.filter(
+      ({ dataCentre }) => config.dataCentres[dataCentre]?.region === region,
+    ),
+  }));
+  return { ...config.placement, accounts };
+}
+
 function listWorkerSpecs(instances: readonly Instance[], region: string): WorkerSpec[] {
   return instances
     .filter((instance) => instance.kind === InstanceKind.Worker && instance.region === region)
@@ -87,11 +100,10 @@
 /** Starts all tasks of a daemon. Rejects when an address cannot be used. */
 export async function startDaemon(base: DaemonBase): Promise<Daemon> {
   const { settings, clock, logger, metrics, clients } = base;
-  const state: RunState = { config: undefined, isDraining: false };
+  const state: RunState = { config: undefined, isDraining: false, server: undefined };
   const tasks = await createTasks(base, applyConfig);
   const auth = createAuthenticator(settings.operatorTokenHash);
   const bodies = createBodyReader(bodyBudgetBytes);
-  let server: HttpServer | undefined;
   let finish: () => void = () => undefined;
   const finished = new Promise<void>((resolve) => {
     finish = resolve;
@@ -100,15 +112,15 @@
   function checkJob(region: string, spec: JobSpec): Result<void, Fault> {
     if (region === settings.region || state.config === undefined) return tasks.owner.checkJob(spec);
     const workers = listWorkerSpecs(poller.getInstances(), region);
-    return createScheduler(state.config.placement, workers).checkJob(spec);
+    return createScheduler(selectRegionPlacement(state.config, region), workers).checkJob(spec);
   }
 
   function applyConfig(config: EffectiveConfig): void {
     state.config = config;
     auth.applyConfig(config);
-    server?.applyLimits(config.limits);
+    state.server?.applyLimits(config.limits);
     tasks.router.applyConfig(buildRoutingConfig(config, settings.region));
-    tasks.owner.applyConfig(config.placement);
+    tasks.owner.applyConfig(selectRegionPlacement(config, settings.region));
   }
 
   function applyInstances(instances: readonly Instance[]): void {
@@ -136,11 +148,11 @@
     state.isDraining = true;
     logger.info('drain_started');
     tasks.membership.startDraining();
-    server?.startDraining();
+    state.server?.startDraining();
     await tasks.owner.stop();
     await waitFor(clock, drainNoticeMs);
     tasks.router.startDraining();
-    const closed = server?.close();
+    const closed = state.server?.close();
     await tasks.router.waitIdle();
     await closed;
     logger.info('drain_finished');
@@ -158,7 +170,7 @@
     tasks.router.close();
     tasks.committer.close();
     tasks.membership.stop();
-    server?.closeNow();
+    state.server?.closeNow();
     void clients.close();
     metrics.close();
   }
@@ -196,10 +208,11 @@
     startDraining,
   });
   const listener = getRequestListener(app.fetch);
-  server = await startHttpServer({
+  const server = await startHttpServer({
     address: settings.httpAddress,
     handler: (request, response) => void listener(request, response),
   });
+  state.server = server;
   const poller = startInstancePoller({
     list: clients.instanceList,
     clock,
--- a/packages/daemon/src/routingconfig.ts
+++ b/packages/daemon/src/routingconfig.ts
@@ -4,7 +4,7 @@
   LinkConfig,
   ServiceConfig,
 } from '@bergamotreach/config';
-import { createRoutingConfig, defaultService } from '@bergamotreach/routing';
+import { createRoutingConfig } from '@bergamotreach/routing';
 import type {
   AccountRouting,
   RegionCost,
@@ -22,13 +22,10 @@
 }
 
 function createServiceRouting(service: ServiceConfig, ownRegion: string): ServiceRouting {
-  const links = Object.entries(service.links[ownRegion] ?? {}).map(
-    ([region, link]) => [region, createRegionCost(link)] as const,
-  );
   return {
     defaultLink: createRegionCost(service.defaultLink),
-    links: Object.fromEntries(links),
-    expectedServiceMs: defaultService.expectedServiceMs,
+    links: mapValues(service.links[ownRegion] ?? {}, createRegionCost),
+    expectedServiceMs: service.expectedServiceMs,
   };
 }
 
@@ -55,6 +52,9 @@
       maxBodyBytes: config.limits.maxBodyBytes,
       maxAnswerBytes: config.limits.maxAnswerBytes,
       maxRequestMs: config.limits.maxRequestMs,
+      creditMs: config.limits.creditMs,
+      stallMs: config.limits.stallMs,
+      maxRetryTokens: config.limits.maxRetryTokens,
     },
   });
 }
