Add a benchmark of planned restarts under an open load

A planned stop must not interrupt a request. The benchmark restarts daemons one at a time in each of three regions while a client chooses among them by health checks.

--- /dev/null
+++ b/packages/bench/src/restarts/command.ts
@@ -0,0 +1,49 @@
+import { spawnSync } from 'node:child_process';
+import { defineCommand } from 'citty';
+import { closeClient } from '../cluster/index.ts';
+import { runRestarts } from './restarts.ts';
+import type { RestartsResult } from './restarts.ts';
+
+const defaultRestarts = '100';
+const defaultRate = '40';
+// Leaves time for the start of the cluster within 5 minutes.
+const maxRunMs = 240_000;
+
+function formatTable(result: RestartsResult): string {
+  const { drainMs, startMs, latencyMs } = result;
+  const rows: [string, string][] = [
+    ['restarts', String(result.restarts)],
+    ['requests sent', String(result.sent)],
+    ['requests answered', String(result.answered)],
+    ['refused', JSON.stringify(result.refused)],
+    ['cut off', JSON.stringify(result.cutOff)],
+    ['without daemon', String(result.withoutDaemon)],
+    ['wrong answers', String(result.wrong)],
+    ['failed (target 0)', String(result.failed)],
+    ['bad exits', String(result.badExits.length)],
+    ['SIGTERM to exit, p50 / max', `${drainMs.p50} / ${drainMs.max} ms`],
+    ['start to ready, p50 / max', `${startMs.p50} / ${startMs.max} ms`],
+    ['latency, p50 / p99 / max', `${latencyMs.p50} / ${latencyMs.p99} / ${latencyMs.max} ms`],
+    ['run time', `${result.runMs} ms`],
+  ];
+  return rows.map(([name, value]) => `${name.padEnd(28)} ${value}`).join('\n');
+}
+
+/** `bench restarts`: planned restarts under an open load; exits with 1 when a request failed. */
+export const restartsCommand = defineCommand({
+  meta: { name: 'restarts', description: 'Restart daemons one by one under an open load' },
+  args: {
+    restarts: { type: 'string', default: defaultRestarts, description: 'Number of restarts' },
+    rate: { type: 'string', default: defaultRate, description: 'Requests per second' },
+  },
+  async run({ args }) {
+    const build = spawnSync(process.execPath, ['scripts/build.mjs', '--bundle-only']);
+    if (build.status !== 0) throw new Error(`build failed: ${build.stderr.toString()}`);
+    const restarts = Number(args.restarts);
+    const result = await runRestarts({ restarts, requestsPerSecond: Number(args.rate), maxRunMs });
+    await closeClient();
+    console.log(JSON.stringify(result));
+    console.log(formatTable(result));
+    process.exit(result.failed === 0 && result.badExits.length === 0 ? 0 : 1);
+  },
+});
