--- a/packages/bench/src/restarts/restarts.ts
+++ b/packages/bench/src/restarts/restarts.ts
@@ -1,3 +1,5 @@
+import { readFile } from 'node:fs/promises';
+import { join } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { ezelpadLayout } from '@bergamotreach/standin';
 import type { PlatformLayout } from '@bergamotreach/standin';
@@ -50,6 +52,7 @@
 const accounts = ['lamapost', 'veldroute', 'bergpad', 'dagtocht'];
 const jobEvery = 20;
 const seed = 11;
+const badExitLogLines = 6;
 
 /** Value below which a share of the sorted values lies, rounded to milliseconds. */
 export function getQuantile(values: readonly number[], share: number): number {
@@ -65,6 +68,12 @@
   return code;
 }
 
+/** Last lines of a daemon's log; the folder is removed when the benchmark ends. */
+async function readLogEnd(cluster: Cluster, id: string): Promise<string> {
+  const text = await readFile(join(cluster.directory, `${id}.log`), 'utf8').catch(() => '');
+  return text.split('\n').slice(-badExitLogLines).join(' | ');
+}
+
 async function restartDaemon(
   cluster: Cluster,
   balancer: Balancer,
@@ -76,7 +85,7 @@
   daemon.sendSignal('SIGTERM');
   const code = await waitExit(daemon);
   times.drainMs.push(performance.now() - stopMs);
-  if (code !== 0) times.badExits.push(`${id}: ${code}`);
+  if (code !== 0) times.badExits.push(`${id}: ${code}; ${await readLogEnd(cluster, id)}`);
   balancer.removeDaemon(daemon);
   cluster.platform.registry.removeInstance(id);
   const startMs = performance.now();
@@ -106,7 +115,7 @@
 
 function buildResult(load: OpenLoadResult, times: RestartTimes, runMs: number): RestartsResult {
   const { latenciesMs, ...counts } = load;
-  const spread = (values: number[]): { p50: number; max: number } => ({
+  const computeSpread = (values: number[]): { p50: number; max: number } => ({
     p50: getQuantile(values, 0.5),
     max: getQuantile(values, 1),
   });
@@ -115,9 +124,9 @@
     ...counts,
     failed: load.sent - load.answered,
     badExits: times.badExits,
-    drainMs: spread(times.drainMs),
-    startMs: spread(times.startMs),
-    latencyMs: { ...spread(latenciesMs), p99: getQuantile(latenciesMs, 0.99) },
+    drainMs: computeSpread(times.drainMs),
+    startMs: computeSpread(times.startMs),
+    latencyMs: { ...computeSpread(latenciesMs), p99: getQuantile(latenciesMs, 0.99) },
     runMs: Math.round(runMs),
   };
 }
--- a/packages/daemon/src/app.ts
+++ b/packages/daemon/src/app.ts
@@ -1,5 +1,6 @@
 import { FaultCode, createFault } from '@bergamotreach/protocol';
 import type { Logger } from '@bergamotreach/protocol';
+import { RequestError } from '@hono/node-server';
 import { Hono } from 'hono';
 import type { MiddlewareHandler } from 'hono';
 import { createFaultResponse, createJsonResponse } from './answer.ts';
@@ -18,6 +19,7 @@
 export interface AppParts
   extends RequestRouteParts, JobRouteParts, ConfigRouteParts, OperatorRouteParts {
   auth: Authenticator;
+  isDraining: () => boolean;
   logger: Logger;
 }
 
@@ -48,6 +50,16 @@
   };
 }
 
+/** Answer when a request cannot be handed to the application, for example for its host header. */
+export function createListenerFault(error: unknown, logger: Logger): Response {
+  if (error instanceof RequestError) {
+    return createFaultResponse(createFault(FaultCode.BadRequest, error.message));
+  }
+  const reason = error instanceof Error ? error.message : String(error);
+  logger.error('http_listener_failed', { reason });
+  return createFaultResponse(createFault(FaultCode.Internal, 'internal error'));
+}
+
 /** Builds the HTTP interface for callers and operators. */
 export function createApp(parts: AppParts): Hono<WebEnv> {
   const app = new Hono<WebEnv>();
--- a/packages/daemon/src/body.ts
+++ b/packages/daemon/src/body.ts
@@ -22,6 +22,11 @@
   return createFault(FaultCode.TooLarge, `body exceeds ${maxBytes} bytes`);
 }
 
+function createIncomplete(): Fault {
+  const message = 'connection closed before the body was complete';
+  return createFault(FaultCode.BadRequest, message);
+}
+
 /** Creates a reader whose bodies together stay within `budgetBytes`. */
 export function createBodyReader(budgetBytes: number): BodyReader {
   let usedBytes = 0;
@@ -35,20 +40,35 @@
     return undefined;
   }
 
+  /** Keeps the chunks of a body; resolves with a fault as soon as one is known. */
   async function collect(
     request: IncomingMessage,
     maxBytes: number,
     chunks: Buffer[],
   ): Promise<Fault | undefined> {
     let size = 0;
-    for await (const chunk of request as AsyncIterable<Buffer>) {
+    let finish: (fault?: Fault) => void = () => undefined;
+    const handleData = (chunk: Buffer): void => {
       size += chunk.length;
-      if (size > maxBytes) return createTooLarge(maxBytes);
-      const fault = takeBytes(chunk.length);
-      if (fault !== undefined) return fault;
-      chunks.push(chunk);
-    }
-    return undefined;
+      const fault = size > maxBytes ? createTooLarge(maxBytes) : takeBytes(chunk.length);
+      if (fault === undefined) chunks.push(chunk);
+      else finish(fault);
+    };
+    const handleEnd = (): void => {
+      finish();
+    };
+    const handleClose = (): void => {
+      finish(createIncomplete());
+    };
+    const fault = await new Promise<Fault | undefined>((resolve) => {
+      finish = resolve;
+      // Not an async iterator: leaving one early destroys the connection before the answer is sent.
+      request.on('data', handleData).on('end', handleEnd);
+      request.on('error', handleClose).on('close', handleClose);
+      if (request.destroyed) handleClose();
+    });
+    request.off('data', handleData).off('end', handleEnd).off('close', handleClose);
+    return fault;
   }
 
   async function readBody(
@@ -59,9 +79,7 @@
       return Err(createTooLarge(maxBytes));
     }
     const chunks: Buffer[] = [];
-    const fault = await collect(request, maxBytes, chunks).catch(() =>
-      createFault(FaultCode.BadRequest, 'connection closed before the body was complete'),
-    );
+    const fault = await collect(request, maxBytes, chunks);
     if (fault === undefined) return Ok(Buffer.concat(chunks));
     for (const chunk of chunks) usedBytes -= chunk.length;
     return Err(fault);
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -7,7 +7,7 @@
 import { MessageType, waitFor } from '@bergamotreach/protocol';
 import type { Fault } from '@bergamotreach/protocol';
 import type { Result } from 'ts-results-es';
-import { createApp } from './app.ts';
+import { createApp, createListenerFault } from './app.ts';
 import { createAuthenticator } from './auth.ts';
 import { createBodyReader } from './body.ts';
 import { startHttpServer } from './httpserver.ts';
@@ -42,6 +42,8 @@
 interface RunState {
   config: EffectiveConfig | undefined;
   isDraining: boolean;
+  /** New work is refused. Begins after balancers have had time to see that the daemon drains. */
+  isRefusing: boolean;
   /** Set once the listener is open. */
   server: HttpServer | undefined;
 }
@@ -89,7 +91,12 @@
 /** Starts all tasks of a daemon. Rejects when an address cannot be used. */
 export async function startDaemon(base: DaemonBase): Promise<Daemon> {
   const { settings, clock, logger, metrics, clients } = base;
-  const state: RunState = { config: undefined, isDraining: false, server: undefined };
+  const state: RunState = {
+    config: undefined,
+    isDraining: false,
+    isRefusing: false,
+    server: undefined,
+  };
   const tasks = await createTasks(base, applyConfig);
   const auth = createAuthenticator(settings.operatorTokenHash);
   const bodies = createBodyReader(bodyBudgetBytes);
@@ -140,6 +147,7 @@
     state.server?.startDraining();
     await tasks.owner.stop();
     await waitFor(clock, drainNoticeMs);
+    state.isRefusing = true;
     tasks.router.startDraining();
     const closed = state.server?.close();
     await tasks.router.waitIdle();
@@ -191,12 +199,15 @@
     task: tasks.configTask,
     ownRegion: settings.region,
     isDraining: () => state.isDraining,
+    isRefusing: () => state.isRefusing,
     getConfig: () => state.config,
     getInstances: () => poller.getInstances(),
     getDump,
     startDraining,
   });
-  const listener = getRequestListener(app.fetch);
+  const listener = getRequestListener(app.fetch, {
+    errorHandler: (error) => createListenerFault(error, logger),
+  });
   const server = await startHttpServer({
     address: settings.httpAddress,
     handler: (request, response) => void listener(request, response),
--- a/packages/daemon/src/jobroutes.ts
+++ b/packages/daemon/src/jobroutes.ts
@@ -15,7 +15,8 @@
   jobs: JobService;
   bodies: BodyReader;
   ownRegion: string;
-  isDraining: () => boolean;
+  /** Whether new work is refused because the daemon shuts down. */
+  isRefusing: () => boolean;
   getConfig: () => EffectiveConfig | undefined;
 }
 
@@ -35,7 +36,7 @@
     const message = 'no configuration is in force yet';
     return createFaultResponse(createFault(FaultCode.StoreUnavailable, message, { retryAfterMs }));
   }
-  if (parts.isDraining()) {
+  if (parts.isRefusing()) {
     const message = 'this daemon is shutting down';
     return createFaultResponse(createFault(FaultCode.Draining, message, { retryAfterMs }));
   }
--- a/packages/daemon/src/jobsubmission.ts
+++ b/packages/daemon/src/jobsubmission.ts
@@ -49,7 +49,7 @@
 
 function findNumberFault(input: Record<string, unknown>): Fault | undefined {
   for (const [key, rule] of Object.entries(numberRules)) {
-    const value = input[key] ?? rule.default;
+    const value = input[key] === undefined ? rule.default : input[key];
     const isValid =
       typeof value === 'number' &&
       Number.isInteger(value) &&
--- a/packages/daemon/src/requestroutes.ts
+++ b/packages/daemon/src/requestroutes.ts
@@ -25,6 +25,7 @@
 }
 
 const requestIdPattern = /^[!-~]{1,128}$/u;
+const deadlinePattern = /^\d{1,15}$/u;
 const safeMethods = new Set(['GET', 'HEAD']);
 const noConfigRetryMs = 1000;
 
@@ -45,8 +46,8 @@
 function parseDeadline(context: WebContext, config: EffectiveConfig): Result<number, Fault> {
   const value = context.req.header('x-deadline-ms');
   if (value === undefined) return Ok(config.limits.defaultRequestMs);
-  const deadlineMs = Number(value);
-  if (Number.isInteger(deadlineMs) && deadlineMs > 0) return Ok(deadlineMs);
+  const deadlineMs = deadlinePattern.test(value) ? Number(value) : 0;
+  if (deadlineMs > 0) return Ok(deadlineMs);
   return Err(createHeaderFault('x-deadline-ms', `must be a positive integer, found "${value}"`));
 }
 
@@ -88,6 +89,8 @@
   outgoing.once('close', () => {
     if (!outgoing.writableFinished) controller.abort();
   });
+  // The caller may have gone right after the last byte of its body.
+  if (outgoing.destroyed) controller.abort();
   return controller.signal;
 }
 
--- a/packages/daemon/src/run.ts
+++ b/packages/daemon/src/run.ts
@@ -1,5 +1,6 @@
 import { writeSync } from 'node:fs';
 import {
+  ExitCode,
   createLogger,
   createMetrics,
   createNullMetrics,
@@ -48,13 +49,16 @@
     level: settings.logLevel,
     write: (line) => process.stdout.write(line),
   });
-  const daemon = await startDaemon({
-    settings,
-    clock: createSystemClock(),
-    logger,
-    metrics: openMetrics(settings),
-    clients: openPlatformClients(settings.platformUrl),
-  });
+  const base = { settings, clock: createSystemClock(), logger };
+  const clients = openPlatformClients(settings.platformUrl);
+  let daemon: Daemon;
+  try {
+    daemon = await startDaemon({ ...base, metrics: openMetrics(settings), clients });
+  } catch (error) {
+    const reason = error instanceof Error ? error.message : String(error);
+    writeSync(stderrDescriptor, `bergamotreach: cannot start: ${reason}\n`);
+    return ExitCode.Unavailable;
+  }
   handleSignals(daemon);
   await daemon.finished;
   return 0;
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -39,9 +39,9 @@
 function parseJson(text: string): Result<unknown, Fault> {
   try {
     return Ok(JSON.parse(text) as unknown);
-  } catch (error) {
-    const reason = error instanceof Error ? error.message : String(error);
-    return Err(createFault(FaultCode.ConfigInvalid, `settings are not JSON: ${reason}`));
+  } catch {
+    // The parser's message quotes the text, which holds secrets.
+    return Err(createFault(FaultCode.ConfigInvalid, 'settings file is not valid JSON'));
   }
 }
 
--- a/packages/daemon/src/settingscheck.ts
+++ b/packages/daemon/src/settingscheck.ts
@@ -1,3 +1,4 @@
+import { isIPv4 } from 'node:net';
 import { FaultCode, LogLevel, createFault } from '@bergamotreach/protocol';
 import type { Fault } from '@bergamotreach/protocol';
 import { Err, Ok } from 'ts-results-es';
@@ -5,11 +6,24 @@
 import * as z from 'zod/mini';
 import type { DaemonSettings } from './settings.ts';
 
+const maxPort = 65_535;
+
+/** Whether a text is an IPv4 number and a port. Port 0 chooses a free one. */
+function isAddress(text: string): boolean {
+  const [host = '', port = '', ...rest] = text.split(':');
+  const isPort = /^\d{1,5}$/u.test(port) && Number(port) <= maxPort;
+  return isIPv4(host) && isPort && rest.length === 0;
+}
+
 const address = z
   .string()
-  .check(
-    z.regex(/^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/u, 'expected ip:port, for example 10.0.0.5:8080'),
-  );
+  .check(z.refine(isAddress, 'expected ip:port, for example 10.0.0.5:8080'));
+const httpPrefix = 'http://';
+
+function isHttpUrl(text: string): boolean {
+  return text.startsWith(httpPrefix) && isAddress(text.slice(httpPrefix.length));
+}
+
 const hash = z.string().check(z.regex(/^[0-9a-f]{64}$/u, 'expected 64 hexadecimal digits'));
 const name = z
   .string()
@@ -22,12 +36,14 @@
   dataCentre: name,
   httpAddress: address,
   peerAddress: address,
-  platformUrl: z.string().check(z.regex(/^http:\/\/[^/]+$/u, 'expected http://ip:port')),
+  platformUrl: z.string().check(z.refine(isHttpUrl, 'expected http://ip:port')),
   seeds: z._default(z.array(address), []),
   peerSecret: z.string().check(z.minLength(minSecretLength)),
   operatorTokenHash: hash,
   logLevel: z._default(z.enum(LogLevel), LogLevel.Info),
-  statsd: z.optional(z.strictObject({ host: z.string(), port: z.int().check(z.positive()) })),
+  statsd: z.optional(
+    z.strictObject({ host: z.string(), port: z.int().check(z.gte(1), z.lte(maxPort)) }),
+  ),
 });
 
 function formatIssue(issue: z.core.$ZodIssue): string {
