--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,10 +1,11 @@
 import { defineCommand, runMain } from 'citty';
 
 const main = defineCommand({
-  meta: { name: 'bench', description: 'Benchmarks of bergamotreach' },
+  meta: { name: 'bench', description: 'Benchmarks of bergamotreach; load goes to loopback only' },
+  // Each benchmark is loaded only when it is run.
   subCommands: {
-    // Each benchmark is loaded only when it is run.
-    placement: () => import('./placement/command.ts').then((module) => module.placementCommand),
+    placement: async () => (await import('./placement/command.ts')).placementCommand,
+    restarts: async () => (await import('./restarts/command.ts')).restartsCommand,
   },
 });
 
