Add failure scenarios on real processes and a capacity benchmark

Change: `npm run failures -- FAULT[+FAULT]` starts a stand-in and three daemons, runs a gang job and requests while it causes the named faults, checks the invariants and prints one verdict line with the seed. packages/bench/src/capacity measures roles at several sizes and fits lines; the command still has to be joined with the benchmark's main program.

--- /dev/null
+++ b/packages/bench/src/capacity/report.ts
@@ -0,0 +1,46 @@
+import { computeLine } from './fit.ts';
+import { roles } from './roles.ts';
+import type { Point, Role } from './roles.ts';
+import type { Usage } from './sample.ts';
+
+interface Measure {
+  key: keyof Usage;
+  label: string;
+  budget: number;
+}
+
+const measures: Measure[] = [
+  { key: 'cpuPercent', label: 'core %', budget: 1.3 },
+  { key: 'residentMb', label: 'resident MB', budget: 64 },
+  { key: 'kilobytesPerSecond', label: 'KB/s', budget: 26 },
+];
+
+/** Renders one measured size. */
+function formatPoint(role: Role, point: Point): string {
+  const values = measures.map(({ key, label }) => `${point.usage[key].toFixed(2)} ${label}`);
+  return `  ${String(point.x).padStart(5)} ${role.unit}: ${values.join(', ')} ${point.note}`;
+}
+
+/** Renders the line through the measured sizes and its value at the design size. */
+function formatLine(role: Role, points: readonly Point[], measure: Measure): string {
+  const { key, label, budget } = measure;
+  const line = computeLine(points.map(({ x, usage }) => ({ x, y: usage[key] })));
+  const atDesign = line.base + line.slope * role.designSize;
+  const verdict = atDesign <= budget ? 'within' : `over by ${(atDesign - budget).toFixed(2)}`;
+  const text = `${line.base.toFixed(3)} + ${line.slope.toFixed(5)} x`;
+  return `  ${label.padEnd(12)} ${text.padEnd(24)} at ${role.designSize}: ${atDesign.toFixed(2)} (budget ${budget}, ${verdict})`;
+}
+
+/** Measures every role and prints its sizes, lines and values at the design size. */
+export async function runCapacity(): Promise<void> {
+  for (const role of roles) {
+    console.log(`${role.name}, by ${role.unit}`);
+    const points: Point[] = [];
+    for (const size of role.sizes) {
+      const point = await role.measure(size);
+      points.push(point);
+      console.log(formatPoint(role, point));
+    }
+    for (const measure of measures) console.log(formatLine(role, points, measure));
+  }
+}
--- /dev/null
+++ b/packages/bench/src/failures/main.ts
@@ -0,0 +1,35 @@
+import { parseArgs } from 'node:util';
+import { closeClient } from '../cluster/index.ts';
+import { runScenario } from './scenario.ts';
+import type { Verdict } from './scenario.ts';
+
+/** Renders the verdict of a scenario as one line. */
+function formatVerdict({ name, seed, violations, figures }: Verdict): string {
+  const pairs = Object.entries(figures).map(([key, value]) => `${key}=${value}`);
+  const reasons = violations.length === 0 ? '' : `  ${violations.join('; ')}`;
+  const word = violations.length === 0 ? 'ok  ' : 'FAIL';
+  return `${word} ${name} seed=${seed} ${pairs.join(' ')}${reasons}`;
+}
+
+async function runNamed(name: string, seed: number): Promise<Verdict> {
+  try {
+    return await runScenario(name, seed);
+  } catch (error) {
+    const message = error instanceof Error ? error.message : String(error);
+    return { name, seed, violations: [`scenario did not run: ${message}`], figures: {} };
+  }
+}
+
+const { values, positionals } = parseArgs({
+  options: { seed: { type: 'string', default: '7' } },
+  allowPositionals: true,
+});
+let exitCode = positionals.length === 0 ? 1 : 0;
+if (exitCode !== 0) console.error('usage: npm run failures -- FAULT[+FAULT] ... [--seed N]');
+for (const name of positionals) {
+  const verdict = await runNamed(name, Number(values.seed));
+  console.log(formatVerdict(verdict));
+  if (verdict.violations.length > 0) exitCode = 1;
+}
+await closeClient();
+process.exit(exitCode);
