--- a/packages/bench/src/capacity/command.ts
+++ b/packages/bench/src/capacity/command.ts
@@ -3,10 +3,11 @@
 /** `npm run bench -- capacity`: cost of each role of a daemon, and its value at the design size. */
 export const capacityCommand = defineCommand({
   meta: { name: 'capacity', description: 'Measures the cost of each role of a daemon' },
-  run: async () => {
+  args: { role: { type: 'string', default: '', description: 'part of a role name; empty: all' } },
+  run: async ({ args }) => {
     const { closeClient } = await import('../cluster/index.ts');
     const { runCapacity } = await import('./report.ts');
-    await runCapacity();
+    await runCapacity(args.role);
     await closeClient();
   },
 });
