--- a/packages/bench/src/placement/measure.ts
+++ b/packages/bench/src/placement/measure.ts
@@ -69,7 +69,7 @@
     usedAcceleratorMs: 0,
     idleWhileFitsMs: 0,
   };
-  const change = (workers: readonly string[], accelerators: number): void => {
+  const changeFree = (workers: readonly string[], accelerators: number): void => {
     for (const worker of workers) {
       const index = indexOf.get(worker);
       if (index === undefined) throw new Error(`worker "${worker}" does not exist`);
@@ -107,10 +107,10 @@
       addFragmentation([...shapes.values()], durationMs);
     },
     take: (workers, accelerators) => {
-      change(workers, -accelerators);
+      changeFree(workers, -accelerators);
     },
     release: (workers, accelerators) => {
-      change(workers, accelerators);
+      changeFree(workers, accelerators);
     },
     getTotals: () => totals,
   };
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -33,6 +33,7 @@
 const status = runFiles(green);
 for (const file of files.filter((name) => knownRed.includes(name))) {
   console.log(`known red (KNOWN-RED.txt): ${file}`);
-  runFiles([file]);
+  const isRed = runFiles([file]) !== 0;
+  if (!isRed) console.log(`${file} passes now: remove its entry from KNOWN-RED.txt`);
 }
 process.exit(status);
