--- a/packages/bench/src/placement/replay.ts
+++ b/packages/bench/src/placement/replay.ts
@@ -180,7 +180,7 @@
     const { attempt } = placement;
     return { kind: EventKind.GangEnded, jobId, attempt, end: how, worker: '' };
   };
-  const createArrival = (job: BenchJob): PlacementEvent => {
+  const addArrival = (job: BenchJob): PlacementEvent => {
     const { jobId } = job.spec;
     waiting.set(jobId, job);
     results.set(jobId, {
@@ -196,7 +196,7 @@
     return createArrival(job);
   };
   const handle = (due: Due): void => {
-    if (due.kind === 'arrive') decide([createArrival(due.job)]);
+    if (due.kind === 'arrive') decide([addArrival(due.job)]);
     else if (due.kind === 'running') {
       if (gangs.get(due.gang.job.spec.jobId) !== due.gang) return;
       const { jobId, attempt } = due.gang.placement;
