--- a/packages/placement/tests/history.ts
+++ b/packages/placement/tests/history.ts
@@ -34,6 +34,7 @@
 interface Dump {
   bindings: DumpBinding[];
   gangs: DumpGang[];
+  claims: { capacityClass: CapacityClass; workers: string[] }[];
   workers: { id: string; isLost: boolean; isQuarantined: boolean }[];
 }
 
@@ -115,6 +116,18 @@
       owner.set(slot, account);
     }
   }
+  const guaranteed = dump.gangs.filter((gang) => gang.capacityClass === CapacityClass.Guaranteed);
+  const used = new Set(guaranteed.flatMap((gang) => gang.slots));
+  const claimed = new Set(
+    dump.claims
+      .filter((claim) => claim.capacityClass === CapacityClass.Guaranteed)
+      .flatMap((claim) => claim.workers),
+  );
+  // A bound cell without guaranteed work in it would be withheld from its account for ever.
+  for (const { slots } of dump.bindings) {
+    const isUsed = slots.some((slot) => used.has(slot) || claimed.has(slot.split('/')[0]!));
+    expect(isUsed).toEqual(true);
+  }
   const inUse = new Set<string>();
   for (const gang of dump.gangs) {
     for (const slot of gang.slots) {
--- a/packages/placement/tests/oversell.test.ts
+++ b/packages/placement/tests/oversell.test.ts
@@ -102,6 +102,15 @@
   expect(accepted).toBeGreaterThan(100);
 });
 
+// Guards against a reserve of one small cell for the loss of a worker with several of them.
+test('loss reserve covers whole workers when only small shapes are sold', () => {
+  const workers = createWorkers(3, 4);
+  expect(checkConfig(createSold([['x', Adjacency.Worker, 1, 8]], 1), workers).isOk()).toEqual(true);
+  expect(checkConfig(createSold([['x', Adjacency.Worker, 1, 9]], 1), workers).isOk()).toEqual(
+    false,
+  );
+});
+
 // Guards against a refusal that does not tell what to change.
 test('oversell error names account, shape and level', () => {
   const workers = createWorkers(2, 8);
--- a/packages/placement/tests/scenario.test.ts
+++ b/packages/placement/tests/scenario.test.ts
@@ -134,6 +134,68 @@
   expect(back.filter((line) => line.startsWith('start')).length).toEqual(3);
 });
 
+// Guards against a good job that fails because of the workers that were found at fault.
+test('failures on a quarantined worker do not count against jobs', () => {
+  const scheduler = createScheduler(createConfig([createAccount('a')]), createWorkers(4, 4));
+  const names = ['j1', 'j2', 'j3'];
+  scheduler.applyEvents(
+    names.map((id) => createArrival(createJob(id, 'a'))),
+    0,
+  );
+  const first = listStarted(scheduler.decide(0));
+  const faulty = first[0]!.members[0]!.worker;
+  expect(first.map(({ members }) => members[0]!.worker)).toEqual([faulty, faulty, faulty]);
+  const fail = (jobId: string, attempt: number, worker: string): PlacementEvent =>
+    createEnd(jobId, attempt, GangEnd.MemberFailed, worker);
+  scheduler.applyEvents(
+    names.map((id) => fail(id, 1, faulty)),
+    1,
+  );
+  for (let attempt = 2; attempt <= 3; attempt += 1) {
+    const next = listStarted(scheduler.decide(attempt)).find(({ jobId }) => jobId === 'j1')!;
+    scheduler.applyEvents([fail('j1', attempt, next.members[0]!.worker)], attempt);
+  }
+  // Two failures elsewhere are fewer than `maxAttempts`.
+  expect(format(scheduler.decide(4))).toEqual([`start j1 ${CapacityClass.Lent}`]);
+});
+
+// Guards against a new guarantee that cells bound before in bad places make impossible.
+test('changed configuration frees badly placed cells', () => {
+  const accounts = (first: number, second: number) => [
+    createAccount('a', [[1, first]]),
+    createAccount('b', [[8, second]]),
+  ];
+  const scheduler = createScheduler(createConfig(accounts(16, 0)), createWorkers(2, 8));
+  const names = Array.from({ length: 16 }, (_, index) => `j${index}`);
+  scheduler.applyEvents(
+    names.map((id) => createArrival(createJob(id, 'a'))),
+    0,
+  );
+  const kept = new Map(
+    listStarted(scheduler.decide(0)).map(({ jobId, members }) => [members[0]!.worker, jobId]),
+  );
+  expect(kept.size).toEqual(2);
+  const ended = names.filter((id) => ![...kept.values()].includes(id));
+  scheduler.applyEvents(
+    ended.map((id) => createEnd(id, 1, GangEnd.Done)),
+    1,
+  );
+  scheduler.decide(1);
+  const config = createConfig(accounts(2, 1));
+  scheduler.applyEvents([{ kind: EventKind.ConfigChanged, config }], 2);
+  expect(scheduler.decide(2)).toEqual([]);
+  const big = createJob('big', 'b', { accelerators: 8, within: Adjacency.Worker });
+  scheduler.applyEvents([createArrival(big, 3)], 3);
+  const [stop] = scheduler.decide(3);
+  if (stop?.kind !== ActionKind.StopGang) throw new Error('no work was stopped');
+  scheduler.applyEvents([createEnd(stop.jobId, 1, GangEnd.Stopped)], 4);
+  const started = format(scheduler.decide(4)).sort();
+  expect(started).toEqual([
+    `start big ${CapacityClass.Guaranteed}`,
+    `start ${stop.jobId} ${CapacityClass.Guaranteed}`,
+  ]);
+});
+
 // Guards against a cancellation wave that is handled job by job.
 test('1,000 cancellations take one pass', () => {
   const scheduler = createScheduler(createConfig([createAccount('a')]), createWorkers(500, 1));
--- a/packages/placement/tests/wait.test.ts
+++ b/packages/placement/tests/wait.test.ts
@@ -40,6 +40,8 @@
     }
     history.confirmStarts();
     for (const [jobId, gang] of history.gangs) {
+      // A later gang that stopped an earlier one would be stopped by it in turn.
+      if (jobId.startsWith('g')) expect(gang.isStopping).toEqual(false);
       if (jobId.startsWith('g') && !waits.has(jobId)) waits.set(jobId, index - firstIndex);
       if (!ends.has(jobId)) ends.set(jobId, history.getNowMs() + duration);
       if (gang.isStopping && !stopsDue.has(jobId)) stopsDue.set(jobId, history.getNowMs());
