--- a/packages/bench/src/placement/cost.ts
+++ b/packages/bench/src/placement/cost.ts
@@ -52,8 +52,9 @@
     account,
     members: 1,
     accelerators: 1,
-    cores: 1,
-    memoryMb: 1000,
+    // Small enough for 38,000 tasks beside the share of tasks with accelerators.
+    cores: 0.1,
+    memoryMb: 100,
     within: Adjacency.DataCentre,
     urgent: false,
     declaredSeconds: 3600,
--- a/packages/placement/src/core.ts
+++ b/packages/placement/src/core.ts
@@ -36,7 +36,7 @@
     lastReserved: undefined,
     isGuaranteeDirty: true,
     isCapacityDirty: true,
-    hasArrivals: false,
+    arrivals: new Set(),
     reported: new Map(),
     nextWakeMs: undefined,
     nextSequence: 0,
@@ -70,12 +70,15 @@
   return Err(createFault(FaultCode.NeverFits, message, { path: ['members'] }));
 }
 
-function isPassDue(state: CoreState): boolean {
-  return (
-    state.isCapacityDirty ||
-    state.hasArrivals ||
-    (state.nextWakeMs !== undefined && state.nextWakeMs <= state.nowMs)
-  );
+/**
+ * Goes over the whole queue when capacity grew or a job's position may have changed, else over the
+ * jobs that arrived: the others are known not to fit.
+ */
+function runDuePass(state: CoreState, actions: PlacementAction[]): void {
+  const isWakeDue = state.nextWakeMs !== undefined && state.nextWakeMs <= state.nowMs;
+  if (isWakeDue) state.nextWakeMs = undefined;
+  if (state.isCapacityDirty || isWakeDue) runPass(state, state.queue, actions);
+  else if (state.arrivals.size > 0) runPass(state, state.arrivals, actions);
 }
 
 function decide(state: CoreState): PlacementAction[] {
@@ -84,7 +87,7 @@
   const actions = state.pending;
   state.pending = [];
   if (state.isCapacityDirty) startReadyClaims(state, actions);
-  if (isPassDue(state)) runPass(state, actions);
+  runDuePass(state, actions);
   if (state.isGuaranteeDirty) reportGuarantees(state, actions);
   state.isGuaranteeDirty = false;
   return actions;
--- a/packages/placement/src/events.ts
+++ b/packages/placement/src/events.ts
@@ -26,7 +26,7 @@
   job.attempts = event.attempts;
   state.jobs.set(jobId, job);
   state.queue.add(job);
-  state.hasArrivals = true;
+  state.arrivals.add(job);
 }
 
 function applyRecovery(state: CoreState, event: EventOf<EventKind.GangRecovered>): void {
@@ -78,7 +78,7 @@
 function requeueJob(state: CoreState, job: Job, hasRun: boolean): void {
   if (hasRun) job.queuedAtMs = state.nowMs;
   state.queue.add(job);
-  state.hasArrivals = true;
+  state.arrivals.add(job);
 }
 
 function applyEnd(state: CoreState, event: EventOf<EventKind.GangEnded>): void {
--- a/packages/placement/src/pass.ts
+++ b/packages/placement/src/pass.ts
@@ -192,9 +192,11 @@
   return [job.notBeforeMs, reservedAtMs].filter((timeMs) => timeMs > state.nowMs);
 }
 
-function updateWake(state: CoreState): void {
-  let nextMs = state.lastReserved === undefined ? Infinity : state.nowMs + nextReservedMs;
-  for (const job of state.queue) {
+function updateWake(state: CoreState, jobs: ReadonlySet<Job>): void {
+  let nextMs = jobs === state.queue ? Infinity : (state.nextWakeMs ?? Infinity);
+  if (state.lastReserved !== undefined) nextMs = state.nowMs + nextReservedMs;
+  for (const job of jobs) {
+    if (!state.queue.has(job)) continue;
     if (job.accelerators > 0) nextMs = Math.min(nextMs, state.nowMs + stopPeriodMs);
     for (const wakeMs of listWakes(state, job)) nextMs = Math.min(nextMs, wakeMs);
   }
@@ -210,17 +212,23 @@
 }
 
 /** Starts what can be started, guaranteed work first, in the order of the queue. */
-export function runPass(state: CoreState, actions: PlacementAction[]): void {
+export function runPass(
+  state: CoreState,
+  jobs: ReadonlySet<Job>,
+  actions: PlacementAction[],
+): void {
   const pass: Pass = { state, actions, stopPlans: 0, movePlans: 0, candidates: undefined };
   if (state.isCapacityDirty) state.blockedShapes.clear();
   if (state.unstoppable.size > maxUnstoppable) state.unstoppable.clear();
   state.isCapacityDirty = false;
-  state.hasArrivals = false;
-  const order = listInOrder(state).filter((job) => job.notBeforeMs <= state.nowMs);
+  const order = listInOrder(state, jobs).filter(
+    (job) => state.queue.has(job) && job.notBeforeMs <= state.nowMs,
+  );
   for (const job of order) if (isWithinQuota(job)) startGuaranteed(pass, job);
   startWaiting(pass, order, startLent);
   startReserved(pass, order);
   startWaiting(pass, order, startByMoving);
   startWaiting(pass, order, startByLevel);
-  updateWake(state);
+  updateWake(state, jobs);
+  state.arrivals.clear();
 }
--- a/packages/placement/src/queue.ts
+++ b/packages/placement/src/queue.ts
@@ -42,8 +42,8 @@
 }
 
 /** Orders waiting jobs: by priority level, urgent ones first within a level, then by rank. */
-export function listInOrder(state: CoreState): Job[] {
-  const ranked = [...state.queue].map((job) => {
+export function listInOrder(state: CoreState, jobs: Iterable<Job>): Job[] {
+  const ranked = [...jobs].map((job) => {
     job.level = computePriority(state, job);
     return { job, rank: computeRank(state, job) };
   });
--- a/packages/placement/src/state.ts
+++ b/packages/placement/src/state.ts
@@ -182,8 +182,8 @@
   isGuaranteeDirty: boolean;
   /** Whether capacity grew or a limit moved since the last pass over the queue. */
   isCapacityDirty: boolean;
-  /** Whether jobs arrived since the last pass over the queue. */
-  hasArrivals: boolean;
+  /** Jobs that arrived since the last pass over the queue. */
+  arrivals: Set<Job>;
   /** Broken guarantees as last reported, by account, data centre and accelerators. */
   reported: Map<string, GuaranteeReport>;
   /** Next time at which a decision may change without new events. */
