Give idle slots to the routers that lack them, and add the request bench

In virtual time, with three routers of which one takes two thirds of the load, utilisation at load 0.9 was 0.70 against 0.897 of one central queue: routers with little load kept a slot of headroom at each endpoint. Headroom is now taken over all endpoints together, and a grantor whose slots are scarce grants them for half the time, which tells the holders to ask for what they use.

Under overload on real processes, requests dispatched just before their deadline took endpoints out of service, and hints spread that to the peers. A missed deadline now counts only after four times the usual time, a hinted endpoint that answers returns at once, and the estimates have some slack.

--- /dev/null
+++ b/packages/bench/src/requests/retrysim.ts
@@ -0,0 +1,46 @@
+import { createRetryBudget } from '@bergamotreach/routing';
+import { createDraws } from './random.ts';
+
+/** Result of an outage with or without a retry budget. */
+export interface RetryResult {
+  hasBudget: boolean;
+  /** Attempts per request while all endpoints fail. */
+  outageLoad: number;
+  /** Part of the requests answered when one attempt in twenty is lost. */
+  answeredAtFewLosses: number;
+}
+
+const maxAttempts = 4;
+const requests = 20_000;
+const fewLosses = 0.05;
+
+function runAttempts(
+  lossRate: number,
+  hasBudget: boolean,
+  seed: number,
+): { attempts: number; answered: number } {
+  const draws = createDraws(seed);
+  const budget = createRetryBudget(() => ({ retryRatio: 0.1, maxRetryTokens: 10 }));
+  let attempts = 0;
+  let answered = 0;
+  for (let request = 0; request < requests; request += 1) {
+    budget.addRequest('account');
+    for (let attempt = 0; attempt < maxAttempts; attempt += 1) {
+      if (attempt > 0 && hasBudget && !budget.takeRetry('account')) break;
+      attempts += 1;
+      if (draws.getUniform() < lossRate) continue;
+      answered += 1;
+      break;
+    }
+  }
+  return { attempts, answered };
+}
+
+/** Compares retries without a budget, up to four attempts, with the router's budget. */
+export function runRetries(hasBudget: boolean, seed: number): RetryResult {
+  return {
+    hasBudget,
+    outageLoad: runAttempts(1, hasBudget, seed).attempts / requests,
+    answeredAtFewLosses: runAttempts(fewLosses, hasBudget, seed).answered / requests,
+  };
+}
--- a/packages/routing/src/admission.ts
+++ b/packages/routing/src/admission.ts
@@ -22,6 +22,12 @@
   return (input.waiting * input.serviceMs) / (input.slots * input.share);
 }
 
+/**
+ * Part of the estimate that is added for its spread. Without it, a queue at its limit dispatches
+ * requests so late that their answers miss the deadline.
+ */
+const slack = 1.5;
+
 const minRetryAfterMs = 50;
 const maxRetryAfterMs = 5000;
 
@@ -33,7 +39,7 @@
 /** Refuses a request that cannot meet its deadline; `undefined` admits it. */
 export function checkAdmission(input: AdmissionInput): Fault | undefined {
   const waitMs = computeWaitMs(input);
-  const neededMs = waitMs + input.serviceMs;
+  const neededMs = slack * (waitMs + input.serviceMs);
   if (neededMs <= input.leftMs || (waitMs === 0 && input.leftMs > 0)) return undefined;
   return createFault(
     FaultCode.DeadlineTooShort,
--- a/packages/routing/src/attempt.ts
+++ b/packages/routing/src/attempt.ts
@@ -1,13 +1,15 @@
 import { createFault, FaultCode } from '@bergamotreach/protocol';
 import type { Fault } from '@bergamotreach/protocol';
 import type { RouterContext } from './context.ts';
-import { addServiceTime } from './endpoint.ts';
+import { addServiceTime, computeServiceMs } from './endpoint.ts';
 import type { Endpoint, RunningExchange } from './endpoint.ts';
 import type { Connection } from './connections.ts';
 import { ExchangeEnd, startExchange } from './exchange.ts';
 import type { Exchange, ExchangeResult } from './exchange.ts';
 import type { Ticket } from './ticket.ts';
 
+const suspectFactor = 4;
+
 /** Headers of the request to an endpoint. */
 function makeRequestHeaders(ticket: Ticket, nowMs: number): Record<string, string> {
   const { request } = ticket;
@@ -38,6 +40,16 @@
   return undefined;
 }
 
+/**
+ * Whether a missed deadline speaks against the endpoint: it answered nothing else meanwhile, and
+ * had several times as long as it usually takes. Requests dispatched shortly before their deadline
+ * would otherwise take every endpoint out of service under overload.
+ */
+function isSuspect(endpoint: Endpoint, startMs: number, nowMs: number): boolean {
+  const usualMs = computeServiceMs(endpoint, nowMs) ?? 0;
+  return endpoint.lastProgressMs < startMs && nowMs - startMs > suspectFactor * usualMs;
+}
+
 function reportHealth(
   endpoint: Endpoint,
   result: ExchangeResult,
@@ -53,8 +65,7 @@
   // Refused by this router's own check, so it says nothing about the endpoint.
   if (result.end === ExchangeEnd.NotSent && result.fault !== undefined) return;
   if (result.reason === 'caller_gone') return;
-  // A missed deadline counts only when the endpoint answered nothing else meanwhile.
-  if (result.reason === 'deadline' && endpoint.lastProgressMs >= startMs) return;
+  if (result.reason === 'deadline' && !isSuspect(endpoint, startMs, nowMs)) return;
   if (result.reason === 'ECONNREFUSED') endpoint.health.reportStall(nowMs);
   else endpoint.health.reportFailure(nowMs);
 }
@@ -72,7 +83,6 @@
   const grantor = context.credits.getGrantor(endpoint.instance.id);
   const running: RunningExchange = { startMs, endMs, grantor };
   endpoint.running.add(running);
-  endpoint.peakRunning = Math.max(endpoint.peakRunning, endpoint.running.size);
   const exchange = startExchange(connection.client, {
     requestId: ticket.request.requestId,
     method: ticket.request.method,
--- a/packages/routing/src/credits.ts
+++ b/packages/routing/src/credits.ts
@@ -23,6 +23,8 @@
   hasGrantor(endpoint: Endpoint): boolean;
   /** Part of the endpoint's slots that an even division would give to this daemon. */
   computeEvenSlots(endpoint: Endpoint): number;
+  /** Whether a grantor lately had fewer slots than were wanted. */
+  isScarce(nowMs: number): boolean;
   /** Asks the grantors for slots now. */
   requestSlots(): void;
   /** Asks the grantors for slots soon instead of at the next period. */
@@ -49,6 +51,8 @@
 
 const periodMs = 250;
 const soonMs = 20;
+/** While slots are scarce, unused ones go back sooner. */
+const scarcePeriodMs = 100;
 
 /** Creates the credit task: asks grantors for slots, and grants on delegated shares. */
 export function createSlotCredits(options: SlotCreditsOptions): SlotCredits {
@@ -76,6 +80,7 @@
   /** Endpoints for which each member last heard of slots wanted or in use. */
   let reported = new Map<string, Set<string>>();
   let lastRequestMs = -Infinity;
+  let scarceUntilMs = -Infinity;
   let cancelSoon: CancelTimer | undefined;
 
   /** A promise must outlive the grants made on it, and leave time to renew it. */
@@ -162,6 +167,11 @@
     }
   }
 
+  function noteScarcity(ttlMs: number): void {
+    const { creditMs } = getLimits();
+    if (ttlMs < creditMs) scarceUntilMs = clock.getNowMs() + creditMs;
+  }
+
   function sendRequest(
     peer: string,
     demands: CreditDemand[],
@@ -172,7 +182,9 @@
     if (sequence === undefined) return false;
     if (peer === selfId) {
       const grants = granting.grantSlots(selfId, sequence, demands, nowMs) ?? [];
-      wallet.applyGrant(selfId, sequence, grants, getLimits().creditMs);
+      const ttlMs = granting.computeGrantMs(demands, nowMs);
+      noteScarcity(ttlMs);
+      wallet.applyGrant(selfId, sequence, grants, ttlMs);
       return true;
     }
     granting.addShareRequest(peer, sequence, shares, nowMs);
@@ -213,6 +225,7 @@
     }
     reported = next;
     options.handleCredit();
+    if (nowMs < scarceUntilMs) cancelSoon ??= clock.setTimer(scarcePeriodMs, requestSlots);
   }
 
   function requestSoon(): void {
@@ -227,18 +240,14 @@
     // Promised shares last longer than a request runs, grants of slots much shorter.
     if (ttlMs > 2 * creditMs) granting.addShares(from, sequence, grants, ttlMs);
     else if (wallet.applyGrant(from, sequence, grants, Math.min(ttlMs, creditMs))) {
+      noteScarcity(ttlMs);
       options.handleCredit();
     }
   }
 
   membership.addHandler(MessageType.CreditGrant, handleGrant);
   membership.addViewListener(applyView);
-  const stop = runEvery(clock, periodMs, () => {
-    for (const endpoint of endpoints.listEndpoints()) {
-      endpoint.peakRunning = Math.max(endpoint.running.size, endpoint.peakRunning - 1);
-    }
-    requestSlots();
-  });
+  const stop = runEvery(clock, periodMs, requestSlots);
 
   return {
     countSlots: (endpoint, nowMs) => wallet.countSlots(endpoint.instance.id, nowMs),
@@ -248,6 +257,7 @@
       const sharers = listSharers(membership.getView().members, instance);
       return instance.capacity.slots / Math.max(1, sharers.length);
     },
+    isScarce: (nowMs) => nowMs < scarceUntilMs,
     requestSlots,
     requestSoon,
     getDump: () => granting.getDump(clock.getNowMs()),
--- a/packages/routing/src/dispatcher.ts
+++ b/packages/routing/src/dispatcher.ts
@@ -14,6 +14,7 @@
 import { createSettlement } from './settlement.ts';
 import type { TicketHandlers } from './settlement.ts';
 import type { Ticket } from './ticket.ts';
+import { computeTotalWanted, splitWanted } from './wanted.ts';
 
 /** State of a service for operators. */
 export interface ServiceDump {
@@ -37,6 +38,9 @@
 }
 
 const serviceMsGain = 0.05;
+const meanRunningGain = 0.05;
+/** A request dispatched later than this many mean times before its deadline is likely late. */
+const giveUpFactor = 1.25;
 
 /** Creates the dispatcher of a service. */
 export function createDispatcher(
@@ -50,6 +54,9 @@
   let serviceMs = (context.getConfig().services[service] ?? defaultService).expectedServiceMs;
   const selection = createSelection(context, service);
   const running = new Map<Ticket, Endpoint>();
+  const plans = new Map<string, Map<string, number>>();
+  let plannedAtMs = -Infinity;
+  let meanRunning = 0;
   const settlement = createSettlement({
     context,
     service,
@@ -71,7 +78,7 @@
 
   function setGiveUpTimer(ticket: Ticket, nowMs: number): void {
     ticket.cancelTimer();
-    const giveUpMs = ticket.deadlineMs - serviceMs;
+    const giveUpMs = ticket.deadlineMs - giveUpFactor * serviceMs;
     ticket.cancelTimer = context.clock.setTimer(Math.max(0, giveUpMs - nowMs), () => {
       refuse(ticket, createGiveUpFault(serviceMs));
     });
@@ -141,19 +148,40 @@
     for (const entry of queue.listEntries()) refuse(entry.item, createNoEndpointFault(service));
   }
 
-  function computeWanted(endpoint: Endpoint, nowMs: number): number {
-    const { region, capacity } = endpoint.instance;
+  /** Slots wanted at the endpoints of a region. */
+  function planWanted(region: string, candidates: readonly Candidate[]): Map<string, number> {
+    const listed = candidates.filter((candidate) => candidate.region === region);
+    const endpoints = listed.map(({ id, endpoint }) => {
+      const { slots } = endpoint.instance.capacity;
+      return { id, slots, running: endpoint.running.size };
+    });
+    const used = endpoints.reduce((sum, endpoint) => sum + endpoint.running, 0);
     const waiting = queue.countAll();
-    const candidates = selection.listCandidates(nowMs);
-    const peers = candidates.filter((candidate) => candidate.region === region);
-    if (!peers.some((candidate) => candidate.endpoint === endpoint)) return 0;
-    const running = endpoint.running.size;
-    const backlog = Math.ceil(waiting / peers.length);
     if (region === context.region) {
-      return Math.min(capacity.slots, Math.max(endpoint.peakRunning + 1, running + backlog));
+      const isScarce = context.credits.isScarce(plannedAtMs);
+      const load = { meanRunning, running: used, waiting, isScarce };
+      return splitWanted(computeTotalWanted(load), endpoints, context.selfId);
+    }
+    // Slots of other regions are asked for only while requests would go there.
+    const linkMs = 2 * selection.getLink(region).latencyMs;
+    const total = computeOwnWaitMs(candidates) > linkMs ? used + waiting : used;
+    return splitWanted(total, endpoints, context.selfId);
+  }
+
+  function computeWanted(endpoint: Endpoint, nowMs: number): number {
+    // All endpoints are asked about in one round, which plans once per region.
+    if (plannedAtMs !== nowMs) {
+      plans.clear();
+      plannedAtMs = nowMs;
+      meanRunning += meanRunningGain * (running.size - meanRunning);
+    }
+    const { id, region } = endpoint.instance;
+    let plan = plans.get(region);
+    if (plan === undefined) {
+      plan = planWanted(region, selection.listCandidates(nowMs));
+      plans.set(region, plan);
     }
-    const isWorthwhile = computeOwnWaitMs(candidates) > 2 * selection.getLink(region).latencyMs;
-    return isWorthwhile ? Math.min(capacity.slots, running + backlog) : running;
+    return plan.get(id) ?? 0;
   }
 
   function startTicket(ticket: Ticket, { endpoint, connection }: Target): void {
@@ -163,6 +191,7 @@
     const exchange = startAttempt(context, ticket, endpoint, connection);
     ticket.exchange = exchange;
     running.set(ticket, endpoint);
+    meanRunning += meanRunningGain * (running.size - meanRunning);
     context.work.addOne();
     // A request that must not run twice goes on after its caller's deadline, to learn the outcome.
     ticket.cancelTimer = context.clock.setTimer(ticket.deadlineMs - startMs, () => {
--- a/packages/routing/src/endpoint.ts
+++ b/packages/routing/src/endpoint.ts
@@ -18,8 +18,6 @@
   health: EndpointHealth;
   connections: Connections;
   running: Set<RunningExchange>;
-  /** Most requests in progress of late; falls by one with each credit round. */
-  peakRunning: number;
   /** Last time at which the endpoint answered anything. */
   lastProgressMs: number;
   /** Mean time of recent requests; meaningless before `measuredMs`. */
@@ -39,7 +37,6 @@
     health: createEndpointHealth(),
     connections: createConnections(instance.address, Math.max(1, instance.capacity.connections)),
     running: new Set(),
-    peakRunning: 0,
     lastProgressMs: -Infinity,
     serviceMs: 0,
     measuredMs: -Infinity,
--- a/packages/routing/src/granting.ts
+++ b/packages/routing/src/granting.ts
@@ -23,6 +23,11 @@
   canCollect(endpoint: Endpoint, nowMs: number): boolean;
   /** Ends the promises to a grantor that has ended and whose grants are accounted for. */
   endPromises(grantor: string, nowMs: number): void;
+  /**
+   * Validity of grants for these demands. Grants of scarce slots last half as long, which also
+   * tells their holders to ask for no more than they need.
+   */
+  computeGrantMs(demands: readonly CreditDemand[], nowMs: number): number;
   /** Forgets what a daemon held that has ended. */
   removeHolder(holder: string): void;
   /** Grants slots to a holder; `undefined` when a later request was seen. */
@@ -126,6 +131,14 @@
     return isPromised ? { endpoint: id, slots } : undefined;
   }
 
+  function computeGrantMs(demands: readonly CreditDemand[], nowMs: number): number {
+    const { creditMs } = getLimits();
+    const isScarce = demands.some(
+      ({ endpoint, wanted }) => wanted > 0 && ledger.isScarce(endpoint, getSlots(endpoint), nowMs),
+    );
+    return isScarce ? creditMs / 2 : creditMs;
+  }
+
   function handleRequest(from: string, message: CreditRequestMessage): void {
     const nowMs = clock.getNowMs();
     const { sequence, demands } = message;
@@ -133,7 +146,7 @@
     const grants = grantSlots(from, sequence, demands, nowMs);
     if (grants === undefined) return;
     const type = MessageType.CreditGrant as const;
-    membership.send(from, { type, sequence, grants, ttlMs: getLimits().creditMs });
+    membership.send(from, { type, sequence, grants, ttlMs: computeGrantMs(demands, nowMs) });
     // A demand for nothing asks for this daemon's own share.
     const shares = demands
       .filter((demand) => demand.wanted === 0)
@@ -168,6 +181,7 @@
         delegations.endPromise(endpoint.instance.id, grantor, Infinity, nowMs);
       }
     },
+    computeGrantMs,
     removeHolder: (holder) => {
       ledger.removeHolder(holder);
     },
--- a/packages/routing/src/health.ts
+++ b/packages/routing/src/health.ts
@@ -27,8 +27,8 @@
 const maxFailures = 3;
 const firstOutMs = 1000;
 const maxOutMs = 16_000;
-const slowStartMs = 5000;
-const firstUsableShare = 0.1;
+const slowStartMs = 3000;
+const firstUsableShare = 0.25;
 
 /** Creates the health record of an endpoint, healthy at first. */
 export function createEndpointHealth(): EndpointHealth {
@@ -36,6 +36,8 @@
   let outMs = firstOutMs;
   let outUntilMs = -Infinity;
   let isProbing = false;
+  /** The probe was asked for by a peer. */
+  let isHinted = false;
   let rampStartMs = -Infinity;
 
   function startOutage(nowMs: number): void {
@@ -44,6 +46,7 @@
     outUntilMs = nowMs + outMs;
     outMs = Math.min(maxOutMs, outMs * 2);
     isProbing = true;
+    isHinted = false;
     failures = 0;
   }
 
@@ -57,8 +60,10 @@
     if (!isProbing) return;
     if (nowMs < outUntilMs) return;
     isProbing = false;
+    // An endpoint that only a peer saw failing was never out here, so it needs no slow start.
+    if (!isHinted) rampStartMs = nowMs;
+    isHinted = false;
     outMs = firstOutMs;
-    rampStartMs = nowMs;
   }
 
   function getState(nowMs: number): HealthState {
@@ -76,7 +81,9 @@
   }
 
   function applyHint(nowMs: number): void {
-    if (getState(nowMs) === HealthState.Healthy) isProbing = true;
+    if (getState(nowMs) !== HealthState.Healthy) return;
+    isProbing = true;
+    isHinted = true;
   }
 
   return {
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,4 +1,13 @@
 export * from './config.ts';
 export type { RouterOptions } from './context.ts';
+export { createSlotCredits } from './credits.ts';
+export type { SlotCredits, SlotCreditsOptions } from './credits.ts';
+export type { Endpoint } from './endpoint.ts';
+export { chooseEndpoint } from './endpointchoice.ts';
+export { createEndpointSet } from './endpointset.ts';
+export type { EndpointSet } from './endpointset.ts';
+export { createFairQueue } from './fairqueue.ts';
 export * from './request.ts';
+export { createRetryBudget } from './retrybudget.ts';
 export * from './router.ts';
+export { computeTotalWanted, splitWanted } from './wanted.ts';
--- a/packages/routing/src/ledger.ts
+++ b/packages/routing/src/ledger.ts
@@ -30,6 +30,8 @@
     getSlots: (endpoint: string) => number,
     nowMs: number,
   ): CreditSlots[] | undefined;
+  /** Whether active holders want more slots of the endpoint than may be granted. */
+  isScarce(endpoint: string, slots: number, nowMs: number): boolean;
   /** Forgets a holder whose process has ended, and its exchanges with it. */
   removeHolder(holder: string): void;
   /** Slots that holders may be using, silent and paused holders included. */
@@ -122,17 +124,21 @@
     return total;
   }
 
-  function computeFairPart(endpoint: string, holder: string, capacity: number, nowMs: number) {
+  function listWants(endpoint: string, nowMs: number): { id: string; wanted: number }[] {
     const known = holdings.get(endpoint) ?? new Map<string, Holding>();
     const active = [...known.keys()].filter((id) => {
       const holding = known.get(id);
       return holding !== undefined && nowMs - holding.seenMs < getLimits().creditMs;
     });
-    const wants = rankMembers(endpoint, active).map((id) => ({
+    return rankMembers(endpoint, active).map((id) => ({
       id,
       wanted: known.get(id)?.wanted ?? 0,
     }));
-    return computeFairParts(capacity, wants).get(holder) ?? 0;
+  }
+
+  function isScarce(endpoint: string, slots: number, nowMs: number): boolean {
+    const wanted = listWants(endpoint, nowMs).reduce((sum, want) => sum + want.wanted, 0);
+    return wanted > computeCapacity(endpoint, slots, nowMs);
   }
 
   function applyReport(holder: string, demand: CreditDemand, sequence: number, nowMs: number) {
@@ -163,7 +169,8 @@
   ): number {
     const capacity = computeCapacity(demand.endpoint, slots, nowMs);
     const free = capacity - countHeldBy(demand.endpoint, nowMs, holder);
-    const fair = computeFairPart(demand.endpoint, holder, capacity, nowMs);
+    const parts = computeFairParts(capacity, listWants(demand.endpoint, nowMs));
+    const fair = parts.get(holder) ?? 0;
     const granted = Math.max(0, Math.min(demand.wanted, free, fair));
     if (granted > 0) {
       const untilMs = nowMs + getUseMs();
@@ -229,6 +236,7 @@
     },
     listDelegators: (endpoint) => [...(shares.get(endpoint)?.keys() ?? [])],
     computeCapacity,
+    isScarce,
     handleRequest,
     removeHolder: (holder) => {
       dropUnlisted(holder, new Set());
