--- /dev/null
+++ b/packages/bench/src/main.ts
@@ -0,0 +1,12 @@
+import { defineCommand, runMain } from 'citty';
+
+const main = defineCommand({
+  meta: { name: 'bench', description: 'Benchmarks of bergamotreach; load goes to loopback only' },
+  // Each benchmark is loaded only when it is run.
+  subCommands: {
+    placement: async () => (await import('./placement/command.ts')).placementCommand,
+    restarts: async () => (await import('./restarts/command.ts')).restartsCommand,
+  },
+});
+
+await runMain(main);
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,13 +1,13 @@
 import { getRequestListener } from '@hono/node-server';
 import type { EffectiveConfig } from '@bergamotreach/config';
 import { createScheduler } from '@bergamotreach/placement';
-import type { JobSpec, WorkerSpec } from '@bergamotreach/placement';
+import type { JobSpec, PlacementConfig, WorkerSpec } from '@bergamotreach/placement';
 import { InstanceKind } from '@bergamotreach/platform';
 import type { Instance } from '@bergamotreach/platform';
 import { MessageType, waitFor } from '@bergamotreach/protocol';
 import type { Fault } from '@bergamotreach/protocol';
 import type { Result } from 'ts-results-es';
-import { createApp } from './app.ts';
+import { createApp, createListenerFault } from './app.ts';
 import { createAuthenticator } from './auth.ts';
 import { createBodyReader } from './body.ts';
 import { startHttpServer } from './httpserver.ts';
@@ -42,6 +42,10 @@
 interface RunState {
   config: EffectiveConfig | undefined;
   isDraining: boolean;
+  /** New work is refused. Begins after balancers have had time to see that the daemon drains. */
+  isRefusing: boolean;
+  /** Set once the listener is open. */
+  server: HttpServer | undefined;
 }
 
 function listConfigRegions(config: EffectiveConfig | undefined): string[] {
@@ -49,6 +53,17 @@
   return [...new Set(regions)].sort();
 }
 
+/** Placement settings with the guarantees of one region's data centres only. */
+function selectRegionPlacement(config: EffectiveConfig, region: string): PlacementConfig {
+  const accounts = config.placement.accounts.map((account) => ({
+    ...account,
+    guarantees: account.guarantees.filter(
+      ({ dataCentre }) => config.dataCentres[dataCentre]?.region === region,
+    ),
+  }));
+  return { ...config.placement, accounts };
+}
+
 function listWorkerSpecs(instances: readonly Instance[], region: string): WorkerSpec[] {
   return instances
     .filter((instance) => instance.kind === InstanceKind.Worker && instance.region === region)
@@ -87,11 +102,15 @@
 /** Starts all tasks of a daemon. Rejects when an address cannot be used. */
 export async function startDaemon(base: DaemonBase): Promise<Daemon> {
   const { settings, clock, logger, metrics, clients } = base;
-  const state: RunState = { config: undefined, isDraining: false };
+  const state: RunState = {
+    config: undefined,
+    isDraining: false,
+    isRefusing: false,
+    server: undefined,
+  };
   const tasks = await createTasks(base, applyConfig);
   const auth = createAuthenticator(settings.operatorTokenHash);
   const bodies = createBodyReader(bodyBudgetBytes);
-  let server: HttpServer | undefined;
   let finish: () => void = () => undefined;
   const finished = new Promise<void>((resolve) => {
     finish = resolve;
@@ -100,15 +119,15 @@
   function checkJob(region: string, spec: JobSpec): Result<void, Fault> {
     if (region === settings.region || state.config === undefined) return tasks.owner.checkJob(spec);
     const workers = listWorkerSpecs(poller.getInstances(), region);
-    return createScheduler(state.config.placement, workers).checkJob(spec);
+    return createScheduler(selectRegionPlacement(state.config, region), workers).checkJob(spec);
   }
 
   function applyConfig(config: EffectiveConfig): void {
     state.config = config;
     auth.applyConfig(config);
-    server?.applyLimits(config.limits);
+    state.server?.applyLimits(config.limits);
     tasks.router.applyConfig(buildRoutingConfig(config, settings.region));
-    tasks.owner.applyConfig(config.placement);
+    tasks.owner.applyConfig(selectRegionPlacement(config, settings.region));
   }
 
   function applyInstances(instances: readonly Instance[]): void {
@@ -136,11 +155,12 @@
     state.isDraining = true;
     logger.info('drain_started');
     tasks.membership.startDraining();
-    server?.startDraining();
+    state.server?.startDraining();
     await tasks.owner.stop();
     await waitFor(clock, drainNoticeMs);
+    state.isRefusing = true;
     tasks.router.startDraining();
-    const closed = server?.close();
+    const closed = state.server?.close();
     await tasks.router.waitIdle();
     await closed;
     logger.info('drain_finished');
@@ -158,7 +178,7 @@
     tasks.router.close();
     tasks.committer.close();
     tasks.membership.stop();
-    server?.closeNow();
+    state.server?.closeNow();
     void clients.close();
     metrics.close();
   }
@@ -190,16 +210,20 @@
     task: tasks.configTask,
     ownRegion: settings.region,
     isDraining: () => state.isDraining,
+    isRefusing: () => state.isRefusing,
     getConfig: () => state.config,
     getInstances: () => poller.getInstances(),
     getDump,
     startDraining,
   });
-  const listener = getRequestListener(app.fetch);
-  server = await startHttpServer({
+  const listener = getRequestListener(app.fetch, {
+    errorHandler: (error) => createListenerFault(error, logger),
+  });
+  const server = await startHttpServer({
     address: settings.httpAddress,
     handler: (request, response) => void listener(request, response),
   });
+  state.server = server;
   const poller = startInstancePoller({
     list: clients.instanceList,
     clock,
--- a/packages/placement/src/enter.ts
+++ b/packages/placement/src/enter.ts
@@ -5,6 +5,7 @@
 import type { GangPlacement } from './event.ts';
 import type { Plan } from './guaranteed.ts';
 import { listVictims } from './lent.ts';
+import { computeAgeCredit } from './queue.ts';
 import { isUsable, setSlotUse } from './state.ts';
 import type { Account, Binding, Claim, CoreState, Gang, Job, MemberSlots } from './state.ts';
 
@@ -65,6 +66,8 @@
     bindings,
     startedAtMs: state.nowMs,
     attainedAtStart: job.attainedSeconds,
+    ageCredit: computeAgeCredit(state, job),
+    isReserved: false,
     isRunning: false,
     stopAtMs: undefined,
   };
@@ -78,13 +81,15 @@
   job.attainedAtMs = state.nowMs;
   state.queue.delete(job);
   state.gangs.add(gang);
+  if (job.accelerators > 0) state.sites.get(gangPlacement.dataCentre)?.gangs.add(gang);
   return gang;
 }
 
 function startClaim(state: CoreState, claim: Claim, actions: PlacementAction[]): void {
   const { job } = claim;
   const placement = createPlacement(claim);
-  addGang(state, job, placement, claim.members, [...claim.bindings]);
+  const gang = addGang(state, job, placement, claim.members, [...claim.bindings]);
+  gang.isReserved = claim.isReservation;
   for (const binding of claim.bindings) binding.users.delete(claim);
   job.claim = undefined;
   state.claims.delete(claim);
@@ -144,11 +149,11 @@
 export function enterPlan(
   state: CoreState,
   plan: Plan,
-  isReservation: boolean,
   actions: PlacementAction[],
+  options: { isReservation?: boolean; reason?: StopReason } = {},
 ): void {
   dropConflicts(state, plan);
-  const claim = createClaim(state, plan, isReservation);
+  const claim = createClaim(state, plan, options.isReservation ?? false);
   const { job } = plan;
   for (const binding of claim.bindings) binding.users.add(claim);
   for (const { slots } of plan.members) for (const slot of slots) setSlotUse(slot, { claim });
@@ -162,7 +167,8 @@
     return;
   }
   const graceMs = job.spec.urgent ? state.config.urgentReclaimMs : state.config.reclaimMs;
-  for (const gang of victims) stopGang(state, gang, StopReason.Reclaim, graceMs, actions);
+  const reason = options.reason ?? StopReason.Reclaim;
+  for (const gang of victims) stopGang(state, gang, reason, graceMs, actions);
 }
 
 /** Whether the account uses more than its quota, which may have been lowered. */
@@ -173,11 +179,11 @@
 /** Starts the claims whose cells are clear; gives up those that lost a cell. */
 export function startReadyClaims(state: CoreState, actions: PlacementAction[]): void {
   for (const claim of [...state.claims]) {
-    const slots = claim.members.flatMap((member) => member.slots);
-    const hasLostCell = slots.some((slot) => slot.claim !== claim || !isUsable(slot.worker));
-    if (hasLostCell || isOverQuota(claim.job.account)) {
-      dropClaim(state, claim);
-    } else if (slots.every((slot) => slot.gang === undefined)) {
+    const isKept = claim.members.every(
+      ({ worker, slots }) => isUsable(worker) && slots.every((slot) => slot.claim === claim),
+    );
+    if (!isKept || isOverQuota(claim.job.account)) dropClaim(state, claim);
+    else if (claim.members.every(({ slots }) => slots.every(({ gang }) => gang === undefined))) {
       startClaim(state, claim, actions);
     }
   }
@@ -191,6 +197,7 @@
   addPlainUse(gang, -1);
   releaseBindings(state, gang);
   state.gangs.delete(gang);
+  state.sites.get(gang.placement.dataCentre)?.gangs.delete(gang);
   gang.job.gang = undefined;
   gang.job.account.usedAccelerators -= gang.job.accelerators;
   state.isCapacityDirty = true;
