Keep no part of a gang running through an outage or a late recovery

Cause: a suspended owner renewed gangs of which only a part was released, and a new owner took a member on a silent worker for running, so that a held member was never released. Change: a suspended owner renews complete gangs only and goes on reading task lists; a recovered member counts as held until it is seen to run and is released when its worker answers. The invariant check bounds the time for which a part of a gang runs to 60 s. Conclusion: a part of a gang runs no longer than the worker loss time plus the task lease.

--- a/packages/execution/src/monitor.ts
+++ b/packages/execution/src/monitor.ts
@@ -37,8 +37,10 @@
   addWorkers(workers: readonly WorkerEntry[]): void;
 }
 
-function isRenewed(gang: Gang): boolean {
-  return gang.phase !== GangPhase.Stopping;
+function isComplete(gang: Gang): boolean {
+  return gang.members.every(
+    ({ phase }) => phase === MemberPhase.Running || phase === MemberPhase.Done,
+  );
 }
 
 /** Creates the monitor of one ownership period. */
@@ -53,6 +55,14 @@
     return Math.min(settings.roundMs, Math.max(minVisitMs, spreadMs));
   }
 
+  /**
+   * A suspended owner can neither release nor stop members. It renews complete gangs only, because
+   * renewing another would keep a part of it running for the whole outage.
+   */
+  function isRenewed(gang: Gang): boolean {
+    return gang.phase !== GangPhase.Stopping && (context.canAct() || isComplete(gang));
+  }
+
   async function renewTasks(worker: WorkerEntry): Promise<void> {
     // Half a visit early rather than late.
     const dueMs = worker.renewedMs + settings.roundMs - getVisitMs() / 2;
@@ -87,10 +97,11 @@
 
   async function visitWorker(worker: WorkerEntry): Promise<void> {
     await renewTasks(worker);
-    if (!context.canAct()) return;
     const sentMs = clock.getNowMs();
     const result = (await fenceWorker(worker)) ? await context.listTasks(worker) : undefined;
-    if (!context.canAct()) return;
+    // While the owner is suspended, lost members and workers are noted, which ends the renewals of
+    // their gangs; stops and placements follow when the lease is held again.
+    if (!context.isOpen()) return;
     if (result?.isOk() === true) applyTasks(worker, result.value, sentMs);
     else if (clock.getNowMs() - worker.heardMs > settings.workerLostMs) {
       removeWorkers([worker], 0);
--- a/packages/execution/src/recovery.ts
+++ b/packages/execution/src/recovery.ts
@@ -1,6 +1,6 @@
 import { JobState, isEnded } from '@bergamotreach/ownership';
 import { EventKind, GangEnd } from '@bergamotreach/placement';
-import { CommandKind, TaskState } from '@bergamotreach/platform';
+import { CommandKind } from '@bergamotreach/platform';
 import type { TaskStatus, WorkerTasks } from '@bergamotreach/platform';
 import { waitFor } from '@bergamotreach/protocol';
 import type { OwnerContext } from './context.ts';
@@ -72,8 +72,9 @@
   member: GangMember,
 ): MemberLoss | undefined {
   member.leaseFromMs = context.clock.getNowMs();
-  member.phase = MemberPhase.Running;
-  // Nothing is known of a worker that did not answer; its lease runs out if it is lost.
+  // A member counts as held until it is seen to run. On a worker that did not answer it is released
+  // later; if the worker is lost, the task lease runs out.
+  member.phase = MemberPhase.Held;
   if (!lists.has(member.worker)) {
     return context.workers.get(member.worker) === undefined ? MemberLoss.Missing : undefined;
   }
@@ -82,7 +83,6 @@
     member.phase = MemberPhase.Gone;
     return MemberLoss.Missing;
   }
-  if (task.state === TaskState.Held) member.phase = MemberPhase.Held;
   return readTask(member, task);
 }
 
--- a/packages/execution/src/tasks.ts
+++ b/packages/execution/src/tasks.ts
@@ -16,6 +16,8 @@
   member.usedSeconds = Math.max(member.usedSeconds, task.usedSeconds);
   member.hasCheckpoint = task.hasCheckpoint;
   if (task.state === TaskState.Done) member.phase = MemberPhase.Done;
+  // The reply to the release may have been lost.
+  if (task.state === TaskState.Running) member.phase = MemberPhase.Running;
   if (task.state === TaskState.Failed || task.state === TaskState.Stopped) {
     member.phase = MemberPhase.Gone;
     return task.state === TaskState.Failed ? MemberLoss.Failed : MemberLoss.Missing;
--- a/packages/execution/tests/invariants.ts
+++ b/packages/execution/tests/invariants.ts
@@ -19,6 +19,12 @@
   [JobState.Cancelled]: [],
 };
 
+/**
+ * Longest time that a part of a gang may run: a worker is noticed as lost, its task lease runs
+ * out, and calls and polls in between.
+ */
+const maxPartMs = 60_000;
+
 /** Watches a world from outside; collects what must never happen. */
 export function createInvariants(world: World) {
   const { state, fleet } = world;
@@ -28,6 +34,8 @@
   const records = new Map<string, GangJobRecord>();
   const workerEpochs = new Map<string, number>();
   const held = new Set<string>();
+  /** Start of a job to the time since which only a part of it runs. */
+  const partSinceMs = new Map<string, number>();
 
   function check(isTrue: boolean, what: string): void {
     if (!isTrue) violations.push(`${world.clock.getNowMs()}: ${what}`);
@@ -105,6 +113,24 @@
     }
   });
 
+  function checkParts(): void {
+    const counts = new Map<string, { running: number; gone: number }>();
+    for (const { task } of fleet.listTasks()) {
+      const start = task.taskId.slice(0, task.taskId.lastIndexOf('/'));
+      const count = counts.get(start) ?? { running: 0, gone: 0 };
+      if (task.state === TaskState.Running) count.running += 1;
+      else if (task.state !== TaskState.Done) count.gone += 1;
+      counts.set(start, count);
+    }
+    for (const [start, { running, gone }] of counts) {
+      const isPart = running > 0 && gone > 0;
+      if (!isPart) partSinceMs.delete(start);
+      else if (!partSinceMs.has(start)) partSinceMs.set(start, world.clock.getNowMs());
+      const sinceMs = partSinceMs.get(start) ?? Infinity;
+      check(world.clock.getNowMs() - sinceMs <= maxPartMs, `${start} runs in part`);
+    }
+  }
+
   return {
     violations,
     /** Checks what holds at any moment; to be called after each step. */
@@ -115,6 +141,7 @@
         const isOwn = record !== undefined && listTaskIds(record).includes(task.taskId);
         check(isOwn && record.state === JobState.Running, `${task.taskId} runs by itself`);
       }
+      checkParts();
     },
     /** Whether every accepted job has ended. */
     isSettled: () => [...records.values()].every((record) => isEnded(record.state)),
--- a/packages/execution/tests/owner.test.ts
+++ b/packages/execution/tests/owner.test.ts
@@ -176,3 +176,48 @@
   await world.clock.advance(20_000);
   expect(world.getJobState('j1')).toEqual(JobState.Done);
 });
+
+// Guards against a part of a gang that runs through an outage that began between two releases.
+test('a gang that is partly released is not renewed during an outage', async () => {
+  const world = createWorld({ workers: 2, accelerators: 2 });
+  world.startDaemon('d1');
+  await world.clock.advance(1_000);
+  const worker = world.fleet.workers.get('w1')!;
+  world.state.listeners.push(() => {
+    if (world.getJobState('j1') !== JobState.Running) return;
+    worker.fault = WorkerFault.Unreachable;
+    world.state.fault = TableFault.Down;
+  });
+  await world.submit('j1', 4, 500_000);
+  await world.clock.advance(3_000);
+  worker.fault = WorkerFault.None;
+  expect(countRunning(world)).toEqual(2);
+  await world.clock.advance(35_000);
+  expect(countRunning(world)).toEqual(0);
+  world.state.listeners.pop();
+  world.state.fault = TableFault.None;
+  await world.clock.advance(10_000);
+  expect([world.getRecord('j1')?.attempts, countRunning(world)]).toEqual([2, 4]);
+});
+
+// Guards against a gang that runs in part after its owner died between two releases, when a worker
+// answers only after the recovery.
+test('a held member on a worker that answers late is released', async () => {
+  const world = createWorld({ workers: 2, accelerators: 2 });
+  const first = world.startDaemon('d1');
+  await world.clock.advance(1_000);
+  const worker = world.fleet.workers.get('w1')!;
+  world.state.listeners.push(() => {
+    if (world.getJobState('j1') !== JobState.Running) return;
+    worker.fault = WorkerFault.Unreachable;
+    world.state.listeners.pop();
+  });
+  await world.submit('j1', 4, 500_000);
+  first.process.kill();
+  world.startDaemon('d2');
+  await world.clock.advance(8_000);
+  expect([world.daemons[1]!.owner.isOwner(), countRunning(world)]).toEqual([true, 2]);
+  worker.fault = WorkerFault.None;
+  await world.clock.advance(3_000);
+  expect([world.getRecord('j1')?.attempts, countRunning(world)]).toEqual([1, 4]);
+});
--- a/packages/execution/tests/traffic.test.ts
+++ b/packages/execution/tests/traffic.test.ts
@@ -17,11 +17,11 @@
     const rows = state.accepted.reduce((sum, commit) => sum + commit.writes.length, 0);
     await clock.advance(seconds * 1_000);
     const rowsAfter = state.accepted.reduce((sum, commit) => sum + commit.writes.length, 0);
-    const perSecond = (count: number): number => Math.round((count / seconds) * 10) / 10;
-    const commits = perSecond(state.commits - before.commits);
-    const reads = perSecond(state.reads - before.reads);
-    const workerCalls = perSecond(fleet.calls - before.calls);
-    const written = perSecond(rowsAfter - rows);
+    const computeRate = (count: number): number => Math.round((count / seconds) * 10) / 10;
+    const commits = computeRate(state.commits - before.commits);
+    const reads = computeRate(state.reads - before.reads);
+    const workerCalls = computeRate(fleet.calls - before.calls);
+    const written = computeRate(rowsAfter - rows);
     console.log(JSON.stringify({ phase, seconds, commits, rows: written, reads, workerCalls }));
     expect(commits <= 3 * 40).toEqual(true);
     expect(reads <= 2_000).toEqual(true);
