--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,13 +1,13 @@
 import { getRequestListener } from '@hono/node-server';
 import type { EffectiveConfig } from '@bergamotreach/config';
 import { createScheduler } from '@bergamotreach/placement';
-import type { JobSpec, WorkerSpec } from '@bergamotreach/placement';
+import type { JobSpec, PlacementConfig, WorkerSpec } from '@bergamotreach/placement';
 import { InstanceKind } from '@bergamotreach/platform';
 import type { Instance } from '@bergamotreach/platform';
 import { MessageType, waitFor } from '@bergamotreach/protocol';
 import type { Fault } from '@bergamotreach/protocol';
 import type { Result } from 'ts-results-es';
-import { createApp } from './app.ts';
+import { createApp, createListenerFault } from './app.ts';
 import { createAuthenticator } from './auth.ts';
 import { createBodyReader } from './body.ts';
 import { startHttpServer } from './httpserver.ts';
@@ -42,6 +42,8 @@
 interface RunState {
   config: EffectiveConfig | undefined;
   isDraining: boolean;
+  /** New work is refused. Begins after balancers have had time to see that the daemon drains. */
+  isRefusing: boolean;
   /** Set once the listener is open. */
   server: HttpServer | undefined;
 }
@@ -51,6 +53,17 @@
   return [...new Set(regions)].sort();
 }
 
+/** Placement settings with the guarantees of one region's data centres only. */
+function selectRegionPlacement(config: EffectiveConfig, region: string): PlacementConfig {
+  const accounts = config.placement.accounts.map((account) => ({
+    ...account,
+    guarantees: account.guarantees.filter(
+      ({ dataCentre }) => config.dataCentres[dataCentre]?.region === region,
+    ),
+  }));
+  return { ...config.placement, accounts };
+}
+
 function listWorkerSpecs(instances: readonly Instance[], region: string): WorkerSpec[] {
   return instances
     .filter((instance) => instance.kind === InstanceKind.Worker && instance.region === region)
@@ -89,7 +102,12 @@
 /** Starts all tasks of a daemon. Rejects when an address cannot be used. */
 export async function startDaemon(base: DaemonBase): Promise<Daemon> {
   const { settings, clock, logger, metrics, clients } = base;
-  const state: RunState = { config: undefined, isDraining: false, server: undefined };
+  const state: RunState = {
+    config: undefined,
+    isDraining: false,
+    isRefusing: false,
+    server: undefined,
+  };
   const tasks = await createTasks(base, applyConfig);
   const auth = createAuthenticator(settings.operatorTokenHash);
   const bodies = createBodyReader(bodyBudgetBytes);
@@ -101,7 +119,7 @@
   function checkJob(region: string, spec: JobSpec): Result<void, Fault> {
     if (region === settings.region || state.config === undefined) return tasks.owner.checkJob(spec);
     const workers = listWorkerSpecs(poller.getInstances(), region);
-    return createScheduler(state.config.placement, workers).checkJob(spec);
+    return createScheduler(selectRegionPlacement(state.config, region), workers).checkJob(spec);
   }
 
   function applyConfig(config: EffectiveConfig): void {
@@ -109,7 +127,7 @@
     auth.applyConfig(config);
     state.server?.applyLimits(config.limits);
     tasks.router.applyConfig(buildRoutingConfig(config, settings.region));
-    tasks.owner.applyConfig(config.placement);
+    tasks.owner.applyConfig(selectRegionPlacement(config, settings.region));
   }
 
   function applyInstances(instances: readonly Instance[]): void {
@@ -140,6 +158,7 @@
     state.server?.startDraining();
     await tasks.owner.stop();
     await waitFor(clock, drainNoticeMs);
+    state.isRefusing = true;
     tasks.router.startDraining();
     const closed = state.server?.close();
     await tasks.router.waitIdle();
@@ -191,12 +210,15 @@
     task: tasks.configTask,
     ownRegion: settings.region,
     isDraining: () => state.isDraining,
+    isRefusing: () => state.isRefusing,
     getConfig: () => state.config,
     getInstances: () => poller.getInstances(),
     getDump,
     startDraining,
   });
-  const listener = getRequestListener(app.fetch);
+  const listener = getRequestListener(app.fetch, {
+    errorHandler: (error) => createListenerFault(error, logger),
+  });
   const server = await startHttpServer({
     address: settings.httpAddress,
     handler: (request, response) => void listener(request, response),
