--- a/packages/bench/src/restarts/command.ts
+++ b/packages/bench/src/restarts/command.ts
@@ -7,7 +7,7 @@
 const defaultRestarts = '100';
 const defaultRate = '40';
 // Leaves time for the start of the cluster within 5 minutes.
-const maxRunMs = 240_000;
+const maxRunMs = 200_000;
 
 function formatTable(result: RestartsResult): string {
   const { drainMs, startMs, latencyMs } = result;
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -44,6 +44,7 @@
   isDraining: boolean;
   /** New work is refused. Begins after balancers have had time to see that the daemon drains. */
   isRefusing: boolean;
+  isStopped: boolean;
   /** Set once the listener is open. */
   server: HttpServer | undefined;
 }
@@ -95,6 +96,7 @@
     config: undefined,
     isDraining: false,
     isRefusing: false,
+    isStopped: false,
     server: undefined,
   };
   const tasks = await createTasks(base, applyConfig);
@@ -162,7 +164,10 @@
   }
 
   function stop(): void {
+    if (state.isStopped) return;
+    state.isStopped = true;
     poller.stop();
+    void tasks.owner.stop();
     tasks.configTask.stop();
     tasks.router.close();
     tasks.committer.close();
--- a/packages/daemon/src/jobsubmission.ts
+++ b/packages/daemon/src/jobsubmission.ts
@@ -78,7 +78,7 @@
 function findTextFault(input: Record<string, unknown>): Fault | undefined {
   const wrong = textKeys.find((key) => input[key] !== undefined && typeof input[key] !== 'string');
   if (wrong !== undefined) return createFieldFault(wrong, 'must be a string');
-  if (!jobIdPattern.test(String(input.jobId))) {
+  if (!jobIdPattern.test(getText(input, 'jobId', ''))) {
     return createFieldFault(
       'jobId',
       'must be 1 to 64 letters, digits, dots, dashes or underscores',
--- a/packages/daemon/src/requestroutes.ts
+++ b/packages/daemon/src/requestroutes.ts
@@ -118,7 +118,9 @@
     const extras = { retryAfterMs: noConfigRetryMs };
     return createFaultResponse(createFault(FaultCode.StoreUnavailable, message, extras));
   }
-  const serviceConfig = config.services[service];
+  // The name comes from the path, so it may be that of an inherited property.
+  const isKnown = Object.hasOwn(config.services, service);
+  const serviceConfig = isKnown ? config.services[service] : undefined;
   if (serviceConfig === undefined) {
     const message = `service "${service}" does not exist`;
     return createFaultResponse(createFault(FaultCode.NotFound, message, { path: ['service'] }));
