Bound the recovery's wait for workers and leave payloads out of the dump

Cause: a new owner waited for the timeout of each silent worker before its first decision, and the state dump showed job payloads. Change: recovery waits 3 s at most, later answers join as they come; the dump leaves payloads out; a core wake in the past is delayed by 10 ms. The model gains slow tables and hanging workers. The check of the lease now runs when a command is sent: it ran on arrival and so blamed a command that was sent before a hand-over and arrived after it.

--- a/packages/execution/src/options.ts
+++ b/packages/execution/src/options.ts
@@ -23,6 +23,8 @@
   workerLostMs: number;
   /** Time that gangs on a worker that is leaving get to checkpoint. */
   leavingGraceMs: number;
+  /** Time that a new owner waits for workers; those that answer later join as they do. */
+  recoveryWaitMs: number;
   /** Wait before a failed call or write is tried again. */
   retryMs: number;
   /** Period of reading all job rows, which finds jobs whose wake was lost. */
@@ -43,6 +45,7 @@
   gangStartMs: 5_000,
   workerLostMs: 12_000,
   leavingGraceMs: 10_000,
+  recoveryWaitMs: 3_000,
   retryMs: 500,
   rescanMs: 30_000,
   retainMs: 86_400_000,
--- a/packages/execution/src/recovery.ts
+++ b/packages/execution/src/recovery.ts
@@ -49,8 +49,11 @@
 export async function loadRegion(context: OwnerContext): Promise<Recovered> {
   const lists: RecoveredLists = new Map();
   const workers = context.workers.list();
-  await Promise.all(workers.map((worker) => fenceAndList(context, worker, lists)));
-  return { lists, rows: await loadRows(context) };
+  const answers = Promise.all(workers.map((worker) => fenceAndList(context, worker, lists)));
+  await Promise.race([answers, waitFor(context.clock, context.settings.recoveryWaitMs)]);
+  const rows = await loadRows(context);
+  // Copied, because lists that arrive from now on are not part of the recovery.
+  return { lists: new Map(lists), rows };
 }
 
 /** Workers on which members of running gangs were placed. */
--- a/packages/execution/src/session.ts
+++ b/packages/execution/src/session.ts
@@ -51,6 +51,8 @@
   config: PlacementConfig;
 };
 
+/** Keeps a core that names a time in the past from taking the whole processor. */
+const minWakeMs = 10;
 /** Events that arrive within this time are decided on together. */
 const decideDelayMs = 2;
 
@@ -106,7 +108,7 @@
     cancelWake?.();
     const nextMs = scheduler.getNextWakeMs();
     if (nextMs === undefined) return;
-    cancelWake = clock.setTimer(Math.max(1, nextMs - clock.getNowMs()), () => {
+    cancelWake = clock.setTimer(Math.max(minWakeMs, nextMs - clock.getNowMs()), () => {
       planDecide(0);
     });
   }
@@ -249,7 +251,7 @@
       isRecovered,
       waitingCalls: context.getWaitingCalls(),
       waitingEvents: events.length,
-      jobs: jobs.list().map(({ row, gang }) => ({ ...row, gang: gang && dumpGang(gang) })),
+      jobs: jobs.list().map(dumpJob),
       workers: workers.list(),
       ...reports.getDump(),
       placement: scheduler.getDump(),
@@ -257,7 +259,9 @@
   };
 }
 
-function dumpGang(gang: Gang): unknown {
-  const { attempt, phase, members, stop } = gang;
-  return { attempt, phase, members, stop };
+/** Leaves out the payload, which may hold secrets of the account. */
+function dumpJob({ row, gang }: JobEntry): unknown {
+  const { attempt, phase, members, stop } = gang ?? {};
+  const record = { ...row.record, payload: '' };
+  return { ...record, version: row.version, gang: { attempt, phase, members, stop } };
 }
--- a/packages/execution/tests/fakeworkers.ts
+++ b/packages/execution/tests/fakeworkers.ts
@@ -19,10 +19,15 @@
   Unreachable = 'unreachable',
   /** Commands take effect, but the reply is lost. */
   LostReply = 'lostReply',
+  /** The call arrives after half of `hungMs`, and is lost if the worker still hangs then. */
+  Hung = 'hung',
   /** The call gets no reply and takes effect `delayMs` later. */
   Delayed = 'delayed',
 }
 
+/** Timeout of calls. */
+const hungMs = 10_000;
+
 /** A batch that a worker accepted. */
 export interface AcceptedBatch {
   worker: string;
@@ -232,7 +237,8 @@
   ): Promise<Result<CommandResult[], Fault>> {
     const sentMs = this.process.getNowMs();
     const sent = { ...batch, worker: workerId, processId: this.process.id, sentMs, atMs: sentMs };
-    return this.process.call(() => this.deliver(sent));
+    if (this.process.isAlive()) for (const listener of this.fleet.sendListeners) listener(sent);
+    return this.process.call(() => this.deliver(sent), this.getLatency(workerId));
   }
 
   async listTasks(_address: string, workerId: string): Promise<Result<WorkerTasks, Fault>> {
@@ -241,12 +247,15 @@
       const worker = this.fleet.workers.get(workerId);
       if (worker?.fault !== WorkerFault.None) return createUnreachable();
       return Ok(worker.listTasks());
-    });
+    }, this.getLatency(workerId));
+  }
+
+  private getLatency(workerId: string): number {
+    return this.fleet.workers.get(workerId)?.fault === WorkerFault.Hung ? hungMs : 0;
   }
 
   private deliver(sent: AcceptedBatch): Result<CommandResult[], Fault> {
     this.fleet.calls += 1;
-    for (const listener of this.fleet.sendListeners) listener(sent);
     const worker = this.fleet.workers.get(sent.worker);
     switch (worker?.fault) {
       case WorkerFault.None:
@@ -258,6 +267,7 @@
         this.fleet.clock.setTimer(worker.delayMs, () => this.fleet.accept(sent));
         return createUnreachable();
       case WorkerFault.Unreachable:
+      case WorkerFault.Hung:
       case undefined:
         return createUnreachable();
     }
--- a/packages/execution/tests/model.test.ts
+++ b/packages/execution/tests/model.test.ts
@@ -16,6 +16,7 @@
   | { do: 'tick'; ms: number }
   | { do: 'pause' | 'resume' | 'crash' | 'handOver'; daemon: number }
   | { do: 'store'; fault: TableFault }
+  | { do: 'latency'; ms: number }
   | { do: 'worker'; worker: number; fault: WorkerFault }
   | { do: 'failing'; worker: number; isFailing: boolean };
 
@@ -43,6 +44,7 @@
     do: fc.constant('store' as const),
     fault: fc.constantFrom(TableFault.None, ...Object.values(TableFault)),
   }),
+  fc.record({ do: fc.constant('latency' as const), ms: fc.constantFrom(0, 30, 800, 2_600) }),
   fc.record({
     do: fc.constant('worker' as const),
     worker: index,
@@ -89,6 +91,9 @@
       case 'store':
         world.state.fault = step.fault;
         break;
+      case 'latency':
+        world.state.latencyMs = step.ms;
+        break;
       case 'worker':
         this.getWorker(step.worker).fault = step.fault;
         break;
@@ -127,6 +132,7 @@
   /** Ends all faults; every accepted job has to end within five minutes. */
   async settle(): Promise<void> {
     this.world.state.fault = TableFault.None;
+    this.world.state.latencyMs = 0;
     for (const worker of this.world.fleet.workers.values()) {
       worker.fault = WorkerFault.None;
       worker.isFailing = false;
--- a/packages/execution/tests/owner.test.ts
+++ b/packages/execution/tests/owner.test.ts
@@ -221,3 +221,13 @@
   await world.clock.advance(3_000);
   expect([world.getRecord('j1')?.attempts, countRunning(world)]).toEqual([1, 4]);
 });
+
+// Guards against a region that stands still because one worker does not answer its new owner.
+test('a recovery does not wait for a worker that hangs', async () => {
+  const world = createWorld({ workers: 3, accelerators: 2 });
+  world.fleet.workers.get('w0')!.fault = WorkerFault.Hung;
+  world.startDaemon('d1');
+  await world.submit('j1', 4, 500_000);
+  await world.clock.advance(4_000);
+  expect([world.getJobState('j1'), countRunning(world)]).toEqual([JobState.Running, 4]);
+});
