--- a/packages/daemon/src/jobsubmission.ts
+++ b/packages/daemon/src/jobsubmission.ts
@@ -49,7 +49,7 @@
 
 function findNumberFault(input: Record<string, unknown>): Fault | undefined {
   for (const [key, rule] of Object.entries(numberRules)) {
-    const value = input[key] ?? rule.default;
+    const value = input[key] === undefined ? rule.default : input[key];
     const isValid =
       typeof value === 'number' &&
       Number.isInteger(value) &&
@@ -78,7 +78,7 @@
 function findTextFault(input: Record<string, unknown>): Fault | undefined {
   const wrong = textKeys.find((key) => input[key] !== undefined && typeof input[key] !== 'string');
   if (wrong !== undefined) return createFieldFault(wrong, 'must be a string');
-  if (!jobIdPattern.test(String(input.jobId))) {
+  if (!jobIdPattern.test(getText(input, 'jobId', ''))) {
     return createFieldFault(
       'jobId',
       'must be 1 to 64 letters, digits, dots, dashes or underscores',
--- a/packages/daemon/src/requestroutes.ts
+++ b/packages/daemon/src/requestroutes.ts
@@ -27,6 +27,7 @@
 }
 
 const requestIdPattern = /^[!-~]{1,128}$/u;
+const deadlinePattern = /^\d{1,15}$/u;
 const safeMethods = new Set(['GET', 'HEAD']);
 const noConfigRetryMs = 1000;
 
@@ -47,8 +48,8 @@
 function parseDeadline(context: WebContext, config: EffectiveConfig): Result<number, Fault> {
   const value = context.req.header('x-deadline-ms');
   if (value === undefined) return Ok(config.limits.defaultRequestMs);
-  const deadlineMs = Number(value);
-  if (Number.isInteger(deadlineMs) && deadlineMs > 0) return Ok(deadlineMs);
+  const deadlineMs = deadlinePattern.test(value) ? Number(value) : 0;
+  if (deadlineMs > 0) return Ok(deadlineMs);
   return Err(createHeaderFault('x-deadline-ms', `must be a positive integer, found "${value}"`));
 }
 
@@ -91,6 +92,8 @@
   outgoing.once('close', () => {
     if (!outgoing.writableFinished) controller.abort();
   });
+  // The caller may have gone right after the last byte of its body.
+  if (outgoing.destroyed) controller.abort();
   return controller.signal;
 }
 
@@ -128,7 +131,9 @@
     const extras = { retryAfterMs: noConfigRetryMs };
     return createFaultResponse(createFault(FaultCode.StoreUnavailable, message, extras));
   }
-  const serviceConfig = config.services[service];
+  // The name comes from the path, so it may be that of an inherited property.
+  const isKnown = Object.hasOwn(config.services, service);
+  const serviceConfig = isKnown ? config.services[service] : undefined;
   if (serviceConfig === undefined) {
     const message = `service "${service}" does not exist`;
     return createFaultResponse(createFault(FaultCode.NotFound, message, { path: ['service'] }));
