--- a/packages/placement/src/bind.ts
+++ b/packages/placement/src/bind.ts
@@ -72,7 +72,7 @@
   let cost = 0;
   for (const slot of listCellSlots(site, node)) {
     if (slot.gang !== undefined) gangs.add(slot.gang);
-    if (slot.reservedFor !== undefined || slot.claim !== undefined) cost += reservedCostSeconds;
+    if (slot.claim !== undefined) cost += reservedCostSeconds;
   }
   for (const gang of gangs) cost += 1 + computeStopCost(state, gang);
   return cost;
--- a/packages/placement/src/site.ts
+++ b/packages/placement/src/site.ts
@@ -40,7 +40,6 @@
       gang: undefined,
       claim: undefined,
       binding: undefined,
-      reservedFor: undefined,
     });
   }
   site.freeSlots += spec.accelerators;
--- a/packages/placement/src/state.ts
+++ b/packages/placement/src/state.ts
@@ -14,8 +14,6 @@
   claim: Claim | undefined;
   /** Cell of a guarantee that the accelerator belongs to. */
   binding: Binding | undefined;
-  /** Gang whose reserved set the accelerator belongs to; it keeps new guaranteed work out. */
-  reservedFor: Job | undefined;
 }
 
 /** A worker and what runs on it. */
--- a/packages/placement/tests/scenario.test.ts
+++ b/packages/placement/tests/scenario.test.ts
@@ -161,11 +161,11 @@
 
 // Guards against a new guarantee that cells bound before in bad places make impossible.
 test('changed configuration frees badly placed cells', () => {
-  const accounts = (first: number, second: number) => [
+  const createAccounts = (first: number, second: number) => [
     createAccount('a', [[1, first]]),
     createAccount('b', [[8, second]]),
   ];
-  const scheduler = createScheduler(createConfig(accounts(16, 0)), createWorkers(2, 8));
+  const scheduler = createScheduler(createConfig(createAccounts(16, 0)), createWorkers(2, 8));
   const names = Array.from({ length: 16 }, (_, index) => `j${index}`);
   scheduler.applyEvents(
     names.map((id) => createArrival(createJob(id, 'a'))),
@@ -181,7 +181,7 @@
     1,
   );
   scheduler.decide(1);
-  const config = createConfig(accounts(2, 1));
+  const config = createConfig(createAccounts(2, 1));
   scheduler.applyEvents([{ kind: EventKind.ConfigChanged, config }], 2);
   expect(scheduler.decide(2)).toEqual([]);
   const big = createJob('big', 'b', { accelerators: 8, within: Adjacency.Worker });
