--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -5,6 +5,7 @@
   // Each benchmark is loaded only when it is run.
   subCommands: {
     placement: async () => (await import('./placement/command.ts')).placementCommand,
+    capacity: async () => (await import('./capacity/command.ts')).capacityCommand,
     restarts: async () => (await import('./restarts/command.ts')).restartsCommand,
   },
 });
