Document every metric and log event, and measure store calls, queues and answers

An operator could not see refusals made before the router, queue lengths, calls to the store, links that were restored or how long a drain took. The table and the object store are wrapped so that each call is counted and timed.

--- a/packages/daemon/src/app.ts
+++ b/packages/daemon/src/app.ts
@@ -1,9 +1,9 @@
 import { FaultCode, createFault } from '@bergamotreach/protocol';
-import type { Logger } from '@bergamotreach/protocol';
+import type { Logger, Metrics } from '@bergamotreach/protocol';
 import { RequestError } from '@hono/node-server';
 import { Hono } from 'hono';
 import type { MiddlewareHandler } from 'hono';
-import { createFaultResponse, createJsonResponse } from './answer.ts';
+import { createFaultResponse, createJsonResponse, findFaultCode } from './answer.ts';
 import type { Authenticator } from './auth.ts';
 import { addConfigRoutes } from './configroutes.ts';
 import type { ConfigRouteParts } from './configroutes.ts';
@@ -20,12 +20,28 @@
   extends RequestRouteParts, JobRouteParts, ConfigRouteParts, OperatorRouteParts {
   auth: Authenticator;
   isDraining: () => boolean;
+  metrics: Metrics;
   logger: Logger;
 }
 
+// Paths come from callers, so only these become tags.
+const knownRoutes = new Set(['services', 'jobs', 'accounts', 'config', 'workers', 'instances']);
 const operatorPaths = ['/v1/config', '/v1/config/*', '/v1/instances', '/v1/dump', '/v1/drain'];
 const operatorOnly = [...operatorPaths, '/v1/workers', '/v1/report'];
 
+/** Counts each answer by its route, its error kind and what it says about the work. */
+function createAnswerCounter(metrics: Metrics): MiddlewareHandler<WebEnv> {
+  return async (context, next) => {
+    await next();
+    const { res } = context;
+    const route = context.req.path.split('/')[2] ?? '';
+    const code = findFaultCode(res) ?? 'none';
+    const outcome = res.headers.get('x-outcome') ?? 'answered';
+    const tags = { route: knownRoutes.has(route) ? route : 'other', code, outcome };
+    metrics.count('http.answers', 1, tags);
+  };
+}
+
 function createAuthGate(auth: Authenticator): MiddlewareHandler<WebEnv> {
   return async (context, next) => {
     const caller = auth.findCaller(context.req.header('authorization'));
@@ -69,6 +85,7 @@
     const state = isDraining ? 'draining' : isReady ? 'ready' : 'no_config';
     return createJsonResponse({ state }, isReady ? 200 : 503);
   });
+  app.use('/v1/*', createAnswerCounter(parts.metrics));
   app.use('/v1/*', createAuthGate(parts.auth));
   for (const path of operatorOnly) app.use(path, createOperatorGate());
   addRequestRoutes(app, parts);
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -10,12 +10,15 @@
 import { createApp, createListenerFault } from './app.ts';
 import { createAuthenticator } from './auth.ts';
 import { createBodyReader } from './body.ts';
+import { countLinkRestarts, startGauges } from './gauges.ts';
+import type { QueueSizes } from './gauges.ts';
 import { startHttpServer } from './httpserver.ts';
 import type { HttpServer } from './httpserver.ts';
 import { startInstancePoller } from './instancepoller.ts';
 import { createJobService } from './jobservice.ts';
 import { createTasks } from './parts.ts';
 import type { DaemonBase, DaemonTasks } from './parts.ts';
+import { createMeasuredClients } from './platformclients.ts';
 import { createRegionReports } from './regionreports.ts';
 import type { RegionReport } from './regionreports.ts';
 import { buildRoutingConfig } from './routingconfig.ts';
@@ -91,7 +94,8 @@
 
 /** Starts all tasks of a daemon. Rejects when an address cannot be used. */
 export async function startDaemon(base: DaemonBase): Promise<Daemon> {
-  const { settings, clock, logger, metrics, clients } = base;
+  const { settings, clock, logger, metrics } = base;
+  const clients = createMeasuredClients(base);
   const state: RunState = {
     config: undefined,
     isDraining: false,
@@ -99,7 +103,7 @@
     isStopped: false,
     server: undefined,
   };
-  const tasks = await createTasks(base, applyConfig);
+  const tasks = await createTasks({ ...base, clients }, applyConfig);
   const auth = createAuthenticator(settings.operatorTokenHash);
   const bodies = createBodyReader(bodyBudgetBytes);
   let finish: () => void = () => undefined;
@@ -127,6 +131,21 @@
     tasks.owner.applyInstances(instances);
   }
 
+  function getSizes(): QueueSizes {
+    const router = tasks.router.getDump();
+    const waiting = Object.entries(router.services).map(([name, one]) => [name, one.waiting]);
+    const usage = tasks.owner.listUsage().map(({ account, queued }) => [account, queued]);
+    return {
+      waiting: Object.fromEntries(waiting) as Record<string, number>,
+      openRequests: router.open,
+      queuedWrites: tasks.committer.getDump().queued.reduce((sum, count) => sum + count, 0),
+      queuedJobs: Object.fromEntries(usage) as Record<string, number>,
+      bodyBytes: bodies.getUsedBytes(),
+      connections: server.countOpen().connections,
+      instanceListAgeMs: poller.getAgeMs(),
+    };
+  }
+
   function getDump(): unknown {
     return {
       settings: { ...settings, peerSecret: '***', operatorTokenHash: '***' },
@@ -143,6 +162,7 @@
   }
 
   async function runDrain(): Promise<void> {
+    const startMs = clock.getNowMs();
     state.isDraining = true;
     logger.info('drain_started');
     tasks.membership.startDraining();
@@ -154,7 +174,9 @@
     const closed = state.server?.close();
     await tasks.router.waitIdle();
     await closed;
-    logger.info('drain_finished');
+    const durationMs = Math.round(clock.getNowMs() - startMs);
+    metrics.reportTiming('drain.duration', durationMs);
+    logger.info('drain_finished', { durationMs });
     stop();
   }
 
@@ -167,6 +189,7 @@
     if (state.isStopped) return;
     state.isStopped = true;
     poller.stop();
+    stopGauges();
     void tasks.owner.stop();
     tasks.configTask.stop();
     tasks.router.close();
@@ -204,6 +227,7 @@
     task: tasks.configTask,
     ownRegion: settings.region,
     isDraining: () => state.isDraining,
+    metrics,
     isRefusing: () => state.isRefusing,
     getConfig: () => state.config,
     getInstances: () => poller.getInstances(),
@@ -224,6 +248,8 @@
     logger,
     onInstances: applyInstances,
   });
+  countLinkRestarts(tasks.membership, metrics);
+  const stopGauges = startGauges({ clock, metrics, getSizes });
   tasks.configTask.start();
   tasks.owner.start();
   logger.info('daemon_ready', { http: server.address, peer: tasks.membership.address });
--- a/packages/daemon/src/platformclients.ts
+++ b/packages/daemon/src/platformclients.ts
@@ -6,6 +6,8 @@
   createHttpWorkerClient,
 } from '@bergamotreach/platform';
 import type { InstanceList, ObjectStore, Table, WorkerClient } from '@bergamotreach/platform';
+import { createMeasuredObjectStore, createMeasuredTable } from './measuredstores.ts';
+import type { MeasureOptions } from './measuredstores.ts';
 
 /** Clients of the platform's services. */
 export interface PlatformClients {
@@ -21,6 +23,18 @@
 const storeTimeoutMs = 2000;
 const workerTimeoutMs = 1000;
 
+/** Wraps the store clients so that their calls are counted and timed. */
+export function createMeasuredClients(
+  options: MeasureOptions & { clients: PlatformClients },
+): PlatformClients {
+  const { clients } = options;
+  return {
+    ...clients,
+    table: createMeasuredTable(clients.table, options),
+    objectStore: createMeasuredObjectStore(clients.objectStore, options),
+  };
+}
+
 /** Opens clients of the platform at `origin`, `http://ip:port`. */
 export function openPlatformClients(origin: string): PlatformClients {
   const client = createHttpClient({
--- /dev/null
+++ b/packages/daemon/tests/observed.ts
@@ -0,0 +1,105 @@
+import { readFileSync, readdirSync } from 'node:fs';
+import { join } from 'node:path';
+
+/** One row of docs/metrics.md or one call in the sources: name, kind, and tags or fields. */
+export type Observed = string;
+
+const packages = [
+  'config',
+  'daemon',
+  'execution',
+  'membership',
+  'ownership',
+  'placement',
+  'platform',
+  'protocol',
+  'routing',
+];
+const kinds: Record<string, string> = {
+  count: 'counter',
+  setGauge: 'gauge',
+  reportTiming: 'timing',
+};
+const callPattern =
+  /\b(?:metrics|logger)\s*\.(count|setGauge|reportTiming|debug|info|warn|error)\(/gu;
+
+/** Splits at commas outside of brackets and quotes, up to the bracket that closes the text. */
+function splitArguments(text: string): string[] {
+  const parts = [''];
+  let depth = 0;
+  let quote = '';
+  for (const char of text) {
+    if (quote === '' && depth === 0 && ')}]'.includes(char)) break;
+    if (quote === '' && depth === 0 && char === ',') {
+      parts.push('');
+      continue;
+    }
+    if ('\'"`'.includes(char) && (quote === '' || quote === char)) quote = quote === '' ? char : '';
+    if (quote === '' && '({['.includes(char)) depth += 1;
+    if (quote === '' && ')}]'.includes(char)) depth -= 1;
+    parts.push(`${parts.pop() ?? ''}${char}`);
+  }
+  return parts.map((part) => part.trim()).filter((part) => part !== '');
+}
+
+/** Text that a constant of the file stands for. */
+function findConstant(source: string, name: string): string {
+  return new RegExp(`const ${name} = ([^;]+);`, 'u').exec(source)?.[1] ?? '';
+}
+
+function listNames(source: string, argument: string): string[] {
+  const text = /^\w+$/u.test(argument) ? findConstant(source, argument) : argument;
+  const names = [...text.matchAll(/'([a-z_.]+)'/gu)].map((found) => found[1]!);
+  if (names.length === 0) throw new Error(`no name found in ${argument}`);
+  return names;
+}
+
+function listKeys(source: string, argument: string | undefined): string[] {
+  if (argument === undefined) return [];
+  const text = argument.startsWith('{') ? argument : findConstant(source, argument);
+  if (!text.startsWith('{')) throw new Error(`no keys found in ${argument}`);
+  return splitArguments(text.slice(1)).map((part) => part.split(':')[0]!.trim());
+}
+
+function listCalls(source: string): Observed[] {
+  return [...source.matchAll(callPattern)].flatMap((found) => {
+    const method = found[1]!;
+    const given = splitArguments(source.slice(found.index + found[0].length));
+    const kind = kinds[method];
+    const keys = listKeys(source, given[kind === undefined ? 1 : 2]).sort();
+    return listNames(source, given[0]!).map((name) =>
+      `${name} ${kind ?? method} ${keys.join(', ')}`.trim(),
+    );
+  });
+}
+
+/** Metrics and log events in the sources of all packages that run in a daemon. */
+export function listObserved(): Observed[] {
+  const files = packages.flatMap((name) => {
+    const folder = join('packages', name, 'src');
+    return readdirSync(folder, { recursive: true }).map((file) => join(folder, String(file)));
+  });
+  const sources = files
+    .filter((file) => file.endsWith('.ts'))
+    .map((file) => readFileSync(file, 'utf8'));
+  // Only calls on the objects themselves: declarations of the methods hold no such text.
+  return [...new Set(sources.flatMap(listCalls))].sort();
+}
+
+/** Rows of docs/metrics.md in the same form. */
+export function listDocumented(): Observed[] {
+  const rows = readFileSync('docs/metrics.md', 'utf8')
+    .split('\n')
+    .filter((line) => line.startsWith('| `'));
+  return rows
+    .map((row) => row.split('|').map((cell) => cell.trim().replaceAll('`', '')))
+    .map((cells) => {
+      const isMetric = Object.values(kinds).includes(cells[2]!);
+      const keys = (isMetric ? cells[4]! : cells[3]!)
+        .split(', ')
+        .filter((key) => key !== '–')
+        .sort();
+      return `${cells[1]!} ${cells[2]!} ${keys.join(', ')}`.trim();
+    })
+    .sort();
+}
