--- a/packages/bench/src/restarts/balancer.ts
+++ b/packages/bench/src/restarts/balancer.ts
@@ -27,7 +27,8 @@
 
 const checkPeriodMs = 250;
 const checkTimeoutMs = 1000;
-const connectionsPerDaemon = 32;
+// More than requests in progress at once: one that waits here would be sent to a daemon that has left.
+const connectionsPerDaemon = 512;
 
 async function checkHealth(entry: Entry): Promise<void> {
   try {
--- a/packages/bench/src/restarts/command.ts
+++ b/packages/bench/src/restarts/command.ts
@@ -34,13 +34,26 @@
   meta: { name: 'restarts', description: 'Restart daemons one by one under an open load' },
   args: {
     restarts: { type: 'string', default: defaultRestarts, description: 'Number of restarts' },
+    daemons: { type: 'string', default: '2', description: 'Daemons per region' },
+    slots: { type: 'string', default: '8', description: 'Slots of each endpoint' },
+    'request-ms': {
+      type: 'string',
+      default: '0',
+      description: 'Longest request; 0 for that of the example',
+    },
     rate: { type: 'string', default: defaultRate, description: 'Requests per second' },
   },
   async run({ args }) {
     const build = spawnSync(process.execPath, ['scripts/build.mjs', '--bundle-only']);
     if (build.status !== 0) throw new Error(`build failed: ${build.stderr.toString()}`);
-    const restarts = Number(args.restarts);
-    const result = await runRestarts({ restarts, requestsPerSecond: Number(args.rate), maxRunMs });
+    const result = await runRestarts({
+      restarts: Number(args.restarts),
+      requestsPerSecond: Number(args.rate),
+      daemonsPerRegion: Number(args.daemons),
+      slots: Number(args.slots),
+      maxRequestMs: Number(args['request-ms']),
+      maxRunMs,
+    });
     await closeClient();
     console.log(JSON.stringify(result));
     console.log(formatTable(result));
--- a/packages/bench/src/restarts/restarts.ts
+++ b/packages/bench/src/restarts/restarts.ts
@@ -1,9 +1,9 @@
-import { readFile } from 'node:fs/promises';
+import { mkdir, readFile, writeFile } from 'node:fs/promises';
 import { join } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { ezelpadLayout } from '@bergamotreach/standin';
 import type { PlatformLayout } from '@bergamotreach/standin';
-import { startCluster } from '../cluster/index.ts';
+import { readFolder, startCluster } from '../cluster/index.ts';
 import type { Cluster, DaemonProcess } from '../cluster/index.ts';
 import { startBalancer } from './balancer.ts';
 import type { Balancer } from './balancer.ts';
@@ -14,6 +14,11 @@
 export interface RestartsOptions {
   restarts: number;
   requestsPerSecond: number;
+  daemonsPerRegion: number;
+  /** Slots of each endpoint. */
+  slots: number;
+  /** Longest request in the configuration in milliseconds; 0 for that of the example. */
+  maxRequestMs: number;
   /** No restart begins after this time. */
   maxRunMs: number;
 }
@@ -40,12 +45,9 @@
 }
 
 // Work of 250 ms keeps requests in progress at any moment of a drain at this small rate.
-const layout: PlatformLayout = {
-  ...ezelpadLayout,
-  endpointsPerDataCentre: 2,
-  endpoint: { slots: 8, connections: 60, workMs: 250 },
-};
-const daemonsPerRegion = 2;
+const workMs = 250;
+const baseLayout: PlatformLayout = { ...ezelpadLayout, endpointsPerDataCentre: 2 };
+const folder = 'examples/ezelpad';
 const readyTimeoutMs = 15_000;
 const exitTimeoutMs = 60_000;
 const warmUpMs = 2000;
@@ -131,16 +133,31 @@
   };
 }
 
+/** Puts the example in force, with another limit of a request when the options name one. */
+async function applyConfig(cluster: Cluster, options: RestartsOptions): Promise<void> {
+  const files = await readFolder(folder);
+  const { maxRequestMs } = options;
+  if (maxRequestMs > 0) {
+    const services = { [baseLayout.service]: { maxRequestMs } };
+    const limits = { maxRequestMs, defaultRequestMs: maxRequestMs };
+    files['90-bench.json'] = JSON.stringify({ services, limits });
+  }
+  const directory = join(cluster.directory, 'config');
+  await mkdir(directory);
+  for (const [name, text] of Object.entries(files)) await writeFile(join(directory, name), text);
+  await cluster.applyFolder(directory);
+}
+
 async function runOnCluster(cluster: Cluster, options: RestartsOptions): Promise<RestartsResult> {
-  await cluster.applyFolder('examples/ezelpad');
+  await applyConfig(cluster, options);
   const balancer = startBalancer(cluster);
   const times: RestartTimes = { drainMs: [], startMs: [], badExits: [] };
   try {
     for (const daemon of cluster.daemons) balancer.addDaemon(daemon);
     for (const daemon of cluster.daemons) await balancer.waitReady(daemon, readyTimeoutMs);
     const { requestsPerSecond } = options;
-    const tokens = accounts.map((account) => `${layout.name}-${account}-demo-token`);
-    const { service } = layout;
+    const tokens = accounts.map((account) => `${baseLayout.name}-${account}-demo-token`);
+    const { service } = baseLayout;
     const load = startOpenLoad({ balancer, service, tokens, requestsPerSecond, jobEvery });
     await sleep(warmUpMs);
     const startMs = performance.now();
@@ -150,7 +167,7 @@
       return left >= 0 && performance.now() - startMs < options.maxRunMs;
     };
     await Promise.all(
-      layout.regions.map(({ region }) => runRegion(cluster, balancer, region, times, takeTurn)),
+      baseLayout.regions.map(({ region }) => runRegion(cluster, balancer, region, times, takeTurn)),
     );
     return buildResult(await load.finish(), times, performance.now() - startMs);
   } finally {
@@ -160,6 +177,9 @@
 
 /** Restarts daemons under an open load, one at a time in each of three regions. */
 export async function runRestarts(options: RestartsOptions): Promise<RestartsResult> {
+  const { daemonsPerRegion, slots } = options;
+  const endpoint = { ...baseLayout.endpoint, slots, workMs };
+  const layout = { ...baseLayout, endpoint };
   const cluster = await startCluster({ layout, daemonsPerRegion, seed });
   try {
     return await runOnCluster(cluster, options);
