Apply changed weights at once

Cause: the policy was derived from the weights only when the scheduler was created, so a changed configuration altered them in name only. Change: each configuration derives the policy again; random histories vary the weights and declare run times wrong by 10x. Conclusion: weights follow the configuration.

--- a/packages/placement/src/account.ts
+++ b/packages/placement/src/account.ts
@@ -1,5 +1,6 @@
 import { removeBinding } from './bind.ts';
 import { demoteGang, dropClaim } from './enter.ts';
+import { createPolicy } from './policy.ts';
 import { getSite } from './site.ts';
 import type { AccountSpec, GuaranteeSpec, PlacementConfig } from './spec.ts';
 import type { Account, Binding, Claim, CoreState, Gang, Guarantee } from './state.ts';
@@ -71,6 +72,7 @@
 /** Puts a configuration in force. Work beyond a reduced guarantee becomes lent work. */
 export function applyConfig(state: CoreState, config: PlacementConfig): void {
   state.config = config;
+  state.policy = { ...createPolicy(config.weights), ...state.policyChanges };
   const former = new Map(state.accounts);
   state.accounts.clear();
   for (const spec of config.accounts) {
--- a/packages/placement/src/core.ts
+++ b/packages/placement/src/core.ts
@@ -18,10 +18,11 @@
 import type { CoreState } from './state.ts';
 import { createDump, listAccountUsage, listGuaranteeStatus, listQuarantined } from './status.ts';
 
-function createState(config: PlacementConfig, policy: PlacementPolicy): CoreState {
+function createState(config: PlacementConfig, policyChanges: Partial<PlacementPolicy>): CoreState {
   return {
     config,
-    policy,
+    policy: createPolicy(config.weights),
+    policyChanges,
     nowMs: 0,
     sites: new Map(),
     workers: new Map(),
@@ -110,7 +111,7 @@
   workers: WorkerSpec[],
   policy: Partial<PlacementPolicy> = {},
 ): Scheduler {
-  const state = createState(config, { ...createPolicy(config.weights), ...policy });
+  const state = createState(config, policy);
   addWorkers(state, workers);
   applyConfig(state, config);
   return {
--- a/packages/placement/src/state.ts
+++ b/packages/placement/src/state.ts
@@ -159,6 +159,8 @@
 export interface CoreState {
   config: PlacementConfig;
   policy: PlacementPolicy;
+  /** Choices that replace those that follow from the weights. */
+  policyChanges: Partial<PlacementPolicy>;
   nowMs: number;
   sites: Map<string, Site>;
   workers: Map<string, Worker>;
--- a/packages/placement/tests/history.test.ts
+++ b/packages/placement/tests/history.test.ts
@@ -55,6 +55,8 @@
   urgent: fc.boolean(),
   cores: fc.constantFrom(0, 1, 9),
   dataCentre: fc.constantFrom('', 'a', 'b'),
+  // Off by 10x either way from the 60 s that the other declarations are taken to mean.
+  declaredSeconds: fc.constantFrom(6, 60, 600),
 });
 const stepArbitrary = fc.oneof(
   {
@@ -180,8 +182,10 @@
   const property = fc.property(
     salesArbitrary,
     fc.array(stepArbitrary, { minLength: 20, maxLength: 60 }),
-    (sales, steps) => {
-      const history = createHistory(createSoldConfig(sales, 6), workers);
+    fc.constantFrom(1, 4),
+    (sales, steps, fragmentation) => {
+      const weights = { completion: 1, fragmentation };
+      const history = createHistory({ ...createSoldConfig(sales, 6), weights }, workers);
       steps.forEach((step, index) => {
         runStep(history, step, index);
       });
--- a/packages/placement/tests/scenario.test.ts
+++ b/packages/placement/tests/scenario.test.ts
@@ -196,6 +196,27 @@
   ]);
 });
 
+// Guards against weights of a changed configuration that take effect only after a restart.
+test('changed weights change the order', () => {
+  const config = createConfig([createAccount('a')]);
+  const scheduler = createScheduler(config, createWorkers(1, 8));
+  scheduler.applyEvents([createArrival(createJob('first', 'a', { accelerators: 8 }))], 0);
+  scheduler.decide(0);
+  const weights = { completion: 1, fragmentation: 4 };
+  const wide = createJob('wide', 'a', { accelerators: 6, declaredSeconds: 600 });
+  scheduler.applyEvents(
+    [
+      { kind: EventKind.ConfigChanged, config: { ...config, weights } },
+      createArrival(createJob('narrow', 'a', { accelerators: 4 }), 1),
+      createArrival(wide, 2),
+      createEnd('first', 1, GangEnd.Done),
+    ],
+    3,
+  );
+  const started = listStarted(scheduler.decide(3)).map(({ jobId }) => jobId);
+  expect(started).toEqual(['wide']);
+});
+
 // Guards against a cancellation wave that is handled job by job.
 test('1,000 cancellations take one pass', () => {
   const scheduler = createScheduler(createConfig([createAccount('a')]), createWorkers(500, 1));
