Bound the waiting jobs of an account

Cause: limits.maxQueuedJobs was documented and had no effect. Change: a submission asks the owner's last report, at most once a second; a full queue is refused as queue_full with a retry time. Conclusion: a burst can pass the limit by what arrives within one second.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -19,6 +19,7 @@
 import { createTasks } from './parts.ts';
 import type { DaemonBase, DaemonTasks } from './parts.ts';
 import { createMeasuredClients } from './platformclients.ts';
+import { createQueueLimit } from './queuelimit.ts';
 import { createRegionReports } from './regionreports.ts';
 import type { RegionReport } from './regionreports.ts';
 import { buildRoutingConfig } from './routingconfig.ts';
@@ -212,21 +213,24 @@
   }
 
   const listRegions = (): string[] => listConfigRegions(state.config);
+  const reports = createRegionReports({
+    clock,
+    membership: tasks.membership,
+    listRegions,
+    getOwnReport: () => createOwnReport(base, tasks),
+  });
+  const queueLimit = createQueueLimit(clock, reports);
   const jobs = createJobService({
     ownRegion: settings.region,
     listRegions,
     openStore: tasks.openJobStore,
     checkJob,
+    checkQueue: async (region, account) =>
+      queueLimit.checkQueue(region, account, state.config?.limits.maxQueuedJobs ?? Infinity),
     wakeOwner: (region, jobIds) => {
       wakeOwner(base, tasks, region, jobIds);
     },
   });
-  const reports = createRegionReports({
-    clock,
-    membership: tasks.membership,
-    listRegions,
-    getOwnReport: () => createOwnReport(base, tasks),
-  });
   const app = createApp({
     auth,
     logger,
--- a/packages/daemon/src/jobservice.ts
+++ b/packages/daemon/src/jobservice.ts
@@ -20,8 +20,8 @@
 /** Accepts, shows and cancels jobs of all regions. */
 export interface JobService {
   /**
-   * Accepts a job durably. Faults: `never_fits`, `quota_exceeded`, `not_found` (region or
-   * account), `draining`, `duplicate_id`, `store_unavailable` (not accepted), `unknown_outcome`.
+   * Accepts a job durably. Faults: `never_fits`, `quota_exceeded`, `queue_full`, `not_found` (region
+   * or account), `draining`, `duplicate_id`, `store_unavailable` (not accepted), `unknown_outcome`.
    */
   submitJob(job: SubmittedJob): Promise<Result<JobView, Fault>>;
   /** Reads a job that the caller may see. Faults: `not_found`, `store_unavailable`. */
@@ -40,6 +40,11 @@
   openStore: (region: string) => GangJobStore;
   /** Whether a job can ever run in the region. Faults: `never_fits`, `quota_exceeded`. */
   checkJob: (region: string, spec: JobSpec) => Result<void, Fault>;
+  /**
+   * Refuses a further job of an account that has too many waiting, by the owner's last report.
+   * Fault `queue_full`.
+   */
+  checkQueue: (region: string, account: string) => Promise<Result<void, Fault>>;
   /** Tells the owner of the region that rows were added or changed. */
   wakeOwner: (region: string, jobIds: string[]) => void;
 }
@@ -93,6 +98,8 @@
     }
     const possible = options.checkJob(job.region, job.spec);
     if (possible.isErr()) return possible;
+    const room = await options.checkQueue(job.region, job.spec.account);
+    if (room.isErr()) return room;
     const { spec, payload, digest } = job;
     const submission = { jobId: spec.jobId, account: spec.account, spec, payload, digest };
     const inserted = await getStore(job.region).insertJob(submission);
--- a/packages/daemon/src/regionreports.ts
+++ b/packages/daemon/src/regionreports.ts
@@ -21,6 +21,8 @@
 
 /** Reports of all regions, put together. */
 export interface JoinedReport extends Omit<RegionReport, 'region'> {
+  /** Usage by region and account. */
+  usageByRegion: Record<string, Record<string, AccountUsage>>;
   /** Regions whose owner did not answer in time. */
   unreachable: string[];
 }
@@ -63,6 +65,7 @@
   return {
     guarantees: reports.flatMap((report) => report.guarantees),
     usage: joinUsage(reports),
+    usageByRegion: Object.fromEntries(reports.map(({ region, usage }) => [region, usage])),
     quarantined: reports.flatMap((report) => report.quarantined),
     unreachable: regions.filter((region) => !answered.has(region)),
   };
