--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,8 +1,12 @@
 import { defineCommand, runMain } from 'citty';
 
 const main = defineCommand({
-  meta: { name: 'bench', description: 'Benchmarks on real processes and on loopback only' },
+  meta: { name: 'bench', description: 'Benchmarks of bergamotreach; load goes to loopback only' },
+  // Each benchmark is loaded only when it is run.
   subCommands: {
+    placement: async () => (await import('./placement/command.ts')).placementCommand,
+    requests: async () => (await import('./requests/command.ts')).requestsCommand,
+    capacity: async () => (await import('./capacity/command.ts')).capacityCommand,
     restarts: async () => (await import('./restarts/command.ts')).restartsCommand,
   },
 });
--- /dev/null
+++ b/packages/bench/src/placement/variants.ts
@@ -0,0 +1,19 @@
+import type { PlacementPolicy } from '@bergamotreach/placement';
+
+/** The shipped policy with one choice left out or replaced each. */
+export const policyVariants: readonly (readonly [
+  name: string,
+  change: Partial<PlacementPolicy>,
+])[] = [
+  ['no levels of service', { hasLevels: false }],
+  ['levels by accelerator-s', { widthPower: 1 }],
+  ['declared time unused', { usesDeclared: false }],
+  ['no preemption', { hasPreemption: false }],
+  ['no reservation', { hasReservation: false }],
+  ['first cells', { hasCellChoice: false }],
+  ['free before reclaim', { prefersFree: true }],
+  ['no migration', { hasMigration: false }],
+  ['split cost 600 s', { splitCostSeconds: 600 }],
+  ['widest first', { hasWidestFirst: true }],
+  ['not widest first', { hasWidestFirst: false }],
+];
--- a/packages/execution/src/monitor.ts
+++ b/packages/execution/src/monitor.ts
@@ -18,6 +18,12 @@
 
 /** A round over all workers is spread over this many steps. */
 const roundSteps = 10;
+/**
+ * Task lists read per second, at most. The end of a job is seen by them, so small regions read
+ * each worker once a second; larger ones approach the period of renewals.
+ */
+const listsPerSecond = 60;
+const minVisitMs = 1_000;
 
 /** Renews task leases, reads task lists and notices lost members and workers. */
 export interface Monitor {
@@ -31,8 +37,10 @@
   addWorkers(workers: readonly WorkerEntry[]): void;
 }
 
-function isRenewed(gang: Gang): boolean {
-  return gang.phase !== GangPhase.Stopping;
+function isComplete(gang: Gang): boolean {
+  return gang.members.every(
+    ({ phase }) => phase === MemberPhase.Running || phase === MemberPhase.Done,
+  );
 }
 
 /** Creates the monitor of one ownership period. */
@@ -42,7 +50,24 @@
   let cancelTimer: CancelTimer | undefined;
   let step = 0;
 
+  function getVisitMs(): number {
+    const spreadMs = (workers.list().length * 1000) / listsPerSecond;
+    return Math.min(settings.roundMs, Math.max(minVisitMs, spreadMs));
+  }
+
+  /**
+   * A suspended owner can neither release nor stop members. It renews complete gangs only, because
+   * renewing another would keep a part of it running for the whole outage.
+   */
+  function isRenewed(gang: Gang): boolean {
+    return gang.phase !== GangPhase.Stopping && (context.canAct() || isComplete(gang));
+  }
+
   async function renewTasks(worker: WorkerEntry): Promise<void> {
+    // Half a visit early rather than late.
+    const dueMs = worker.renewedMs + settings.roundMs - getVisitMs() / 2;
+    if (clock.getNowMs() < dueMs) return;
+    worker.renewedMs = clock.getNowMs();
     const members = jobs
       .listMembers(worker.id)
       .filter(({ gang, member }) => isRenewed(gang) && isPresent(member))
@@ -72,22 +97,23 @@
 
   async function visitWorker(worker: WorkerEntry): Promise<void> {
     await renewTasks(worker);
-    if (!context.canAct()) return;
     const sentMs = clock.getNowMs();
     const result = (await fenceWorker(worker)) ? await context.listTasks(worker) : undefined;
-    if (!context.canAct()) return;
+    // While the owner is suspended, lost members and workers are noted, which ends the renewals of
+    // their gangs; stops and placements follow when the lease is held again.
+    if (!context.isOpen()) return;
     if (result?.isOk() === true) applyTasks(worker, result.value, sentMs);
     else if (clock.getNowMs() - worker.heardMs > settings.workerLostMs) {
       removeWorkers([worker], 0);
+      if (!worker.isListed) workers.remove(worker.id);
     }
   }
 
   function applyTasks(worker: WorkerEntry, listed: WorkerTasks, sentMs: number): void {
+    if (listed.epoch > context.epoch) return;
     worker.heardMs = clock.getNowMs();
-    if (listed.epoch > context.epoch) {
-      context.close('worker has a later epoch');
-      return;
-    }
+    // A worker that restarted may have lost its epoch.
+    if (listed.epoch < context.epoch) worker.isFenced = false;
     const placed = jobs.listMembers(worker.id);
     const byId = new Map(placed.map((one) => [one.member.taskId, one]));
     const listedIds = new Set(listed.tasks.map((task) => task.taskId));
@@ -177,7 +203,7 @@
       void visitWorker(worker).finally(() => busy.delete(worker.id));
     });
     step = (step + 1) % roundSteps;
-    cancelTimer = clock.setTimer(settings.roundMs / roundSteps, runStep);
+    cancelTimer = clock.setTimer(getVisitMs() / roundSteps, runStep);
   }
 
   return {
--- a/packages/execution/src/recovery.ts
+++ b/packages/execution/src/recovery.ts
@@ -1,6 +1,6 @@
 import { JobState, isEnded } from '@bergamotreach/ownership';
 import { EventKind, GangEnd } from '@bergamotreach/placement';
-import { CommandKind, TaskState } from '@bergamotreach/platform';
+import { CommandKind } from '@bergamotreach/platform';
 import type { TaskStatus, WorkerTasks } from '@bergamotreach/platform';
 import { waitFor } from '@bergamotreach/protocol';
 import type { OwnerContext } from './context.ts';
@@ -49,8 +49,11 @@
 export async function loadRegion(context: OwnerContext): Promise<Recovered> {
   const lists: RecoveredLists = new Map();
   const workers = context.workers.list();
-  await Promise.all(workers.map((worker) => fenceAndList(context, worker, lists)));
-  return { lists, rows: await loadRows(context) };
+  const answers = Promise.all(workers.map((worker) => fenceAndList(context, worker, lists)));
+  await Promise.race([answers, waitFor(context.clock, context.settings.recoveryWaitMs)]);
+  const rows = await loadRows(context);
+  // Copied, because lists that arrive from now on are not part of the recovery.
+  return { lists: new Map(lists), rows };
 }
 
 /** Workers on which members of running gangs were placed. */
@@ -72,8 +75,9 @@
   member: GangMember,
 ): MemberLoss | undefined {
   member.leaseFromMs = context.clock.getNowMs();
-  member.phase = MemberPhase.Running;
-  // Nothing is known of a worker that did not answer; its lease runs out if it is lost.
+  // A member counts as held until it is seen to run. On a worker that did not answer it is released
+  // later; if the worker is lost, the task lease runs out.
+  member.phase = MemberPhase.Held;
   if (!lists.has(member.worker)) {
     return context.workers.get(member.worker) === undefined ? MemberLoss.Missing : undefined;
   }
@@ -82,7 +86,6 @@
     member.phase = MemberPhase.Gone;
     return MemberLoss.Missing;
   }
-  if (task.state === TaskState.Held) member.phase = MemberPhase.Held;
   return readTask(member, task);
 }
 
--- a/packages/execution/tests/fakeworkers.ts
+++ b/packages/execution/tests/fakeworkers.ts
@@ -19,10 +19,15 @@
   Unreachable = 'unreachable',
   /** Commands take effect, but the reply is lost. */
   LostReply = 'lostReply',
+  /** The call arrives after half of `hungMs`, and is lost if the worker still hangs then. */
+  Hung = 'hung',
   /** The call gets no reply and takes effect `delayMs` later. */
   Delayed = 'delayed',
 }
 
+/** Timeout of calls. */
+const hungMs = 10_000;
+
 /** A batch that a worker accepted. */
 export interface AcceptedBatch {
   worker: string;
@@ -47,7 +52,8 @@
 export class FakeWorker {
   epoch = 0;
   fault = WorkerFault.None;
-  delayMs = 4_000;
+  /** Longer than a takeover, so that commands of a deposed owner arrive. */
+  delayMs = 8_000;
   /** Tasks fail as soon as they are released. */
   isFailing = false;
   hasFence = true;
@@ -90,6 +96,7 @@
     const tasks = [...this.tasks.values()].map((task): TaskStatus => ({
       taskId: task.spec.taskId,
       jobId: task.spec.jobId,
+      gangSize: task.spec.gangSize,
       account: task.spec.account,
       accelerators: task.spec.accelerators,
       state: task.state,
@@ -180,6 +187,8 @@
   readonly workers = new Map<string, FakeWorker>();
   readonly accepted: AcceptedBatch[] = [];
   readonly listeners: ((batch: AcceptedBatch) => void)[] = [];
+  /** Told of each batch that a process sends, whether it arrives or not. */
+  readonly sendListeners: ((batch: AcceptedBatch) => void)[] = [];
   calls = 0;
 
   constructor(readonly clock: ManualClock) {}
@@ -228,7 +237,8 @@
   ): Promise<Result<CommandResult[], Fault>> {
     const sentMs = this.process.getNowMs();
     const sent = { ...batch, worker: workerId, processId: this.process.id, sentMs, atMs: sentMs };
-    return this.process.call(() => this.deliver(sent));
+    if (this.process.isAlive()) for (const listener of this.fleet.sendListeners) listener(sent);
+    return this.process.call(() => this.deliver(sent), this.getLatency(workerId));
   }
 
   async listTasks(_address: string, workerId: string): Promise<Result<WorkerTasks, Fault>> {
@@ -237,7 +247,11 @@
       const worker = this.fleet.workers.get(workerId);
       if (worker?.fault !== WorkerFault.None) return createUnreachable();
       return Ok(worker.listTasks());
-    });
+    }, this.getLatency(workerId));
+  }
+
+  private getLatency(workerId: string): number {
+    return this.fleet.workers.get(workerId)?.fault === WorkerFault.Hung ? hungMs : 0;
   }
 
   private deliver(sent: AcceptedBatch): Result<CommandResult[], Fault> {
@@ -253,6 +267,7 @@
         this.fleet.clock.setTimer(worker.delayMs, () => this.fleet.accept(sent));
         return createUnreachable();
       case WorkerFault.Unreachable:
+      case WorkerFault.Hung:
       case undefined:
         return createUnreachable();
     }
--- a/packages/execution/tests/owner.test.ts
+++ b/packages/execution/tests/owner.test.ts
@@ -139,3 +139,95 @@
   await world.clock.advance(10_000);
   expect([world.getRecord('j1')?.attempts, countRunning(world)]).toEqual([1, 4]);
 });
+
+// Guards against work cut off on a worker that the platform is about to take away.
+test('gangs leave a worker that is no longer listed, after a checkpoint', async () => {
+  const world = createWorld({ workers: 3, accelerators: 2 });
+  world.startDaemon('d1');
+  await world.submit('j1', 3, 500_000);
+  await world.clock.advance(2_000);
+  const used = world.getRecord('j1')?.placement?.members[0]?.worker ?? '';
+  world.removeInstance(used);
+  await world.clock.advance(12_000);
+  const record = world.getRecord('j1');
+  expect([record?.state, record?.attempts]).toEqual([JobState.Running, 2]);
+  expect(record?.placement?.members.some(({ worker }) => worker === used)).toEqual(false);
+  const tasks = [...world.fleet.workers.get(used)!.tasks.values()];
+  expect(tasks.every((task) => task.hasCheckpoint)).toEqual(true);
+});
+
+// Guards against a job that is never started because the message about it was lost.
+test('a job whose wake was lost is found by reading all rows', async () => {
+  const world = createWorld();
+  const { owner } = world.startDaemon('d1');
+  await world.clock.advance(1_000);
+  owner.wake = () => undefined;
+  await world.submit('j1', 2, 500_000);
+  await world.clock.advance(31_000);
+  expect(world.getJobState('j1')).toEqual(JobState.Running);
+});
+
+// Guards against a region without an owner because one worker reports an epoch of another table.
+test('a worker with a later epoch is left out, and the others are used', async () => {
+  const world = createWorld({ workers: 2, accelerators: 2 });
+  world.fleet.workers.get('w0')!.epoch = 99;
+  world.startDaemon('d1');
+  await world.submit('j1', 2, 5_000);
+  await world.clock.advance(20_000);
+  expect(world.getJobState('j1')).toEqual(JobState.Done);
+});
+
+// Guards against a part of a gang that runs through an outage that began between two releases.
+test('a gang that is partly released is not renewed during an outage', async () => {
+  const world = createWorld({ workers: 2, accelerators: 2 });
+  world.startDaemon('d1');
+  await world.clock.advance(1_000);
+  const worker = world.fleet.workers.get('w1')!;
+  world.state.listeners.push(() => {
+    if (world.getJobState('j1') !== JobState.Running) return;
+    worker.fault = WorkerFault.Unreachable;
+    world.state.fault = TableFault.Down;
+  });
+  await world.submit('j1', 4, 500_000);
+  await world.clock.advance(3_000);
+  worker.fault = WorkerFault.None;
+  expect(countRunning(world)).toEqual(2);
+  await world.clock.advance(35_000);
+  expect(countRunning(world)).toEqual(0);
+  world.state.listeners.pop();
+  world.state.fault = TableFault.None;
+  await world.clock.advance(10_000);
+  expect([world.getRecord('j1')?.attempts, countRunning(world)]).toEqual([2, 4]);
+});
+
+// Guards against a gang that runs in part after its owner died between two releases, when a worker
+// answers only after the recovery.
+test('a held member on a worker that answers late is released', async () => {
+  const world = createWorld({ workers: 2, accelerators: 2 });
+  const first = world.startDaemon('d1');
+  await world.clock.advance(1_000);
+  const worker = world.fleet.workers.get('w1')!;
+  world.state.listeners.push(() => {
+    if (world.getJobState('j1') !== JobState.Running) return;
+    worker.fault = WorkerFault.Unreachable;
+    world.state.listeners.pop();
+  });
+  await world.submit('j1', 4, 500_000);
+  first.process.kill();
+  world.startDaemon('d2');
+  await world.clock.advance(8_000);
+  expect([world.daemons[1]!.owner.isOwner(), countRunning(world)]).toEqual([true, 2]);
+  worker.fault = WorkerFault.None;
+  await world.clock.advance(3_000);
+  expect([world.getRecord('j1')?.attempts, countRunning(world)]).toEqual([1, 4]);
+});
+
+// Guards against a region that stands still because one worker does not answer its new owner.
+test('a recovery does not wait for a worker that hangs', async () => {
+  const world = createWorld({ workers: 3, accelerators: 2 });
+  world.fleet.workers.get('w0')!.fault = WorkerFault.Hung;
+  world.startDaemon('d1');
+  await world.submit('j1', 4, 500_000);
+  await world.clock.advance(4_000);
+  expect([world.getJobState('j1'), countRunning(world)]).toEqual([JobState.Running, 4]);
+});
--- a/packages/placement/src/core.ts
+++ b/packages/placement/src/core.ts
@@ -9,6 +9,8 @@
 import { releaseWorkers } from './failure.ts';
 import { canFitEmpty } from './pack.ts';
 import { runPass } from './pass.ts';
+import { createPolicy } from './policy.ts';
+import type { PlacementPolicy } from './policy.ts';
 import { repairGuarantees, reportGuarantees } from './repair.ts';
 import type { Scheduler } from './scheduler.ts';
 import { addWorkers } from './site.ts';
@@ -16,9 +18,11 @@
 import type { CoreState } from './state.ts';
 import { createDump, listAccountUsage, listGuaranteeStatus, listQuarantined } from './status.ts';
 
-function createState(config: PlacementConfig): CoreState {
+function createState(config: PlacementConfig, policyChanges: Partial<PlacementPolicy>): CoreState {
   return {
     config,
+    policy: createPolicy(config.weights),
+    policyChanges,
     nowMs: 0,
     sites: new Map(),
     workers: new Map(),
@@ -29,9 +33,11 @@
     claims: new Set(),
     pending: [],
     blockedShapes: new Set(),
+    unstoppable: new Map(),
+    lastReserved: undefined,
     isGuaranteeDirty: true,
     isCapacityDirty: true,
-    hasArrivals: false,
+    arrivals: new Set(),
     reported: new Map(),
     nextWakeMs: undefined,
     nextSequence: 0,
@@ -65,12 +71,15 @@
   return Err(createFault(FaultCode.NeverFits, message, { path: ['members'] }));
 }
 
-function isPassDue(state: CoreState): boolean {
-  return (
-    state.isCapacityDirty ||
-    state.hasArrivals ||
-    (state.nextWakeMs !== undefined && state.nextWakeMs <= state.nowMs)
-  );
+/**
+ * Goes over the whole queue when capacity grew or a job's position may have changed, else over the
+ * jobs that arrived: the others are known not to fit.
+ */
+function runDuePass(state: CoreState, actions: PlacementAction[]): void {
+  const isWakeDue = state.nextWakeMs !== undefined && state.nextWakeMs <= state.nowMs;
+  if (isWakeDue) state.nextWakeMs = undefined;
+  if (state.isCapacityDirty || isWakeDue) runPass(state, state.queue, actions);
+  else if (state.arrivals.size > 0) runPass(state, state.arrivals, actions);
 }
 
 function decide(state: CoreState): PlacementAction[] {
@@ -78,8 +87,8 @@
   if (state.isGuaranteeDirty) repairGuarantees(state);
   const actions = state.pending;
   state.pending = [];
-  startReadyClaims(state, actions);
-  if (isPassDue(state)) runPass(state, actions);
+  if (state.isCapacityDirty) startReadyClaims(state, actions);
+  runDuePass(state, actions);
   if (state.isGuaranteeDirty) reportGuarantees(state, actions);
   state.isGuaranteeDirty = false;
   return actions;
@@ -95,10 +104,14 @@
 
 /**
  * Creates the decision core of one region. It holds all its state in memory and reads no clock;
- * `nowMs` of the calls must not go back.
+ * `nowMs` of the calls must not go back. `policy` replaces choices that follow from the weights.
  */
-export function createScheduler(config: PlacementConfig, workers: WorkerSpec[]): Scheduler {
-  const state = createState(config);
+export function createScheduler(
+  config: PlacementConfig,
+  workers: WorkerSpec[],
+  policy: Partial<PlacementPolicy> = {},
+): Scheduler {
+  const state = createState(config, policy);
   addWorkers(state, workers);
   applyConfig(state, config);
   return {
