Leave the scarce slots of another region alone

With both regions busy, each router asked for slots in the other region as well, because it knew nothing about the wait there. A grantor now tells a holder that slots are scarce when the others want more than the holder leaves unused, and a router asks another region only while its grantors report none.

--- a/packages/bench/src/requests/grantedpolicy.ts
+++ b/packages/bench/src/requests/grantedpolicy.ts
@@ -129,14 +129,14 @@
       dataCentre: 'dc',
       endpoints,
       getLimits: () => limits,
-      computeWanted: (endpoint) => {
+      computeWanted: (endpoint, nowMs) => {
         const listed = endpoints.listEndpoints().map(({ instance, running }) => ({
           id: instance.id,
           slots: size.slots,
           running: running.size,
         }));
         const running = listed.reduce((sum, one) => sum + one.running, 0);
-        const isScarce = credits.isScarce(clock.getNowMs());
+        const isScarce = endpoints.listEndpoints().some((one) => credits.isScarce(one, nowMs));
         const { meanRunning } = router;
         const load = { meanRunning, running, waiting: queue.length, isScarce };
         const plan = splitWanted(computeTotalWanted(load), listed, router.id);
--- a/packages/routing/src/credits.ts
+++ b/packages/routing/src/credits.ts
@@ -23,8 +23,8 @@
   hasGrantor(endpoint: Endpoint): boolean;
   /** Part of the endpoint's slots that an even division would give to this daemon. */
   computeEvenSlots(endpoint: Endpoint): number;
-  /** Whether a grantor lately had fewer slots than were wanted. */
-  isScarce(nowMs: number): boolean;
+  /** Whether others lately wanted more of the endpoint's slots than this daemon left unused. */
+  isScarce(endpoint: Endpoint, nowMs: number): boolean;
   /** Asks the grantors for slots now. */
   requestSlots(): void;
   /** Asks the grantors for slots soon instead of at the next period. */
@@ -80,7 +80,8 @@
   /** Endpoints for which each member last heard of slots wanted or in use. */
   let reported = new Map<string, Set<string>>();
   let lastRequestMs = -Infinity;
-  let scarceUntilMs = -Infinity;
+  /** By grantor. */
+  const scarceUntilMs = new Map<string, number>();
   let cancelSoon: CancelTimer | undefined;
 
   /** A promise must outlive the grants made on it, and leave time to renew it. */
@@ -167,9 +168,13 @@
     }
   }
 
-  function noteScarcity(ttlMs: number): void {
+  function noteScarcity(grantor: string, ttlMs: number): void {
     const { creditMs } = getLimits();
-    if (ttlMs < creditMs) scarceUntilMs = clock.getNowMs() + creditMs;
+    if (ttlMs < creditMs) scarceUntilMs.set(grantor, clock.getNowMs() + creditMs);
+  }
+
+  function isScarce(endpoint: Endpoint, nowMs: number): boolean {
+    return nowMs < (scarceUntilMs.get(getPreferred(endpoint) ?? '') ?? -Infinity);
   }
 
   function sendRequest(
@@ -182,8 +187,8 @@
     if (sequence === undefined) return false;
     if (peer === selfId) {
       const grants = granting.grantSlots(selfId, sequence, demands, nowMs) ?? [];
-      const ttlMs = granting.computeGrantMs(demands, nowMs);
-      noteScarcity(ttlMs);
+      const ttlMs = granting.computeGrantMs(selfId, demands, nowMs);
+      noteScarcity(selfId, ttlMs);
       wallet.applyGrant(selfId, sequence, grants, ttlMs);
       return true;
     }
@@ -225,7 +230,8 @@
     }
     reported = next;
     options.handleCredit();
-    if (nowMs < scarceUntilMs) cancelSoon ??= clock.setTimer(scarcePeriodMs, requestSlots);
+    const isAnyScarce = [...scarceUntilMs.values()].some((untilMs) => nowMs < untilMs);
+    if (isAnyScarce) cancelSoon ??= clock.setTimer(scarcePeriodMs, requestSlots);
   }
 
   function requestSoon(): void {
@@ -240,7 +246,7 @@
     // Promised shares last longer than a request runs, grants of slots much shorter.
     if (ttlMs > 2 * creditMs) granting.addShares(from, sequence, grants, ttlMs);
     else if (wallet.applyGrant(from, sequence, grants, Math.min(ttlMs, creditMs))) {
-      noteScarcity(ttlMs);
+      noteScarcity(from, ttlMs);
       options.handleCredit();
     }
   }
@@ -257,7 +263,7 @@
       const sharers = listSharers(membership.getView().members, instance);
       return instance.capacity.slots / Math.max(1, sharers.length);
     },
-    isScarce: (nowMs) => nowMs < scarceUntilMs,
+    isScarce,
     requestSlots,
     requestSoon,
     getDump: () => granting.getDump(clock.getNowMs()),
--- a/packages/routing/src/dispatcher.ts
+++ b/packages/routing/src/dispatcher.ts
@@ -157,14 +157,16 @@
     });
     const used = endpoints.reduce((sum, endpoint) => sum + endpoint.running, 0);
     const waiting = queue.countAll();
+    const isScarce = listed.some((one) => context.credits.isScarce(one.endpoint, plannedAtMs));
     if (region === context.region) {
-      const isScarce = context.credits.isScarce(plannedAtMs);
       const load = { meanRunning, running: used, waiting, isScarce };
       return splitWanted(computeTotalWanted(load), endpoints, context.selfId);
     }
-    // Slots of other regions are asked for only while requests would go there.
+    // Slots of other regions are asked for only while requests would go there and nobody there
+    // lacks them; two busy regions would otherwise exchange their requests.
     const linkMs = 2 * selection.getLink(region).latencyMs;
-    const total = computeOwnWaitMs(candidates) > linkMs ? used + waiting : used;
+    const isWorthwhile = !isScarce && computeOwnWaitMs(candidates) > linkMs;
+    const total = isWorthwhile ? used + waiting : used;
     return splitWanted(total, endpoints, context.selfId);
   }
 
--- a/packages/routing/src/granting.ts
+++ b/packages/routing/src/granting.ts
@@ -27,7 +27,7 @@
    * Validity of grants for these demands. Grants of scarce slots last half as long, which also
    * tells their holders to ask for no more than they need.
    */
-  computeGrantMs(demands: readonly CreditDemand[], nowMs: number): number;
+  computeGrantMs(holder: string, demands: readonly CreditDemand[], nowMs: number): number;
   /** Forgets what a daemon held that has ended. */
   removeHolder(holder: string): void;
   /** Grants slots to a holder; `undefined` when a later request was seen. */
@@ -131,10 +131,11 @@
     return isPromised ? { endpoint: id, slots } : undefined;
   }
 
-  function computeGrantMs(demands: readonly CreditDemand[], nowMs: number): number {
+  function computeGrantMs(holder: string, demands: readonly CreditDemand[], nowMs: number): number {
     const { creditMs } = getLimits();
     const isScarce = demands.some(
-      ({ endpoint, wanted }) => wanted > 0 && ledger.isScarce(endpoint, getSlots(endpoint), nowMs),
+      ({ endpoint, wanted }) =>
+        wanted > 0 && ledger.isScarceFor(holder, endpoint, getSlots(endpoint), nowMs),
     );
     return isScarce ? creditMs / 2 : creditMs;
   }
@@ -146,7 +147,7 @@
     const grants = grantSlots(from, sequence, demands, nowMs);
     if (grants === undefined) return;
     const type = MessageType.CreditGrant as const;
-    membership.send(from, { type, sequence, grants, ttlMs: computeGrantMs(demands, nowMs) });
+    membership.send(from, { type, sequence, grants, ttlMs: computeGrantMs(from, demands, nowMs) });
     // A demand for nothing asks for this daemon's own share.
     const shares = demands
       .filter((demand) => demand.wanted === 0)
--- a/packages/routing/src/ledger.ts
+++ b/packages/routing/src/ledger.ts
@@ -30,8 +30,8 @@
     getSlots: (endpoint: string) => number,
     nowMs: number,
   ): CreditSlots[] | undefined;
-  /** Whether active holders want more slots of the endpoint than may be granted. */
-  isScarce(endpoint: string, slots: number, nowMs: number): boolean;
+  /** Whether the other holders want more slots of the endpoint than this one leaves unused. */
+  isScarceFor(holder: string, endpoint: string, slots: number, nowMs: number): boolean;
   /** Forgets a holder whose process has ended, and its exchanges with it. */
   removeHolder(holder: string): void;
   /** Slots that holders may be using, silent and paused holders included. */
@@ -136,9 +136,11 @@
     }));
   }
 
-  function isScarce(endpoint: string, slots: number, nowMs: number): boolean {
-    const wanted = listWants(endpoint, nowMs).reduce((sum, want) => sum + want.wanted, 0);
-    return wanted > computeCapacity(endpoint, slots, nowMs);
+  function isScarceFor(holder: string, endpoint: string, slots: number, nowMs: number): boolean {
+    const others = listWants(endpoint, nowMs).filter((want) => want.id !== holder);
+    const wanted = others.reduce((sum, want) => sum + want.wanted, 0);
+    const used = holdings.get(endpoint)?.get(holder)?.reported.slots ?? 0;
+    return wanted + used > computeCapacity(endpoint, slots, nowMs);
   }
 
   function applyReport(holder: string, demand: CreditDemand, sequence: number, nowMs: number) {
@@ -236,7 +238,7 @@
     },
     listDelegators: (endpoint) => [...(shares.get(endpoint)?.keys() ?? [])],
     computeCapacity,
-    isScarce,
+    isScarceFor,
     handleRequest,
     removeHolder: (holder) => {
       dropUnlisted(holder, new Set());
