--- a/packages/bench/src/failures/faults.ts
+++ b/packages/bench/src/failures/faults.ts
@@ -3,6 +3,7 @@
 import type { FaultSwitches } from '@bergamotreach/standin';
 import { waitUntil } from '../cluster/index.ts';
 import type { DaemonProcess } from '../cluster/index.ts';
+import { cancelBatch, runJobBurst, submitHopelessJobs } from './jobs.ts';
 import { runOperators } from './operators.ts';
 import { countRuns, region, sendRequest } from './scene.ts';
 import type { Scene } from './scene.ts';
@@ -137,4 +138,7 @@
   endpointTruncate: async (scene) => setEndpoints(scene, EndpointFault.Truncate),
   endpointLeaving: async (scene) => setEndpoints(scene, EndpointFault.Leaving),
   operatorsRace: runOperators,
+  jobBurst: runJobBurst,
+  cancelBatch,
+  hopelessJobs: submitHopelessJobs,
 };
