--- a/packages/config/src/effective.ts
+++ b/packages/config/src/effective.ts
@@ -71,7 +71,7 @@
   maxRequestMs: number;
   /** Deadline of a request that states none. */
   defaultRequestMs: number;
-  /** Longest pause while a request is being read. */
+  /** Longest time in which a request must be read whole. */
   readTimeoutMs: number;
   maxConnections: number;
   /** Largest opaque payload of a job. */
--- a/packages/daemon/src/parts.ts
+++ b/packages/daemon/src/parts.ts
@@ -168,8 +168,6 @@
     secret: settings.peerSecret,
     getHeartbeatSource: () => ({
       configRevision: holder.configTask?.getStatus().revision ?? 0,
-      epochs: {},
-      delegations: [],
     }),
   });
   const configParts = createConfigParts(base, membership, onConfig);
--- a/packages/daemon/src/run.ts
+++ b/packages/daemon/src/run.ts
@@ -24,16 +24,32 @@
   return createMetrics({ host, port, globalTags: { id, region, dataCentre } });
 }
 
-/** Drains on the first signal and ends the process at once on the second. */
-function handleSignals(daemon: Daemon): void {
+/** Signals of one process. */
+interface ShutdownSignals {
+  /** Drains `daemon` on the first signal, at once when that has come already. */
+  attachDaemon(daemon: Daemon): void;
+}
+
+/**
+ * Drains on the first signal and ends the process at once on the second. The handlers are set before
+ * the daemon starts, because the default action of a signal would cut off requests without a drain.
+ */
+function handleSignals(): ShutdownSignals {
   let isStopping = false;
+  let attached: Daemon | undefined;
   const handleSignal = (): void => {
     if (isStopping) process.exit(forcedExitCode);
     isStopping = true;
-    daemon.startDraining();
+    attached?.startDraining();
   };
   process.on('SIGTERM', handleSignal);
   process.on('SIGINT', handleSignal);
+  return {
+    attachDaemon: (daemon) => {
+      attached = daemon;
+      if (isStopping) daemon.startDraining();
+    },
+  };
 }
 
 /** Runs a daemon until it is told to stop; returns the exit code of the process. */
@@ -49,6 +65,7 @@
     level: settings.logLevel,
     write: (line) => process.stdout.write(line),
   });
+  const signals = handleSignals();
   const base = { settings, clock: createSystemClock(), logger };
   const clients = openPlatformClients(settings.platformUrl);
   let daemon: Daemon;
@@ -59,7 +76,7 @@
     writeSync(stderrDescriptor, `bergamotreach: cannot start: ${reason}\n`);
     return ExitCode.Unavailable;
   }
-  handleSignals(daemon);
+  signals.attachDaemon(daemon);
   await daemon.finished;
   return 0;
 }
--- a/packages/execution/src/owner.ts
+++ b/packages/execution/src/owner.ts
@@ -85,7 +85,6 @@
       return;
     }
     closeSession('new epoch');
-    checker = undefined;
     session = createOwnerSession({ ...options, lease, epoch, settings, instances, config });
   }
 
@@ -104,8 +103,11 @@
     return scheduler;
   }
 
+  /**
+   * A scheduler without jobs, used for checks only. That of the session has no accounts until its
+   * first round of decisions, and would refuse valid jobs in that time.
+   */
   function getChecker(): Scheduler | undefined {
-    if (session?.isReady() === true) return session.scheduler;
     if (config !== undefined) checker ??= createChecker(config);
     return checker;
   }
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -5,7 +5,6 @@
 import type {
   CancelTimer,
   Clock,
-  Delegation,
   HeartbeatMessage,
   HelloMessage,
   Logger,
@@ -22,8 +21,6 @@
 /** What the heartbeat tells about the other tasks of this daemon. */
 export interface HeartbeatSource {
   configRevision: number;
-  epochs: Record<string, number>;
-  delegations: Delegation[];
 }
 
 /** Options of the membership task. */
--- a/packages/membership/tests/members.test.ts
+++ b/packages/membership/tests/members.test.ts
@@ -16,8 +16,6 @@
     state,
     configRevision: 3,
     heard,
-    epochs: {},
-    delegations: [],
   };
 }
 
--- a/packages/membership/tests/membership.test.ts
+++ b/packages/membership/tests/membership.test.ts
@@ -11,7 +11,7 @@
 import { startMembership } from '../src/index.ts';
 import type { MembershipTask } from '../src/index.ts';
 
-const emptySource = { configRevision: 0, epochs: {}, delegations: [] };
+const emptySource = { configRevision: 0 };
 
 async function startMember(
   id: string,
--- a/packages/protocol/src/message.ts
+++ b/packages/protocol/src/message.ts
@@ -45,15 +45,6 @@
   members: MemberAddress[];
 }
 
-/** A promise to count one's share of the slots of a grantor until it runs out. */
-export interface Delegation {
-  /** Daemon that may grant on the sender's share for the endpoints in `endpoints`. */
-  grantor: string;
-  endpoints: string[];
-  /** How long the promise still holds, in milliseconds from sending. */
-  ttlMs: number;
-}
-
 /** Periodic state of a daemon. */
 export interface HeartbeatMessage {
   type: MessageType.Heartbeat;
@@ -63,9 +54,6 @@
   configRevision: number;
   /** Members heard by the sender within the suspicion time. */
   heard: string[];
-  /** Epochs of regions that the sender owns or has seen. */
-  epochs: Record<string, number>;
-  delegations: Delegation[];
 }
 
 /** A whole configuration revision, sent to daemons that have an older one. */
