--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,8 +1,7 @@
 import { getRequestListener } from '@hono/node-server';
 import type { EffectiveConfig } from '@bergamotreach/config';
 import { createScheduler } from '@bergamotreach/placement';
-import type { JobSpec, PlacementConfig, WorkerSpec } from '@bergamotreach/placement';
-import { InstanceKind } from '@bergamotreach/platform';
+import type { JobSpec } from '@bergamotreach/placement';
 import type { Instance } from '@bergamotreach/platform';
 import { MessageType, waitFor } from '@bergamotreach/protocol';
 import type { Fault } from '@bergamotreach/protocol';
@@ -20,6 +19,7 @@
 import type { DaemonBase, DaemonTasks } from './parts.ts';
 import { createMeasuredClients } from './platformclients.ts';
 import { createQueueLimit } from './queuelimit.ts';
+import { listConfigRegions, listWorkerSpecs, selectRegionPlacement } from './regionplacement.ts';
 import { createRegionReports } from './regionreports.ts';
 import type { RegionReport } from './regionreports.ts';
 import { buildRoutingConfig } from './routingconfig.ts';
@@ -53,35 +53,6 @@
   server: HttpServer | undefined;
 }
 
-function listConfigRegions(config: EffectiveConfig | undefined): string[] {
-  const regions = Object.values(config?.dataCentres ?? {}).map((entry) => entry.region);
-  return [...new Set(regions)].sort();
-}
-
-/** Placement settings with the guarantees of one region's data centres only. */
-function selectRegionPlacement(config: EffectiveConfig, region: string): PlacementConfig {
-  const accounts = config.placement.accounts.map((account) => ({
-    ...account,
-    guarantees: account.guarantees.filter(
-      ({ dataCentre }) => config.dataCentres[dataCentre]?.region === region,
-    ),
-  }));
-  return { ...config.placement, accounts };
-}
-
-function listWorkerSpecs(instances: readonly Instance[], region: string): WorkerSpec[] {
-  return instances
-    .filter((instance) => instance.kind === InstanceKind.Worker && instance.region === region)
-    .map(({ id, dataCentre, rack, capacity }) => ({
-      id,
-      dataCentre,
-      rack,
-      accelerators: capacity.accelerators,
-      cores: capacity.cores,
-      memoryMb: capacity.memoryMb,
-    }));
-}
-
 function createOwnReport(base: DaemonBase, tasks: DaemonTasks): RegionReport | undefined {
   if (!tasks.owner.isOwner()) return undefined;
   const usage = tasks.owner
