--- a/packages/bench/src/demo/main.ts
+++ b/packages/bench/src/demo/main.ts
@@ -55,7 +55,8 @@
 async function applyConfig(cluster: Cluster, folder: string, checks: Checklist): Promise<void> {
   const url = cluster.getUrl(getFirst(cluster));
   const applied = await runProgram(url, ['config', 'apply', folder]);
-  checks.check('configuration applied', applied.exitCode === 0, applied.stderr.trim());
+  const output = `${applied.stdout}${applied.stderr}`.trim().split('\n')[0] ?? '';
+  checks.check('configuration applied', applied.exitCode === 0, output);
   for (const daemon of cluster.daemons) {
     await waitUntil('configuration on every daemon', startTimeoutMs, async () => {
       const dump = await cluster.loadDump(daemon);
