--- a/packages/execution/src/session.ts
+++ b/packages/execution/src/session.ts
@@ -121,6 +121,7 @@
       .with({ kind: ActionKind.StopGang }, ({ jobId, attempt, reason, graceMs }) => {
         const gang = jobs.get(jobId)?.gang;
         if (gang?.attempt !== attempt) return;
+        options.metrics.count('placement.stops', 1, { reason });
         const deadlineMs = clock.getNowMs() + graceMs;
         requestStop(gang, { end: GangEnd.Stopped, worker: '', reason, deadlineMs });
       })
