Choose ports of daemons outside the range of outgoing connections

Cause: the demo failed once, and 1 of 5 demos run at the same time did: a daemon did not start, because a free port found for it was taken by an outgoing connection before it listened. Change: ports from 20,000 to 31,999, each tried before use; the bench package's hash of the operator token comes from the protocol package. Conclusion: the cause fits all that was seen; a port can still collide with another program's.

--- a/packages/bench/src/cluster/cluster.ts
+++ b/packages/bench/src/cluster/cluster.ts
@@ -1,14 +1,12 @@
-import { createHash } from 'node:crypto';
 import { mkdtemp, readFile, readdir, rm } from 'node:fs/promises';
 import { createServer } from 'node:net';
-import type { AddressInfo } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { DaemonSettings } from '@bergamotreach/daemon';
 import { InstanceKind, InstanceState } from '@bergamotreach/platform';
 import type { Instance } from '@bergamotreach/platform';
-import { LogLevel, createSystemClock } from '@bergamotreach/protocol';
+import { LogLevel, computeHash, createSystemClock } from '@bergamotreach/protocol';
 import { startPlatform } from '@bergamotreach/standin';
 import type { PlatformLayout, StandinPlatform } from '@bergamotreach/standin';
 import { callHttp, callJson } from './client.ts';
@@ -67,12 +65,32 @@
   throw new Error(`${what} did not happen within ${timeoutMs} ms`);
 }
 
+// Below the range from which Linux takes ports of outgoing connections: a free port of that range
+// could be taken by a connection of another daemon before the new one listens on it.
+const firstPort = 20_000;
+const portCount = 12_000;
+let nextPort = process.pid * 41;
+
+async function canListen(port: number): Promise<boolean> {
+  const server = createServer();
+  return new Promise((resolve) => {
+    server.once('error', () => {
+      resolve(false);
+    });
+    server.listen(port, '127.0.0.1', () => {
+      server.close(() => {
+        resolve(true);
+      });
+    });
+  });
+}
+
 async function findFreePort(): Promise<number> {
-  const server = createServer().listen(0, '127.0.0.1');
-  await new Promise((resolve) => server.once('listening', resolve));
-  const { port } = server.address() as AddressInfo;
-  await new Promise((resolve) => server.close(resolve));
-  return port;
+  for (;;) {
+    nextPort += 1;
+    const port = firstPort + (nextPort % portCount);
+    if (await canListen(port)) return port;
+  }
 }
 
 async function createSettings(
@@ -91,7 +109,7 @@
     platformUrl: `http://${platform.address}`,
     seeds,
     peerSecret,
-    operatorTokenHash: createHash('sha256').update(operatorToken).digest('hex'),
+    operatorTokenHash: computeHash(operatorToken),
     logLevel,
   };
 }
