Use one hash, one address parser and one view cache

Cause: the read-through found the hash of a text in three places, the split of ip:port in two, and a view cache of the router that the cached view of membership has made superfluous. The tests keep their assertions. Conclusion: no behaviour changed.

--- a/packages/config/src/revision.ts
+++ b/packages/config/src/revision.ts
@@ -1,5 +1,4 @@
-import { createHash } from 'node:crypto';
-import { FaultCode, createFault } from '@bergamotreach/protocol';
+import { computeHash, FaultCode, createFault } from '@bergamotreach/protocol';
 import type { Fault } from '@bergamotreach/protocol';
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
@@ -40,11 +39,6 @@
 /** Name of the manifest's text in a push. It cannot be the name of a configuration file. */
 export const manifestEntry = '#manifest';
 
-/** Computes the SHA-256 of a text in hexadecimal. */
-export function computeHash(text: string): string {
-  return createHash('sha256').update(text).digest('hex');
-}
-
 /** Formats a manifest with its keys in a fixed order, so that its hash is stable. */
 export function formatManifest(manifest: Manifest): string {
   const names = Object.keys(manifest.files).sort();
--- a/packages/config/src/store.ts
+++ b/packages/config/src/store.ts
@@ -1,4 +1,4 @@
-import { FaultCode, createFault } from '@bergamotreach/protocol';
+import { FaultCode, computeHash, createFault } from '@bergamotreach/protocol';
 import type { Clock, Fault } from '@bergamotreach/protocol';
 import type { ObjectStore, Table } from '@bergamotreach/platform';
 import { Err, Ok } from 'ts-results-es';
@@ -12,7 +12,7 @@
 import { buildHistoryEntry, loadChain } from './history.ts';
 import type { HistoryEntry } from './history.ts';
 import { createObjectCache } from './objects.ts';
-import { checkRevision, computeHash, formatManifest, parseManifest } from './revision.ts';
+import { checkRevision, formatManifest, parseManifest } from './revision.ts';
 import type { ConfigRevision, Manifest } from './revision.ts';
 
 /** Largest number of accepted changes that a conflict shows or a repeat is searched in. */
--- a/packages/config/tests/check.test.ts
+++ b/packages/config/tests/check.test.ts
@@ -1,14 +1,8 @@
-import { FaultCode } from '@bergamotreach/protocol';
+import { computeHash, FaultCode } from '@bergamotreach/protocol';
 import { expect } from 'earl';
 import fc from 'fast-check';
 import { test } from 'node:test';
-import {
-  buildAccepted,
-  checkFolder,
-  computeHash,
-  maxFolderBytes,
-  maxListedFaults,
-} from '../src/index.ts';
+import { buildAccepted, checkFolder, maxFolderBytes, maxListedFaults } from '../src/index.ts';
 import { mergeFolder } from '../src/merge.ts';
 import { formatAccount } from './fakes.ts';
 
--- a/packages/config/tests/fakes.ts
+++ b/packages/config/tests/fakes.ts
@@ -1,10 +1,9 @@
-import { FaultCode, createFault } from '@bergamotreach/protocol';
+import { computeHash, FaultCode, createFault } from '@bergamotreach/protocol';
 import type { Fault, LogFields, Logger, ManualClock } from '@bergamotreach/protocol';
 import { CommitStatus, ObjectStore, Table } from '@bergamotreach/platform';
 import type { Commit, CommitReply, Row, RowPage } from '@bergamotreach/platform';
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
-import { computeHash } from '../src/index.ts';
 
 /** What happens to the next commit. */
 export enum CommitFate {
--- a/packages/daemon/src/httpserver.ts
+++ b/packages/daemon/src/httpserver.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
 import type { LimitsConfig } from '@bergamotreach/config';
+import { splitAddress } from '@bergamotreach/membership';
 import { FaultCode, createFault, faultAnswers, getOutcome } from '@bergamotreach/protocol';
 import type { Fault } from '@bergamotreach/protocol';
 import { formatFaultBody } from './answer.ts';
@@ -96,11 +97,10 @@
 }
 
 async function listen(server: Server, address: string): Promise<string> {
-  const colon = address.lastIndexOf(':');
-  const host = address.slice(0, colon);
+  const { host, port } = splitAddress(address);
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject);
-    server.listen(Number(address.slice(colon + 1)), host, resolve);
+    server.listen(port, host, resolve);
   });
   return `${host}:${(server.address() as AddressInfo).port}`;
 }
--- a/packages/platform/src/httpobjectstore.ts
+++ b/packages/platform/src/httpobjectstore.ts
@@ -1,5 +1,4 @@
-import { createHash } from 'node:crypto';
-import { FaultCode, createFault } from '@bergamotreach/protocol';
+import { FaultCode, computeHash, createFault } from '@bergamotreach/protocol';
 import type { Fault } from '@bergamotreach/protocol';
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
@@ -7,18 +6,13 @@
 import type { HttpClient } from './httpclient.ts';
 import { ObjectStore } from './objectstore.ts';
 
-/** SHA-256 of a text in UTF-8, in hexadecimal. */
-export function computeContentHash(content: string): string {
-  return createHash('sha256').update(content, 'utf8').digest('hex');
-}
-
 class HttpObjectStore extends ObjectStore {
   constructor(private readonly client: HttpClient) {
     super();
   }
 
   async putObject(content: string): Promise<Result<string, Fault>> {
-    const hash = computeContentHash(content);
+    const hash = computeHash(content);
     const exchange = await this.client.send('PUT', `/objects/${hash}`, content);
     if (exchange.status === ExchangeStatus.Answered && exchange.code === 200) return Ok(hash);
     return Err(createFault(FaultCode.StoreUnavailable, `object ${hash} was not stored`));
@@ -32,7 +26,7 @@
     if (exchange.code === 404) {
       return Err(createFault(FaultCode.NotFound, `object ${hash} does not exist`));
     }
-    if (exchange.code !== 200 || computeContentHash(exchange.body) !== hash) {
+    if (exchange.code !== 200 || computeHash(exchange.body) !== hash) {
       return Err(createFault(FaultCode.StoreUnavailable, `object ${hash} was not read whole`));
     }
     return Ok(exchange.body);
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -1,6 +1,7 @@
 export * from './clock.ts';
 export * from './fault.ts';
 export * from './frame.ts';
+export * from './hash.ts';
 export * from './logger.ts';
 export * from './manualclock.ts';
 export * from './message.ts';
--- a/packages/routing/src/credits.ts
+++ b/packages/routing/src/credits.ts
@@ -10,7 +10,6 @@
 import { createOwnShare } from './ownshare.ts';
 import { createPeerDemands } from './peerdemands.ts';
 import type { PeerDemands } from './peerdemands.ts';
-import { createCachedMembership } from './viewcache.ts';
 import { createCreditWallet } from './wallet.ts';
 
 /** Slots that this router may use now. */
@@ -56,8 +55,7 @@
 
 /** Creates the credit task: asks grantors for slots, and grants on delegated shares. */
 export function createSlotCredits(options: SlotCreditsOptions): SlotCredits {
-  const { clock, selfId, endpoints, getLimits } = options;
-  const membership = createCachedMembership(options.membership);
+  const { clock, membership, selfId, endpoints, getLimits } = options;
   const wallet = createCreditWallet(options.firstSequence);
   const handover = createHandover();
   const getPreferred = createGrantorChoice(membership);
@@ -217,7 +215,6 @@
     cancelSoon?.();
     cancelSoon = undefined;
     lastRequestMs = nowMs;
-    membership.updateView();
     applyView();
     const demands = createDemands(nowMs);
     const next = new Map<string, Set<string>>();
--- a/packages/standin/src/app.ts
+++ b/packages/standin/src/app.ts
@@ -1,4 +1,4 @@
-import { createHash } from 'node:crypto';
+import { computeHash } from '@bergamotreach/protocol';
 import type { Commit, CommandBatch, Instance } from '@bergamotreach/platform';
 import { Hono } from 'hono';
 import type { Context, MiddlewareHandler } from 'hono';
@@ -54,7 +54,7 @@
   app.use('/objects/*', createStoreGate(parts));
   app.put('/objects/:hash', async (context) => {
     const content = await context.req.text();
-    const hash = createHash('sha256').update(content, 'utf8').digest('hex');
+    const hash = computeHash(content);
     if (hash !== context.req.param('hash')) return context.json({ error: 'hash mismatch' }, 400);
     parts.stats.countObject(true);
     parts.objects.set(hash, content);
