Rename package platform to hosting

The folder platform/ at the root will hold the translation to the users' platform, so only one thing may carry that name.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -30,24 +30,24 @@
 const allowedImports = {
   protocol: [],
   placement: ['protocol'],
-  config: ['protocol', 'placement', 'platform'],
-  platform: ['protocol'],
-  membership: ['protocol', 'platform'],
-  ownership: ['protocol', 'platform'],
-  routing: ['protocol', 'platform', 'membership', 'ownership'],
-  execution: ['protocol', 'platform', 'placement', 'ownership'],
+  config: ['protocol', 'placement', 'hosting'],
+  hosting: ['protocol'],
+  membership: ['protocol', 'hosting'],
+  ownership: ['protocol', 'hosting'],
+  routing: ['protocol', 'hosting', 'membership', 'ownership'],
+  execution: ['protocol', 'hosting', 'placement', 'ownership'],
   daemon: [
     'protocol',
     'config',
-    'platform',
+    'hosting',
     'placement',
     'membership',
     'ownership',
     'execution',
     'routing',
   ],
-  cli: ['protocol', 'config', 'platform', 'daemon'],
-  standin: ['protocol', 'platform'],
+  cli: ['protocol', 'config', 'hosting', 'daemon'],
+  standin: ['protocol', 'hosting'],
 };
 
 const packageNames = [...Object.keys(allowedImports), 'bench'];
--- a/packages/bench/src/capacity/work.ts
+++ b/packages/bench/src/capacity/work.ts
@@ -1,6 +1,6 @@
 import { randomUUID } from 'node:crypto';
 import { setTimeout as sleep } from 'node:timers/promises';
-import { TaskState } from '@bergamotreach/platform';
+import { TaskState } from '@bergamotreach/hosting';
 import { callHttp, callJson, operatorToken, waitUntil } from '../cluster/index.ts';
 import type { Cluster, DaemonProcess } from '../cluster/index.ts';
 
--- a/packages/bench/src/demo/gang.ts
+++ b/packages/bench/src/demo/gang.ts
@@ -1,4 +1,4 @@
-import { TaskState } from '@bergamotreach/platform';
+import { TaskState } from '@bergamotreach/hosting';
 import type { StandinPlatform, TaskRecord } from '@bergamotreach/standin';
 
 /** One task of the gang as the workers saw it. */
--- a/packages/bench/src/requests/grantedpolicy.ts
+++ b/packages/bench/src/requests/grantedpolicy.ts
@@ -1,6 +1,6 @@
 import type { Member, Membership, MessageOf } from '@bergamotreach/membership';
-import { InstanceKind, InstanceState } from '@bergamotreach/platform';
-import type { Instance } from '@bergamotreach/platform';
+import { InstanceKind, InstanceState } from '@bergamotreach/hosting';
+import type { Instance } from '@bergamotreach/hosting';
 import { MemberState } from '@bergamotreach/protocol';
 import type { MessageType, PeerMessage } from '@bergamotreach/protocol';
 import {
--- a/packages/config/src/conflict.ts
+++ b/packages/config/src/conflict.ts
@@ -1,6 +1,6 @@
 import { FaultCode, createFault } from '@bergamotreach/protocol';
 import type { Fault } from '@bergamotreach/protocol';
-import type { ObjectStore } from '@bergamotreach/platform';
+import type { ObjectStore } from '@bergamotreach/hosting';
 import { buildHistoryEntry, loadManifest } from './history.ts';
 import type { HistoryEntry, StoredManifest } from './history.ts';
 import { runInBatches } from './objects.ts';
--- a/packages/config/src/head.ts
+++ b/packages/config/src/head.ts
@@ -1,4 +1,4 @@
-import type { Row, RowValue } from '@bergamotreach/platform';
+import type { Row, RowValue } from '@bergamotreach/hosting';
 
 /** Key of the row that names the revision in force. */
 export const headKey = 'config/head';
--- a/packages/config/src/store.ts
+++ b/packages/config/src/store.ts
@@ -1,6 +1,6 @@
 import { FaultCode, computeHash, createFault } from '@bergamotreach/protocol';
 import type { Clock, Fault } from '@bergamotreach/protocol';
-import type { ObjectStore, Table } from '@bergamotreach/platform';
+import type { ObjectStore, Table } from '@bergamotreach/hosting';
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
 import { checkFolder } from './check.ts';
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -2,7 +2,7 @@
 import type { EffectiveConfig } from '@bergamotreach/config';
 import { createScheduler } from '@bergamotreach/placement';
 import type { JobSpec } from '@bergamotreach/placement';
-import type { Instance } from '@bergamotreach/platform';
+import type { Instance } from '@bergamotreach/hosting';
 import { MessageType, waitFor } from '@bergamotreach/protocol';
 import type { Fault } from '@bergamotreach/protocol';
 import type { Result } from 'ts-results-es';
--- a/packages/daemon/src/instancepoller.ts
+++ b/packages/daemon/src/instancepoller.ts
@@ -1,4 +1,4 @@
-import type { Instance, InstanceList } from '@bergamotreach/platform';
+import type { Instance, InstanceList } from '@bergamotreach/hosting';
 import { runEvery } from '@bergamotreach/protocol';
 import type { Clock, Logger } from '@bergamotreach/protocol';
 
--- a/packages/daemon/src/measuredstores.ts
+++ b/packages/daemon/src/measuredstores.ts
@@ -1,5 +1,5 @@
-import { ObjectStore, Table } from '@bergamotreach/platform';
-import type { Commit, CommitReply, Row, RowPage } from '@bergamotreach/platform';
+import { ObjectStore, Table } from '@bergamotreach/hosting';
+import type { Commit, CommitReply, Row, RowPage } from '@bergamotreach/hosting';
 import type { Clock, Fault, Metrics } from '@bergamotreach/protocol';
 import type { Result } from 'ts-results-es';
 
--- a/packages/daemon/src/operatorroutes.ts
+++ b/packages/daemon/src/operatorroutes.ts
@@ -1,6 +1,6 @@
 import type { EffectiveConfig } from '@bergamotreach/config';
-import type { Instance } from '@bergamotreach/platform';
-import { InstanceKind } from '@bergamotreach/platform';
+import type { Instance } from '@bergamotreach/hosting';
+import { InstanceKind } from '@bergamotreach/hosting';
 import type { Hono } from 'hono';
 import { createJsonResponse } from './answer.ts';
 import type { Caller } from './auth.ts';
--- a/packages/daemon/src/platformclients.ts
+++ b/packages/daemon/src/platformclients.ts
@@ -4,8 +4,8 @@
   createHttpObjectStore,
   createHttpTable,
   createHttpWorkerClient,
-} from '@bergamotreach/platform';
-import type { InstanceList, ObjectStore, Table, WorkerClient } from '@bergamotreach/platform';
+} from '@bergamotreach/hosting';
+import type { InstanceList, ObjectStore, Table, WorkerClient } from '@bergamotreach/hosting';
 import { createMeasuredObjectStore, createMeasuredTable } from './measuredstores.ts';
 import type { MeasureOptions } from './measuredstores.ts';
 
--- a/packages/daemon/src/regionplacement.ts
+++ b/packages/daemon/src/regionplacement.ts
@@ -1,7 +1,7 @@
 import type { EffectiveConfig } from '@bergamotreach/config';
 import type { PlacementConfig, WorkerSpec } from '@bergamotreach/placement';
-import { InstanceKind } from '@bergamotreach/platform';
-import type { Instance } from '@bergamotreach/platform';
+import { InstanceKind } from '@bergamotreach/hosting';
+import type { Instance } from '@bergamotreach/hosting';
 
 /** Regions named by the configuration, in name order. */
 export function listConfigRegions(config: EffectiveConfig | undefined): string[] {
--- a/packages/daemon/tests/metrics.test.ts
+++ b/packages/daemon/tests/metrics.test.ts
@@ -1,6 +1,6 @@
 import { FaultCode, createFault, createManualClock } from '@bergamotreach/protocol';
-import { CommitStatus } from '@bergamotreach/platform';
-import type { Table } from '@bergamotreach/platform';
+import { CommitStatus } from '@bergamotreach/hosting';
+import type { Table } from '@bergamotreach/hosting';
 import { expect } from 'earl';
 import { test } from 'node:test';
 import { Err } from 'ts-results-es';
--- a/packages/execution/src/caretaker.ts
+++ b/packages/execution/src/caretaker.ts
@@ -1,7 +1,7 @@
 import { LeaseState } from '@bergamotreach/ownership';
 import type { RegionLease } from '@bergamotreach/ownership';
-import { CommandKind, TaskState } from '@bergamotreach/platform';
-import type { Instance, TaskStatus, WorkerClient, WorkerTasks } from '@bergamotreach/platform';
+import { CommandKind, TaskState } from '@bergamotreach/hosting';
+import type { Instance, TaskStatus, WorkerClient, WorkerTasks } from '@bergamotreach/hosting';
 import { runEvery } from '@bergamotreach/protocol';
 import type { CancelTimer, Clock, Logger, Metrics } from '@bergamotreach/protocol';
 import { createLimiter } from './limiter.ts';
--- a/packages/execution/src/context.ts
+++ b/packages/execution/src/context.ts
@@ -6,7 +6,7 @@
   RowCondition,
   WorkerCommand,
   WorkerTasks,
-} from '@bergamotreach/platform';
+} from '@bergamotreach/hosting';
 import type { RegionLease } from '@bergamotreach/ownership';
 import { Err } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
--- a/packages/execution/src/ending.ts
+++ b/packages/execution/src/ending.ts
@@ -1,6 +1,6 @@
 import { JobState } from '@bergamotreach/ownership';
 import { EventKind, GangEnd, StopReason } from '@bergamotreach/placement';
-import { CommandKind } from '@bergamotreach/platform';
+import { CommandKind } from '@bergamotreach/hosting';
 import { waitFor } from '@bergamotreach/protocol';
 import type { OwnerContext } from './context.ts';
 import { GangPhase, MemberPhase, computeUsedSeconds, isPresent, listByWorker } from './gang.ts';
--- a/packages/execution/src/gang.ts
+++ b/packages/execution/src/gang.ts
@@ -1,6 +1,6 @@
 import { GangEnd } from '@bergamotreach/placement';
 import type { GangPlacement, StopReason } from '@bergamotreach/placement';
-import type { TaskSpec } from '@bergamotreach/platform';
+import type { TaskSpec } from '@bergamotreach/hosting';
 import type { GangJobRecord } from './options.ts';
 
 /** What the owner knows of a gang member. */
--- a/packages/execution/src/monitor.ts
+++ b/packages/execution/src/monitor.ts
@@ -1,6 +1,6 @@
 import { EventKind, GangEnd } from '@bergamotreach/placement';
-import { CommandKind, TaskState } from '@bergamotreach/platform';
-import type { TaskStatus, WorkerCommand, WorkerTasks } from '@bergamotreach/platform';
+import { CommandKind, TaskState } from '@bergamotreach/hosting';
+import type { TaskStatus, WorkerCommand, WorkerTasks } from '@bergamotreach/hosting';
 import type { CancelTimer } from '@bergamotreach/protocol';
 import type { OwnerContext } from './context.ts';
 import {
--- a/packages/execution/src/options.ts
+++ b/packages/execution/src/options.ts
@@ -1,6 +1,6 @@
 import type { JobRecord, JobRow, JobStore, RegionLease } from '@bergamotreach/ownership';
 import type { GangPlacement, JobSpec, Scheduler } from '@bergamotreach/placement';
-import type { WorkerClient } from '@bergamotreach/platform';
+import type { WorkerClient } from '@bergamotreach/hosting';
 import type { Clock, Logger, Metrics } from '@bergamotreach/protocol';
 
 /** Job record with the types of the placement core. */
--- a/packages/execution/src/owner.ts
+++ b/packages/execution/src/owner.ts
@@ -7,7 +7,7 @@
   Scheduler,
 } from '@bergamotreach/placement';
 import { EventKind } from '@bergamotreach/placement';
-import type { Instance } from '@bergamotreach/platform';
+import type { Instance } from '@bergamotreach/hosting';
 import { FaultCode, createFault } from '@bergamotreach/protocol';
 import type { Fault } from '@bergamotreach/protocol';
 import { Err } from 'ts-results-es';
--- a/packages/execution/src/recovery.ts
+++ b/packages/execution/src/recovery.ts
@@ -1,7 +1,7 @@
 import { JobState, isEnded } from '@bergamotreach/ownership';
 import { EventKind, GangEnd } from '@bergamotreach/placement';
-import { CommandKind } from '@bergamotreach/platform';
-import type { TaskStatus, WorkerTasks } from '@bergamotreach/platform';
+import { CommandKind } from '@bergamotreach/hosting';
+import type { TaskStatus, WorkerTasks } from '@bergamotreach/hosting';
 import { waitFor } from '@bergamotreach/protocol';
 import type { OwnerContext } from './context.ts';
 import { GangPhase, MemberPhase, checkDone, createGang, requestStop } from './gang.ts';
--- a/packages/execution/src/session.ts
+++ b/packages/execution/src/session.ts
@@ -8,7 +8,7 @@
   PlacementEvent,
   Scheduler,
 } from '@bergamotreach/placement';
-import type { Instance } from '@bergamotreach/platform';
+import type { Instance } from '@bergamotreach/hosting';
 import type { CancelTimer } from '@bergamotreach/protocol';
 import { match } from 'ts-pattern';
 import { createOwnerContext } from './context.ts';
--- a/packages/execution/src/starting.ts
+++ b/packages/execution/src/starting.ts
@@ -1,7 +1,7 @@
 import { JobState } from '@bergamotreach/ownership';
 import { EventKind, GangEnd } from '@bergamotreach/placement';
-import { CommandKind } from '@bergamotreach/platform';
-import type { CommandResult } from '@bergamotreach/platform';
+import { CommandKind } from '@bergamotreach/hosting';
+import type { CommandResult } from '@bergamotreach/hosting';
 import { FaultCode, waitFor } from '@bergamotreach/protocol';
 import type { OwnerContext } from './context.ts';
 import { GangPhase, MemberPhase, createTask, listByWorker, requestStop } from './gang.ts';
--- a/packages/execution/src/tasks.ts
+++ b/packages/execution/src/tasks.ts
@@ -1,5 +1,5 @@
-import { TaskState } from '@bergamotreach/platform';
-import type { TaskStatus } from '@bergamotreach/platform';
+import { TaskState } from '@bergamotreach/hosting';
+import type { TaskStatus } from '@bergamotreach/hosting';
 import { MemberPhase } from './gang.ts';
 import type { GangMember } from './gang.ts';
 
--- a/packages/execution/src/workers.ts
+++ b/packages/execution/src/workers.ts
@@ -1,6 +1,6 @@
 import type { WorkerSpec } from '@bergamotreach/placement';
-import { InstanceKind, InstanceState } from '@bergamotreach/platform';
-import type { Instance } from '@bergamotreach/platform';
+import { InstanceKind, InstanceState } from '@bergamotreach/hosting';
+import type { Instance } from '@bergamotreach/hosting';
 
 /** A worker as known to the region owner. */
 export interface WorkerEntry {
--- a/packages/execution/tests/caretaker.test.ts
+++ b/packages/execution/tests/caretaker.test.ts
@@ -1,8 +1,8 @@
 import { test } from 'node:test';
 import { LeaseState } from '@bergamotreach/ownership';
 import type { RegionLease } from '@bergamotreach/ownership';
-import { CommandKind, TaskState, WorkerClient } from '@bergamotreach/platform';
-import type { CommandBatch, CommandResult, Instance, WorkerTasks } from '@bergamotreach/platform';
+import { CommandKind, TaskState, WorkerClient } from '@bergamotreach/hosting';
+import type { CommandBatch, CommandResult, Instance, WorkerTasks } from '@bergamotreach/hosting';
 import { createManualClock, createNullLogger, createNullMetrics } from '@bergamotreach/protocol';
 import { expect } from 'earl';
 import { Ok } from 'ts-results-es';
--- a/packages/execution/tests/fakeworkers.ts
+++ b/packages/execution/tests/fakeworkers.ts
@@ -1,4 +1,4 @@
-import { CommandKind, TaskState, WorkerClient } from '@bergamotreach/platform';
+import { CommandKind, TaskState, WorkerClient } from '@bergamotreach/hosting';
 import type {
   CommandBatch,
   CommandResult,
@@ -6,7 +6,7 @@
   TaskStatus,
   WorkerCommand,
   WorkerTasks,
-} from '@bergamotreach/platform';
+} from '@bergamotreach/hosting';
 import { FaultCode, createFault } from '@bergamotreach/protocol';
 import type { Fault, ManualClock } from '@bergamotreach/protocol';
 import { Err, Ok } from 'ts-results-es';
--- a/packages/execution/tests/invariants.ts
+++ b/packages/execution/tests/invariants.ts
@@ -1,6 +1,6 @@
 import { JobState, isEnded } from '@bergamotreach/ownership';
 import type { LeaseRecord } from '@bergamotreach/ownership';
-import { CommandKind, TaskState } from '@bergamotreach/platform';
+import { CommandKind, TaskState } from '@bergamotreach/hosting';
 import type { AcceptedCommit } from '../../ownership/tests/faketable.ts';
 import { region } from '../../ownership/tests/setup.ts';
 import type { GangJobRecord } from '../src/index.ts';
--- a/packages/execution/tests/owner.test.ts
+++ b/packages/execution/tests/owner.test.ts
@@ -1,6 +1,6 @@
 import { test } from 'node:test';
 import { JobState } from '@bergamotreach/ownership';
-import { CommandKind, TaskState } from '@bergamotreach/platform';
+import { CommandKind, TaskState } from '@bergamotreach/hosting';
 import { expect } from 'earl';
 import { TableFault } from '../../ownership/tests/faketable.ts';
 import { WorkerFault } from './fakeworkers.ts';
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -1,6 +1,6 @@
 import { randomUUID } from 'node:crypto';
-import type { Instance } from '@bergamotreach/platform';
-import { InstanceKind, InstanceState } from '@bergamotreach/platform';
+import type { Instance } from '@bergamotreach/hosting';
+import { InstanceKind, InstanceState } from '@bergamotreach/hosting';
 import { MemberState, MessageType, runEvery } from '@bergamotreach/protocol';
 import type {
   CancelTimer,
--- a/packages/ownership/src/claims.ts
+++ b/packages/ownership/src/claims.ts
@@ -1,4 +1,4 @@
-import type { ObjectStore, RowValue, Table } from '@bergamotreach/platform';
+import type { ObjectStore, RowValue, Table } from '@bergamotreach/hosting';
 import { FaultCode, createFault } from '@bergamotreach/protocol';
 import type { Fault } from '@bergamotreach/protocol';
 import { Err, Ok } from 'ts-results-es';
--- a/packages/ownership/src/committer.ts
+++ b/packages/ownership/src/committer.ts
@@ -1,5 +1,5 @@
-import { CommitStatus, maxCommitWrites } from '@bergamotreach/platform';
-import type { Table } from '@bergamotreach/platform';
+import { CommitStatus, maxCommitWrites } from '@bergamotreach/hosting';
+import type { Table } from '@bergamotreach/hosting';
 import { waitFor } from '@bergamotreach/protocol';
 import type { CancelTimer, Clock, Logger, Metrics } from '@bergamotreach/protocol';
 import { match } from 'ts-pattern';
--- a/packages/ownership/src/lease.ts
+++ b/packages/ownership/src/lease.ts
@@ -1,4 +1,4 @@
-import type { Row, RowCondition, RowValue, Table } from '@bergamotreach/platform';
+import type { Row, RowCondition, RowValue, Table } from '@bergamotreach/hosting';
 import { runEvery } from '@bergamotreach/protocol';
 import type { CancelTimer, Clock, Logger, Metrics } from '@bergamotreach/protocol';
 import type { GroupCommitter } from './committer.ts';
--- a/packages/ownership/src/readback.ts
+++ b/packages/ownership/src/readback.ts
@@ -1,4 +1,4 @@
-import type { Row, Table } from '@bergamotreach/platform';
+import type { Row, Table } from '@bergamotreach/hosting';
 import { TransactionStatus, getRequiredVersion } from './transaction.ts';
 import type { PendingTransaction, Transaction, TransactionReply } from './transaction.ts';
 
--- a/packages/ownership/src/transaction.ts
+++ b/packages/ownership/src/transaction.ts
@@ -1,4 +1,4 @@
-import type { RowCondition, RowWrite } from '@bergamotreach/platform';
+import type { RowCondition, RowWrite } from '@bergamotreach/hosting';
 
 /** Order in which writes get the store; the last is shed first. */
 export enum WritePriority {
--- a/packages/ownership/tests/fakeobjects.ts
+++ b/packages/ownership/tests/fakeobjects.ts
@@ -1,4 +1,4 @@
-import { ObjectStore } from '@bergamotreach/platform';
+import { ObjectStore } from '@bergamotreach/hosting';
 import { FaultCode, createFault } from '@bergamotreach/protocol';
 import { Err, Ok } from 'ts-results-es';
 
--- a/packages/ownership/tests/faketable.ts
+++ b/packages/ownership/tests/faketable.ts
@@ -1,5 +1,5 @@
-import { CommitStatus, Table } from '@bergamotreach/platform';
-import type { Commit, CommitReply, Row, RowPage } from '@bergamotreach/platform';
+import { CommitStatus, Table } from '@bergamotreach/hosting';
+import type { Commit, CommitReply, Row, RowPage } from '@bergamotreach/hosting';
 import { FaultCode, createFault } from '@bergamotreach/protocol';
 import type { Fault, ManualClock } from '@bergamotreach/protocol';
 import { Err, Ok } from 'ts-results-es';
--- a/packages/routing/src/endpoint.ts
+++ b/packages/routing/src/endpoint.ts
@@ -1,4 +1,4 @@
-import type { Instance } from '@bergamotreach/platform';
+import type { Instance } from '@bergamotreach/hosting';
 import { createConnections } from './connections.ts';
 import type { Connections } from './connections.ts';
 import { createEndpointHealth, HealthState } from './health.ts';
--- a/packages/routing/src/endpointset.ts
+++ b/packages/routing/src/endpointset.ts
@@ -1,5 +1,5 @@
-import { InstanceKind, InstanceState } from '@bergamotreach/platform';
-import type { Instance } from '@bergamotreach/platform';
+import { InstanceKind, InstanceState } from '@bergamotreach/hosting';
+import type { Instance } from '@bergamotreach/hosting';
 import { createEndpoint } from './endpoint.ts';
 import type { Endpoint } from './endpoint.ts';
 
--- a/packages/routing/src/grantor.ts
+++ b/packages/routing/src/grantor.ts
@@ -1,6 +1,6 @@
 import { MemberState, rankMembers } from '@bergamotreach/protocol';
 import type { Member, Membership } from '@bergamotreach/membership';
-import type { Instance } from '@bergamotreach/platform';
+import type { Instance } from '@bergamotreach/hosting';
 import type { Endpoint } from './endpoint.ts';
 
 /**
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -1,6 +1,6 @@
 import { createFault, FaultCode, MessageType, runEvery } from '@bergamotreach/protocol';
 import type { Fault } from '@bergamotreach/protocol';
-import type { Instance } from '@bergamotreach/platform';
+import type { Instance } from '@bergamotreach/hosting';
 import { createClaimFlow } from './claimflow.ts';
 import { createRoutingConfig, defaultAccount } from './config.ts';
 import type { RoutingConfig } from './config.ts';
--- a/packages/routing/tests/fakes.ts
+++ b/packages/routing/tests/fakes.ts
@@ -7,8 +7,8 @@
 import { ClaimStatus } from '@bergamotreach/ownership';
 import type { ClaimKey, ClaimReply, Claims, StoredOutcome } from '@bergamotreach/ownership';
 import type { Member, Membership } from '@bergamotreach/membership';
-import { InstanceKind, InstanceState } from '@bergamotreach/platform';
-import type { Instance } from '@bergamotreach/platform';
+import { InstanceKind, InstanceState } from '@bergamotreach/hosting';
+import type { Instance } from '@bergamotreach/hosting';
 import {
   createFault,
   createNullLogger,
--- a/packages/standin/src/app.ts
+++ b/packages/standin/src/app.ts
@@ -1,5 +1,5 @@
 import { computeHash } from '@bergamotreach/protocol';
-import type { Commit, CommandBatch, Instance } from '@bergamotreach/platform';
+import type { Commit, CommandBatch, Instance } from '@bergamotreach/hosting';
 import { Hono } from 'hono';
 import type { Context, MiddlewareHandler } from 'hono';
 import type { EndpointFault } from './endpoint.ts';
--- a/packages/standin/src/instances.ts
+++ b/packages/standin/src/instances.ts
@@ -1,5 +1,5 @@
-import type { Instance } from '@bergamotreach/platform';
-import { InstanceState } from '@bergamotreach/platform';
+import type { Instance } from '@bergamotreach/hosting';
+import { InstanceState } from '@bergamotreach/hosting';
 import type { Clock } from '@bergamotreach/protocol';
 import type { FaultSwitches } from './faults.ts';
 
--- a/packages/standin/src/platform.ts
+++ b/packages/standin/src/platform.ts
@@ -1,8 +1,8 @@
 import { createServer } from 'node:http';
 import type { Server } from 'node:http';
 import { getRequestListener } from '@hono/node-server';
-import type { Instance } from '@bergamotreach/platform';
-import { InstanceKind, InstanceState } from '@bergamotreach/platform';
+import type { Instance } from '@bergamotreach/hosting';
+import { InstanceKind, InstanceState } from '@bergamotreach/hosting';
 import type { Clock } from '@bergamotreach/protocol';
 import { closeServer, listen, startEndpoint } from './endpoint.ts';
 import type { StandinEndpoint, EndpointFault } from './endpoint.ts';
--- a/packages/standin/src/store.ts
+++ b/packages/standin/src/store.ts
@@ -1,5 +1,5 @@
-import type { Commit, Row, RowPage } from '@bergamotreach/platform';
-import { maxCommitWrites } from '@bergamotreach/platform';
+import type { Commit, Row, RowPage } from '@bergamotreach/hosting';
+import { maxCommitWrites } from '@bergamotreach/hosting';
 
 /** Result of a commit in the stand-in's table. */
 export interface StoreCommitResult {
--- a/packages/standin/src/workeragent.ts
+++ b/packages/standin/src/workeragent.ts
@@ -7,8 +7,8 @@
   TaskSpec,
   TaskStatus,
   WorkerCommand,
-} from '@bergamotreach/platform';
-import { CommandKind, TaskState } from '@bergamotreach/platform';
+} from '@bergamotreach/hosting';
+import { CommandKind, TaskState } from '@bergamotreach/hosting';
 import type { CancelTimer, Clock } from '@bergamotreach/protocol';
 import { runEvery } from '@bergamotreach/protocol';
 import { match } from 'ts-pattern';
--- a/packages/standin/tests/platform.test.ts
+++ b/packages/standin/tests/platform.test.ts
@@ -8,7 +8,7 @@
   createHttpObjectStore,
   createHttpTable,
   createHttpWorkerClient,
-} from '@bergamotreach/platform';
+} from '@bergamotreach/hosting';
 import { FaultCode, createManualClock } from '@bergamotreach/protocol';
 import type { ManualClock } from '@bergamotreach/protocol';
 import { expect } from 'earl';
--- a/packages/standin/tests/tasklist.test.ts
+++ b/packages/standin/tests/tasklist.test.ts
@@ -1,6 +1,6 @@
 import { test } from 'node:test';
-import { CommandKind, createTaskListCache } from '@bergamotreach/platform';
-import type { TaskStatus, WorkerCommand } from '@bergamotreach/platform';
+import { CommandKind, createTaskListCache } from '@bergamotreach/hosting';
+import type { TaskStatus, WorkerCommand } from '@bergamotreach/hosting';
 import { createManualClock } from '@bergamotreach/protocol';
 import { expect } from 'earl';
 import fc from 'fast-check';
