--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -32,6 +32,8 @@
   placement: ['protocol'],
   config: ['protocol', 'placement', 'hosting'],
   hosting: ['protocol'],
+  scheduling: ['protocol'],
+  dispatch: ['protocol', 'hosting', 'ownership', 'scheduling'],
   membership: ['protocol', 'hosting'],
   ownership: ['protocol', 'hosting'],
   routing: ['protocol', 'hosting', 'membership', 'ownership'],
@@ -71,7 +73,7 @@
 
 // Placement decisions must be reproducible, so the package has no clock, I/O or random source.
 const pureRules = {
-  files: ['packages/placement/src/**/*.ts'],
+  files: ['packages/placement/src/**/*.ts', 'packages/scheduling/src/**/*.ts'],
   rules: {
     'no-restricted-globals': ['error', 'setTimeout', 'setInterval', 'performance', 'process'],
     'no-restricted-properties': [
--- a/packages/daemon/src/httpserver.ts
+++ b/packages/daemon/src/httpserver.ts
@@ -7,6 +7,12 @@
 import type { Fault } from '@bergamotreach/protocol';
 import { formatFaultBody } from './answer.ts';
 
+/** Limits that the listener applies. */
+export type ListenerLimits = Pick<
+  LimitsConfig,
+  'maxHeaderBytes' | 'readTimeoutMs' | 'maxConnections'
+>;
+
 /** Handles one exchange. */
 export type RequestHandler = (request: IncomingMessage, response: ServerResponse) => void;
 
@@ -14,7 +20,7 @@
 export interface HttpServer {
   /** `ip:port` in use. */
   address: string;
-  applyLimits(limits: LimitsConfig): void;
+  applyLimits(limits: ListenerLimits): void;
   /** Asks clients to leave: from now on each answer closes its connection. */
   startDraining(): void;
   /** Takes no new connection; resolves when all connections are closed. */
--- /dev/null
+++ b/packages/dispatch/src/fleet.ts
@@ -0,0 +1,139 @@
+import type { Feed } from '@bergamotreach/hosting';
+import type { Clock, Logger, Metrics } from '@bergamotreach/protocol';
+import { createMirror } from './mirror.ts';
+import type { TaskRunner, WorkerReport } from './taskrunner.ts';
+import type { WorkerEntry } from './workerentry.ts';
+import { LinkState, createWorkerLink } from './workerlink.ts';
+import type { WorkerLink } from './workerlink.ts';
+
+/** Options of a fleet. Durations are in milliseconds. */
+export interface FleetOptions {
+  feed: Feed<WorkerEntry>;
+  runner: TaskRunner;
+  epoch: number;
+  clock: Clock;
+  logger: Logger;
+  metrics: Metrics;
+  maxLeaseMs: number;
+  heartbeatMs: number;
+  isHolding: () => boolean;
+  onReport: (link: WorkerLink, report: WorkerReport) => Promise<number>;
+  onLapse: (link: WorkerLink, reason: string) => void;
+  onFenced: () => void;
+  /** Called when a worker becomes usable or its entry changes. */
+  onChange: (link: WorkerLink) => void;
+}
+
+/** The workers that an owner gives orders to. */
+export interface Fleet {
+  start(): void;
+  stop(): void;
+  find(workerId: string): WorkerLink | undefined;
+  list(): WorkerLink[];
+  isLoaded(): boolean;
+}
+
+// Changes of the worker list are merged for this long; heartbeats change each entry all the time.
+const listPauseMs = 150;
+/** An entry that goes sooner than after this many heartbeats was taken back by its worker. */
+const leftWithinHeartbeats = 2.5;
+
+/** Creates the fleet of one ownership. */
+export function createFleet(options: FleetOptions): Fleet {
+  const { clock, logger, runner } = options;
+  const links = new Map<string, WorkerLink>();
+  const updatedMs = new Map<string, number>();
+  let isRunning = false;
+
+  function openLink(entry: WorkerEntry): void {
+    const link: WorkerLink = createWorkerLink({
+      ...options,
+      entry,
+      onReport: (report) => options.onReport(link, report),
+      onLapse: (reason) => {
+        handleLapse(link, reason);
+      },
+    });
+    links.set(entry.id, link);
+    logger.info('worker_added', {
+      worker: entry.id,
+      life: entry.bornAtMs,
+      rack: entry.rack,
+      pool: entry.pool,
+      isDraining: entry.isDraining,
+    });
+    if (isRunning) link.start();
+  }
+
+  function handleLapse(link: WorkerLink, reason: string): void {
+    options.onLapse(link, reason);
+    if (!link.isListed()) closeLink(link);
+  }
+
+  function closeLink(link: WorkerLink): void {
+    link.stop();
+    if (links.get(link.id) === link) links.delete(link.id);
+    runner.forget(link.getEntry());
+  }
+
+  function updateLink(link: WorkerLink, entry: WorkerEntry): void {
+    const known = link.getEntry();
+    link.setListed(true);
+    if (known.bornAtMs !== entry.bornAtMs) {
+      logger.info('worker_restarted', { worker: entry.id, life: entry.bornAtMs });
+      link.lapse('worker restarted');
+      closeLink(link);
+      openLink(entry);
+      return;
+    }
+    if (known.isDraining !== entry.isDraining) {
+      logger.info('worker_draining', { worker: entry.id, remainingMs: entry.drainRemainingMs });
+    }
+    link.updateEntry(entry);
+    options.onChange(link);
+  }
+
+  function handleGone(link: WorkerLink): void {
+    const sinceMs = clock.getNowMs() - (updatedMs.get(link.id) ?? -Infinity);
+    const hasLeft =
+      link.getEntry().isDraining && sinceMs < leftWithinHeartbeats * options.heartbeatMs;
+    logger.info('worker_unlisted', { worker: link.id, hasLeft, sinceMs: Math.round(sinceMs) });
+    link.setListed(false);
+    if (hasLeft) link.lapse('worker left');
+    else if (link.getState() === LinkState.Lapsed) closeLink(link);
+  }
+
+  const mirror = createMirror<WorkerEntry>({
+    feed: options.feed,
+    name: 'workers',
+    clock,
+    logger,
+    metrics: options.metrics,
+    pauseMs: listPauseMs,
+    onChange(id, entry) {
+      const link = links.get(id);
+      if (entry === undefined) {
+        if (link !== undefined) handleGone(link);
+        return;
+      }
+      updatedMs.set(id, clock.getNowMs());
+      if (link === undefined) openLink(entry);
+      else updateLink(link, entry);
+    },
+  });
+
+  return {
+    start() {
+      isRunning = true;
+      mirror.start();
+    },
+    stop() {
+      isRunning = false;
+      mirror.stop();
+      for (const link of links.values()) link.stop();
+    },
+    find: (workerId) => links.get(workerId),
+    list: () => [...links.values()],
+    isLoaded: () => mirror.isLoaded(),
+  };
+}
--- /dev/null
+++ b/packages/dispatch/src/instance.ts
@@ -0,0 +1,221 @@
+import type { Feed, Table } from '@bergamotreach/hosting';
+import {
+  LeaseState,
+  createGroupCommitter,
+  createRegionLease,
+} from '@bergamotreach/ownership';
+import { waitFor } from '@bergamotreach/protocol';
+import type { Clock, Logger, Metrics } from '@bergamotreach/protocol';
+import type { ServiceConfig } from './configuration.ts';
+import type { JobRow, StateRow } from './jobrows.ts';
+import { createJobService } from './jobservice.ts';
+import type { JobService } from './jobservice.ts';
+import { createMirror } from './mirror.ts';
+import type { Mirror } from './mirror.ts';
+import { createOwner } from './owner.ts';
+import type { Owner, OwnerDump } from './owner.ts';
+import type { TaskRunner } from './taskrunner.ts';
+import type { WorkerEntry } from './workerentry.ts';
+
+/** Figures of the platform that an instance depends on. Durations are in milliseconds. */
+export interface InstanceLimits {
+  /** Longest lease that a worker grants. */
+  maxLeaseMs: number;
+  /** Interval at which workers renew their entries. */
+  heartbeatMs: number;
+  /** Commits per second of this process; all instances share the store's rate. */
+  commitsPerSecond: number;
+}
+
+/** Options of an instance. */
+export interface InstanceOptions {
+  /** Unique id of this process. */
+  processId: string;
+  /** Address under which this instance is known. */
+  address: string;
+  table: Table;
+  jobFeed: Feed<JobRow>;
+  stateFeed: Feed<StateRow>;
+  workerFeed: Feed<WorkerEntry>;
+  configFeed: Feed<ServiceConfig>;
+  runner: TaskRunner;
+  clock: Clock;
+  /** Clock that counts the time for which the process was suspended. */
+  deadlineClock: Clock;
+  /** Unix time in milliseconds. */
+  getWallMs: () => number;
+  logger: Logger;
+  metrics: Metrics;
+  limits: InstanceLimits;
+}
+
+/** State of an instance for the dump. */
+export interface InstanceDump {
+  lease: LeaseState;
+  epoch: number;
+  configVersion: number | undefined;
+  configAgeMs: number;
+  stateAgeMs: number;
+  knownJobs: number;
+  isDraining: boolean;
+  owner: OwnerDump | undefined;
+}
+
+/** One process of the system. */
+export interface Instance {
+  jobs: JobService;
+  configs: Mirror<ServiceConfig>;
+  /** Whether callers should be sent here. */
+  isReady(): boolean;
+  start(): void;
+  /** Hands over the ownership at once; calls are served until `stop`. */
+  startDraining(): Promise<void>;
+  stop(): void;
+  getDump(): InstanceDump;
+}
+
+// One owner schedules all jobs; its row is named after the region in the inner design.
+const shard = 'main';
+/** Longest silence of an owner before another instance takes over is lease plus margin. */
+const leaseMs = 2600;
+const leaseMarginMs = 400;
+const renewMs = 600;
+/** Each write needs a condition of its own, and a transaction of the store holds 100 entries. */
+const maxCommitWrites = 48;
+/** Copies of states are merged for this long; callers look at them a few times a second at most. */
+const statePauseMs = 60;
+
+/** Creates an instance; `start` begins its work. */
+export function createInstance(options: InstanceOptions): Instance {
+  const { table, clock, logger, metrics, limits } = options;
+  let owner: Owner | undefined;
+  let isDraining = false;
+  let nextOperation = 0;
+
+  const committer = createGroupCommitter({
+    table,
+    clock,
+    logger,
+    metrics,
+    createOperationId: () => `${options.processId}/${String((nextOperation += 1))}`,
+    commitsPerSecond: limits.commitsPerSecond,
+    maxWrites: maxCommitWrites,
+  });
+  const states = createMirror<StateRow>({
+    feed: options.stateFeed,
+    name: 'states',
+    clock,
+    logger,
+    metrics,
+    pauseMs: statePauseMs,
+    onChange: (jobId, row, version) => owner?.handleState(jobId, row, version),
+  });
+  const configs = createMirror<ServiceConfig>({
+    feed: options.configFeed,
+    name: 'configuration',
+    clock,
+    logger,
+    metrics,
+    onChange(_key, config) {
+      logger.info('config_applied', { version: config?.version, queues: config?.queues.length });
+    },
+  });
+  const lease = createRegionLease({
+    table,
+    committer,
+    clock,
+    deadlineClock: options.deadlineClock,
+    logger,
+    metrics,
+    region: shard,
+    holder: options.processId,
+    address: options.address,
+    leaseMs,
+    marginMs: leaseMarginMs,
+    renewMs,
+    onChange: handleLease,
+  });
+  const jobs = createJobService({ ...options, committer, states, configs });
+
+  function getConfig(): ServiceConfig | undefined {
+    return configs.list()[0]?.[1];
+  }
+
+  function handleLease(state: LeaseState, epoch: number): void {
+    if (state === LeaseState.Waiting) endOwner();
+    if (state !== LeaseState.Holding) return;
+    if (owner?.getDump().epoch === epoch) return;
+    endOwner();
+    beginOwner(epoch);
+  }
+
+  function beginOwner(epoch: number): void {
+    owner = createOwner({
+      epoch,
+      table,
+      committer,
+      jobFeed: options.jobFeed,
+      workerFeed: options.workerFeed,
+      states,
+      runner: options.runner,
+      getConfig,
+      isHolding: () => lease.isHolding(epoch),
+      getEpochCondition: () => (lease.isHolding(epoch) ? lease.getEpochCondition() : undefined),
+      onFenced: () => {
+        logger.warn('owner_fenced', { epoch });
+        if (owner?.getDump().epoch === epoch) endOwner();
+      },
+      clock,
+      getWallMs: options.getWallMs,
+      logger,
+      metrics,
+      maxLeaseMs: limits.maxLeaseMs,
+      heartbeatMs: limits.heartbeatMs,
+    });
+    void owner.start();
+  }
+
+  function endOwner(): void {
+    owner?.stop();
+    owner = undefined;
+  }
+
+  async function startLease(): Promise<void> {
+    // Without a configuration and the states an owner could not decide anything.
+    while (!isDraining && !(states.isLoaded() && configs.isLoaded())) await waitFor(clock, 20);
+    if (!isDraining) lease.start();
+  }
+
+  return {
+    jobs,
+    configs,
+    isReady: () => !isDraining && states.isLoaded() && getConfig() !== undefined,
+    start() {
+      states.start();
+      configs.start();
+      void startLease();
+    },
+    async startDraining() {
+      if (isDraining) return;
+      isDraining = true;
+      logger.info('draining', { epoch: lease.getEpoch(), lease: lease.getState() });
+      endOwner();
+      await lease.stop();
+    },
+    stop() {
+      states.stop();
+      configs.stop();
+      committer.close();
+    },
+    getDump: () => ({
+      lease: lease.getState(),
+      epoch: lease.getEpoch(),
+      configVersion: getConfig()?.version,
+      configAgeMs: Math.round(configs.getAgeMs()),
+      stateAgeMs: Math.round(states.getAgeMs()),
+      knownJobs: states.list().length,
+      isDraining,
+      owner: owner?.getDump(),
+    }),
+  };
+}
--- /dev/null
+++ b/packages/dispatch/src/jobbook.ts
@@ -0,0 +1,168 @@
+import {
+  JobState,
+  TaskPhase,
+  createGroup,
+  createWorkMeans,
+  decodeGroup,
+  getDueAtMs,
+  getOccurrenceCount,
+  hasWaiting,
+  isFinal,
+  isGroupDone,
+  isOccupying,
+  parseTaskName,
+} from '@bergamotreach/scheduling';
+import type {
+  GroupRecord,
+  JobSubmission,
+  PlacedTask,
+  ReadyGroup,
+  TaskGroup,
+} from '@bergamotreach/scheduling';
+import { formatGroupName } from '@bergamotreach/scheduling';
+import type { JobRow, StateRow } from './jobrows.ts';
+
+/** A job that an owner works on. */
+export interface LiveJob {
+  submission: JobSubmission;
+  acceptedAtMs: number;
+  state: JobState;
+  /** Groups by key, in order of occurrence and step. */
+  groups: Map<string, TaskGroup>;
+}
+
+/** Jobs of an owner with their tasks. */
+export interface JobBook {
+  /** Takes on a job that is not final; `findRecord` returns the stored progress of a group. */
+  add(row: JobRow, state: StateRow, findRecord: (groupKey: string) => GroupRecord | undefined): void;
+  find(jobId: string): LiveJob | undefined;
+  /** Forgets a job that is final and holds no room. */
+  remove(jobId: string): void;
+  list(): LiveJob[];
+  /** Finds a task by its name. */
+  findTask(name: string): PlacedTask | undefined;
+  /** Groups that may start tasks at the Unix time `wallMs`. */
+  listReady(wallMs: number): ReadyGroup[];
+  /** Tasks that hold room, by worker. */
+  groupByWorker(): Map<string, PlacedTask[]>;
+  /** Accelerators that the unfinished urgent jobs of each account need. */
+  sumUrgentNeeds(): Map<string, number>;
+  isComplete(job: LiveJob): boolean;
+}
+
+// Clocks of the instances differ a little; an occurrence must not start before its time.
+const dueMarginMs = 60;
+const urgentPriority = 0;
+
+/** Creates an empty book. */
+export function createJobBook(): JobBook {
+  const jobs = new Map<string, LiveJob>();
+  const means = createWorkMeans();
+
+  function listGroups(job: LiveJob): TaskGroup[] {
+    return [...job.groups.values()];
+  }
+
+  function hasDependencies(job: LiveJob, group: TaskGroup): boolean {
+    const { id } = job.submission;
+    const { occurrence } = group;
+    return group.spec.dependsOn.every((step) => {
+      const other = job.groups.get(formatGroupName({ jobId: id, occurrence, step }));
+      return other !== undefined && isGroupDone(other);
+    });
+  }
+
+  function getAgeMs(job: LiveJob, group: TaskGroup, wallMs: number): number {
+    const dueAtMs = getDueAtMs(job.submission, group.occurrence);
+    return Math.max(0, wallMs - Math.max(job.acceptedAtMs, dueAtMs));
+  }
+
+  function isReady(job: LiveJob, group: TaskGroup, wallMs: number): boolean {
+    const dueAtMs = getDueAtMs(job.submission, group.occurrence);
+    if (dueAtMs > 0 && wallMs < dueAtMs + dueMarginMs) return false;
+    return hasWaiting(group) && hasDependencies(job, group);
+  }
+
+  return {
+    add(row, state, findRecord) {
+      const { submission, acceptedAtMs } = row;
+      const job: LiveJob = { submission, acceptedAtMs, state: state.state, groups: new Map() };
+      for (let occurrence = 0; occurrence < getOccurrenceCount(submission); occurrence += 1) {
+        for (const step of submission.steps.keys()) {
+          const key = formatGroupName({ jobId: submission.id, occurrence, step });
+          const record = findRecord(key);
+          const group =
+            record === undefined
+              ? createGroup(submission, occurrence, step)
+              : decodeGroup(submission, occurrence, step, record);
+          job.groups.set(key, group);
+        }
+      }
+      jobs.set(submission.id, job);
+      means.add(submission);
+    },
+    find: (jobId) => jobs.get(jobId),
+    remove(jobId) {
+      jobs.delete(jobId);
+    },
+    list: () => [...jobs.values()],
+    findTask(name) {
+      const parsed = parseTaskName(name);
+      if (parsed === undefined) return undefined;
+      const group = jobs.get(parsed.jobId)?.groups.get(formatGroupName(parsed));
+      const task = group?.tasks[parsed.index];
+      return group === undefined || task === undefined ? undefined : { group, task };
+    },
+    listReady(wallMs) {
+      const ready: ReadyGroup[] = [];
+      for (const job of jobs.values()) {
+        if (isFinal(job.state)) continue;
+        const meanWork = means.find(job.submission.queue) ?? 0;
+        for (const group of job.groups.values()) {
+          if (!isReady(job, group, wallMs)) continue;
+          ready.push({ group, ageMs: getAgeMs(job, group, wallMs), meanWork });
+        }
+      }
+      return ready;
+    },
+    groupByWorker() {
+      const placed = new Map<string, PlacedTask[]>();
+      for (const job of jobs.values()) {
+        for (const group of job.groups.values()) {
+          for (const task of group.tasks) {
+            if (!isOccupying(task)) continue;
+            const own = placed.get(task.workerId);
+            if (own === undefined) placed.set(task.workerId, [{ group, task }]);
+            else own.push({ group, task });
+          }
+        }
+      }
+      return placed;
+    },
+    sumUrgentNeeds() {
+      const needs = new Map<string, number>();
+      for (const job of jobs.values()) {
+        const { submission } = job;
+        if (isFinal(job.state) || submission.rules.priority !== urgentPriority) continue;
+        const need = Math.max(
+          ...submission.steps.map((spec) => spec.taskCount * spec.demand.accelerators),
+        );
+        needs.set(submission.account, (needs.get(submission.account) ?? 0) + need);
+      }
+      return needs;
+    },
+    isComplete: (job) => listGroups(job).every(isGroupDone),
+  };
+}
+
+/** Whether any task of a job holds room. */
+export function hasOccupying(job: LiveJob): boolean {
+  return [...job.groups.values()].some((group) => group.tasks.some(isOccupying));
+}
+
+/** Whether any task of a job has been started. */
+export function hasBegun(job: LiveJob): boolean {
+  return [...job.groups.values()].some((group) =>
+    group.tasks.some((task) => task.run > 0 || task.phase === TaskPhase.Done),
+  );
+}
--- /dev/null
+++ b/packages/dispatch/src/jobservice.ts
@@ -0,0 +1,282 @@
+import { TransactionStatus, WritePriority } from '@bergamotreach/ownership';
+import type { GroupCommitter, TransactionReply } from '@bergamotreach/ownership';
+import type { Table } from '@bergamotreach/hosting';
+import { FaultCode, createFault, waitFor } from '@bergamotreach/protocol';
+import type { Clock, Fault, Logger, Metrics } from '@bergamotreach/protocol';
+import { JobState, isFinal } from '@bergamotreach/scheduling';
+import type { JobSubmission, Recurrence, StepSpec } from '@bergamotreach/scheduling';
+import { Err, Ok } from 'ts-results-es';
+import type { Result } from 'ts-results-es';
+import { match } from 'ts-pattern';
+import { findAccount, findQueue } from './configuration.ts';
+import type { AccountConfig, QueueConfig, ServiceConfig } from './configuration.ts';
+import { encodeRow, getJobKey, getStateKey } from './jobrows.ts';
+import type { JobRow, StateRow } from './jobrows.ts';
+import type { Mirror } from './mirror.ts';
+
+/** Options of the job service. */
+export interface JobServiceOptions {
+  table: Table;
+  committer: GroupCommitter;
+  states: Mirror<StateRow>;
+  configs: Mirror<ServiceConfig>;
+  clock: Clock;
+  /** Unix time in milliseconds. */
+  getWallMs: () => number;
+  logger: Logger;
+  metrics: Metrics;
+}
+
+/** A call that a key and a path admit. */
+export interface Admission {
+  queue: QueueConfig;
+  /** Absent on a public queue that was called without a known key. */
+  account: AccountConfig | undefined;
+  /** Version of the configuration that decided. */
+  version: number;
+}
+
+/** What a caller submits. */
+export interface JobRequest {
+  id: string;
+  payload: string;
+  steps: readonly StepSpec[];
+  recurrence?: Recurrence;
+}
+
+/** Jobs as callers see them. */
+export interface JobService {
+  /**
+   * Finds the queue and the account of a call. Faults: `store_unavailable` (no configuration yet),
+   * `not_found` (no such queue), `unauthorized` (unknown key).
+   */
+  admit(host: string, path: string, key: string | undefined): Promise<Result<Admission, Fault>>;
+  /**
+   * Accepts a job; a repeated id finds the job that is there. Faults: `store_unavailable` (not
+   * accepted and never will be), `unknown_outcome` (may have been accepted; repeat with the same
+   * id), `draining`.
+   */
+  submit(
+    admission: Admission,
+    request: JobRequest,
+    deadlineMs: number,
+  ): Promise<Result<void, Fault>>;
+  /** State of a job; `undefined` when there is none. Faults: `store_unavailable`. */
+  getState(admission: Admission, id: string): Promise<Result<JobState | undefined, Fault>>;
+  /**
+   * Cancels a job; false when there is none. Faults: `store_unavailable`, `unknown_outcome`.
+   */
+  cancel(admission: Admission, id: string, deadlineMs: number): Promise<Result<boolean, Fault>>;
+  /** Jobs of a queue none of whose tasks has started; timed jobs are not counted. */
+  countPending(queue: string): number;
+}
+
+const anonymousAccount = '';
+/** An answer leaves this long before the caller stops waiting. */
+const answerMarginMs = 150;
+const retryAfterMs = 1000;
+/** A copy of the configuration that was confirmed this recently answers for itself. */
+const freshConfigMs = 300;
+/** A store that has not answered for this long is taken for away: new jobs are refused at once. */
+const storeAwayMs = 1600;
+const maxCancelTries = 4;
+
+/** Creates the job service of an instance. */
+export function createJobService(options: JobServiceOptions): JobService {
+  const { committer, states, configs, clock, getWallMs, logger, metrics } = options;
+
+  function getConfig(): ServiceConfig | undefined {
+    return configs.list()[0]?.[1];
+  }
+
+  function createUnavailable(message: string): Fault {
+    return createFault(FaultCode.StoreUnavailable, message, { retryAfterMs });
+  }
+
+  function decide(
+    config: ServiceConfig,
+    host: string,
+    path: string,
+    key: string | undefined,
+  ): Result<Admission, Fault> {
+    const queue = findQueue(config, host, path);
+    if (queue === undefined) return Err(createFault(FaultCode.NotFound, 'no such queue'));
+    const account = key === undefined ? undefined : findAccount(config, key);
+    if (account === undefined && !queue.isPublic) {
+      return Err(createFault(FaultCode.Unauthorized, 'unknown key'));
+    }
+    return Ok({ queue, account, version: config.version });
+  }
+
+  /** Limits the time that an answer may take; the work itself goes on. */
+  async function limitTime<T>(work: Promise<T>, deadlineMs: number): Promise<T | undefined> {
+    const timeout = waitFor(clock, Math.max(0, deadlineMs - answerMarginMs));
+    return Promise.race([work, timeout.then(() => undefined)]);
+  }
+
+  function createUnknown(): Fault {
+    const message = 'the store did not answer in time; repeat with the same id';
+    return createFault(FaultCode.UnknownOutcome, message, { retryAfterMs });
+  }
+
+  function encodeState(submission: JobSubmission, state: JobState): StateRow {
+    return {
+      state,
+      queue: submission.queue,
+      account: submission.account,
+      isTimed: submission.recurrence !== undefined,
+      changedAtMs: Math.round(getWallMs()),
+    };
+  }
+
+  function decideSubmit(reply: TransactionReply): Result<void, Fault> {
+    return match(reply)
+      .with({ status: TransactionStatus.Committed }, () => Ok(undefined))
+      .with({ status: TransactionStatus.Conflict }, () => Ok(undefined))
+      .with({ status: TransactionStatus.Unavailable }, ({ message }) =>
+        Err(createUnavailable(`not accepted: ${message}`)),
+      )
+      .with({ status: TransactionStatus.Unknown }, () => Err(createUnknown()))
+      .exhaustive();
+  }
+
+  function isVisible(row: StateRow, admission: Admission): boolean {
+    return row.account === (admission.account?.name ?? anonymousAccount);
+  }
+
+  async function readState(id: string): Promise<Result<StateRow | undefined, Fault>> {
+    const row = await options.table.getRow(getStateKey(id));
+    return row.map((found) => found?.value as unknown as StateRow | undefined);
+  }
+
+  /** The copy may lag, so only the store can tell that a job does not exist. */
+  async function findState(id: string): Promise<Result<StateRow | undefined, Fault>> {
+    const known = states.find(id);
+    return known === undefined ? readState(id) : Ok(known);
+  }
+
+  async function cancelOnce(
+    admission: Admission,
+    id: string,
+  ): Promise<Result<boolean, Fault> | undefined> {
+    const row = await options.table.getRow(getStateKey(id));
+    if (row.isErr()) return Err(createUnavailable(row.error.message));
+    const known = row.value?.value as unknown as StateRow | undefined;
+    if (row.value === undefined || known === undefined || !isVisible(known, admission)) {
+      return Ok(false);
+    }
+    if (isFinal(known.state)) return Ok(true);
+    const cancelled = { ...known, state: JobState.Cancelled, changedAtMs: Math.round(getWallMs()) };
+    const reply = await committer.submit({
+      conditions: [{ key: getStateKey(id), version: row.value.version }],
+      writes: [{ key: getStateKey(id), value: encodeRow(cancelled) }],
+      priority: WritePriority.Outcome,
+    });
+    return match(reply)
+      .with({ status: TransactionStatus.Committed }, () => Ok(true))
+      .with({ status: TransactionStatus.Conflict }, () => undefined)
+      .with({ status: TransactionStatus.Unavailable }, ({ message }) =>
+        Err(createUnavailable(message)),
+      )
+      .with({ status: TransactionStatus.Unknown }, () => Err(createUnknown()))
+      .exhaustive();
+  }
+
+  async function cancelJob(admission: Admission, id: string): Promise<Result<boolean, Fault>> {
+    for (let attempt = 0; attempt < maxCancelTries; attempt += 1) {
+      const result = await cancelOnce(admission, id);
+      if (result !== undefined) return result;
+    }
+    return Err(createUnknown());
+  }
+
+  return {
+    async admit(host, path, key) {
+      const config = getConfig();
+      if (config === undefined) return Err(createUnavailable('no configuration yet'));
+      const decided = decide(config, host, path, key);
+      // A key or queue may be newer than the copy, so a refusal is checked against the store.
+      if (decided.isOk() || configs.getAgeMs() < freshConfigMs) return decided;
+      await configs.refresh();
+      return decide(getConfig() ?? config, host, path, key);
+    },
+    async submit(admission, request, deadlineMs) {
+      const { queue, account } = admission;
+      const { recurrence } = request;
+      const startedMs = clock.getNowMs();
+      const submission: JobSubmission = {
+        id: request.id,
+        account: account?.name ?? anonymousAccount,
+        queue: queue.name,
+        pool: queue.pool,
+        rules: queue.rules,
+        payload: request.payload,
+        steps: request.steps,
+        ...(recurrence === undefined ? {} : { recurrence }),
+      };
+      const logResult = (outcome: string): void => {
+        logger.info('job_submitted', {
+          job: request.id,
+          queue: queue.name,
+          account: submission.account,
+          configVersion: admission.version,
+          stateAgeMs: Math.round(states.getAgeMs()),
+          outcome,
+          tookMs: Math.round(clock.getNowMs() - startedMs),
+        });
+        metrics.count('jobs.submitted', 1, { outcome });
+        metrics.reportTiming('jobs.submit', clock.getNowMs() - startedMs);
+      };
+      if (states.find(request.id) !== undefined) {
+        logResult('known');
+        return Ok(undefined);
+      }
+      if (states.getAgeMs() > storeAwayMs) {
+        logResult('refused_store_away');
+        return Err(createUnavailable('not accepted: the store is away'));
+      }
+      const job: JobRow = { submission, acceptedAtMs: Math.round(getWallMs()) };
+      const work = committer.submit({
+        conditions: [
+          { key: getJobKey(request.id), version: 0 },
+          { key: getStateKey(request.id), version: 0 },
+        ],
+        writes: [
+          { key: getJobKey(request.id), value: encodeRow(job) },
+          {
+            key: getStateKey(request.id),
+            value: encodeRow(encodeState(submission, JobState.Queued)),
+          },
+        ],
+        priority: WritePriority.NewWork,
+      });
+      const reply = await limitTime(work, deadlineMs);
+      const result = reply === undefined ? Err(createUnknown()) : decideSubmit(reply);
+      logResult(reply?.status ?? 'timeout');
+      return result;
+    },
+    async getState(admission, id) {
+      const found = await findState(id);
+      return found.map((row) =>
+        row !== undefined && isVisible(row, admission) ? row.state : undefined,
+      );
+    },
+    async cancel(admission, id, deadlineMs) {
+      const startedMs = clock.getNowMs();
+      const result = (await limitTime(cancelJob(admission, id), deadlineMs)) ?? Err(createUnknown());
+      logger.info('cancel_requested', {
+        job: id,
+        account: admission.account?.name,
+        outcome: result.isOk() ? String(result.value) : result.error.code,
+        tookMs: Math.round(clock.getNowMs() - startedMs),
+      });
+      return result;
+    },
+    countPending: (queue) =>
+      states
+        .list()
+        .filter(
+          ([, row]) => row.queue === queue && row.state === JobState.Queued && !row.isTimed,
+        ).length,
+  };
+}
--- /dev/null
+++ b/packages/dispatch/src/journal.ts
@@ -0,0 +1,203 @@
+import type { Row, RowCondition, RowValue, Table } from '@bergamotreach/hosting';
+import { TransactionStatus, WritePriority } from '@bergamotreach/ownership';
+import type { GroupCommitter, TransactionReply } from '@bergamotreach/ownership';
+import { waitFor } from '@bergamotreach/protocol';
+import type { Clock, Logger, Metrics } from '@bergamotreach/protocol';
+import { match } from 'ts-pattern';
+
+/** Options of a journal. */
+export interface JournalOptions {
+  table: Table;
+  committer: GroupCommitter;
+  clock: Clock;
+  logger: Logger;
+  metrics: Metrics;
+  /** Condition that holds only while this process owns the rows; `undefined` when it does not. */
+  getEpochCondition: () => RowCondition | undefined;
+  /** Called when another owner has taken over. */
+  onFenced: () => void;
+  /** Whether the value that somebody else gave a row stands against this owner's write. */
+  isOverruled: (key: string, value: RowValue) => boolean;
+}
+
+/** Rows that an owner keeps in the store. Writes of one row are merged; the latest wins. */
+export interface Journal {
+  /** Tells the version of a row that was read; rows never mentioned are absent. */
+  noteVersion(key: string, version: number): void;
+  /** Plans to write a row. */
+  write(key: string, value: RowValue): void;
+  /** Resolves with true once all writes planned so far are stored, with false when they never are. */
+  flush(): Promise<boolean>;
+  countPending(): number;
+  /** Drops a planned write of a row. */
+  discard(key: string): void;
+  close(): void;
+}
+
+interface Waiter {
+  sequence: number;
+  resolve: (isStored: boolean) => void;
+}
+
+interface PendingWrite {
+  value: RowValue;
+  sequence: number;
+}
+
+// Each write needs a condition on its row, and a transaction of the store holds 100 entries.
+const maxBatch = 45;
+const retryMs = 100;
+
+/** Creates a journal. */
+export function createJournal(options: JournalOptions): Journal {
+  const { table, committer, clock, logger, metrics } = options;
+  const versions = new Map<string, number>();
+  const pending = new Map<string, PendingWrite>();
+  let inFlight = new Map<string, PendingWrite>();
+  let waiters: Waiter[] = [];
+  let sequence = 0;
+  let isClosed = false;
+  let isPumping = false;
+
+  function settleWaiters(): void {
+    let oldest = Infinity;
+    for (const write of pending.values()) oldest = Math.min(oldest, write.sequence);
+    for (const write of inFlight.values()) oldest = Math.min(oldest, write.sequence);
+    const ready = waiters.filter((waiter) => waiter.sequence < oldest);
+    waiters = waiters.filter((waiter) => waiter.sequence >= oldest);
+    for (const waiter of ready) waiter.resolve(true);
+  }
+
+  function takeBatch(): Map<string, PendingWrite> {
+    const batch = new Map([...pending].slice(0, maxBatch));
+    for (const key of batch.keys()) pending.delete(key);
+    return batch;
+  }
+
+  /** Puts a write back unless a newer value of the row is waiting. */
+  function putBack(key: string, write: PendingWrite): void {
+    const newer = pending.get(key);
+    pending.set(key, newer === undefined ? write : { ...newer, sequence: write.sequence });
+  }
+
+  async function commitBatch(): Promise<void> {
+    const epoch = options.getEpochCondition();
+    if (epoch === undefined) {
+      await waitFor(clock, retryMs);
+      return;
+    }
+    inFlight = takeBatch();
+    const batch = inFlight;
+    const keys = [...batch.keys()];
+    const startedMs = clock.getNowMs();
+    const reply = await committer.submit({
+      conditions: [epoch, ...keys.map((key) => ({ key, version: versions.get(key) ?? 0 }))],
+      writes: [...batch].map(([key, { value }]) => ({ key, value })),
+      priority: WritePriority.Outcome,
+    });
+    metrics.reportTiming('journal.commit', clock.getNowMs() - startedMs);
+    await handleReply(batch, reply, epoch.key);
+    inFlight = new Map();
+    settleWaiters();
+  }
+
+  async function handleReply(
+    batch: Map<string, PendingWrite>,
+    reply: TransactionReply,
+    epochKey: string,
+  ): Promise<void> {
+    await match(reply)
+      .with({ status: TransactionStatus.Committed }, async ({ versions: written }) => {
+        for (const [key, write] of batch) {
+          const version = written[key];
+          if (version !== undefined) versions.set(key, version);
+          // Overwritten since, so the version has to be read.
+          else await resolveRow(key, write);
+        }
+      })
+      .with({ status: TransactionStatus.Conflict }, async ({ conflicts }) => {
+        if (conflicts.includes(epochKey)) {
+          fence();
+          return;
+        }
+        for (const [key, write] of batch) {
+          if (conflicts.includes(key)) await resolveRow(key, write);
+          else putBack(key, write);
+        }
+      })
+      .otherwise(async ({ message }) => {
+        logger.warn('journal_retry', { rows: batch.size, status: reply.status, reason: message });
+        for (const [key, write] of batch) putBack(key, write);
+        await waitFor(clock, retryMs);
+      });
+  }
+
+  function fence(): void {
+    logger.warn('journal_fenced', { pending: pending.size + inFlight.size });
+    close();
+    options.onFenced();
+  }
+
+  async function readRow(key: string): Promise<Row | undefined> {
+    for (;;) {
+      const result = await table.getRow(key);
+      if (result.isOk()) return result.value;
+      if (isClosed) return undefined;
+      logger.warn('journal_read_retry', { key, reason: result.error.message });
+      await waitFor(clock, retryMs);
+    }
+  }
+
+  /** After a conflict the row tells whether the write took effect or somebody else's did. */
+  async function resolveRow(key: string, write: PendingWrite): Promise<void> {
+    const row = await readRow(key);
+    if (isClosed) return;
+    versions.set(key, row?.version ?? 0);
+    if (row !== undefined && JSON.stringify(row.value) === JSON.stringify(write.value)) return;
+    if (row !== undefined && options.isOverruled(key, row.value)) {
+      logger.info('journal_overruled', { key, version: row.version });
+      return;
+    }
+    putBack(key, write);
+  }
+
+  async function pump(): Promise<void> {
+    if (isPumping) return;
+    isPumping = true;
+    while (pending.size > 0 && !isClosed) await commitBatch();
+    isPumping = false;
+  }
+
+  function close(): void {
+    isClosed = true;
+    pending.clear();
+    for (const waiter of waiters) waiter.resolve(false);
+    waiters = [];
+  }
+
+  return {
+    noteVersion(key, version) {
+      versions.set(key, version);
+    },
+    write(key, value) {
+      if (isClosed) return;
+      sequence += 1;
+      const older = pending.get(key);
+      pending.set(key, { value, sequence: older?.sequence ?? sequence });
+    },
+    flush() {
+      if (isClosed) return Promise.resolve(false);
+      if (pending.size === 0 && inFlight.size === 0) return Promise.resolve(true);
+      return new Promise((resolve) => {
+        waiters.push({ sequence, resolve });
+        void pump();
+      });
+    },
+    discard(key) {
+      pending.delete(key);
+      settleWaiters();
+    },
+    countPending: () => pending.size + inFlight.size,
+    close,
+  };
+}
--- /dev/null
+++ b/packages/dispatch/src/orders.ts
@@ -0,0 +1,155 @@
+import { waitFor } from '@bergamotreach/protocol';
+import type { Clock, Logger, Metrics } from '@bergamotreach/protocol';
+import { match } from 'ts-pattern';
+import { OrderStatus, RefusalReason } from './taskrunner.ts';
+import type { OrderReply, TaskRunner } from './taskrunner.ts';
+import type { WorkerLink } from './workerlink.ts';
+
+/** What is certain about a start. */
+export enum StartFate {
+  Started = 'started',
+  /** It did not begin and never will. */
+  NotStarted = 'not_started',
+  /** It may have begun or may still begin until the end of its window. */
+  Undecided = 'undecided',
+}
+
+/** Result of a start order. */
+export interface StartResult {
+  fate: StartFate;
+  reason: RefusalReason;
+  /** The worker's clock when it confirmed the start. */
+  clockMs: number;
+  /** End of the window on the worker's clock. */
+  windowUntilMs: number;
+}
+
+/** A run to be started or stopped. */
+export interface RunName {
+  task: string;
+  run: number;
+}
+
+/** Options of the sender of orders. */
+export interface OrderSenderOptions {
+  runner: TaskRunner;
+  epoch: number;
+  clock: Clock;
+  logger: Logger;
+  metrics: Metrics;
+  /** Whether this process may give orders now; asked right before each one. */
+  isHolding: () => boolean;
+  onFenced: () => void;
+}
+
+/** Sends orders to workers until their fate is known or their window has passed. */
+export interface OrderSender {
+  start(
+    link: WorkerLink,
+    name: RunName,
+    input: { payload: string; checkpoint: string; isWanted: () => boolean },
+  ): Promise<StartResult>;
+  /** Repeats a stop while `isWanted`. */
+  stop(link: WorkerLink, name: RunName, isWanted: () => boolean): Promise<void>;
+}
+
+/**
+ * A start begins within this time or never. It covers two lost answers, and lies below the time
+ * that the members of a gang wait for each other.
+ */
+const startWindowMs = 2000;
+const retryMs = 60;
+/** A stop takes the worker up to a second; then the order is taken for lost. */
+const stopRepeatMs = 1200;
+
+/** Creates the sender of an owner. */
+export function createOrderSender(options: OrderSenderOptions): OrderSender {
+  const { runner, epoch, clock, logger, metrics, isHolding } = options;
+
+  function createResult(
+    fate: StartFate,
+    reason: RefusalReason,
+    windowUntilMs: number,
+    clockMs = 0,
+  ): StartResult {
+    return { fate, reason, windowUntilMs, clockMs };
+  }
+
+  /** A refusal decides only when no earlier copy of the order may still be on its way. */
+  function decideRefusal(reason: RefusalReason, hasLostCopy: boolean): StartFate {
+    if (reason === RefusalReason.TooLate) return StartFate.NotStarted;
+    // An earlier copy may have run and ended; the worker's report tells.
+    if (reason === RefusalReason.OldRun) return StartFate.Undecided;
+    return hasLostCopy ? StartFate.Undecided : StartFate.NotStarted;
+  }
+
+  return {
+    async start(link, name, input) {
+      const estimate = link.getClock().estimate(clock.getNowMs());
+      if (estimate === undefined) {
+        return createResult(StartFate.NotStarted, RefusalReason.None, 0);
+      }
+      const windowUntilMs = Math.floor(estimate + startWindowMs);
+      const endMs = clock.getNowMs() + startWindowMs;
+      let hasLostCopy = false;
+      while (clock.getNowMs() < endMs) {
+        if (!isHolding() || !input.isWanted()) break;
+        link.getClock().noteLease(windowUntilMs);
+        const order = { ...name, payload: input.payload, checkpoint: input.checkpoint };
+        const reply = await runner.start(link.getEntry(), {
+          ...order,
+          leaseUntilMs: windowUntilMs,
+          epoch,
+        });
+        if (reply.clockMs !== undefined) link.getClock().note(reply.clockMs, clock.getNowMs());
+        const decided = decideStart(reply, hasLostCopy, windowUntilMs);
+        if (decided !== undefined) return decided;
+        hasLostCopy = true;
+        metrics.count('orders.lost', 1, { kind: 'start' });
+        logger.warn('start_unanswered', { task: name.task, run: name.run, worker: link.id });
+        await waitFor(clock, retryMs);
+      }
+      const fate = hasLostCopy ? StartFate.Undecided : StartFate.NotStarted;
+      return createResult(fate, RefusalReason.None, windowUntilMs);
+    },
+    async stop(link, name, isWanted) {
+      while (isWanted()) {
+        if (isHolding()) {
+          const reply = await runner.stop(link.getEntry(), { ...name, epoch });
+          if (reply.status === OrderStatus.Fenced) options.onFenced();
+          if (reply.status === OrderStatus.Unknown) {
+            metrics.count('orders.lost', 1, { kind: 'stop' });
+            await waitFor(clock, retryMs);
+            continue;
+          }
+        }
+        await waitFor(clock, stopRepeatMs);
+      }
+    },
+  };
+
+  function decideStart(
+    reply: OrderReply,
+    hasLostCopy: boolean,
+    windowUntilMs: number,
+  ): StartResult | undefined {
+    return match(reply.status)
+      .with(OrderStatus.Accepted, () =>
+        createResult(StartFate.Started, RefusalReason.None, windowUntilMs, reply.clockMs),
+      )
+      .with(OrderStatus.Refused, () =>
+        createResult(decideRefusal(reply.reason, hasLostCopy), reply.reason, windowUntilMs),
+      )
+      .with(OrderStatus.Fenced, () => {
+        options.onFenced();
+        const fate = hasLostCopy ? StartFate.Undecided : StartFate.NotStarted;
+        return createResult(fate, RefusalReason.None, windowUntilMs);
+      })
+      .with(OrderStatus.OtherLife, () => {
+        const fate = hasLostCopy ? StartFate.Undecided : StartFate.NotStarted;
+        return createResult(fate, RefusalReason.None, windowUntilMs);
+      })
+      .with(OrderStatus.Unknown, () => undefined)
+      .exhaustive();
+  }
+}
--- /dev/null
+++ b/packages/dispatch/src/workerlink.ts
@@ -0,0 +1,218 @@
+import { FaultCode, waitFor } from '@bergamotreach/protocol';
+import type { Clock, Logger, Metrics } from '@bergamotreach/protocol';
+import type { TaskRunner, WorkerReport } from './taskrunner.ts';
+import { createWorkerClock } from './workerclock.ts';
+import type { WorkerClock } from './workerclock.ts';
+import type { WorkerEntry } from './workerentry.ts';
+
+/** What an owner knows of a worker. */
+export enum LinkState {
+  /** No answer yet; what runs there is not known. */
+  Connecting = 'connecting',
+  Live = 'live',
+  /** The last call got no answer; what runs there may go on until its lease expires. */
+  Silent = 'silent',
+  /** Nothing that ran there can be running any more. */
+  Lapsed = 'lapsed',
+}
+
+/** Options of a link. Durations are in milliseconds. */
+export interface WorkerLinkOptions {
+  entry: WorkerEntry;
+  runner: TaskRunner;
+  epoch: number;
+  clock: Clock;
+  logger: Logger;
+  metrics: Metrics;
+  /** Longest lease that a worker grants. */
+  maxLeaseMs: number;
+  /** Whether this process may give orders now. */
+  isHolding: () => boolean;
+  /**
+   * Takes in a report. Resolves with the number of the last end that is stored, so that the worker
+   * may forget it.
+   */
+  onReport: (report: WorkerReport) => Promise<number>;
+  /** Called once nothing that was started there can run any more. */
+  onLapse: (reason: string) => void;
+  /** Called when a worker answers that obeys a newer owner. */
+  onFenced: () => void;
+}
+
+/** An owner's connection to one life of a worker. */
+export interface WorkerLink {
+  readonly id: string;
+  getEntry(): WorkerEntry;
+  updateEntry(entry: WorkerEntry): void;
+  getState(): LinkState;
+  /** Whether the worker's entry is in the platform's list now. */
+  isListed(): boolean;
+  setListed(isListed: boolean): void;
+  /** Time since the worker answered last, in milliseconds. */
+  getSilenceMs(): number;
+  getClock(): WorkerClock;
+  /** Declares that nothing started in this life of the worker can run any more. */
+  lapse(reason: string): void;
+  /** Asks for a report without waiting for an end. */
+  hurry(): void;
+  start(): void;
+  /** Stops all calls; the worker keeps what runs there until the lease expires. */
+  stop(): void;
+}
+
+// Few calls while nothing happens; an end is told at once because the worker answers then.
+const reportWaitMs = 1800;
+/** Extra time for an answer beyond the wait that was asked for. */
+const reportSlackMs = 1000;
+const retryMs = 250;
+const idleCheckMs = 50;
+/** How long a report may wait for the store before the lease is extended without it. */
+const storeWaitMs = 1500;
+/** Failed calls in a row after which a worker gets no new work. */
+const silentAfter = 1;
+
+/** Timeout of a report call. */
+export function getReportTimeoutMs(waitMs: number): number {
+  return waitMs + reportSlackMs;
+}
+
+/** Creates a link; `start` begins to call the worker. */
+export function createWorkerLink(options: WorkerLinkOptions): WorkerLink {
+  const { runner, epoch, clock, logger, metrics, maxLeaseMs, isHolding } = options;
+  let entry = options.entry;
+  const { id, bornAtMs } = entry;
+  const workerClock = createWorkerClock();
+  const createdMs = clock.getNowMs();
+  let state = LinkState.Connecting;
+  let isInList = true;
+  let isRunning = false;
+  let failures = 0;
+  let ackedEnd = 0;
+  let answeredMs = clock.getNowMs();
+  let isUrgent = false;
+
+  function setState(next: LinkState, reason: string): void {
+    if (state === next) return;
+    logger.info('worker_state', {
+      worker: id,
+      life: bornAtMs,
+      from: state,
+      to: next,
+      reason,
+      silentMs: Math.round(clock.getNowMs() - answeredMs),
+    });
+    state = next;
+    metrics.count('worker.states', 1, { state: next });
+  }
+
+  function lapse(reason: string): void {
+    if (state === LinkState.Lapsed) return;
+    setState(LinkState.Lapsed, reason);
+    options.onLapse(reason);
+  }
+
+  /** A worker that never answered holds at most what an earlier owner granted before this one. */
+  function hasLapsed(): boolean {
+    const nowMs = clock.getNowMs();
+    if (workerClock.estimate(nowMs) !== undefined) return workerClock.hasLapsed(nowMs);
+    const bound = createWorkerClock();
+    bound.note(0, createdMs);
+    bound.noteLease(maxLeaseMs);
+    return bound.hasLapsed(nowMs);
+  }
+
+  function handleFailure(message: string): void {
+    failures += 1;
+    metrics.count('worker.call_failures');
+    if (failures >= silentAfter && state === LinkState.Live) setState(LinkState.Silent, message);
+    if (hasLapsed()) lapse('lease expired');
+  }
+
+  async function handleReport(report: WorkerReport): Promise<void> {
+    if (report.bornAtMs !== undefined && report.bornAtMs !== bornAtMs) {
+      lapse('worker restarted');
+      isRunning = false;
+      return;
+    }
+    failures = 0;
+    answeredMs = clock.getNowMs();
+    workerClock.note(report.clockMs, answeredMs);
+    const isFirst = state !== LinkState.Live;
+    setState(LinkState.Live, 'answered');
+    if (isFirst) workerClock.noteLease(report.clockMs + maxLeaseMs);
+    const stored = options.onReport(report).then((sequence) => {
+      ackedEnd = Math.max(ackedEnd, sequence);
+      return true;
+    });
+    const isStored = await Promise.race([stored, waitFor(clock, storeWaitMs).then(() => false)]);
+    if (!isStored) logger.warn('ends_not_stored', { worker: id, ends: report.ends.length });
+  }
+
+  async function callOnce(): Promise<void> {
+    const nowMs = clock.getNowMs();
+    const estimate = workerClock.estimate(nowMs);
+    const leaseUntilMs = estimate === undefined ? undefined : Math.floor(estimate + maxLeaseMs);
+    const isKnown = leaseUntilMs !== undefined && !isUrgent;
+    const waitMs = isKnown && failures === 0 ? reportWaitMs : 0;
+    isUrgent = false;
+    if (leaseUntilMs !== undefined) workerClock.noteLease(leaseUntilMs);
+    const reply = await runner.report(entry, {
+      epoch,
+      ackedEnd,
+      waitMs,
+      ...(leaseUntilMs === undefined ? {} : { leaseUntilMs }),
+    });
+    if (!isRunning) return;
+    if (reply.isOk()) {
+      await handleReport(reply.value);
+      return;
+    }
+    const fault = reply.error;
+    if (fault.code === FaultCode.StaleEpoch) {
+      logger.warn('worker_fenced', { worker: id, epoch, reason: fault.message });
+      options.onFenced();
+    } else if (fault.code === FaultCode.NotFound) {
+      lapse('another life answers');
+      isRunning = false;
+      return;
+    }
+    handleFailure(fault.message);
+    await waitFor(clock, retryMs);
+  }
+
+  async function run(): Promise<void> {
+    while (isRunning) {
+      if (isHolding()) await callOnce();
+      else {
+        if (hasLapsed()) lapse('lease expired');
+        await waitFor(clock, idleCheckMs);
+      }
+    }
+  }
+
+  return {
+    id,
+    getEntry: () => entry,
+    updateEntry(next) {
+      entry = next;
+    },
+    getState: () => state,
+    isListed: () => isInList,
+    setListed(value) {
+      isInList = value;
+    },
+    getSilenceMs: () => clock.getNowMs() - answeredMs,
+    getClock: () => workerClock,
+    lapse,
+    hurry() {
+      isUrgent = true;
+    },
+    start() {
+      isRunning = true;
+      void run();
+    },
+    stop() {
+      isRunning = false;
+    },
+  };
+}
--- a/packages/hosting/src/httpclient.ts
+++ b/packages/hosting/src/httpclient.ts
@@ -9,6 +9,15 @@
   connections: number;
   /** Time until the answer must have arrived, in milliseconds. */
   timeoutMs: number;
+  /** How long an idle connection is kept, in milliseconds; the library's default when absent. */
+  keepAliveMs?: number;
+}
+
+/** Options of one exchange. */
+export interface SendOptions {
+  headers?: Record<string, string>;
+  /** Replaces the timeout of the client, in milliseconds. */
+  timeoutMs?: number;
 }
 
 /** How an exchange ended. */
@@ -29,9 +38,16 @@
 /** Client of one HTTP service with a small pool of connections. */
 export interface HttpClient {
   /** Sends one request once and reads the whole answer as text. */
-  send(method: Dispatcher.HttpMethod, path: string, body?: string): Promise<Exchange>;
+  send(
+    method: Dispatcher.HttpMethod,
+    path: string,
+    body?: string,
+    options?: SendOptions,
+  ): Promise<Exchange>;
   /** Closes the connections after the exchanges in progress. */
   close(): Promise<void>;
+  /** Closes the connections at once; exchanges in progress are lost. */
+  abort(): Promise<void>;
 }
 
 // Errors raised before any byte of the request could reach the service.
@@ -58,22 +74,36 @@
     connectTimeout: options.timeoutMs,
     headersTimeout: options.timeoutMs,
     bodyTimeout: options.timeoutMs,
+    ...(options.keepAliveMs === undefined
+      ? {}
+      : { keepAliveTimeout: options.keepAliveMs, keepAliveMaxTimeout: options.keepAliveMs }),
   });
 
   async function send(
     method: Dispatcher.HttpMethod,
     path: string,
     body?: string,
+    sendOptions: SendOptions = {},
   ): Promise<Exchange> {
+    // The timeouts of the library have a resolution of a second; the signal also covers the wait
+    // for a connection, and closes the connection of an exchange that it ends.
+    const timeout = new AbortController();
+    const timer = setTimeout(() => {
+      timeout.abort(new Error('no answer in time'));
+    }, sendOptions.timeoutMs ?? options.timeoutMs);
     try {
-      const headers = body === undefined ? {} : { 'content-type': 'application/json' };
-      const answer = await pool.request({ method, path, headers, body: body ?? null });
+      const type = body === undefined ? {} : { 'content-type': 'application/json' };
+      const headers = { ...type, ...sendOptions.headers };
+      const { signal } = timeout;
+      const answer = await pool.request({ method, path, headers, body: body ?? null, signal });
       const text = await answer.body.text();
       return { status: ExchangeStatus.Answered, code: answer.statusCode, body: text };
     } catch (error) {
       return createFailedExchange(error);
+    } finally {
+      clearTimeout(timer);
     }
   }
 
-  return { send, close: async () => pool.close() };
+  return { send, close: async () => pool.close(), abort: async () => pool.destroy() };
 }
--- a/packages/hosting/src/index.ts
+++ b/packages/hosting/src/index.ts
@@ -1,3 +1,4 @@
+export * from './feed.ts';
 export * from './httpclient.ts';
 export * from './httpinstancelist.ts';
 export * from './httpobjectstore.ts';
--- a/packages/ownership/src/committer.ts
+++ b/packages/ownership/src/committer.ts
@@ -29,6 +29,8 @@
   burst?: number;
   /** Largest number of waiting transactions. */
   maxQueued?: number;
+  /** Largest number of writes in one table commit. */
+  maxWrites?: number;
   /** Longest wait in the queue before a transaction is given up. */
   maxQueueMs?: number;
   /** Commits under way at once, besides one of the lease. */
@@ -62,6 +64,7 @@
   commitsPerSecond: 40,
   burst: 10,
   maxQueued: 2000,
+  maxWrites: maxCommitWrites,
   maxQueueMs: 2000,
   maxInFlight: 2,
   resolveForMs: 3000,
@@ -115,14 +118,14 @@
     if (!isLeaseInFlight && queue.has(WritePriority.Lease)) {
       budget.take(true);
       isLeaseInFlight = true;
-      void commitGroup(queue.takeGroup(maxCommitWrites, true)).finally(() => {
+      void commitGroup(queue.takeGroup(settings.maxWrites, true)).finally(() => {
         isLeaseInFlight = false;
         pump();
       });
     }
     while (inFlight < settings.maxInFlight && hasOrdinary() && budget.take(false)) {
       inFlight += 1;
-      void commitGroup(queue.takeGroup(maxCommitWrites, false)).finally(() => {
+      void commitGroup(queue.takeGroup(settings.maxWrites, false)).finally(() => {
         inFlight -= 1;
         pump();
       });
--- a/packages/ownership/src/lease.ts
+++ b/packages/ownership/src/lease.ts
@@ -20,6 +20,11 @@
   table: Table;
   committer: GroupCommitter;
   clock: Clock;
+  /**
+   * Clock of the holder's own deadline. It must count the time for which the process was
+   * suspended; `clock` when absent.
+   */
+  deadlineClock?: Clock;
   logger: Logger;
   metrics: Metrics;
   region: string;
@@ -98,6 +103,7 @@
 export function createRegionLease(options: RegionLeaseOptions): RegionLease {
   const { table, committer, clock, logger, metrics, region, holder, address } = options;
   const { leaseMs, marginMs, renewMs } = { ...defaults, ...options };
+  const deadlineClock = options.deadlineClock ?? clock;
   const ownerKey = `owner/${region}`;
   const epochKey = `epoch/${region}`;
   let hold: Hold | undefined;
@@ -112,7 +118,7 @@
 
   function getState(): LeaseState {
     if (hold === undefined) return LeaseState.Waiting;
-    return clock.getNowMs() < hold.deadlineMs ? LeaseState.Holding : LeaseState.Suspended;
+    return deadlineClock.getNowMs() < hold.deadlineMs ? LeaseState.Holding : LeaseState.Suspended;
   }
 
   function reportState(): void {
@@ -127,7 +133,7 @@
   function planDeadline(): void {
     cancelDeadline?.();
     if (hold === undefined) return;
-    cancelDeadline = clock.setTimer(hold.deadlineMs - clock.getNowMs(), reportState);
+    cancelDeadline = clock.setTimer(hold.deadlineMs - deadlineClock.getNowMs(), reportState);
   }
 
   function encodeRecord(epoch: number, renewal: number, isReleased = false): RowValue {
@@ -150,7 +156,7 @@
   }
 
   async function renewHold(current: Hold): Promise<void> {
-    const sentMs = clock.getNowMs();
+    const sentMs = deadlineClock.getNowMs();
     const renewal = current.renewal + 1;
     const reply = await submitLease(
       [
@@ -205,7 +211,7 @@
     const epochRow = await table.getRow(epochKey);
     if (epochRow.isErr()) return;
     const epoch = Math.max(seen.record?.epoch ?? 0, getEpochValue(epochRow.value)) + 1;
-    const sentMs = clock.getNowMs();
+    const sentMs = deadlineClock.getNowMs();
     const reply = await submitLease(
       [
         { key: ownerKey, version: seen.version },
--- a/packages/protocol/src/clock.ts
+++ b/packages/protocol/src/clock.ts
@@ -27,6 +27,47 @@
   return new SystemClock();
 }
 
+/**
+ * Clock that never runs slower than real time, for deadlines of one's own. The steady clock stands
+ * still while a machine is suspended, and the time of day may step back, so each reading advances
+ * by the larger of the two differences. It may run ahead.
+ */
+class AdvancingClock extends Clock {
+  private lastSteadyMs: number;
+  private lastWallMs: number;
+  private nowMs = 0;
+
+  constructor(
+    private readonly steady: Clock,
+    private readonly getWallMs: () => number,
+  ) {
+    super();
+    this.lastSteadyMs = steady.getNowMs();
+    this.lastWallMs = getWallMs();
+  }
+
+  getNowMs(): number {
+    const steadyMs = this.steady.getNowMs();
+    const wallMs = this.getWallMs();
+    this.nowMs += Math.max(steadyMs - this.lastSteadyMs, wallMs - this.lastWallMs, 0);
+    this.lastSteadyMs = steadyMs;
+    this.lastWallMs = wallMs;
+    return this.nowMs;
+  }
+
+  setTimer(delayMs: number, action: () => void): CancelTimer {
+    return this.steady.setTimer(delayMs, action);
+  }
+}
+
+/** Creates a clock that counts the time for which the process was suspended. */
+export function createAdvancingClock(
+  steady: Clock,
+  getWallMs: () => number = () => Date.now(),
+): Clock {
+  return new AdvancingClock(steady, getWallMs);
+}
+
 /** Runs `action` every `periodMs` until cancelled. The next run is planned after the action returns. */
 export function runEvery(clock: Clock, periodMs: number, action: () => void): CancelTimer {
   let cancelTimer: CancelTimer = () => undefined;
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -3,6 +3,7 @@
 export * from './frame.ts';
 export * from './hash.ts';
 export * from './logger.ts';
+export * from './logsink.ts';
 export * from './manualclock.ts';
 export * from './message.ts';
 export * from './metrics.ts';
--- /dev/null
+++ b/packages/scheduling/src/planner.ts
@@ -0,0 +1,212 @@
+import { TaskPhase, isOccupying } from './group.ts';
+import type { Task, TaskGroup } from './group.ts';
+import {
+  Spread,
+  getComingRoom,
+  hasRackSize,
+  listWaiting,
+  packGang,
+  packSome,
+  takeRoom,
+} from './packing.ts';
+import type { Placement } from './packing.ts';
+import { getChainMs, getRank } from './ranking.ts';
+import { listStops, planClearing, reserveClearing } from './reclaim.ts';
+import type { Clearing } from './reclaim.ts';
+import { addResources } from './resources.ts';
+import type { PlacedTask, WorkerView } from './worker.ts';
+
+/** A group that may start tasks now: due, its dependencies done, its job live. */
+export interface ReadyGroup {
+  group: TaskGroup;
+  /** Time since it was due or its job accepted, in milliseconds. */
+  ageMs: number;
+  /** Mean work of its queue in core-seconds. */
+  meanWork: number;
+}
+
+/** Everything that a plan depends on. */
+export interface PlanInput {
+  /** Steady time in milliseconds. */
+  nowMs: number;
+  /** Workers; their `free` is consumed by planning. */
+  workers: WorkerView[];
+  ready: readonly ReadyGroup[];
+  /** Accelerators that each account is guaranteed for work of priority 0. */
+  guarantees: ReadonlyMap<string, number>;
+  /** Accelerators that the unfinished jobs of priority 0 of each account need. */
+  urgentNeeds: ReadonlyMap<string, number>;
+}
+
+/** Tasks of one group to be started. */
+export interface PlannedStart {
+  group: TaskGroup;
+  placements: { task: Task; workerId: string }[];
+}
+
+/** Why running work is stopped. */
+export enum StopReason {
+  /** Its room goes to work of higher priority. */
+  Preempted = 'preempted',
+}
+
+/** A task to be stopped. */
+export interface PlannedStop extends PlacedTask {
+  reason: StopReason;
+  /** Group that gets the room. */
+  beneficiary: string;
+}
+
+/** What to do now. */
+export interface Plan {
+  starts: PlannedStart[];
+  stops: PlannedStop[];
+}
+
+const urgentPriority = 0;
+/** A rack-bound job waits for its rack at most this share of its run time, then is spread. */
+const localWaitShare = 1.5;
+/** An urgent job waits this long for the right rack; reclaiming must fit into the rest. */
+const urgentLocalWaitMs = 1500;
+/** A gang that waited this long gets room reserved against work ranked below it. */
+const reserveAfterMs = 2500;
+/** Gangs that may hold a reservation at once. */
+const maxReservations = 2;
+
+/** Whether an account's urgent work is within its guarantee. */
+function isGuaranteed(group: TaskGroup, input: PlanInput): boolean {
+  const { account } = group.job;
+  const sold = input.guarantees.get(account) ?? 0;
+  return (input.urgentNeeds.get(account) ?? 0) <= sold;
+}
+
+function compareReady(input: PlanInput): (a: ReadyGroup, b: ReadyGroup) => number {
+  const ranks = new Map(input.ready.map((ready) => [ready, getRank(ready)]));
+  const getClass = ({ group }: ReadyGroup): number => {
+    if (group.job.rules.priority !== urgentPriority) return 2;
+    return isGuaranteed(group, input) ? 0 : 1;
+  };
+  return (a, b) => {
+    const byClass = getClass(a) - getClass(b);
+    if (byClass !== 0) return byClass;
+    // Guaranteed jobs are all bound to start in time, so the oldest goes first.
+    if (getClass(a) === 0) return b.ageMs - a.ageMs;
+    return (ranks.get(b) ?? 0) - (ranks.get(a) ?? 0);
+  };
+}
+
+function chooseSpread({ group, ageMs }: ReadyGroup, workers: readonly WorkerView[]): Spread {
+  if (group.spec.isRackBound && group.spec.isGang && !hasRackSize(group, workers)) {
+    return Spread.Anywhere;
+  }
+  const isUrgent = group.job.rules.priority === urgentPriority;
+  const waitMs = isUrgent ? urgentLocalWaitMs : getChainMs(group.job, group.step) * localWaitShare;
+  return ageMs < waitMs ? Spread.Local : Spread.Anywhere;
+}
+
+/** Plans starts and stops. It changes the room in `input.workers` and nothing else. */
+export function planStarts(input: PlanInput): Plan {
+  const plan: Plan = { starts: [], stops: [] };
+  const stopping = new Set<Task>();
+  let reservations = 0;
+  const order = [...input.ready].sort(compareReady(input));
+
+  function addStart(group: TaskGroup, placements: Placement[]): void {
+    if (placements.length === 0) return;
+    takeRoom(group, placements);
+    plan.starts.push({
+      group,
+      placements: placements.map(({ task, worker }) => ({ task, workerId: worker.id })),
+    });
+  }
+
+  /** Stops work for a group, or holds the room of stops that are under way. */
+  function clearRoom(group: TaskGroup, spread: Spread): void {
+    const mayPreemptUrgent = isGuaranteed(group, input);
+    const mayStop = (victim: TaskGroup): boolean => {
+      if (victim.job.rules.priority > group.job.rules.priority) return true;
+      if (victim.job.account === group.job.account) return false;
+      const isUrgent = victim.job.rules.priority === urgentPriority;
+      return isUrgent && mayPreemptUrgent && !isGuaranteed(victim, input);
+    };
+    const clearing = chooseClearing(group, spread, mayStop);
+    if (clearing === undefined) return;
+    reserveClearing(group, clearing);
+    for (const victim of listStops(clearing)) {
+      if (victim.task.phase !== TaskPhase.Running || stopping.has(victim.task)) continue;
+      stopping.add(victim.task);
+      noteRelease(victim);
+      plan.stops.push({ ...victim, reason: StopReason.Preempted, beneficiary: group.key });
+    }
+  }
+
+  function noteRelease(victim: PlacedTask): void {
+    const worker = input.workers.find(({ id }) => id === victim.task.workerId);
+    if (worker === undefined) return;
+    addResources(worker.releasing, victim.group.spec.demand);
+    worker.placed = worker.placed.filter(({ task }) => task !== victim.task);
+  }
+
+  function chooseClearing(
+    group: TaskGroup,
+    spread: Spread,
+    mayStop: (victim: TaskGroup) => boolean,
+  ): Clearing | undefined {
+    const isBound = group.spec.isRackBound || group.spec.preferredRack !== '';
+    const racks = new Set(input.workers.map(({ rack }) => rack));
+    const choices: Clearing[] = [];
+    if (isBound) {
+      for (const rack of racks) {
+        if (group.spec.preferredRack !== '' && rack !== group.spec.preferredRack) continue;
+        const members = input.workers.filter((worker) => worker.rack === rack);
+        const clearing = planClearing(group, members, mayStop, input.nowMs);
+        if (clearing !== undefined) choices.push(clearing);
+      }
+    }
+    const isWide = !isBound || (choices.length === 0 && spread === Spread.Anywhere);
+    if (isWide) {
+      const clearing = planClearing(group, input.workers, mayStop, input.nowMs);
+      if (clearing !== undefined) choices.push(clearing);
+    }
+    return choices.sort((a, b) => a.cost - b.cost)[0];
+  }
+
+  function placeGang(ready: ReadyGroup): void {
+    const { group } = ready;
+    // A gang starts whole, so it waits until the last member of its previous run has ended.
+    if (group.tasks.some(isOccupying)) return;
+    const spread = chooseSpread(ready, input.workers);
+    const placements = packGang(group, input.workers, spread);
+    if (placements !== undefined) addStart(group, placements);
+    else if (group.job.rules.priority === urgentPriority) clearRoom(group, spread);
+    else reserveGang(ready, spread);
+  }
+
+  function reserveGang({ group, ageMs }: ReadyGroup, spread: Spread): void {
+    if (ageMs < reserveAfterMs || reservations >= maxReservations) return;
+    reservations += 1;
+    const coming = packGang(group, input.workers, spread, getComingRoom);
+    if (coming !== undefined) takeRoom(group, coming);
+    else clearLater(group, spread);
+  }
+
+  /** Reserves room that other work holds now; nothing is stopped for it. */
+  function clearLater(group: TaskGroup, spread: Spread): void {
+    const clearing = chooseClearing(group, spread, () => true);
+    if (clearing !== undefined) reserveClearing(group, clearing);
+  }
+
+  function placeTasks(ready: ReadyGroup): void {
+    const { group } = ready;
+    addStart(group, packSome(group, input.workers, chooseSpread(ready, input.workers)));
+    const placed = plan.starts.find((start) => start.group === group)?.placements.length ?? 0;
+    const isUrgent = group.job.rules.priority === urgentPriority;
+    if (isUrgent && placed < listWaiting(group).length) clearRoom(group, Spread.Anywhere);
+  }
+
+  for (const ready of order) {
+    if (ready.group.spec.isGang) placeGang(ready);
+    else placeTasks(ready);
+  }
+  return plan;
+}
--- /dev/null
+++ b/packages/scheduling/src/trust.ts
@@ -0,0 +1,75 @@
+/** What is known of a worker's health from the ends of its runs. */
+export interface WorkerTrust {
+  /** Notes a run that ended well. */
+  noteDone(workerId: string): void;
+  /** Notes a failed run of `groupKey`. */
+  noteFailure(workerId: string, groupKey: string, nowMs: number): void;
+  /** Notes a run that made no progress although its worker answers. */
+  noteStall(workerId: string, nowMs: number): void;
+  /** How many tasks may start on a worker that now has `running` tasks. */
+  countStarts(workerId: string, running: number, nowMs: number): number;
+  forget(workerId: string): void;
+  /** Workers that are not trusted now. */
+  listDistrusted(nowMs: number): string[];
+}
+
+interface Record {
+  /** Groups that failed on the worker since its last run that ended well. */
+  failedGroups: Set<string>;
+  /** Steady time until which nothing starts on the worker. */
+  pausedUntilMs: number;
+  /** Pauses without a good run in between. */
+  pauses: number;
+}
+
+/** Failures of distinct groups after which a worker is paused: one group may fail by itself. */
+const maxFailedGroups = 2;
+const firstPauseMs = 3000;
+const maxPauseMs = 12_000;
+/** A worker that comes back from a pause gets this many tasks until one ends well. */
+const probeTasks = 1;
+
+/** Creates the record of workers; a worker that is not known is trusted. */
+export function createWorkerTrust(): WorkerTrust {
+  const records = new Map<string, Record>();
+
+  function getRecord(workerId: string): Record {
+    const known = records.get(workerId);
+    if (known !== undefined) return known;
+    const created = { failedGroups: new Set<string>(), pausedUntilMs: 0, pauses: 0 };
+    records.set(workerId, created);
+    return created;
+  }
+
+  function pause(record: Record, nowMs: number): void {
+    record.pausedUntilMs = nowMs + Math.min(maxPauseMs, firstPauseMs * 2 ** record.pauses);
+    record.pauses += 1;
+    record.failedGroups.clear();
+  }
+
+  return {
+    noteDone(workerId) {
+      records.delete(workerId);
+    },
+    noteFailure(workerId, groupKey, nowMs) {
+      const record = getRecord(workerId);
+      record.failedGroups.add(groupKey);
+      const limit = record.pauses > 0 ? 1 : maxFailedGroups;
+      if (record.failedGroups.size >= limit) pause(record, nowMs);
+    },
+    noteStall(workerId, nowMs) {
+      pause(getRecord(workerId), nowMs);
+    },
+    countStarts(workerId, running, nowMs) {
+      const record = records.get(workerId);
+      if (record === undefined || record.pauses === 0) return Infinity;
+      if (nowMs < record.pausedUntilMs) return 0;
+      return Math.max(0, probeTasks - running);
+    },
+    forget(workerId) {
+      records.delete(workerId);
+    },
+    listDistrusted: (nowMs) =>
+      [...records].filter(([, record]) => nowMs < record.pausedUntilMs).map(([id]) => id),
+  };
+}
