--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -65,7 +65,12 @@
           .map((other) => ({
             regex: `^@bergamotreach/${other}(/|$)`,
             message: `package ${name} must not depend on package ${other}`,
-          })),
+          }))
+          // Only the composition root in platform/ itself knows the users' platform.
+          .concat({
+            regex: '(^|/)platform/',
+            message: 'packages must not depend on the translation to the platform',
+          }),
       },
     ],
   },
@@ -85,7 +90,16 @@
 };
 
 export default tseslint.config(
-  { ignores: ['**/node_modules/**', 'dist/**', 'model/work/**', '**/*.mjs', '**/*.cjs'] },
+  {
+    ignores: [
+      '**/node_modules/**',
+      'dist/**',
+      'target/**',
+      'model/work/**',
+      '**/*.mjs',
+      '**/*.cjs',
+    ],
+  },
   ...tseslint.configs.strictTypeChecked,
   ...tseslint.configs.stylisticTypeChecked,
   {
--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -73,7 +73,7 @@
   function closeLink(link: WorkerLink): void {
     link.stop();
     if (links.get(link.id) === link) links.delete(link.id);
-    runner.forget(link.getEntry());
+    runner.drop(link.getEntry());
   }
 
   function updateLink(link: WorkerLink, entry: WorkerEntry): void {
@@ -81,7 +81,7 @@
     link.setListed(true);
     if (known.bornAtMs !== entry.bornAtMs) {
       logger.info('worker_restarted', { worker: entry.id, life: entry.bornAtMs });
-      link.lapse('worker restarted');
+      link.endLife('worker restarted');
       closeLink(link);
       openLink(entry);
       return;
@@ -99,7 +99,7 @@
       link.getEntry().isDraining && sinceMs < leftWithinHeartbeats * options.heartbeatMs;
     logger.info('worker_unlisted', { worker: link.id, hasLeft, sinceMs: Math.round(sinceMs) });
     link.setListed(false);
-    if (hasLeft) link.lapse('worker left');
+    if (hasLeft) link.endLife('worker left');
     else if (link.getState() === LinkState.Lapsed) closeLink(link);
   }
 
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -4,5 +4,5 @@
 export * from './jobservice.ts';
 export * from './mirror.ts';
 export * from './taskrunner.ts';
-export * from './workerentry.ts';
+export type * from './workerentry.ts';
 export * from './workerlink.ts';
--- a/packages/dispatch/src/instance.ts
+++ b/packages/dispatch/src/instance.ts
@@ -1,9 +1,5 @@
 import type { Feed, Table } from '@bergamotreach/hosting';
-import {
-  LeaseState,
-  createGroupCommitter,
-  createRegionLease,
-} from '@bergamotreach/ownership';
+import { LeaseState, createGroupCommitter, createRegionLease } from '@bergamotreach/ownership';
 import { waitFor } from '@bergamotreach/protocol';
 import type { Clock, Logger, Metrics } from '@bergamotreach/protocol';
 import type { ServiceConfig } from './configuration.ts';
@@ -146,10 +142,10 @@
     if (state !== LeaseState.Holding) return;
     if (owner?.getDump().epoch === epoch) return;
     endOwner();
-    beginOwner(epoch);
+    startOwner(epoch);
   }
 
-  function beginOwner(epoch: number): void {
+  function startOwner(epoch: number): void {
     owner = createOwner({
       epoch,
       table,
--- a/packages/dispatch/src/jobbook.ts
+++ b/packages/dispatch/src/jobbook.ts
@@ -1,9 +1,9 @@
 import {
-  JobState,
   TaskPhase,
   createGroup,
   createWorkMeans,
   decodeGroup,
+  formatGroupName,
   getDueAtMs,
   getOccurrenceCount,
   hasWaiting,
@@ -14,12 +14,12 @@
 } from '@bergamotreach/scheduling';
 import type {
   GroupRecord,
+  JobState,
   JobSubmission,
   PlacedTask,
   ReadyGroup,
   TaskGroup,
 } from '@bergamotreach/scheduling';
-import { formatGroupName } from '@bergamotreach/scheduling';
 import type { JobRow, StateRow } from './jobrows.ts';
 
 /** A job that an owner works on. */
@@ -34,7 +34,11 @@
 /** Jobs of an owner with their tasks. */
 export interface JobBook {
   /** Takes on a job that is not final; `findRecord` returns the stored progress of a group. */
-  add(row: JobRow, state: StateRow, findRecord: (groupKey: string) => GroupRecord | undefined): void;
+  add(
+    row: JobRow,
+    state: StateRow,
+    findRecord: (groupKey: string) => GroupRecord | undefined,
+  ): void;
   find(jobId: string): LiveJob | undefined;
   /** Forgets a job that is final and holds no room. */
   remove(jobId: string): void;
--- a/packages/dispatch/src/jobservice.ts
+++ b/packages/dispatch/src/jobservice.ts
@@ -214,7 +214,7 @@
         steps: request.steps,
         ...(recurrence === undefined ? {} : { recurrence }),
       };
-      const logResult = (outcome: string): void => {
+      const reportResult = (outcome: string): void => {
         logger.info('job_submitted', {
           job: request.id,
           queue: queue.name,
@@ -228,11 +228,11 @@
         metrics.reportTiming('jobs.submit', clock.getNowMs() - startedMs);
       };
       if (states.find(request.id) !== undefined) {
-        logResult('known');
+        reportResult('known');
         return Ok(undefined);
       }
       if (states.getAgeMs() > storeAwayMs) {
-        logResult('refused_store_away');
+        reportResult('refused_store_away');
         return Err(createUnavailable('not accepted: the store is away'));
       }
       const job: JobRow = { submission, acceptedAtMs: Math.round(getWallMs()) };
@@ -252,7 +252,7 @@
       });
       const reply = await limitTime(work, deadlineMs);
       const result = reply === undefined ? Err(createUnknown()) : decideSubmit(reply);
-      logResult(reply?.status ?? 'timeout');
+      reportResult(reply?.status ?? 'timeout');
       return result;
     },
     async getState(admission, id) {
@@ -263,7 +263,8 @@
     },
     async cancel(admission, id, deadlineMs) {
       const startedMs = clock.getNowMs();
-      const result = (await limitTime(cancelJob(admission, id), deadlineMs)) ?? Err(createUnknown());
+      const result =
+        (await limitTime(cancelJob(admission, id), deadlineMs)) ?? Err(createUnknown());
       logger.info('cancel_requested', {
         job: id,
         account: admission.account?.name,
@@ -275,8 +276,7 @@
     countPending: (queue) =>
       states
         .list()
-        .filter(
-          ([, row]) => row.queue === queue && row.state === JobState.Queued && !row.isTimed,
-        ).length,
+        .filter(([, row]) => row.queue === queue && row.state === JobState.Queued && !row.isTimed)
+        .length,
   };
 }
--- a/packages/dispatch/src/owner.ts
+++ b/packages/dispatch/src/owner.ts
@@ -15,8 +15,8 @@
   isFinal,
   isOccupying,
   planStarts,
-  recordEnd,
-  saveCheckpoint,
+  noteEnd,
+  keepCheckpoint,
 } from '@bergamotreach/scheduling';
 import type {
   GroupRecord,
@@ -138,8 +138,7 @@
     metrics,
     getEpochCondition: options.getEpochCondition,
     onFenced: options.onFenced,
-    isOverruled: (key, value) =>
-      key.startsWith(`${stateTable}/`) && isCancelledRow(value),
+    isOverruled: (key, value) => key.startsWith(`${stateTable}/`) && isCancelledRow(value),
   });
   const orders = createOrderSender({
     runner: options.runner,
@@ -172,7 +171,7 @@
     logger,
     metrics,
     onChange(jobId) {
-      if (isLoaded) adoptJob(jobId);
+      if (isLoaded) addJob(jobId);
     },
   });
 
@@ -192,10 +191,7 @@
       }
       for (const row of page.value.rows) {
         journal.noteVersion(row.key, row.version);
-        records.set(
-          row.key.slice(progressTable.length + 1),
-          row.value as unknown as GroupRecord,
-        );
+        records.set(row.key.slice(progressTable.length + 1), row.value as unknown as GroupRecord);
       }
       after = page.value.next;
       if (after === undefined) return true;
@@ -213,7 +209,7 @@
   }
 
   /** Takes on a job once both of its rows are known. */
-  function adoptJob(jobId: string): void {
+  function addJob(jobId: string): void {
     const row = jobs.find(jobId);
     const state = states.find(jobId);
     if (row === undefined || state === undefined || book.find(jobId) !== undefined) return;
@@ -339,8 +335,9 @@
     const placed = book.findTask(ended.task);
     if (placed === undefined) return;
     const { group, task } = placed;
-    const ranMs = task.startedAtMs > 0 ? Math.round(clock.getNowMs() - task.startedAtMs) : undefined;
-    const effect = recordEnd(group, task, ended.run, ended.end, ended.checkpoint);
+    const ranMs =
+      task.startedAtMs > 0 ? Math.round(clock.getNowMs() - task.startedAtMs) : undefined;
+    const effect = noteEnd(group, task, ended.run, ended.end, ended.checkpoint);
     logger.info('run_ended', {
       task: ended.task,
       run: ended.run,
@@ -411,7 +408,7 @@
       logger.info('run_found', { task: status.task, run: status.run, worker: link.id });
     }
     if (status.checkpoint !== '' && status.checkpoint !== task.checkpoint) {
-      saveCheckpoint(group, task, status.checkpoint);
+      keepCheckpoint(group, task, status.checkpoint);
       task.savedAtMs = clock.getNowMs();
     }
   }
@@ -440,13 +437,13 @@
       clockMs,
       isRestored,
     });
-    loseRun(placed);
+    dropRun(placed);
   }
 
-  function loseRun(placed: PlacedTask): void {
+  function dropRun(placed: PlacedTask): void {
     const { group, task } = placed;
     watches.delete(task);
-    const effect = recordEnd(group, task, task.run, RunEnd.Lapsed, '');
+    const effect = noteEnd(group, task, task.run, RunEnd.Lapsed, '');
     if (effect !== EndEffect.Stale) settleEnd(placed, effect);
     planSoon();
   }
@@ -469,7 +466,7 @@
     const lost = book.groupByWorker().get(link.id) ?? [];
     logger.info('worker_lapsed', { worker: link.id, reason, runs: lost.length });
     strayRoom.delete(link.id);
-    for (const placed of lost) loseRun(placed);
+    for (const placed of lost) dropRun(placed);
     planSoon();
   }
 
@@ -480,7 +477,7 @@
     for (const [workerId, placed] of book.groupByWorker()) {
       if (fleet.find(workerId) !== undefined) continue;
       logger.info('worker_lapsed', { worker: workerId, reason: 'unlisted', runs: placed.length });
-      for (const one of placed) loseRun(one);
+      for (const one of placed) dropRun(one);
     }
   }
 
@@ -565,12 +562,12 @@
       if (group.spec.isGang) stopGang(group, stopReason);
       else stopTask({ group, task }, stopReason);
     }
-    if (result.starts.length > 0) void carryOut(result.starts);
+    if (result.starts.length > 0) void startAll(result.starts);
   }
 
   /** Stores the runs before they are started, so that any later owner knows where to look. */
-  async function carryOut(starts: readonly PlannedStart[]): Promise<void> {
-    for (const start of starts) reserveStart(start);
+  async function startAll(starts: readonly PlannedStart[]): Promise<void> {
+    for (const start of starts) markStart(start);
     const isStored = await journal.flush();
     if (!isStored) return;
     for (const { group, placements } of starts) {
@@ -578,7 +575,7 @@
     }
   }
 
-  function reserveStart({ group, placements }: PlannedStart): void {
+  function markStart({ group, placements }: PlannedStart): void {
     const gangRun = getLatestRun(group) + 1;
     for (const { task, workerId } of placements) {
       task.run = group.spec.isGang ? gangRun : task.run + 1;
@@ -608,7 +605,7 @@
       !isStopped && task.run === run && task.phase === TaskPhase.Starting;
     const isCancelled = isFinal(findJob(group)?.state ?? JobState.Cancelled);
     if (link === undefined || isCancelled || !isWanted()) {
-      if (task.run === run && isOccupying(task)) loseRun({ group, task });
+      if (task.run === run && isOccupying(task)) dropRun({ group, task });
       return;
     }
     const name = { task: getName(group, task), run };
@@ -640,7 +637,7 @@
     }
     if (result.fate === StartFate.NotStarted) {
       noteRefusal(link, result.reason);
-      loseRun(placed);
+      dropRun(placed);
       return;
     }
     noteRunning(task, result.clockMs);
@@ -676,7 +673,7 @@
       const isRead = (await loadProgress()) && (await loadJobs());
       if (!isRead) return;
       isLoaded = true;
-      for (const [jobId] of jobs.list()) adoptJob(jobId);
+      for (const [jobId] of jobs.list()) addJob(jobId);
       logger.info('owner_started', {
         epoch,
         jobs: book.list().length,
@@ -699,7 +696,7 @@
       if (!isLoaded) return;
       const job = book.find(jobId);
       if (job === undefined) {
-        adoptJob(jobId);
+        addJob(jobId);
         return;
       }
       if (row?.state !== JobState.Cancelled || isFinal(job.state)) return;
--- a/packages/dispatch/src/taskrunner.ts
+++ b/packages/dispatch/src/taskrunner.ts
@@ -118,5 +118,5 @@
     request: ReportRequest,
   ): Promise<Result<WorkerReport, Fault>>;
   /** Closes the connections to a worker that is gone. */
-  abstract forget(worker: WorkerAddress): void;
+  abstract drop(worker: WorkerAddress): void;
 }
--- a/packages/dispatch/src/workerlink.ts
+++ b/packages/dispatch/src/workerlink.ts
@@ -52,7 +52,7 @@
   getSilenceMs(): number;
   getClock(): WorkerClock;
   /** Declares that nothing started in this life of the worker can run any more. */
-  lapse(reason: string): void;
+  endLife(reason: string): void;
   /** Asks for a report without waiting for an end. */
   hurry(): void;
   start(): void;
@@ -105,7 +105,7 @@
     metrics.count('worker.states', 1, { state: next });
   }
 
-  function lapse(reason: string): void {
+  function endLife(reason: string): void {
     if (state === LinkState.Lapsed) return;
     setState(LinkState.Lapsed, reason);
     options.onLapse(reason);
@@ -125,12 +125,12 @@
     failures += 1;
     metrics.count('worker.call_failures');
     if (failures >= silentAfter && state === LinkState.Live) setState(LinkState.Silent, message);
-    if (hasLapsed()) lapse('lease expired');
+    if (hasLapsed()) endLife('lease expired');
   }
 
   async function handleReport(report: WorkerReport): Promise<void> {
     if (report.bornAtMs !== undefined && report.bornAtMs !== bornAtMs) {
-      lapse('worker restarted');
+      endLife('worker restarted');
       isRunning = false;
       return;
     }
@@ -172,7 +172,7 @@
       logger.warn('worker_fenced', { worker: id, epoch, reason: fault.message });
       options.onFenced();
     } else if (fault.code === FaultCode.NotFound) {
-      lapse('another life answers');
+      endLife('another life answers');
       isRunning = false;
       return;
     }
@@ -184,7 +184,7 @@
     while (isRunning) {
       if (isHolding()) await callOnce();
       else {
-        if (hasLapsed()) lapse('lease expired');
+        if (hasLapsed()) endLife('lease expired');
         await waitFor(clock, idleCheckMs);
       }
     }
@@ -203,7 +203,7 @@
     },
     getSilenceMs: () => clock.getNowMs() - answeredMs,
     getClock: () => workerClock,
-    lapse,
+    endLife,
     hurry() {
       isUrgent = true;
     },
--- a/packages/protocol/src/scrapedmetrics.ts
+++ b/packages/protocol/src/scrapedmetrics.ts
@@ -24,7 +24,7 @@
   count(name: string, amount = 1, tags: MetricTags = {}): void {
     let counter = this.counters.get(name);
     if (counter === undefined) {
-      counter = new Counter(this.describe(name, tags));
+      counter = new Counter(this.format(name, tags));
       this.counters.set(name, counter);
     }
     counter.inc(tags, amount);
@@ -33,7 +33,7 @@
   setGauge(name: string, value: number, tags: MetricTags = {}): void {
     let gauge = this.gauges.get(name);
     if (gauge === undefined) {
-      gauge = new Gauge(this.describe(name, tags));
+      gauge = new Gauge(this.format(name, tags));
       this.gauges.set(name, gauge);
     }
     gauge.set(tags, value);
@@ -42,7 +42,7 @@
   reportTiming(name: string, durationMs: number, tags: MetricTags = {}): void {
     let histogram = this.histograms.get(name);
     if (histogram === undefined) {
-      const config = this.describe(`${name}.ms`, tags);
+      const config = this.format(`${name}.ms`, tags);
       histogram = new Histogram({ ...config, buckets: bucketsMs });
       this.histograms.set(name, histogram);
     }
@@ -57,7 +57,7 @@
     return this.registry.metrics();
   }
 
-  private describe(name: string, tags: MetricTags) {
+  private format(name: string, tags: MetricTags) {
     const metricName = convertName(name);
     return {
       name: metricName,
--- a/packages/scheduling/src/group.ts
+++ b/packages/scheduling/src/group.ts
@@ -129,7 +129,7 @@
 }
 
 /** Records the end of `run` of a task. Ends that were recorded before have no effect. */
-export function recordEnd(
+export function noteEnd(
   group: TaskGroup,
   task: Task,
   run: number,
@@ -145,13 +145,13 @@
     return EndEffect.Done;
   }
   task.phase = TaskPhase.Waiting;
-  if (checkpoint !== '') saveCheckpoint(group, task, checkpoint);
+  if (checkpoint !== '') keepCheckpoint(group, task, checkpoint);
   if (end === RunEnd.Failed) countFailure(group, task, run);
   return isExhausted(group) ? EndEffect.Exhausted : EndEffect.Retry;
 }
 
 /** Takes over a checkpoint; that of any member serves a whole gang. */
-export function saveCheckpoint(group: TaskGroup, task: Task, checkpoint: string): void {
+export function keepCheckpoint(group: TaskGroup, task: Task, checkpoint: string): void {
   const owners = group.spec.isGang ? group.tasks : [task];
   for (const owner of owners) owner.checkpoint = checkpoint;
 }
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -8,4 +8,4 @@
 export * from './submission.ts';
 export * from './taskname.ts';
 export * from './trust.ts';
-export * from './worker.ts';
+export type * from './worker.ts';
--- a/packages/scheduling/src/packing.ts
+++ b/packages/scheduling/src/packing.ts
@@ -86,7 +86,7 @@
 }
 
 /** Puts each task on another worker than the one it failed on, where that is possible. */
-function avoidFailed(placements: Placement[]): void {
+function swapFailed(placements: Placement[]): void {
   for (const placement of placements) {
     if (placement.task.failedOn !== placement.worker.id) continue;
     const other = placements.find((one) => one.worker.id !== placement.worker.id);
@@ -109,10 +109,14 @@
   return slots.reduce((sum, { count }) => sum + count, 0);
 }
 
-function packAll(group: TaskGroup, slots: Slot[], tasks: readonly Task[]): Placement[] | undefined {
+function placeAll(
+  group: TaskGroup,
+  slots: Slot[],
+  tasks: readonly Task[],
+): Placement[] | undefined {
   if (countSlots(slots) < tasks.length) return undefined;
   const placements = fillSlots(slots.sort(compareSlots(group, tasks.length)), tasks);
-  avoidFailed(placements);
+  swapFailed(placements);
   return placements;
 }
 
@@ -125,7 +129,7 @@
 }
 
 /** Places all waiting tasks inside one rack, the one that is left with the fewest slots. */
-function packOneRack(
+function placeOneRack(
   group: TaskGroup,
   workers: readonly WorkerView[],
   read: RoomReader,
@@ -139,7 +143,7 @@
     if (count < tasks.length) continue;
     if (best === undefined || count < countSlots(best)) best = slots;
   }
-  return best === undefined ? undefined : packAll(group, best, tasks);
+  return best === undefined ? undefined : placeAll(group, best, tasks);
 }
 
 /** Whether an empty rack could hold the whole group. */
@@ -168,20 +172,20 @@
 }
 
 /** Places all waiting tasks of a gang, or none. */
-export function packGang(
+export function placeGang(
   group: TaskGroup,
   workers: readonly WorkerView[],
   spread: Spread,
   read: RoomReader = getFreeRoom,
 ): Placement[] | undefined {
   const isBound = group.spec.isRackBound || group.spec.preferredRack !== '';
-  const local = isBound ? packOneRack(group, workers, read) : undefined;
+  const local = isBound ? placeOneRack(group, workers, read) : undefined;
   if (local !== undefined || (isBound && spread === Spread.Local)) return local;
-  return packAll(group, listSlots(group, workers, read), listWaiting(group));
+  return placeAll(group, listSlots(group, workers, read), listWaiting(group));
 }
 
 /** Places as many waiting tasks of a group as there is room for. */
-export function packSome(
+export function placeSome(
   group: TaskGroup,
   workers: readonly WorkerView[],
   spread: Spread,
@@ -192,9 +196,10 @@
   const near = slots.filter(({ worker }) => isLocal(group, worker));
   const far = slots.filter(({ worker }) => !isLocal(group, worker));
   const order = compareSlots(group, tasks.length);
-  const usable = spread === Spread.Local ? near.sort(order) : [...near.sort(order), ...far.sort(order)];
+  const usable =
+    spread === Spread.Local ? near.sort(order) : [...near.sort(order), ...far.sort(order)];
   const placements = fillSlots(usable, tasks);
-  avoidFailed(placements);
+  swapFailed(placements);
   return placements;
 }
 
--- a/packages/scheduling/src/planner.ts
+++ b/packages/scheduling/src/planner.ts
@@ -5,13 +5,13 @@
   getComingRoom,
   hasRackSize,
   listWaiting,
-  packGang,
-  packSome,
+  placeGang,
+  placeSome,
   takeRoom,
 } from './packing.ts';
 import type { Placement } from './packing.ts';
 import { getChainMs, getRank } from './ranking.ts';
-import { listStops, planClearing, reserveClearing } from './reclaim.ts';
+import { listStops, planClearing, takeClearing } from './reclaim.ts';
 import type { Clearing } from './reclaim.ts';
 import { addResources } from './resources.ts';
 import type { PlacedTask, WorkerView } from './worker.ts';
@@ -121,17 +121,17 @@
   }
 
   /** Stops work for a group, or holds the room of stops that are under way. */
-  function clearRoom(group: TaskGroup, spread: Spread): void {
+  function freeRoom(group: TaskGroup, spread: Spread): void {
     const mayPreemptUrgent = isGuaranteed(group, input);
-    const mayStop = (victim: TaskGroup): boolean => {
+    const canStop = (victim: TaskGroup): boolean => {
       if (victim.job.rules.priority > group.job.rules.priority) return true;
       if (victim.job.account === group.job.account) return false;
       const isUrgent = victim.job.rules.priority === urgentPriority;
       return isUrgent && mayPreemptUrgent && !isGuaranteed(victim, input);
     };
-    const clearing = chooseClearing(group, spread, mayStop);
+    const clearing = chooseClearing(group, spread, canStop);
     if (clearing === undefined) return;
-    reserveClearing(group, clearing);
+    takeClearing(group, clearing);
     for (const victim of listStops(clearing)) {
       if (victim.task.phase !== TaskPhase.Running || stopping.has(victim.task)) continue;
       stopping.add(victim.task);
@@ -150,7 +150,7 @@
   function chooseClearing(
     group: TaskGroup,
     spread: Spread,
-    mayStop: (victim: TaskGroup) => boolean,
+    canStop: (victim: TaskGroup) => boolean,
   ): Clearing | undefined {
     const isBound = group.spec.isRackBound || group.spec.preferredRack !== '';
     const racks = new Set(input.workers.map(({ rack }) => rack));
@@ -159,54 +159,54 @@
       for (const rack of racks) {
         if (group.spec.preferredRack !== '' && rack !== group.spec.preferredRack) continue;
         const members = input.workers.filter((worker) => worker.rack === rack);
-        const clearing = planClearing(group, members, mayStop, input.nowMs);
+        const clearing = planClearing(group, members, canStop, input.nowMs);
         if (clearing !== undefined) choices.push(clearing);
       }
     }
     const isWide = !isBound || (choices.length === 0 && spread === Spread.Anywhere);
     if (isWide) {
-      const clearing = planClearing(group, input.workers, mayStop, input.nowMs);
+      const clearing = planClearing(group, input.workers, canStop, input.nowMs);
       if (clearing !== undefined) choices.push(clearing);
     }
     return choices.sort((a, b) => a.cost - b.cost)[0];
   }
 
-  function placeGang(ready: ReadyGroup): void {
+  function planGang(ready: ReadyGroup): void {
     const { group } = ready;
     // A gang starts whole, so it waits until the last member of its previous run has ended.
     if (group.tasks.some(isOccupying)) return;
     const spread = chooseSpread(ready, input.workers);
-    const placements = packGang(group, input.workers, spread);
+    const placements = placeGang(group, input.workers, spread);
     if (placements !== undefined) addStart(group, placements);
-    else if (group.job.rules.priority === urgentPriority) clearRoom(group, spread);
-    else reserveGang(ready, spread);
+    else if (group.job.rules.priority === urgentPriority) freeRoom(group, spread);
+    else holdGang(ready, spread);
   }
 
-  function reserveGang({ group, ageMs }: ReadyGroup, spread: Spread): void {
+  function holdGang({ group, ageMs }: ReadyGroup, spread: Spread): void {
     if (ageMs < reserveAfterMs || reservations >= maxReservations) return;
     reservations += 1;
-    const coming = packGang(group, input.workers, spread, getComingRoom);
+    const coming = placeGang(group, input.workers, spread, getComingRoom);
     if (coming !== undefined) takeRoom(group, coming);
-    else clearLater(group, spread);
+    else holdLater(group, spread);
   }
 
   /** Reserves room that other work holds now; nothing is stopped for it. */
-  function clearLater(group: TaskGroup, spread: Spread): void {
+  function holdLater(group: TaskGroup, spread: Spread): void {
     const clearing = chooseClearing(group, spread, () => true);
-    if (clearing !== undefined) reserveClearing(group, clearing);
+    if (clearing !== undefined) takeClearing(group, clearing);
   }
 
-  function placeTasks(ready: ReadyGroup): void {
+  function planTasks(ready: ReadyGroup): void {
     const { group } = ready;
-    addStart(group, packSome(group, input.workers, chooseSpread(ready, input.workers)));
+    addStart(group, placeSome(group, input.workers, chooseSpread(ready, input.workers)));
     const placed = plan.starts.find((start) => start.group === group)?.placements.length ?? 0;
     const isUrgent = group.job.rules.priority === urgentPriority;
-    if (isUrgent && placed < listWaiting(group).length) clearRoom(group, Spread.Anywhere);
+    if (isUrgent && placed < listWaiting(group).length) freeRoom(group, Spread.Anywhere);
   }
 
   for (const ready of order) {
-    if (ready.group.spec.isGang) placeGang(ready);
-    else placeTasks(ready);
+    if (ready.group.spec.isGang) planGang(ready);
+    else planTasks(ready);
   }
   return plan;
 }
--- a/packages/scheduling/src/progress.ts
+++ b/packages/scheduling/src/progress.ts
@@ -54,12 +54,12 @@
   group.lastFailedRun = record.lastFailedRun;
   for (const task of group.tasks) {
     const stored = record.tasks[task.index];
-    if (stored !== undefined) restoreTask(task, stored);
+    if (stored !== undefined) decodeTask(task, stored);
   }
   return group;
 }
 
-function restoreTask(task: Task, record: TaskRecord): void {
+function decodeTask(task: Task, record: TaskRecord): void {
   const [phase, run, workerId, failures, checkpoint] = record;
   const phases = [TaskPhase.Waiting, TaskPhase.Starting, TaskPhase.Done];
   task.phase = phases[phase] ?? TaskPhase.Waiting;
--- a/packages/scheduling/src/reclaim.ts
+++ b/packages/scheduling/src/reclaim.ts
@@ -24,9 +24,7 @@
 /** Tasks that end when one task is stopped: all members of a gang. */
 export function listAffected(victim: PlacedTask): PlacedTask[] {
   if (!victim.group.spec.isGang) return [victim];
-  return victim.group.tasks
-    .filter(isOccupying)
-    .map((task) => ({ group: victim.group, task }));
+  return victim.group.tasks.filter(isOccupying).map((task) => ({ group: victim.group, task }));
 }
 
 interface Option {
@@ -45,7 +43,7 @@
 function listOptions(
   group: TaskGroup,
   worker: WorkerView,
-  mayStop: VictimRule,
+  canStop: VictimRule,
   nowMs: number,
 ): Option[] {
   const room = getComingRoom(worker);
@@ -53,7 +51,7 @@
   let slots = countRoom(group, worker, room);
   if (slots > 0) options.push({ worker, victims: [], slots, cost: 0 });
   const candidates = worker.placed
-    .filter(({ group: owner, task }) => task.phase === TaskPhase.Running && mayStop(owner))
+    .filter(({ group: owner, task }) => task.phase === TaskPhase.Running && canStop(owner))
     .map((victim) => ({ victim, loss: getSharedLoss(victim, nowMs) }))
     .sort((a, b) => a.loss - b.loss);
   const victims: PlacedTask[] = [];
@@ -94,11 +92,11 @@
 export function planClearing(
   group: TaskGroup,
   workers: readonly WorkerView[],
-  mayStop: VictimRule,
+  canStop: VictimRule,
   nowMs: number,
 ): Clearing | undefined {
   let needed = listWaiting(group).length;
-  const open = workers.map((worker) => listOptions(group, worker, mayStop, nowMs));
+  const open = workers.map((worker) => listOptions(group, worker, canStop, nowMs));
   const clearing: Clearing = { victims: [], workers: [], cost: 0 };
   while (needed > 0) {
     let best: Option | undefined;
@@ -124,7 +122,7 @@
 }
 
 /** Reserves the cleared room, so that work ranked lower does not take it. */
-export function reserveClearing(group: TaskGroup, clearing: Clearing): void {
+export function takeClearing(group: TaskGroup, clearing: Clearing): void {
   for (const { worker, slots } of clearing.workers) {
     addResources(worker.free, group.spec.demand, -slots);
   }
--- a/packages/scheduling/src/trust.ts
+++ b/packages/scheduling/src/trust.ts
@@ -8,7 +8,7 @@
   noteStall(workerId: string, nowMs: number): void;
   /** How many tasks may start on a worker that now has `running` tasks. */
   countStarts(workerId: string, running: number, nowMs: number): number;
-  forget(workerId: string): void;
+  drop(workerId: string): void;
   /** Workers that are not trusted now. */
   listDistrusted(nowMs: number): string[];
 }
@@ -66,7 +66,7 @@
       if (nowMs < record.pausedUntilMs) return 0;
       return Math.max(0, probeTasks - running);
     },
-    forget(workerId) {
+    drop(workerId) {
       records.delete(workerId);
     },
     listDistrusted: (nowMs) =>
