Set whole workers aside for urgent work

Change: workers are reserved, rack by rack, for the recent urgent demand; half of them are lent to work that saves; a crowded fleet no longer spreads rack-bound work.

--- a/packages/dispatch/src/jobbook.ts
+++ b/packages/dispatch/src/jobbook.ts
@@ -51,6 +51,8 @@
   groupByWorker(): Map<string, PlacedTask[]>;
   /** Accelerators that the unfinished urgent jobs of each account need. */
   sumUrgentNeeds(): Map<string, number>;
+  /** Accelerators that urgent work holds or could start on at the Unix time `wallMs`. */
+  sumUrgentDemand(wallMs: number): number;
   isComplete(job: LiveJob): boolean;
 }
 
@@ -155,6 +157,20 @@
       }
       return needs;
     },
+    sumUrgentDemand(wallMs) {
+      let sum = 0;
+      for (const job of jobs.values()) {
+        if (job.submission.rules.priority !== urgentPriority || isFinal(job.state)) continue;
+        for (const group of job.groups.values()) {
+          const isCounted = isReady(job, group, wallMs);
+          const tasks = group.tasks.filter(
+            (task) => isOccupying(task) || (isCounted && task.phase === TaskPhase.Waiting),
+          );
+          sum += tasks.length * group.spec.demand.accelerators;
+        }
+      }
+      return sum;
+    },
     isComplete: (job) => listGroups(job).every(isGroupDone),
   };
 }
--- a/packages/dispatch/src/owner.ts
+++ b/packages/dispatch/src/owner.ts
@@ -5,9 +5,11 @@
 import {
   EndEffect,
   JobState,
+  Reservation,
   RunEnd,
   TaskPhase,
   addResources,
+  createUrgentDemand,
   createWorkerTrust,
   encodeGroup,
   formatTaskName,
@@ -119,6 +121,7 @@
   const { epoch, table, clock, logger, metrics, states, getWallMs } = options;
   const book = createJobBook();
   const trust = createWorkerTrust();
+  const urgentDemand = createUrgentDemand();
   const watches = new Map<Task, Watch>();
   const records = new Map<string, GroupRecord>();
   const paused = new Map<string, number>();
@@ -539,6 +542,7 @@
       releasing,
       placed,
       maxStarts,
+      reservation: Reservation.None,
       speed: 1,
     };
   }
@@ -547,10 +551,13 @@
     if (!isLoaded || isStopped || !options.isHolding()) return;
     const config = options.getConfig();
     const startedAtMs = clock.getNowMs();
+    const wallMs = getWallMs();
+    urgentDemand.note(book.sumUrgentDemand(wallMs), startedAtMs);
     const result = planStarts({
       nowMs: startedAtMs,
+      urgentReserve: urgentDemand.getLevel(),
       workers: buildViews(),
-      ready: book.listReady(getWallMs()),
+      ready: book.listReady(wallMs),
       guarantees: new Map(
         config?.accounts.map((account) => [account.name, account.guaranteedAccelerators]),
       ),
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -8,4 +8,5 @@
 export * from './submission.ts';
 export * from './taskname.ts';
 export * from './trust.ts';
+export * from './urgentshare.ts';
 export type * from './worker.ts';
--- a/packages/scheduling/src/packing.ts
+++ b/packages/scheduling/src/packing.ts
@@ -2,8 +2,11 @@
 import type { Task, TaskGroup } from './group.ts';
 import { addResources, countFitting, getDominantShare } from './resources.ts';
 import type { Resources } from './resources.ts';
+import { Reservation } from './urgentshare.ts';
 import type { WorkerView } from './worker.ts';
 
+const urgentPriority = 0;
+
 /** A task with the worker chosen for it. */
 export interface Placement {
   task: Task;
@@ -45,6 +48,13 @@
   return group.tasks.filter((task) => task.phase === TaskPhase.Waiting);
 }
 
+/** Whether a worker's reservation admits a group. */
+function isAdmitted(group: TaskGroup, worker: WorkerView): boolean {
+  if (group.job.rules.priority === urgentPriority) return true;
+  if (worker.reservation === Reservation.None) return true;
+  return worker.reservation === Reservation.Lent && group.spec.isCheckpointing;
+}
+
 interface Slot {
   worker: WorkerView;
   count: number;
@@ -53,13 +63,13 @@
 function listSlots(group: TaskGroup, workers: readonly WorkerView[], read: RoomReader): Slot[] {
   const slots: Slot[] = [];
   for (const worker of workers) {
-    const count = countRoom(group, worker, read(worker));
+    const count = isAdmitted(group, worker) ? countRoom(group, worker, read(worker)) : 0;
     if (count > 0) slots.push({ worker, count });
   }
   return slots;
 }
 
-/** Prefers fast workers, then those that are left with the least room. */
+/** Prefers fast workers, then reserved ones, then those that are left with the least room. */
 function compareSlots(group: TaskGroup, needed: number): (a: Slot, b: Slot) => number {
   const getLeftover = ({ worker, count }: Slot): number => {
     const left = { ...worker.free };
@@ -72,7 +82,10 @@
     cache.set(slot, known);
     return known;
   };
-  return (a, b) => b.worker.speed - a.worker.speed || read(a) - read(b);
+  return (a, b) =>
+    b.worker.speed - a.worker.speed ||
+    b.worker.reservation - a.worker.reservation ||
+    read(a) - read(b);
 }
 
 function fillSlots(slots: readonly Slot[], tasks: readonly Task[]): Placement[] {
--- a/packages/scheduling/src/planner.ts
+++ b/packages/scheduling/src/planner.ts
@@ -14,6 +14,7 @@
 import { listStops, planClearing, takeClearing } from './reclaim.ts';
 import type { Clearing } from './reclaim.ts';
 import { addResources } from './resources.ts';
+import { reserveWorkers } from './urgentshare.ts';
 import type { PlacedTask, WorkerView } from './worker.ts';
 
 /** A group that may start tasks now: due, its dependencies done, its job live. */
@@ -34,6 +35,8 @@
   ready: readonly ReadyGroup[];
   /** Accelerators that each account is guaranteed for work of priority 0. */
   guarantees: ReadonlyMap<string, number>;
+  /** Accelerators to be set aside for urgent work. */
+  urgentReserve: number;
   /** Accelerators that the unfinished jobs of priority 0 of each account need. */
   urgentNeeds: ReadonlyMap<string, number>;
 }
@@ -67,7 +70,9 @@
 /** A rack-bound job waits for its rack at most this share of its run time, then is spread. */
 const localWaitShare = 1.5;
 /** An urgent job waits this long for the right rack; reclaiming must fit into the rest. */
-const urgentLocalWaitMs = 1500;
+const urgentLocalWaitMs = 2100;
+/** A fleet with a smaller free share of its accelerators is crowded. */
+const crowdedFreeShare = 0.3;
 /** A gang that waited this long gets room reserved against work ranked below it. */
 const reserveAfterMs = 2500;
 /** Gangs that may hold a reservation at once. */
@@ -95,13 +100,24 @@
   };
 }
 
+/** Spread tasks take several times as long, which a crowded fleet cannot afford. */
+function isCrowded(workers: readonly WorkerView[]): boolean {
+  let free = 0;
+  let total = 0;
+  for (const worker of workers) {
+    free += Math.max(0, worker.free.accelerators);
+    total += worker.capacity.accelerators;
+  }
+  return free < total * crowdedFreeShare;
+}
+
 function chooseSpread({ group, ageMs }: ReadyGroup, workers: readonly WorkerView[]): Spread {
   if (group.spec.isRackBound && group.spec.isGang && !hasRackSize(group, workers)) {
     return Spread.Anywhere;
   }
   const isUrgent = group.job.rules.priority === urgentPriority;
   const waitMs = isUrgent ? urgentLocalWaitMs : getChainMs(group.job, group.step) * localWaitShare;
-  return ageMs < waitMs ? Spread.Local : Spread.Anywhere;
+  return ageMs < waitMs || (!isUrgent && isCrowded(workers)) ? Spread.Local : Spread.Anywhere;
 }
 
 /** Plans starts and stops. It changes the room in `input.workers` and nothing else. */
@@ -109,6 +125,7 @@
   const plan: Plan = { starts: [], stops: [] };
   const stopping = new Set<Task>();
   let reservations = 0;
+  reserveWorkers(input.workers, input.urgentReserve);
   const order = [...input.ready].sort(compareReady(input));
 
   function addStart(group: TaskGroup, placements: Placement[]): void {
--- a/packages/scheduling/src/worker.ts
+++ b/packages/scheduling/src/worker.ts
@@ -1,5 +1,6 @@
 import type { TaskGroup, Task } from './group.ts';
 import type { Resources } from './resources.ts';
+import type { Reservation } from './urgentshare.ts';
 
 /** A task that holds room on a worker. */
 export interface PlacedTask {
@@ -22,6 +23,8 @@
   placed: readonly PlacedTask[];
   /** Largest number of tasks that may start now; 0 for a worker that is not to be used. */
   maxStarts: number;
+  /** Whether its room is set aside for urgent work. */
+  reservation: Reservation;
   /** Observed speed; 1 is nominal, 0.25 a worker that takes four times as long. */
   speed: number;
 }
