--- a/packages/dispatch/src/instance.ts
+++ b/packages/dispatch/src/instance.ts
@@ -1,5 +1,10 @@
 import type { Feed, Table } from '@bergamotreach/hosting';
-import { LeaseState, createGroupCommitter, createRegionLease } from '@bergamotreach/ownership';
+import {
+  LeaseState,
+  WritePriority,
+  createGroupCommitter,
+  createRegionLease,
+} from '@bergamotreach/ownership';
 import { waitFor } from '@bergamotreach/protocol';
 import type { Clock, Logger, Metrics } from '@bergamotreach/protocol';
 import type { ServiceConfig } from './configuration.ts';
@@ -10,6 +15,9 @@
 import type { Mirror } from './mirror.ts';
 import { createOwner } from './owner.ts';
 import type { Owner, OwnerDump } from './owner.ts';
+import { createRelay, startRelayListener } from './relay.ts';
+import type { InstanceRow } from './relay.ts';
+import { answerRelayedCall, createRelayedJobs } from './relayedjobs.ts';
 import type { TaskRunner } from './taskrunner.ts';
 import type { WorkerEntry } from './workerentry.ts';
 
@@ -30,6 +38,12 @@
   /** Address under which this instance is known. */
   address: string;
   table: Table;
+  /** Name of this instance, kept over restarts. */
+  name: string;
+  dataCentre: string;
+  /** `ip:port` at which other instances reach this one. */
+  relayAddress: string;
+  instanceFeed: Feed<InstanceRow>;
   jobFeed: Feed<JobRow>;
   stateFeed: Feed<StateRow>;
   workerFeed: Feed<WorkerEntry>;
@@ -63,7 +77,7 @@
   configs: Mirror<ServiceConfig>;
   /** Whether callers should be sent here. */
   isReady(): boolean;
-  start(): void;
+  start(): Promise<void>;
   /** Hands over the ownership at once; calls are served until `stop`. */
   startDraining(): Promise<void>;
   stop(): void;
@@ -72,6 +86,8 @@
 
 // One owner schedules all jobs; its row is named after the region in the inner design.
 const shard = 'main';
+const instanceTable = 'instance';
+const announceCheckMs = 300;
 /** Longest silence of an owner before another instance takes over is lease plus margin. */
 const leaseMs = 2600;
 const leaseMarginMs = 400;
@@ -131,7 +147,26 @@
     renewMs,
     onChange: handleLease,
   });
-  const jobs = createJobService({ ...options, committer, states, configs });
+  const instances = createMirror<InstanceRow>({
+    feed: options.instanceFeed,
+    name: 'instances',
+    clock,
+    logger,
+    metrics,
+  });
+  const localJobs = createJobService({ ...options, committer, states, configs });
+  const relay = createRelay({
+    clock,
+    logger,
+    metrics,
+    dataCentre: options.dataCentre,
+    listPeers: () =>
+      instances
+        .list()
+        .filter(([name]) => name !== options.name)
+        .map(([name, row]) => ({ name, ...row })),
+  });
+  const jobs = createRelayedJobs({ jobs: localJobs, relay, clock });
 
   function getConfig(): ServiceConfig | undefined {
     return configs.list()[0]?.[1];
@@ -176,6 +211,25 @@
     owner = undefined;
   }
 
+  /** Tells the other instances where this one is; its row outlives restarts. */
+  async function announceInstance(): Promise<void> {
+    const key = `${instanceTable}/${options.name}`;
+    const row = { relayAddress: options.relayAddress, dataCentre: options.dataCentre };
+    while (!isDraining) {
+      const known = instances.find(options.name);
+      if (known?.relayAddress === row.relayAddress) return;
+      if (instances.isLoaded()) {
+        const version = instances.findVersion(options.name) ?? 0;
+        await committer.submit({
+          conditions: [{ key, version }],
+          writes: [{ key, value: row }],
+          priority: WritePriority.Configuration,
+        });
+      }
+      await waitFor(clock, announceCheckMs);
+    }
+  }
+
   async function startLease(): Promise<void> {
     // Without a configuration and the states an owner could not decide anything.
     while (!isDraining && !(states.isLoaded() && configs.isLoaded())) await waitFor(clock, 20);
@@ -186,9 +240,16 @@
     jobs,
     configs,
     isReady: () => !isDraining && states.isLoaded() && getConfig() !== undefined,
-    start() {
+    async start() {
       states.start();
       configs.start();
+      instances.start();
+      await startRelayListener({
+        address: options.relayAddress,
+        logger,
+        handle: (call) => answerRelayedCall(localJobs, call),
+      });
+      void announceInstance();
       void startLease();
     },
     async startDraining() {
@@ -201,6 +262,7 @@
     stop() {
       states.stop();
       configs.stop();
+      instances.stop();
       committer.close();
     },
     getDump: () => ({
--- a/packages/dispatch/src/jobservice.ts
+++ b/packages/dispatch/src/jobservice.ts
@@ -34,6 +34,8 @@
   account: AccountConfig | undefined;
   /** Version of the configuration that decided. */
   version: number;
+  /** What the caller sent, for an instance that the call is relayed to. */
+  call: { host: string; path: string; key: string | undefined };
 }
 
 /** What a caller submits. */
@@ -60,9 +62,15 @@
     admission: Admission,
     request: JobRequest,
     deadlineMs: number,
-  ): Promise<Result<void, Fault>>;
+  ): Promise<Result<undefined, Fault>>;
   /** State of a job; `undefined` when there is none. Faults: `store_unavailable`. */
-  getState(admission: Admission, id: string): Promise<Result<JobState | undefined, Fault>>;
+  getState(
+    admission: Admission,
+    id: string,
+    deadlineMs: number,
+  ): Promise<Result<JobState | undefined, Fault>>;
+  /** State of a job in this instance's copy, however old; `undefined` when it is not there. */
+  findCopy(admission: Admission, id: string): JobState | undefined;
   /**
    * Cancels a job; false when there is none. Faults: `store_unavailable`, `unknown_outcome`.
    */
@@ -105,7 +113,7 @@
     if (account === undefined && !queue.isPublic) {
       return Err(createFault(FaultCode.Unauthorized, 'unknown key'));
     }
-    return Ok({ queue, account, version: config.version });
+    return Ok({ queue, account, version: config.version, call: { host, path, key } });
   }
 
   /** Limits the time that an answer may take; the work itself goes on. */
@@ -129,7 +137,7 @@
     };
   }
 
-  function decideSubmit(reply: TransactionReply): Result<void, Fault> {
+  function decideSubmit(reply: TransactionReply): Result<undefined, Fault> {
     return match(reply)
       .with({ status: TransactionStatus.Committed }, () => Ok(undefined))
       .with({ status: TransactionStatus.Conflict }, () => Ok(undefined))
@@ -149,9 +157,14 @@
     return row.map((found) => found?.value as unknown as StateRow | undefined);
   }
 
-  /** The copy may lag, so only the store can tell that a job does not exist. */
+  /**
+   * The copy may lag, so only the store can tell that a job does not exist, or that it has not ended
+   * while the store was away.
+   */
   async function findState(id: string): Promise<Result<StateRow | undefined, Fault>> {
     const known = states.find(id);
+    if (known !== undefined && isFinal(known.state)) return Ok(known);
+    if (states.getAgeMs() > storeAwayMs) return Err(createUnavailable('the store is away'));
     return known === undefined ? readState(id) : Ok(known);
   }
 
@@ -261,6 +274,10 @@
         row !== undefined && isVisible(row, admission) ? row.state : undefined,
       );
     },
+    findCopy(admission, id) {
+      const row = states.find(id);
+      return row !== undefined && isVisible(row, admission) ? row.state : undefined;
+    },
     async cancel(admission, id, deadlineMs) {
       const startedMs = clock.getNowMs();
       const result =
--- a/packages/dispatch/src/owner.ts
+++ b/packages/dispatch/src/owner.ts
@@ -542,6 +542,7 @@
       releasing,
       placed,
       maxStarts,
+      isSuspect: trust.isSuspect(id, nowMs),
       reservation: Reservation.None,
       speed: 1,
     };
--- /dev/null
+++ b/packages/dispatch/src/relay.ts
@@ -0,0 +1,169 @@
+import { connect, createServer } from 'node:net';
+import type { Server, Socket } from 'node:net';
+import { MessageType, createFrameReader, encodeFrame } from '@bergamotreach/protocol';
+import type {
+  Clock,
+  Logger,
+  Metrics,
+  PeerMessage,
+  RelayAnswerMessage,
+  RelayCallMessage,
+} from '@bergamotreach/protocol';
+
+/** Row `instance/<name>`: where an instance takes relayed calls. */
+export interface InstanceRow {
+  /** `ip:port`. */
+  relayAddress: string;
+  dataCentre: string;
+}
+
+/** A peer that relayed calls may be sent to. */
+export interface RelayPeer extends InstanceRow {
+  name: string;
+}
+
+/** Options of a relay. */
+export interface RelayOptions {
+  clock: Clock;
+  logger: Logger;
+  metrics: Metrics;
+  /** Data centre of this instance, whose peers are asked first. */
+  dataCentre: string;
+  /** The other instances. */
+  listPeers: () => RelayPeer[];
+}
+
+/** Sends calls to instances that reach the store. */
+export interface Relay {
+  /** Tries peers in turn; `undefined` when none answered in time. */
+  call(message: RelayCallMessage): Promise<RelayAnswerMessage | undefined>;
+}
+
+/** A peer across the slowest link answers within this time or the next one is tried. */
+const peerTimeoutMs = 700;
+/** Peers that one call is sent to; each has its own copy of the store's rows. */
+const maxPeers = 3;
+/** How long a peer that did not answer is tried last. */
+const avoidMs = 4000;
+
+function splitAddress(address: string): { host: string; port: number } {
+  const colon = address.lastIndexOf(':');
+  return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
+}
+
+/** Exchanges one message on a connection of its own: a connection may go silent at any time. */
+function sendMessage(
+  address: string,
+  message: PeerMessage,
+  timeoutMs: number,
+): Promise<PeerMessage | undefined> {
+  return new Promise((resolve) => {
+    const socket = connect(splitAddress(address));
+    const reader = createFrameReader();
+    const finish = (answer: PeerMessage | undefined): void => {
+      clearTimeout(timer);
+      socket.destroy();
+      resolve(answer);
+    };
+    const timer = setTimeout(() => {
+      finish(undefined);
+    }, timeoutMs);
+    socket.setNoDelay(true);
+    socket.once('connect', () => socket.write(encodeFrame(message)));
+    socket.on('data', (chunk: Buffer) => {
+      const messages = reader.readChunk(chunk);
+      if (messages.isErr()) finish(undefined);
+      else if (messages.value[0] !== undefined) finish(messages.value[0]);
+    });
+    socket.once('error', () => {
+      finish(undefined);
+    });
+    socket.once('close', () => {
+      finish(undefined);
+    });
+  });
+}
+
+/** Creates a relay. */
+export function createRelay(options: RelayOptions): Relay {
+  const { clock, logger, metrics } = options;
+  const failedMs = new Map<string, number>();
+
+  function rankPeer(peer: RelayPeer): number {
+    const hasFailed = clock.getNowMs() - (failedMs.get(peer.name) ?? -Infinity) < avoidMs;
+    const isFar = peer.dataCentre !== options.dataCentre;
+    return Number(hasFailed) * 2 + Number(isFar);
+  }
+
+  return {
+    async call(message) {
+      const peers = options.listPeers().sort((a, b) => rankPeer(a) - rankPeer(b));
+      const endMs = clock.getNowMs() + message.deadlineMs;
+      for (const peer of peers.slice(0, maxPeers)) {
+        const leftMs = Math.min(peerTimeoutMs, endMs - clock.getNowMs());
+        if (leftMs <= 0) break;
+        const answer = await sendMessage(peer.relayAddress, message, leftMs);
+        const outcome = answer?.type === MessageType.RelayAnswer ? 'answered' : 'failed';
+        metrics.count('relay.calls', 1, { outcome });
+        logger.info('call_relayed', {
+          job: message.jobId,
+          operation: message.operation,
+          peer: peer.name,
+          outcome,
+          fault: answer?.type === MessageType.RelayAnswer ? answer.faultCode : undefined,
+        });
+        if (answer?.type === MessageType.RelayAnswer) return answer;
+        failedMs.set(peer.name, clock.getNowMs());
+      }
+      return undefined;
+    },
+  };
+}
+
+/** Options of the listener for relayed calls. */
+export interface RelayListenerOptions {
+  /** `ip:port`. */
+  address: string;
+  logger: Logger;
+  handle: (call: RelayCallMessage) => Promise<RelayAnswerMessage>;
+}
+
+/** Longest time that a connection of a peer may stay open. */
+const connectionMs = 5000;
+
+/** Starts to take relayed calls. Rejects when the address cannot be used. */
+export async function startRelayListener(options: RelayListenerOptions): Promise<Server> {
+  function handleSocket(socket: Socket): void {
+    const reader = createFrameReader();
+    socket.setTimeout(connectionMs, () => {
+      socket.destroy();
+    });
+    socket.on('error', (error) => {
+      options.logger.debug('relay_connection_failed', { reason: error.message });
+    });
+    socket.on('data', (chunk: Buffer) => {
+      const messages = reader.readChunk(chunk);
+      if (messages.isErr()) {
+        options.logger.warn('relay_frame_refused', { reason: messages.error.message });
+        socket.destroy();
+        return;
+      }
+      for (const message of messages.value) {
+        if (message.type === MessageType.RelayCall) void answer(socket, message);
+      }
+    });
+  }
+
+  async function answer(socket: Socket, call: RelayCallMessage): Promise<void> {
+    const reply = await options.handle(call);
+    if (socket.writable) socket.write(encodeFrame(reply));
+  }
+
+  const server = createServer(handleSocket);
+  const { host, port } = splitAddress(options.address);
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, resolve);
+  });
+  return server;
+}
--- /dev/null
+++ b/packages/dispatch/src/relayedjobs.ts
@@ -0,0 +1,154 @@
+import {
+  FaultCode,
+  MessageType,
+  RelayOperation,
+  createFault,
+  waitFor,
+} from '@bergamotreach/protocol';
+import type { Clock, Fault, RelayAnswerMessage, RelayCallMessage } from '@bergamotreach/protocol';
+import { JobState } from '@bergamotreach/scheduling';
+import { Err, Ok } from 'ts-results-es';
+import type { Result } from 'ts-results-es';
+import type { Admission, JobRequest, JobService } from './jobservice.ts';
+import type { Relay } from './relay.ts';
+
+/** A store call that takes longer than this is also tried through a peer. */
+const hedgeAfterMs = 450;
+const noJob = 'none';
+const done = 'done';
+
+/** Options of a job service that falls back on its peers. */
+export interface RelayedJobsOptions {
+  jobs: JobService;
+  relay: Relay;
+  clock: Clock;
+}
+
+/** Faults after which a peer that reaches the store may still serve the call. */
+function isStoreFault(fault: Fault): boolean {
+  return fault.code === FaultCode.StoreUnavailable || fault.code === FaultCode.UnknownOutcome;
+}
+
+function decodeFault(answer: RelayAnswerMessage): Fault {
+  const known = Object.values(FaultCode).find((code: string) => code === answer.faultCode);
+  const code = known ?? FaultCode.UnknownOutcome;
+  return createFault(code, answer.message, { retryAfterMs: answer.retryAfterMs });
+}
+
+/**
+ * Wraps a job service: calls that this instance cannot bring to the store go through a peer. A call
+ * names its job, so it is harmless to try it on two ways at once; it is refused only when every way
+ * that was tried has certainly not accepted it.
+ */
+export function createRelayedJobs(options: RelayedJobsOptions): JobService {
+  const { jobs, relay, clock } = options;
+
+  async function callPeer(
+    admission: Admission,
+    operation: RelayOperation,
+    jobId: string,
+    deadlineMs: number,
+    job = '',
+  ): Promise<Result<string, Fault> | undefined> {
+    const { host, path, key } = admission.call;
+    const answer = await relay.call({
+      type: MessageType.RelayCall,
+      operation,
+      host,
+      path,
+      key: key ?? '',
+      jobId,
+      job,
+      deadlineMs,
+    });
+    if (answer === undefined) return undefined;
+    return answer.faultCode === '' ? Ok(answer.value) : Err(decodeFault(answer));
+  }
+
+  /** Of two ways the first success counts; a doubt on one way outweighs a refusal on the other. */
+  async function tryBoth<T>(
+    local: Promise<Result<T, Fault>>,
+    callRelay: () => Promise<Result<T, Fault> | undefined>,
+  ): Promise<Result<T, Fault>> {
+    const early = await Promise.race([local, waitFor(clock, hedgeAfterMs).then(() => undefined)]);
+    if (early !== undefined && (early.isOk() || !isStoreFault(early.error))) return early;
+    const relayed = callRelay();
+    const first = await Promise.race([local, relayed]);
+    if (first?.isOk() === true) return first;
+    const [own, other] = await Promise.all([local, relayed]);
+    if (own.isOk() || other === undefined) return own;
+    if (other.isOk()) return other;
+    return own.error.code === FaultCode.UnknownOutcome ? own : other;
+  }
+
+  return {
+    admit: (host, path, key) => jobs.admit(host, path, key),
+    submit(admission: Admission, request: JobRequest, deadlineMs: number) {
+      return tryBoth<undefined>(jobs.submit(admission, request, deadlineMs), async () => {
+        const job = JSON.stringify(request);
+        const { id } = request;
+        const reply = await callPeer(admission, RelayOperation.Submit, id, deadlineMs, job);
+        return reply?.map(() => undefined);
+      });
+    },
+    async getState(admission, id, deadlineMs) {
+      const local = jobs.getState(admission, id, deadlineMs);
+      const result = await tryBoth<JobState | undefined>(local, async () => {
+        const reply = await callPeer(admission, RelayOperation.GetState, id, deadlineMs);
+        return reply?.map((value) =>
+          Object.values(JobState).find((state: string) => state === value),
+        );
+      });
+      const copy = result.isErr() ? jobs.findCopy(admission, id) : undefined;
+      return copy === undefined ? result : Ok(copy);
+    },
+    cancel(admission, id, deadlineMs) {
+      return tryBoth<boolean>(jobs.cancel(admission, id, deadlineMs), async () => {
+        const reply = await callPeer(admission, RelayOperation.Cancel, id, deadlineMs);
+        return reply?.map((value) => value === done);
+      });
+    },
+    findCopy: (admission, id) => jobs.findCopy(admission, id),
+    countPending: (queue) => jobs.countPending(queue),
+  };
+}
+
+/** Carries out a relayed call on the local service. */
+export async function answerRelayedCall(
+  jobs: JobService,
+  call: RelayCallMessage,
+): Promise<RelayAnswerMessage> {
+  const admission = await jobs.admit(call.host, call.path, call.key === '' ? undefined : call.key);
+  if (admission.isErr()) return encodeAnswer(admission);
+  return encodeAnswer(await runOperation(jobs, admission.value, call));
+}
+
+async function runOperation(
+  jobs: JobService,
+  admission: Admission,
+  call: RelayCallMessage,
+): Promise<Result<string, Fault>> {
+  switch (call.operation) {
+    case RelayOperation.Submit: {
+      const request = JSON.parse(call.job) as JobRequest;
+      return (await jobs.submit(admission, request, call.deadlineMs)).map(() => done);
+    }
+    case RelayOperation.GetState: {
+      const state = await jobs.getState(admission, call.jobId, call.deadlineMs);
+      return state.map((known) => known ?? noJob);
+    }
+    case RelayOperation.Cancel: {
+      const isCancelled = await jobs.cancel(admission, call.jobId, call.deadlineMs);
+      return isCancelled.map((known) => (known ? done : noJob));
+    }
+  }
+}
+
+function encodeAnswer(result: Result<unknown, Fault>): RelayAnswerMessage {
+  const type = MessageType.RelayAnswer;
+  if (result.isOk()) {
+    return { type, faultCode: '', message: '', retryAfterMs: 0, value: String(result.value) };
+  }
+  const { code, message, retryAfterMs } = result.error;
+  return { type, faultCode: code, message, retryAfterMs: retryAfterMs ?? 0, value: '' };
+}
--- a/packages/dispatch/src/workerlink.ts
+++ b/packages/dispatch/src/workerlink.ts
@@ -61,9 +61,9 @@
 }
 
 // Few calls while nothing happens; an end is told at once because the worker answers then.
-const reportWaitMs = 1800;
+const reportWaitMs = 1000;
 /** Extra time for an answer beyond the wait that was asked for. */
-const reportSlackMs = 1000;
+const reportSlackMs = 600;
 const retryMs = 250;
 const idleCheckMs = 50;
 /** How long a report may wait for the store before the lease is extended without it. */
--- a/packages/protocol/src/message.ts
+++ b/packages/protocol/src/message.ts
@@ -12,6 +12,8 @@
   Hint = 'hint',
   ReportRequest = 'reportRequest',
   Report = 'report',
+  RelayCall = 'relayCall',
+  RelayAnswer = 'relayAnswer',
 }
 
 /** Whether a daemon takes new work. */
@@ -149,6 +151,39 @@
   report: unknown;
 }
 
+/** Operations on jobs that one instance may carry out for another. */
+export enum RelayOperation {
+  Submit = 'submit',
+  GetState = 'getState',
+  Cancel = 'cancel',
+}
+
+/** A caller's request that the sender cannot serve, because it does not reach the store. */
+export interface RelayCallMessage {
+  type: MessageType.RelayCall;
+  operation: RelayOperation;
+  /** Host, path and key of the caller; the receiver admits the call by its own configuration. */
+  host: string;
+  path: string;
+  key: string;
+  jobId: string;
+  /** The job in JSON for a submission, else empty. */
+  job: string;
+  /** How long the sender waits for the answer, in milliseconds. */
+  deadlineMs: number;
+}
+
+/** Answer to a relayed call. */
+export interface RelayAnswerMessage {
+  type: MessageType.RelayAnswer;
+  /** Kind of the error; empty when there was none. */
+  faultCode: string;
+  message: string;
+  retryAfterMs: number;
+  /** State of the job, whether it was cancelled, or empty. */
+  value: string;
+}
+
 /** Every message between daemons. */
 export type PeerMessage =
   | HelloMessage
@@ -162,4 +197,6 @@
   | LeavingMessage
   | HintMessage
   | ReportRequestMessage
-  | ReportMessage;
+  | ReportMessage
+  | RelayCallMessage
+  | RelayAnswerMessage;
--- a/packages/scheduling/src/packing.ts
+++ b/packages/scheduling/src/packing.ts
@@ -6,6 +6,8 @@
 import type { WorkerView } from './worker.ts';
 
 const urgentPriority = 0;
+/** Attempts that a group must have left to be tried on a suspect worker. */
+const minProbeAttempts = 2;
 
 /** A task with the worker chosen for it. */
 export interface Placement {
@@ -48,8 +50,18 @@
   return group.tasks.filter((task) => task.phase === TaskPhase.Waiting);
 }
 
-/** Whether a worker's reservation admits a group. */
+function canProbe(group: TaskGroup): boolean {
+  if (group.job.rules.priority === urgentPriority || group.spec.isGang) return false;
+  const failures = Math.max(...group.tasks.map((task) => task.failures));
+  return group.job.rules.maxAttempts - failures >= minProbeAttempts;
+}
+
+/**
+ * Whether a worker's health and reservation admit a group. A worker that may fail all it starts is
+ * probed by work that can afford the attempt: an urgent job would lose one of its few.
+ */
 function isAdmitted(group: TaskGroup, worker: WorkerView): boolean {
+  if (worker.isSuspect && !canProbe(group)) return false;
   if (group.job.rules.priority === urgentPriority) return true;
   if (worker.reservation === Reservation.None) return true;
   return worker.reservation === Reservation.Lent && group.spec.isCheckpointing;
--- a/packages/scheduling/src/planner.ts
+++ b/packages/scheduling/src/planner.ts
@@ -14,7 +14,7 @@
 import { listStops, planClearing, takeClearing } from './reclaim.ts';
 import type { Clearing } from './reclaim.ts';
 import { addResources } from './resources.ts';
-import { reserveWorkers } from './urgentshare.ts';
+import { markReserved } from './urgentshare.ts';
 import type { PlacedTask, WorkerView } from './worker.ts';
 
 /** A group that may start tasks now: due, its dependencies done, its job live. */
@@ -125,7 +125,7 @@
   const plan: Plan = { starts: [], stops: [] };
   const stopping = new Set<Task>();
   let reservations = 0;
-  reserveWorkers(input.workers, input.urgentReserve);
+  markReserved(input.workers, input.urgentReserve);
   const order = [...input.ready].sort(compareReady(input));
 
   function addStart(group: TaskGroup, placements: Placement[]): void {
--- a/packages/scheduling/src/trust.ts
+++ b/packages/scheduling/src/trust.ts
@@ -8,6 +8,8 @@
   noteStall(workerId: string, nowMs: number): void;
   /** How many tasks may start on a worker that now has `running` tasks. */
   countStarts(workerId: string, running: number, nowMs: number): number;
+  /** Whether the latest end on a worker was a failure, so that the next may fail too. */
+  isSuspect(workerId: string, nowMs: number): boolean;
   drop(workerId: string): void;
   /** Workers that are not trusted now. */
   listDistrusted(nowMs: number): string[];
@@ -18,6 +20,8 @@
   failedGroups: Set<string>;
   /** Steady time until which nothing starts on the worker. */
   pausedUntilMs: number;
+  /** Steady time until which only probes start on the worker. */
+  suspectUntilMs: number;
   /** Pauses without a good run in between. */
   pauses: number;
 }
@@ -26,7 +30,9 @@
 const maxFailedGroups = 2;
 const firstPauseMs = 3000;
 const maxPauseMs = 12_000;
-/** A worker that comes back from a pause gets this many tasks until one ends well. */
+/** Without a probe, a failure is held against a worker for this long. */
+const suspectMs = 4000;
+/** A worker whose latest end was a failure gets this many tasks until one ends well. */
 const probeTasks = 1;
 
 /** Creates the record of workers; a worker that is not known is trusted. */
@@ -36,13 +42,19 @@
   function getRecord(workerId: string): Record {
     const known = records.get(workerId);
     if (known !== undefined) return known;
-    const created = { failedGroups: new Set<string>(), pausedUntilMs: 0, pauses: 0 };
+    const created = {
+      failedGroups: new Set<string>(),
+      pausedUntilMs: 0,
+      suspectUntilMs: 0,
+      pauses: 0,
+    };
     records.set(workerId, created);
     return created;
   }
 
   function pause(record: Record, nowMs: number): void {
     record.pausedUntilMs = nowMs + Math.min(maxPauseMs, firstPauseMs * 2 ** record.pauses);
+    record.suspectUntilMs = record.pausedUntilMs + suspectMs;
     record.pauses += 1;
     record.failedGroups.clear();
   }
@@ -54,6 +66,7 @@
     noteFailure(workerId, groupKey, nowMs) {
       const record = getRecord(workerId);
       record.failedGroups.add(groupKey);
+      record.suspectUntilMs = Math.max(record.suspectUntilMs, nowMs + suspectMs);
       const limit = record.pauses > 0 ? 1 : maxFailedGroups;
       if (record.failedGroups.size >= limit) pause(record, nowMs);
     },
@@ -62,10 +75,12 @@
     },
     countStarts(workerId, running, nowMs) {
       const record = records.get(workerId);
-      if (record === undefined || record.pauses === 0) return Infinity;
+      if (record === undefined) return Infinity;
       if (nowMs < record.pausedUntilMs) return 0;
+      if (nowMs >= record.suspectUntilMs) return Infinity;
       return Math.max(0, probeTasks - running);
     },
+    isSuspect: (workerId, nowMs) => nowMs < (records.get(workerId)?.suspectUntilMs ?? -Infinity),
     drop(workerId) {
       records.delete(workerId);
     },
--- a/packages/scheduling/src/urgentshare.ts
+++ b/packages/scheduling/src/urgentshare.ts
@@ -47,7 +47,7 @@
  * Sets whole workers aside, rack by rack, so that urgent gangs find adjacent room. It answers bursts
  * of urgent jobs on a full fleet: without it each one stops work that does not save its progress.
  */
-export function reserveWorkers(workers: readonly WorkerView[], accelerators: number): void {
+export function markReserved(workers: readonly WorkerView[], accelerators: number): void {
   const total = workers.reduce((sum, worker) => sum + worker.capacity.accelerators, 0);
   const wanted = Math.min(accelerators, total * maxShare);
   const order = [...workers].sort((a, b) => compareText(a.rack, b.rack) || compareText(a.id, b.id));
--- a/packages/scheduling/src/worker.ts
+++ b/packages/scheduling/src/worker.ts
@@ -23,6 +23,8 @@
   placed: readonly PlacedTask[];
   /** Largest number of tasks that may start now; 0 for a worker that is not to be used. */
   maxStarts: number;
+  /** Its latest end was a failure. */
+  isSuspect: boolean;
   /** Whether its room is set aside for urgent work. */
   reservation: Reservation;
   /** Observed speed; 1 is nominal, 0.25 a worker that takes four times as long. */
