--- a/packages/dispatch/src/jobbook.ts
+++ b/packages/dispatch/src/jobbook.ts
@@ -49,8 +49,8 @@
   listReady(wallMs: number): ReadyGroup[];
   /** Tasks that hold room, by worker. */
   groupByWorker(): Map<string, PlacedTask[]>;
-  /** Accelerators that the unfinished urgent jobs of each account need. */
-  sumUrgentNeeds(): Map<string, number>;
+  /** Urgent jobs that fit into what their account is guaranteed, the oldest first. */
+  listGuaranteed(guarantees: ReadonlyMap<string, number>): Set<string>;
   /** Accelerators that urgent work holds or could start on at the Unix time `wallMs`. */
   sumUrgentDemand(wallMs: number): number;
   isComplete(job: LiveJob): boolean;
@@ -145,17 +145,21 @@
       }
       return placed;
     },
-    sumUrgentNeeds() {
-      const needs = new Map<string, number>();
-      for (const job of jobs.values()) {
-        const { submission } = job;
-        if (isFinal(job.state) || submission.rules.priority !== urgentPriority) continue;
-        const need = Math.max(
-          ...submission.steps.map((spec) => spec.taskCount * spec.demand.accelerators),
-        );
-        needs.set(submission.account, (needs.get(submission.account) ?? 0) + need);
+    listGuaranteed(guarantees) {
+      const left = new Map(guarantees);
+      const guaranteed = new Set<string>();
+      const urgent = [...jobs.values()]
+        .filter((job) => !isFinal(job.state) && job.submission.rules.priority === urgentPriority)
+        .sort((a, b) => a.acceptedAtMs - b.acceptedAtMs);
+      for (const { submission } of urgent) {
+        const { account, steps } = submission;
+        const needs = steps.map((spec) => spec.taskCount * spec.demand.accelerators);
+        const rest = (left.get(account) ?? 0) - Math.max(...needs);
+        if (rest < 0) continue;
+        left.set(account, rest);
+        guaranteed.add(submission.id);
       }
-      return needs;
+      return guaranteed;
     },
     sumUrgentDemand(wallMs) {
       let sum = 0;
--- a/packages/dispatch/src/jobservice.ts
+++ b/packages/dispatch/src/jobservice.ts
@@ -82,6 +82,11 @@
 const anonymousAccount = '';
 /** An answer leaves this long before the caller stops waiting. */
 const answerMarginMs = 150;
+/**
+ * A store call whose fate is open is answered as unknown after this time, so that the caller, who
+ * repeats with the same id, reaches another instance while it still waits.
+ */
+const unknownAfterMs = 900;
 const retryAfterMs = 1000;
 /** A copy of the configuration that was confirmed this recently answers for itself. */
 const freshConfigMs = 300;
@@ -118,7 +123,8 @@
 
   /** Limits the time that an answer may take; the work itself goes on. */
   async function limitTime<T>(work: Promise<T>, deadlineMs: number): Promise<T | undefined> {
-    const timeout = waitFor(clock, Math.max(0, deadlineMs - answerMarginMs));
+    const limitMs = Math.min(deadlineMs - answerMarginMs, unknownAfterMs);
+    const timeout = waitFor(clock, Math.max(0, limitMs));
     return Promise.race([work, timeout.then(() => undefined)]);
   }
 
--- a/packages/dispatch/src/owner.ts
+++ b/packages/dispatch/src/owner.ts
@@ -553,16 +553,16 @@
     const config = options.getConfig();
     const startedAtMs = clock.getNowMs();
     const wallMs = getWallMs();
+    const guarantees = new Map(
+      config?.accounts.map((account) => [account.name, account.guaranteedAccelerators]),
+    );
     urgentDemand.note(book.sumUrgentDemand(wallMs), startedAtMs);
     const result = planStarts({
       nowMs: startedAtMs,
       urgentReserve: urgentDemand.getLevel(),
       workers: buildViews(),
       ready: book.listReady(wallMs),
-      guarantees: new Map(
-        config?.accounts.map((account) => [account.name, account.guaranteedAccelerators]),
-      ),
-      urgentNeeds: book.sumUrgentNeeds(),
+      guaranteed: book.listGuaranteed(guarantees),
     });
     metrics.reportTiming('plan.duration', clock.getNowMs() - startedAtMs);
     for (const { group, task, reason, beneficiary } of result.stops) {
--- a/packages/dispatch/src/relay.ts
+++ b/packages/dispatch/src/relay.ts
@@ -1,6 +1,6 @@
 import { connect, createServer } from 'node:net';
 import type { Server, Socket } from 'node:net';
-import { MessageType, createFrameReader, encodeFrame } from '@bergamotreach/protocol';
+import { FaultCode, MessageType, createFrameReader, encodeFrame } from '@bergamotreach/protocol';
 import type {
   Clock,
   Logger,
@@ -35,12 +35,19 @@
 
 /** Sends calls to instances that reach the store. */
 export interface Relay {
-  /** Tries peers in turn; `undefined` when none answered in time. */
+  /** Tries peers until one reaches the store; `undefined` when none answered in time. */
   call(message: RelayCallMessage): Promise<RelayAnswerMessage | undefined>;
 }
 
+/** Answers of peers that do not reach the store either. */
+const storeFaults: ReadonlySet<string> = new Set([
+  FaultCode.StoreUnavailable,
+  FaultCode.UnknownOutcome,
+]);
 /** A peer across the slowest link answers within this time or the next one is tried. */
-const peerTimeoutMs = 700;
+const peerTimeoutMs = 450;
+/** All tries of a call end within this time, while its caller can still come again. */
+const maxCallMs = 1000;
 /** Peers that one call is sent to; each has its own copy of the store's rows. */
 const maxPeers = 3;
 /** How long a peer that did not answer is tried last. */
@@ -98,7 +105,8 @@
   return {
     async call(message) {
       const peers = options.listPeers().sort((a, b) => rankPeer(a) - rankPeer(b));
-      const endMs = clock.getNowMs() + message.deadlineMs;
+      const endMs = clock.getNowMs() + Math.min(message.deadlineMs, maxCallMs);
+      let refusal: RelayAnswerMessage | undefined;
       for (const peer of peers.slice(0, maxPeers)) {
         const leftMs = Math.min(peerTimeoutMs, endMs - clock.getNowMs());
         if (leftMs <= 0) break;
@@ -112,10 +120,14 @@
           outcome,
           fault: answer?.type === MessageType.RelayAnswer ? answer.faultCode : undefined,
         });
-        if (answer?.type === MessageType.RelayAnswer) return answer;
+        if (answer?.type === MessageType.RelayAnswer) {
+          if (!storeFaults.has(answer.faultCode)) return answer;
+          // A doubt must not be hidden by the refusal of another peer.
+          if (refusal?.faultCode !== FaultCode.UnknownOutcome) refusal = answer;
+        }
         failedMs.set(peer.name, clock.getNowMs());
       }
-      return undefined;
+      return refusal;
     },
   };
 }
--- a/packages/scheduling/src/planner.ts
+++ b/packages/scheduling/src/planner.ts
@@ -33,12 +33,10 @@
   /** Workers; their `free` is consumed by planning. */
   workers: WorkerView[];
   ready: readonly ReadyGroup[];
-  /** Accelerators that each account is guaranteed for work of priority 0. */
-  guarantees: ReadonlyMap<string, number>;
+  /** Ids of the urgent jobs that are within their account's guarantee. */
+  guaranteed: ReadonlySet<string>;
   /** Accelerators to be set aside for urgent work. */
   urgentReserve: number;
-  /** Accelerators that the unfinished jobs of priority 0 of each account need. */
-  urgentNeeds: ReadonlyMap<string, number>;
 }
 
 /** Tasks of one group to be started. */
@@ -78,18 +76,11 @@
 /** Gangs that may hold a reservation at once. */
 const maxReservations = 2;
 
-/** Whether an account's urgent work is within its guarantee. */
-function isGuaranteed(group: TaskGroup, input: PlanInput): boolean {
-  const { account } = group.job;
-  const sold = input.guarantees.get(account) ?? 0;
-  return (input.urgentNeeds.get(account) ?? 0) <= sold;
-}
-
 function compareReady(input: PlanInput): (a: ReadyGroup, b: ReadyGroup) => number {
   const ranks = new Map(input.ready.map((ready) => [ready, getRank(ready)]));
   const getClass = ({ group }: ReadyGroup): number => {
     if (group.job.rules.priority !== urgentPriority) return 2;
-    return isGuaranteed(group, input) ? 0 : 1;
+    return input.guaranteed.has(group.job.id) ? 0 : 1;
   };
   return (a, b) => {
     const byClass = getClass(a) - getClass(b);
@@ -139,12 +130,12 @@
 
   /** Stops work for a group, or holds the room of stops that are under way. */
   function freeRoom(group: TaskGroup, spread: Spread): void {
-    const mayPreemptUrgent = isGuaranteed(group, input);
+    const mayPreemptUrgent = input.guaranteed.has(group.job.id);
     const canStop = (victim: TaskGroup): boolean => {
       if (victim.job.rules.priority > group.job.rules.priority) return true;
       if (victim.job.account === group.job.account) return false;
       const isUrgent = victim.job.rules.priority === urgentPriority;
-      return isUrgent && mayPreemptUrgent && !isGuaranteed(victim, input);
+      return isUrgent && mayPreemptUrgent && !input.guaranteed.has(victim.job.id);
     };
     const clearing = chooseClearing(group, spread, canStop);
     if (clearing === undefined) return;
--- a/packages/scheduling/src/urgentshare.ts
+++ b/packages/scheduling/src/urgentshare.ts
@@ -22,9 +22,9 @@
 const riseMs = 600;
 const fallMs = 7000;
 /** Part of the demand that is set aside beyond it, for the next arrival. */
-const marginShare = 0.15;
+const marginShare = 0.5;
 /** Part of the reserved workers that is kept free rather than lent. */
-const keptShare = 0.5;
+const keptShare = 0.65;
 /** Urgent work gets at most this part of all accelerators set aside. */
 const maxShare = 0.6;
 
