Clear room step by step on each worker; notice a lost store at once

Fault found by a test: the plan to clear room dropped a worker once part of it had been chosen, so urgent gangs that had some free room stopped nothing and waited. Options of a worker are now chosen as increments. Mirrors confirm at once after a loss, and jobs are refused as soon as reads have failed for 250 ms.

--- a/packages/dispatch/src/jobservice.ts
+++ b/packages/dispatch/src/jobservice.ts
@@ -92,6 +92,8 @@
 const freshConfigMs = 300;
 /** A store that has not answered for this long is taken for away: new jobs are refused at once. */
 const storeAwayMs = 1600;
+/** Reads that fail for this long mean the same; one lost connection is replaced sooner. */
+const storeLostMs = 250;
 const maxCancelTries = 4;
 
 /** Creates the job service of an instance. */
@@ -102,6 +104,10 @@
     return configs.list()[0]?.[1];
   }
 
+  function isStoreAway(): boolean {
+    return states.getAgeMs() > storeAwayMs || states.getLostMs() > storeLostMs;
+  }
+
   function createUnavailable(message: string): Fault {
     return createFault(FaultCode.StoreUnavailable, message, { retryAfterMs });
   }
@@ -170,7 +176,7 @@
   async function findState(id: string): Promise<Result<StateRow | undefined, Fault>> {
     const known = states.find(id);
     if (known !== undefined && isFinal(known.state)) return Ok(known);
-    if (states.getAgeMs() > storeAwayMs) return Err(createUnavailable('the store is away'));
+    if (isStoreAway()) return Err(createUnavailable('the store is away'));
     return known === undefined ? readState(id) : Ok(known);
   }
 
@@ -250,7 +256,7 @@
         reportResult('known');
         return Ok(undefined);
       }
-      if (states.getAgeMs() > storeAwayMs) {
+      if (isStoreAway()) {
         reportResult('refused_store_away');
         return Err(createUnavailable('not accepted: the store is away'));
       }
--- a/packages/dispatch/src/mirror.ts
+++ b/packages/dispatch/src/mirror.ts
@@ -27,6 +27,8 @@
   list(): [string, T][];
   /** Time since the store confirmed the copy, in milliseconds; infinite before the first read. */
   getAgeMs(): number;
+  /** How long reads have been failing, in milliseconds; 0 while they succeed. */
+  getLostMs(): number;
   /** Reads the rest of the changes at once; false when the store does not answer. */
   refresh(): Promise<boolean>;
 }
@@ -39,7 +41,7 @@
 // A connection may go silent without a reset, so a wait is bounded by what the shortest bound on
 // applying a configuration (2.5 s) leaves after a lost wait.
 const feedWaitMs = 1000;
-const retryMs = 200;
+const retryMs = 150;
 const defaultPauseMs = 0;
 
 /** Creates a mirror; `start` begins to read. */
@@ -52,7 +54,7 @@
   let position: number | undefined;
   let confirmedMs = -Infinity;
   let isRunning = false;
-  let isLost = false;
+  let lostSinceMs: number | undefined;
 
   function applyItem({ key, value, version }: FeedItem<T>): void {
     if ((versions.get(key) ?? -1) >= version) return;
@@ -77,14 +79,18 @@
     if (page.isSnapshot) dropMissing(page);
     position = Math.max(position ?? 0, page.position);
     confirmedMs = clock.getNowMs();
-    if (isLost) logger.info('feed_regained', { table: name, position });
-    isLost = false;
+    if (lostSinceMs !== undefined) {
+      const lostMs = Math.round(clock.getNowMs() - lostSinceMs);
+      logger.info('feed_regained', { table: name, position, lostMs });
+    }
+    lostSinceMs = undefined;
   }
 
   function noteLoss(message: string): void {
     metrics.count('feed.errors', 1, { table: name });
-    if (!isLost) logger.warn('feed_lost', { table: name, position, reason: message });
-    isLost = true;
+    if (lostSinceMs !== undefined) return;
+    lostSinceMs = clock.getNowMs();
+    logger.warn('feed_lost', { table: name, position, reason: message });
   }
 
   async function readOnce(waitMs: number): Promise<boolean> {
@@ -99,7 +105,8 @@
 
   async function run(): Promise<void> {
     while (isRunning) {
-      const isRead = await readOnce(feedWaitMs);
+      // After a loss the first answer is to show at once that the store is back.
+      const isRead = await readOnce(lostSinceMs === undefined ? feedWaitMs : 0);
       const delayMs = isRead ? pauseMs : retryMs;
       if (delayMs > 0) await waitFor(clock, delayMs);
     }
@@ -118,6 +125,7 @@
     findVersion: (key) => entries.get(key)?.version,
     list: () => [...entries].map(([key, { value }]) => [key, value]),
     getAgeMs: () => clock.getNowMs() - confirmedMs,
+    getLostMs: () => (lostSinceMs === undefined ? 0 : clock.getNowMs() - lostSinceMs),
     refresh: () => readOnce(0),
   };
 }
--- a/packages/scheduling/src/reclaim.ts
+++ b/packages/scheduling/src/reclaim.ts
@@ -71,12 +71,26 @@
   return options;
 }
 
-/** The cheapest option by loss per slot, among those that free at most what is needed. */
-function chooseOption(options: readonly Option[], needed: number): Option | undefined {
+/** Ways of clearing one worker; those up to `chosen` are taken. */
+interface Choice {
+  worker: WorkerView;
+  options: readonly Option[];
+  chosen: Option;
+}
+
+/** What an option adds to the one chosen so far. */
+function getExtraLoss(choice: Choice, option: Option, needed: number): number {
+  const slots = Math.min(option.slots - choice.chosen.slots, needed);
+  return (option.cost - choice.chosen.cost) / slots;
+}
+
+/** The next option of a worker with the least loss per slot that it adds. */
+function findBestOption(choice: Choice, needed: number): Option | undefined {
   let best: Option | undefined;
-  for (const option of options) {
-    const value = option.cost / Math.min(option.slots, needed);
-    if (best === undefined || value < best.cost / Math.min(best.slots, needed)) best = option;
+  for (const option of choice.options) {
+    if (option.slots <= choice.chosen.slots) continue;
+    const loss = getExtraLoss(choice, option, needed);
+    if (best === undefined || loss < getExtraLoss(choice, best, needed)) best = option;
   }
   return best;
 }
@@ -96,29 +110,36 @@
   nowMs: number,
 ): Clearing | undefined {
   let needed = listWaiting(group).length;
-  const open = workers.map((worker) => listOptions(group, worker, canStop, nowMs));
-  const clearing: Clearing = { victims: [], workers: [], cost: 0 };
+  const choices: Choice[] = workers.map((worker) => ({
+    worker,
+    options: listOptions(group, worker, canStop, nowMs),
+    chosen: { worker, victims: [], slots: 0, cost: 0 },
+  }));
   while (needed > 0) {
-    let best: Option | undefined;
-    for (const options of open) {
-      const option = chooseOption(options, needed);
+    let best: { choice: Choice; option: Option } | undefined;
+    for (const choice of choices) {
+      const option = findBestOption(choice, needed);
       if (option === undefined) continue;
       const isBetter =
         best === undefined ||
-        option.cost / Math.min(option.slots, needed) < best.cost / Math.min(best.slots, needed);
-      if (isBetter) best = option;
+        getExtraLoss(choice, option, needed) < getExtraLoss(best.choice, best.option, needed);
+      if (isBetter) best = { choice, option };
     }
     if (best === undefined) return undefined;
-    const chosen = best;
-    const index = open.findIndex((options) => options.includes(chosen));
-    open.splice(index, 1);
-    const slots = Math.min(chosen.slots, needed);
-    needed -= slots;
-    clearing.victims.push(...chosen.victims);
-    clearing.workers.push({ worker: chosen.worker, slots });
-    clearing.cost += chosen.cost;
+    needed -= best.option.slots - best.choice.chosen.slots;
+    best.choice.chosen = best.option;
   }
-  return clearing;
+  const taken = choices.filter(({ chosen }) => chosen.slots > 0);
+  let left = listWaiting(group).length;
+  return {
+    victims: taken.flatMap(({ chosen }) => chosen.victims),
+    cost: taken.reduce((sum, { chosen }) => sum + chosen.cost, 0),
+    workers: taken.map(({ worker, chosen }) => {
+      const slots = Math.min(chosen.slots, left);
+      left -= slots;
+      return { worker, slots };
+    }),
+  };
 }
 
 /** Reserves the cleared room, so that work ranked lower does not take it. */
--- /dev/null
+++ b/packages/scheduling/tests/planner.test.ts
@@ -0,0 +1,138 @@
+import { test } from 'node:test';
+import { expect } from 'earl';
+import { Reservation, TaskPhase, markReserved, planStarts } from '../src/index.ts';
+import {
+  createInput,
+  createReady,
+  createSingle,
+  createWorker,
+  listWorkers,
+  runOn,
+} from './samples.ts';
+
+const gang = {
+  isGang: true,
+  taskCount: 3,
+  demand: { cpuMillis: 1000, memoryMb: 1000, accelerators: 8 },
+};
+
+// Guards against a gang of which only a part is started.
+test('gang waits for room for all members', () => {
+  const group = createSingle('g', 1, gang);
+  const plan = planStarts(
+    createInput([createWorker('w1'), createWorker('w2')], [createReady(group)]),
+  );
+  expect(plan.starts).toEqual([]);
+});
+
+// Guards against a rack-bound gang that runs three times as long because it was spread.
+test('rack-bound gang stays in one rack', () => {
+  const workers = ['w1', 'w2', 'w3'].map((id) => createWorker(id, 'r1'));
+  const others = ['v1', 'v2'].map((id) => createWorker(id, 'r2'));
+  const group = createSingle('g', 1, { ...gang, isRackBound: true });
+  const plan = planStarts(createInput([...others, ...workers], [createReady(group)]));
+  expect(listWorkers(plan, 'g').sort()).toEqual(['w1', 'w2', 'w3']);
+});
+
+// Guards against spreading on a crowded fleet, where the longer run costs others their room.
+test('crowded fleet does not spread a rack-bound gang', () => {
+  const workers = [createWorker('w1', 'r1'), createWorker('w2', 'r1'), createWorker('v1', 'r2')];
+  for (const worker of workers) runOn(worker, createSingle(`b${worker.id}`, 2, { taskCount: 6 }));
+  const group = createSingle('g', 1, { isGang: true, isRackBound: true, taskCount: 5 });
+  // Five members do not fit into the four free accelerators of rack r1.
+  const plan = planStarts(createInput(workers, [createReady(group, 60_000)]));
+  expect(plan.starts).toEqual([]);
+});
+
+// Guards against a guarantee that is not made good while others use the room.
+test('urgent gang stops work of lower priority', () => {
+  const worker = createWorker('w1');
+  runOn(worker, createSingle('low', 2, { taskCount: 8 }), 9000);
+  const group = createSingle('urgent', 0, {
+    demand: { cpuMillis: 1000, memoryMb: 1000, accelerators: 4 },
+    isGang: true,
+  });
+  const plan = planStarts(createInput([worker], [createReady(group)]));
+  expect(plan.stops.length).toEqual(4);
+  expect(plan.starts).toEqual([]);
+});
+
+// Guards against stopping more work for the same job in the next plan, while the first stops end.
+test('stops under way are counted on', () => {
+  const worker = createWorker('w1');
+  const low = createSingle('low', 2, { taskCount: 8 });
+  runOn(worker, low, 9000);
+  for (const task of low.tasks.slice(0, 4)) task.phase = TaskPhase.Stopping;
+  worker.releasing = { cpuMillis: 4000, memoryMb: 4000, accelerators: 4 };
+  const group = createSingle('urgent', 0, { taskCount: 4, isGang: true });
+  const plan = planStarts(createInput([worker], [createReady(group)]));
+  expect(plan.stops).toEqual([]);
+});
+
+// Guards against work of lower rank that takes the room which is being cleared for an urgent job.
+test('cleared room is kept for the urgent job', () => {
+  const worker = createWorker('w1');
+  runOn(worker, createSingle('low', 2, { taskCount: 6 }), 9000);
+  const urgent = createSingle('urgent', 0, { isGang: true, taskCount: 4 });
+  const late = createSingle('late', 2, { taskCount: 2 });
+  const plan = planStarts(createInput([worker], [createReady(late), createReady(urgent)]));
+  expect(plan.stops.length).toEqual(2);
+  expect(listWorkers(plan, 'late')).toEqual([]);
+});
+
+// Guards against losing long runs when short ones could make room just as well.
+test('the victim that loses least is stopped', () => {
+  const [old, young] = [createWorker('w1'), createWorker('w2')];
+  runOn(old, createSingle('old', 2, { taskCount: 8 }), 1000);
+  runOn(young, createSingle('young', 2, { taskCount: 8 }), 9500);
+  const group = createSingle('urgent', 0, { isGang: true, taskCount: 8 });
+  const plan = planStarts(createInput([old, young], [createReady(group)]));
+  expect(new Set(plan.stops.map(({ task }) => task.workerId))).toEqual(new Set(['w2']));
+});
+
+// Guards against stops of work that does not save, at each burst of urgent jobs on a full fleet.
+test('reserved workers take urgent and saving work only', () => {
+  const workers = Array.from({ length: 5 }, (_, index) => createWorker(`w${index}`));
+  markReserved(workers, 16);
+  const [kept, lent] = workers.map(({ reservation }) => reservation);
+  expect([kept, lent]).toEqual([Reservation.Kept, Reservation.Kept]);
+  const plain = createSingle('plain', 2, { taskCount: 40 });
+  const plan = planStarts(createInput(workers, [createReady(plain)], { urgentReserve: 16 }));
+  expect(listWorkers(plan, 'plain').length).toEqual(24);
+});
+
+// Guards against urgent jobs that lose one of their few attempts on a worker that fails all it starts.
+test('suspect worker takes no urgent work', () => {
+  const worker = { ...createWorker('w1'), isSuspect: true };
+  const urgent = createSingle('urgent', 0);
+  const probe = createSingle('probe', 2);
+  const plan = planStarts(createInput([worker], [createReady(urgent), createReady(probe)]));
+  expect(listWorkers(plan, 'urgent')).toEqual([]);
+  expect(listWorkers(plan, 'probe')).toEqual(['w1']);
+});
+
+// Guards against tasks of one step that pile up on one worker beyond their limit.
+test('limit of tasks per worker holds', () => {
+  const group = createSingle('g', 1, { taskCount: 4, maxPerWorker: 1 });
+  const plan = planStarts(
+    createInput([createWorker('w1'), createWorker('w2')], [createReady(group)]),
+  );
+  expect(listWorkers(plan, 'g').sort()).toEqual(['w1', 'w2']);
+});
+
+// Guards against tasks on workers without the label that they need.
+test('required label is respected', () => {
+  const group = createSingle('g', 1, { requiredLabel: 'b' });
+  const plan = planStarts(createInput([createWorker('w1')], [createReady(group)]));
+  expect(plan.starts).toEqual([]);
+});
+
+// Guards against a wide gang that starves behind small work which takes each free accelerator.
+test('waiting gang gets room reserved', () => {
+  const worker = createWorker('w1');
+  runOn(worker, createSingle('busy', 2, { taskCount: 4 }));
+  const wide = createSingle('wide', 1, { isGang: true, taskCount: 8 });
+  const small = createSingle('small', 2, { taskCount: 4 });
+  const input = createInput([worker], [createReady(wide, 2800), createReady(small)]);
+  expect(planStarts(input).starts).toEqual([]);
+});
