--- /dev/null
+++ b/packages/dispatch/tests/fakeworkers.ts
@@ -0,0 +1,190 @@
+import { FaultCode, createFault, waitFor } from '@bergamotreach/protocol';
+import type { Fault, ManualClock } from '@bergamotreach/protocol';
+import { RunEnd } from '@bergamotreach/scheduling';
+import { Err, Ok } from 'ts-results-es';
+import type { Result } from 'ts-results-es';
+import type { FakeProcess } from '../../ownership/tests/fakeprocess.ts';
+import { OrderStatus, RefusalReason, TaskRunner } from '../src/index.ts';
+import type {
+  EndedRun,
+  OrderReply,
+  ReportRequest,
+  RunStatus,
+  StartOrder,
+  StopOrder,
+  WorkerAddress,
+  WorkerReport,
+} from '../src/index.ts';
+
+interface ActiveRun {
+  run: number;
+  endsAtMs: number;
+  epoch: number;
+}
+
+/** Accelerators of each fake worker. */
+export const workerSlots = 4;
+const maxLeaseMs = 10_000;
+const stopMs = 300;
+const lostAnswerMs = 350;
+const none = RefusalReason.None;
+
+/** A worker: runs tasks, keeps its ends until they are acknowledged, kills all when its lease ends. */
+export class FakeWorker {
+  readonly active = new Map<string, ActiveRun>();
+  readonly ended: EndedRun[] = [];
+  /** Every run that began, for the checks. */
+  readonly begun: { task: string; run: number; atMs: number }[] = [];
+  readonly highest = new Map<string, number>();
+  private sequence = 0;
+  fence = 0;
+  leaseUntilMs = Infinity;
+  ackedEnd = 0;
+  /** Calls get no answer and have no effect. */
+  isCut = false;
+  /** Orders get no answer and are carried out this much later; 0 is off. */
+  lateMs = 0;
+  /** How tasks end here. */
+  end = RunEnd.Done;
+
+  constructor(
+    readonly id: string,
+    readonly clock: ManualClock,
+    readonly runMs: number,
+  ) {}
+
+  /** Brings the runs up to the present time. */
+  settle(): void {
+    const nowMs = this.clock.getNowMs();
+    for (const [task, run] of [...this.active]) {
+      if (run.endsAtMs <= Math.min(nowMs, this.leaseUntilMs)) this.finish(task, run.run, this.end);
+    }
+    if (nowMs < this.leaseUntilMs) return;
+    for (const [task, run] of [...this.active]) this.finish(task, run.run, RunEnd.Lapsed);
+  }
+
+  private finish(task: string, run: number, end: RunEnd): void {
+    this.active.delete(task);
+    this.sequence += 1;
+    this.ended.push({ sequence: this.sequence, task, run, end, checkpoint: '' });
+  }
+
+  start(order: StartOrder): OrderReply {
+    this.settle();
+    const clockMs = this.clock.getNowMs();
+    if (order.epoch < this.fence) return { status: OrderStatus.Fenced, reason: none, clockMs };
+    this.fence = order.epoch;
+    const refuse = (reason: RefusalReason): OrderReply => ({
+      status: OrderStatus.Refused,
+      reason,
+      clockMs,
+    });
+    if (this.active.get(order.task)?.run === order.run) {
+      return { status: OrderStatus.Accepted, reason: none, clockMs };
+    }
+    if ((this.highest.get(order.task) ?? 0) >= order.run) return refuse(RefusalReason.OldRun);
+    if (order.leaseUntilMs <= clockMs) return refuse(RefusalReason.TooLate);
+    if (this.active.size >= workerSlots) return refuse(RefusalReason.NoRoom);
+    this.highest.set(order.task, order.run);
+    this.extend(order.leaseUntilMs);
+    const endsAtMs = clockMs + this.runMs;
+    this.active.set(order.task, { run: order.run, endsAtMs, epoch: order.epoch });
+    this.begun.push({ task: order.task, run: order.run, atMs: clockMs });
+    return { status: OrderStatus.Accepted, reason: none, clockMs };
+  }
+
+  stop(order: StopOrder): OrderReply {
+    this.settle();
+    const clockMs = this.clock.getNowMs();
+    if (order.epoch < this.fence) return { status: OrderStatus.Fenced, reason: none, clockMs };
+    this.fence = order.epoch;
+    this.highest.set(order.task, Math.max(order.run, this.highest.get(order.task) ?? 0));
+    const active = this.active.get(order.task);
+    if (active !== undefined && active.run <= order.run) {
+      this.clock.setTimer(stopMs, () => {
+        if (this.active.get(order.task) === active) {
+          this.finish(order.task, active.run, RunEnd.Stopped);
+        }
+      });
+    }
+    return { status: OrderStatus.Accepted, reason: none, clockMs };
+  }
+
+  report(request: ReportRequest): Result<WorkerReport, Fault> {
+    this.settle();
+    if (request.epoch < this.fence) return Err(createFault(FaultCode.StaleEpoch, 'fenced'));
+    this.fence = request.epoch;
+    this.ackedEnd = Math.max(this.ackedEnd, request.ackedEnd);
+    if (request.leaseUntilMs !== undefined) this.extend(request.leaseUntilMs);
+    const runs: RunStatus[] = [...this.active].map(([task, { run }]) => ({
+      task,
+      run,
+      checkpoint: '',
+      percent: 50,
+    }));
+    const ends = this.ended.filter(({ sequence }) => sequence > this.ackedEnd);
+    return Ok({ clockMs: this.clock.getNowMs(), bornAtMs: 1, runs, ends });
+  }
+
+  private extend(untilMs: number): void {
+    const current = this.leaseUntilMs === Infinity ? 0 : this.leaseUntilMs;
+    const limit = this.clock.getNowMs() + maxLeaseMs;
+    this.leaseUntilMs = Math.max(current, Math.min(untilMs, limit));
+  }
+}
+
+/** The workers as one process reaches them. */
+export class FakeRunner extends TaskRunner {
+  constructor(
+    private readonly workers: ReadonlyMap<string, FakeWorker>,
+    private readonly process: FakeProcess,
+  ) {
+    super();
+  }
+
+  start(address: WorkerAddress, order: StartOrder): Promise<OrderReply> {
+    return this.sendOrder(address, (worker) => worker.start(order));
+  }
+
+  stop(address: WorkerAddress, order: StopOrder): Promise<OrderReply> {
+    return this.sendOrder(address, (worker) => worker.stop(order));
+  }
+
+  async report(
+    address: WorkerAddress,
+    request: ReportRequest,
+  ): Promise<Result<WorkerReport, Fault>> {
+    const worker = this.workers.get(address.id);
+    const endMs = this.process.getNowMs() + request.waitMs;
+    for (;;) {
+      if (worker === undefined || worker.isCut) {
+        await waitFor(this.process, lostAnswerMs);
+        return Err(createFault(FaultCode.WorkerUnavailable, 'no answer'));
+      }
+      const report = await this.process.call(() => worker.report(request));
+      const isDue = this.process.getNowMs() >= endMs;
+      if (report.isErr() || report.value.ends.length > 0 || isDue) return report;
+      await waitFor(this.process, 50);
+    }
+  }
+
+  drop(): void {
+    return;
+  }
+
+  private async sendOrder(
+    address: WorkerAddress,
+    carryOut: (worker: FakeWorker) => OrderReply,
+  ): Promise<OrderReply> {
+    const worker = this.workers.get(address.id);
+    const lost: OrderReply = { status: OrderStatus.Unknown, reason: none };
+    if (worker !== undefined && !worker.isCut && worker.lateMs === 0) {
+      return this.process.call(() => carryOut(worker));
+    }
+    if (worker !== undefined && worker.lateMs > 0) {
+      worker.clock.setTimer(worker.lateMs, () => carryOut(worker));
+    }
+    await waitFor(this.process, lostAnswerMs);
+    return lost;
+  }
+}
--- /dev/null
+++ b/packages/dispatch/tests/faults.test.ts
@@ -0,0 +1,163 @@
+import { test } from 'node:test';
+import { JobState, RunEnd } from '@bergamotreach/scheduling';
+import { expect } from 'earl';
+import fc from 'fast-check';
+import { TableFault } from '../../ownership/tests/faketable.ts';
+import { createWorld, findDoubleRun } from './world.ts';
+import type { Contender, World } from './world.ts';
+
+enum Step {
+  KillOwner = 'kill_owner',
+  PauseOwner = 'pause_owner',
+  CutWorker = 'cut_worker',
+  LateOrders = 'late_orders',
+  StoreDown = 'store_down',
+  LostReplies = 'lost_replies',
+  LateWrites = 'late_writes',
+  FailingWorker = 'failing_worker',
+  SubmitJob = 'submit_job',
+  SubmitGang = 'submit_gang',
+}
+
+interface Action {
+  step: Step;
+  /** Picks a worker or a contender. */
+  target: number;
+  /** How long the fault lasts. */
+  forMs: number;
+  /** Pause before the next action. */
+  gapMs: number;
+}
+
+const seed = 20261204;
+const numRuns = 40;
+const stepMs = 100;
+/** Faults end; leases of cut workers lapse and a killed owner is replaced within this time. */
+const settleMs = 45_000;
+
+const actions = fc.array(
+  fc.record({
+    step: fc.constantFrom(...Object.values(Step)),
+    target: fc.nat(3),
+    forMs: fc.integer({ min: 300, max: 6000 }),
+    gapMs: fc.integer({ min: 100, max: 2500 }),
+  }),
+  { minLength: 4, maxLength: 14 },
+);
+
+async function advance(world: World, durationMs: number): Promise<void> {
+  const endMs = world.clock.getNowMs() + durationMs;
+  while (world.clock.getNowMs() < endMs) {
+    await world.clock.advance(stepMs);
+    const doubled = findDoubleRun(world);
+    if (doubled !== undefined) throw new Error(doubled);
+  }
+}
+
+/** A run of a task that began after another run of it had ended done and was taken note of. */
+function findRerun(world: World): string | undefined {
+  for (const worker of world.workers.values()) {
+    for (const ended of worker.ended) {
+      if (ended.end !== RunEnd.Done || ended.sequence > worker.ackedEnd) continue;
+      const later = world
+        .listBegun()
+        .find(({ task, run }) => task === ended.task && run > ended.run);
+      if (later !== undefined)
+        return `${later.task} ran as ${later.run} after ${ended.run} was done`;
+    }
+  }
+  return undefined;
+}
+
+async function play(list: readonly Action[]): Promise<void> {
+  const world = createWorld(3);
+  const workers = [...world.workers.values()];
+  let contenders: Contender[] = [world.addContender('a'), world.addContender('b')];
+  let started = 2;
+  const jobs: string[] = [];
+  await advance(world, 800);
+
+  function apply({ step, target, forMs }: Action): void {
+    const worker = workers[target % workers.length];
+    const contender = contenders[target % contenders.length];
+    if (worker === undefined || contender === undefined) return;
+    const later = (action: () => void): void => {
+      world.clock.setTimer(forMs, action);
+    };
+    const setFault = (fault: TableFault): void => {
+      world.store.fault = fault;
+      later(() => {
+        world.store.fault = TableFault.None;
+      });
+    };
+    switch (step) {
+      case Step.KillOwner:
+        contender.process.kill();
+        contenders = contenders.filter((one) => one !== contender);
+        contenders.push(world.addContender(`c${(started += 1)}`));
+        break;
+      case Step.PauseOwner:
+        contender.process.pause();
+        later(() => void contender.process.resume());
+        break;
+      case Step.CutWorker:
+        worker.isCut = true;
+        later(() => {
+          worker.isCut = false;
+        });
+        break;
+      case Step.LateOrders:
+        worker.lateMs = forMs;
+        world.clock.setTimer(500, () => {
+          worker.lateMs = 0;
+        });
+        break;
+      case Step.StoreDown:
+        setFault(TableFault.Down);
+        break;
+      case Step.LostReplies:
+        setFault(TableFault.LostReply);
+        break;
+      case Step.LateWrites:
+        setFault(TableFault.LateEffect);
+        break;
+      case Step.FailingWorker:
+        worker.end = RunEnd.Failed;
+        later(() => {
+          worker.end = RunEnd.Done;
+        });
+        break;
+      case Step.SubmitJob:
+      case Step.SubmitGang: {
+        const id = `j${jobs.length}`;
+        jobs.push(id);
+        const isGang = step === Step.SubmitGang;
+        const rules = { priority: target % 3, maxAttempts: 50, stretch: 3, targetMs: 1000 };
+        world.submit(
+          id,
+          [
+            { taskCount: 3, isGang },
+            { taskCount: 2, dependsOn: [0] },
+          ],
+          { rules },
+        );
+      }
+    }
+  }
+
+  for (const action of list) {
+    apply(action);
+    await advance(world, action.gapMs);
+  }
+  await advance(world, settleMs);
+  expect(findRerun(world)).toEqual(undefined);
+  expect(jobs.map((id) => world.getState(id))).toEqual(jobs.map(() => JobState.Completed));
+}
+
+// Guards against double runs, runs after the end, and jobs left undone under mixed faults.
+test('random faults double nothing and lose nothing', async () => {
+  await fc.assert(
+    fc.asyncProperty(actions, (list) => play(list)),
+    { seed, numRuns },
+  );
+});
--- /dev/null
+++ b/packages/dispatch/tests/owner.test.ts
@@ -0,0 +1,198 @@
+import { test } from 'node:test';
+import { JobState, RunEnd } from '@bergamotreach/scheduling';
+import { expect } from 'earl';
+import { TableFault } from '../../ownership/tests/faketable.ts';
+import type { FakeWorker } from './fakeworkers.ts';
+import { createWorld, findDoubleRun } from './world.ts';
+import type { World } from './world.ts';
+
+const startUpMs = 1000;
+
+function getWorker(world: World, id: string): FakeWorker {
+  const worker = world.workers.get(id);
+  if (worker === undefined) throw new Error(`no worker ${id}`);
+  return worker;
+}
+
+/** Advances in small steps and fails on a task that runs twice at once. */
+async function advance(world: World, durationMs: number): Promise<void> {
+  const endMs = world.clock.getNowMs() + durationMs;
+  while (world.clock.getNowMs() < endMs) {
+    await world.clock.advance(100);
+    expect(findDoubleRun(world)).toEqual(undefined);
+  }
+}
+
+// Guards against a path that loses a step of its way from acceptance to completion.
+test('job with dependent steps completes', async () => {
+  const world = createWorld();
+  world.addContender('a');
+  world.submit('j1', [{ taskCount: 3 }, { taskCount: 2, dependsOn: [0] }]);
+  await advance(world, startUpMs + 3000);
+  expect(world.getState('j1')).toEqual(JobState.Completed);
+  const begun = world.listBegun();
+  expect(begun.length).toEqual(5);
+  const firstOfSecond = begun.find(({ task }) => task.startsWith('j1.0.1'));
+  const lastOfFirst = begun.filter(({ task }) => task.startsWith('j1.0.0')).at(-1);
+  expect((firstOfSecond?.atMs ?? 0) >= (lastOfFirst?.atMs ?? 0) + 1000).toEqual(true);
+});
+
+// Guards against an end that the worker forgets before it is stored.
+test('ends are acknowledged only when stored', async () => {
+  const world = createWorld(1);
+  world.addContender('a');
+  world.submit('j1', [{}]);
+  await advance(world, startUpMs);
+  world.store.fault = TableFault.Down;
+  await advance(world, 1500);
+  expect(getWorker(world, 'w0').ackedEnd).toEqual(0);
+  world.store.fault = TableFault.None;
+  await advance(world, 6000);
+  expect(world.getState('j1')).toEqual(JobState.Completed);
+  expect(getWorker(world, 'w0').ackedEnd).toEqual(1);
+});
+
+// Guards against a new owner that starts again what already runs or has ended.
+test('new owner takes over running tasks', async () => {
+  const world = createWorld();
+  const first = world.addContender('a');
+  await advance(world, startUpMs);
+  world.addContender('b');
+  world.submit('j1', [{ taskCount: 4 }]);
+  await advance(world, 300);
+  first.process.kill();
+  await advance(world, 8000);
+  expect(world.getState('j1')).toEqual(JobState.Completed);
+  expect(world.listBegun().length).toEqual(4);
+});
+
+// Guards against two owners that give orders at once after the first was suspended.
+test('suspended owner gives no order after its return', async () => {
+  const world = createWorld();
+  const first = world.addContender('a');
+  await advance(world, startUpMs);
+  world.addContender('b');
+  first.process.pause();
+  world.submit('j1', [{ taskCount: 4 }]);
+  await advance(world, 6000);
+  await first.process.resume();
+  await advance(world, 4000);
+  expect(world.getState('j1')).toEqual(JobState.Completed);
+  expect(world.listBegun().length).toEqual(4);
+});
+
+// Guards against a second run beside the first on a worker that is cut off and runs on.
+test('tasks of an unreachable worker wait for its lease', async () => {
+  const world = createWorld(1);
+  world.addContender('a');
+  world.submit('j1', [{}]);
+  const worker = getWorker(world, 'w0');
+  await advance(world, 700);
+  expect(worker.active.size).toEqual(1);
+  worker.isCut = true;
+  await advance(world, 9000);
+  worker.isCut = false;
+  await advance(world, 4000);
+  expect(world.getState('j1')).toEqual(JobState.Completed);
+  expect(world.listBegun().length).toEqual(1);
+});
+
+// Guards against a start without an answer that runs beside the next run of its task.
+test('start that is carried out late runs once', async () => {
+  const world = createWorld(2);
+  world.addContender('a');
+  await advance(world, startUpMs);
+  for (const worker of world.workers.values()) worker.lateMs = 1500;
+  world.submit('j1', [{ taskCount: 2 }]);
+  await advance(world, 400);
+  for (const worker of world.workers.values()) worker.lateMs = 0;
+  await advance(world, 8000);
+  expect(world.getState('j1')).toEqual(JobState.Completed);
+});
+
+// Guards against an order of an earlier owner that a worker carries out after the takeover.
+test('late order of a former owner is refused', async () => {
+  const world = createWorld(1);
+  const first = world.addContender('a');
+  await advance(world, startUpMs);
+  world.addContender('b');
+  getWorker(world, 'w0').lateMs = 8000;
+  world.submit('j1', [{}]);
+  await advance(world, 300);
+  first.process.kill();
+  getWorker(world, 'w0').lateMs = 0;
+  await advance(world, 12_000);
+  expect(world.getState('j1')).toEqual(JobState.Completed);
+  expect(world.listBegun().length).toEqual(1);
+});
+
+// Guards against tasks that run on, or begin, after their job was cancelled.
+test('cancelled job stops and starts nothing', async () => {
+  const world = createWorld(1);
+  world.addContender('a');
+  world.submit('j1', [{ taskCount: 6 }]);
+  await advance(world, 700);
+  world.cancel('j1');
+  await advance(world, 700);
+  const begun = world.listBegun().length;
+  expect(getWorker(world, 'w0').active.size).toEqual(0);
+  await advance(world, 3000);
+  expect(world.listBegun().length).toEqual(begun);
+  expect(world.getState('j1')).toEqual(JobState.Cancelled);
+});
+
+// Guards against starts beyond the attempts of a task, and against a job that stays open for ever.
+test('job fails when its attempts are used up', async () => {
+  const world = createWorld(3);
+  for (const worker of world.workers.values()) worker.end = RunEnd.Failed;
+  world.addContender('a');
+  world.submit('j1', [{}]);
+  await advance(world, 15_000);
+  expect(world.getState('j1')).toEqual(JobState.Failed);
+  expect(world.listBegun().length).toEqual(2);
+});
+
+// Guards against work that is done twice because the store's replies were lost.
+test('lost replies of the store change nothing', async () => {
+  const world = createWorld();
+  world.addContender('a');
+  await advance(world, startUpMs);
+  world.submit('j1', [{ taskCount: 3 }]);
+  world.store.fault = TableFault.LostReply;
+  await advance(world, 1200);
+  world.store.fault = TableFault.None;
+  await advance(world, 6000);
+  expect(world.getState('j1')).toEqual(JobState.Completed);
+  expect(world.listBegun().length).toEqual(3);
+});
+
+// Guards against a cancel that is overwritten by the owner's own write of the state.
+test('cancel wins over a state that the owner is about to write', async () => {
+  const world = createWorld(1);
+  world.addContender('a');
+  await advance(world, startUpMs);
+  world.store.latencyMs = 400;
+  world.submit('j1', [{}]);
+  await advance(world, 200);
+  world.cancel('j1');
+  world.store.latencyMs = 0;
+  await advance(world, 5000);
+  expect(world.getState('j1')).toEqual(JobState.Cancelled);
+});
+
+// Guards against a gang of which a part goes on when one member was lost.
+test('gang restarts whole', async () => {
+  const world = createWorld(2);
+  world.addContender('a');
+  await advance(world, startUpMs);
+  world.submit('j1', [{ taskCount: 6, isGang: true }]);
+  await advance(world, 300);
+  expect(world.listBegun().length).toEqual(6);
+  const worker = getWorker(world, 'w0');
+  for (const run of worker.active.values()) run.endsAtMs = Infinity;
+  worker.leaseUntilMs = world.clock.getNowMs();
+  await advance(world, 9000);
+  const runs = new Set(world.listBegun().map(({ run }) => run));
+  expect(runs.size >= 2).toEqual(true);
+  expect(world.getState('j1')).toEqual(JobState.Completed);
+});
--- /dev/null
+++ b/packages/dispatch/tests/world.ts
@@ -0,0 +1,273 @@
+import { Feed } from '@bergamotreach/hosting';
+import type { FeedItem, FeedPage, RowValue } from '@bergamotreach/hosting';
+import { LeaseState, createGroupCommitter, createRegionLease } from '@bergamotreach/ownership';
+import type { RegionLease } from '@bergamotreach/ownership';
+import {
+  FaultCode,
+  createFault,
+  createManualClock,
+  createNullLogger,
+  createNullMetrics,
+  waitFor,
+} from '@bergamotreach/protocol';
+import type { Fault, ManualClock } from '@bergamotreach/protocol';
+import { JobState } from '@bergamotreach/scheduling';
+import type { JobSubmission, StepSpec } from '@bergamotreach/scheduling';
+import { Err, Ok } from 'ts-results-es';
+import type { Result } from 'ts-results-es';
+import { FakeProcess } from '../../ownership/tests/fakeprocess.ts';
+import { FakeTable, TableFault, TableState } from '../../ownership/tests/faketable.ts';
+import { createStep } from '../../scheduling/tests/samples.ts';
+import { createMirror } from '../src/index.ts';
+import type { JobRow, StateRow, WorkerEntry } from '../src/index.ts';
+import { createOwner } from '../src/owner.ts';
+import type { Owner } from '../src/owner.ts';
+import { FakeRunner, FakeWorker, workerSlots } from './fakeworkers.ts';
+
+interface Change {
+  key: string;
+  version: number;
+  value: RowValue | null;
+}
+
+/** Feed of the rows whose key begins with a prefix. */
+class FakeFeed<T> extends Feed<T> {
+  private readonly changes: Change[] = [];
+
+  constructor(
+    private readonly state: TableState,
+    private readonly process: FakeProcess,
+    private readonly prefix: string,
+  ) {
+    super();
+    state.listeners.push((commit) => {
+      for (const { key, value } of commit.writes) {
+        const version = state.rows.get(key)?.version ?? Infinity;
+        this.changes.push({ key, version, value });
+      }
+    });
+  }
+
+  load(): Promise<Result<FeedPage<T>, Fault>> {
+    return this.answer(() => ({
+      items: this.state.listKeys(this.prefix).map((key) => {
+        const row = this.state.rows.get(key);
+        return this.createItem({ key, version: row?.version ?? 0, value: row?.value ?? null });
+      }),
+      isSnapshot: true,
+      position: this.changes.length,
+    }));
+  }
+
+  async wait(position: number, waitMs: number): Promise<Result<FeedPage<T>, Fault>> {
+    const endMs = this.process.getNowMs() + waitMs;
+    const hasNews = (): boolean =>
+      this.changes.slice(position).some(({ key }) => key.startsWith(this.prefix));
+    while (!hasNews() && this.process.getNowMs() < endMs) await waitFor(this.process, 20);
+    return this.answer(() => ({
+      items: this.changes
+        .slice(position)
+        .filter(({ key }) => key.startsWith(this.prefix))
+        .map((change) => this.createItem(change)),
+      isSnapshot: false,
+      position: this.changes.length,
+    }));
+  }
+
+  private createItem({ key, version, value }: Change): FeedItem<T> {
+    const copy = value === null ? undefined : (structuredClone(value) as unknown as T);
+    return { key: key.slice(this.prefix.length), version, value: copy };
+  }
+
+  private answer(getPage: () => FeedPage<T>): Promise<Result<FeedPage<T>, Fault>> {
+    return this.process.call(() =>
+      this.state.fault === TableFault.Down
+        ? Err(createFault(FaultCode.StoreUnavailable, 'connection refused'))
+        : Ok(getPage()),
+    );
+  }
+}
+
+/** One process that contends for the ownership. */
+export interface Contender {
+  process: FakeProcess;
+  lease: RegionLease;
+  getOwner: () => Owner | undefined;
+}
+
+/** Store, workers and contenders of a test. */
+export interface World {
+  clock: ManualClock;
+  store: TableState;
+  workers: Map<string, FakeWorker>;
+  addContender: (id: string) => Contender;
+  submit: (id: string, steps: Partial<StepSpec>[], changes?: Partial<JobSubmission>) => void;
+  cancel: (id: string) => void;
+  getState: (id: string) => JobState | undefined;
+  /** Runs that began, in order of time. */
+  listBegun: () => { task: string; run: number; atMs: number; worker: string }[];
+}
+
+export const runMs = 1000;
+const maxLeaseMs = 10_000;
+const logger = createNullLogger();
+const metrics = createNullMetrics();
+
+function createEntry(id: string): WorkerEntry {
+  return {
+    id,
+    bornAtMs: 1,
+    address: id,
+    pool: 'p1',
+    dataCentre: 'd1',
+    rack: 'r1',
+    labels: ['a', 'r1'],
+    capacity: { cpuMillis: 32_000, memoryMb: 64_000, accelerators: workerSlots },
+    isDraining: false,
+    drainRemainingMs: Infinity,
+  };
+}
+
+/** Creates a world with idle workers and no contender. */
+export function createWorld(workerCount = 2): World {
+  const clock = createManualClock();
+  const store = new TableState(clock);
+  const workers = new Map<string, FakeWorker>();
+  let operations = 0;
+
+  function apply(key: string, value: RowValue): void {
+    const version = store.rows.get(key)?.version ?? 0;
+    const operationId = `test/${operations++}`;
+    store.apply({ operationId, conditions: [{ key, version }], writes: [{ key, value }] }, 't', 0);
+  }
+
+  for (let index = 0; index < workerCount; index += 1) {
+    const id = `w${index}`;
+    workers.set(id, new FakeWorker(id, clock, runMs));
+    apply(`servers/${id}`, createEntry(id) as unknown as RowValue);
+  }
+
+  function addContender(id: string): Contender {
+    const process = new FakeProcess(id, clock);
+    const table = new FakeTable(store, process);
+    const committer = createGroupCommitter({
+      table,
+      clock: process,
+      logger,
+      metrics,
+      createOperationId: () => `${id}/${operations++}`,
+      maxWrites: 48,
+    });
+    let owner: Owner | undefined;
+    const states = createMirror<StateRow>({
+      feed: new FakeFeed(store, process, 'state/'),
+      name: 'states',
+      clock: process,
+      logger,
+      metrics,
+      onChange: (jobId, row, version) => owner?.handleState(jobId, row, version),
+    });
+    const lease = createRegionLease({
+      table,
+      committer,
+      clock: process,
+      logger,
+      metrics,
+      region: 'main',
+      holder: id,
+      address: id,
+      leaseMs: 2600,
+      marginMs: 400,
+      renewMs: 600,
+      onChange(state, epoch) {
+        if (state === LeaseState.Waiting) owner?.stop();
+        if (state !== LeaseState.Holding || owner?.getDump().epoch === epoch) return;
+        owner?.stop();
+        owner = createOwner({
+          epoch,
+          table,
+          committer,
+          jobFeed: new FakeFeed<JobRow>(store, process, 'job/'),
+          workerFeed: new FakeFeed<WorkerEntry>(store, process, 'servers/'),
+          states,
+          runner: new FakeRunner(workers, process),
+          getConfig: () => undefined,
+          isHolding: () => lease.isHolding(epoch),
+          getEpochCondition: () => (lease.isHolding(epoch) ? lease.getEpochCondition() : undefined),
+          onFenced: () => owner?.stop(),
+          clock: process,
+          getWallMs: () => clock.getNowMs(),
+          logger,
+          metrics,
+          maxLeaseMs,
+          heartbeatMs: 1500,
+        });
+        void owner.start();
+      },
+    });
+    states.start();
+    lease.start();
+    return { process, lease, getOwner: () => owner };
+  }
+
+  function getRow(id: string): StateRow | undefined {
+    return store.rows.get(`state/${id}`)?.value as unknown as StateRow | undefined;
+  }
+
+  return {
+    clock,
+    store,
+    workers,
+    addContender,
+    submit(id, steps, changes = {}) {
+      const submission: JobSubmission = {
+        id,
+        account: 'a1',
+        queue: 'q1',
+        pool: 'p1',
+        rules: { priority: 1, maxAttempts: 2, stretch: 3, targetMs: 1000 },
+        payload: 'x',
+        steps: steps.map((step) => createStep(step)),
+        ...changes,
+      };
+      const job: JobRow = { submission, acceptedAtMs: clock.getNowMs() };
+      const state: StateRow = {
+        state: JobState.Queued,
+        queue: 'q1',
+        account: 'a1',
+        isTimed: false,
+        changedAtMs: clock.getNowMs(),
+      };
+      apply(`job/${id}`, job as unknown as RowValue);
+      apply(`state/${id}`, state as unknown as RowValue);
+    },
+    cancel(id) {
+      const row = getRow(id);
+      if (row !== undefined) {
+        apply(`state/${id}`, { ...row, state: JobState.Cancelled } as unknown as RowValue);
+      }
+    },
+    getState: (id) => getRow(id)?.state,
+    listBegun: () =>
+      [...workers.values()]
+        .flatMap((worker) => worker.begun.map((one) => ({ ...one, worker: worker.id })))
+        .sort((a, b) => a.atMs - b.atMs),
+  };
+}
+
+/**
+ * Finds a task of which two runs overlapped, or that began again after a run had ended done and was
+ * acknowledged. Stops and lapses in between make a new run legal.
+ */
+export function findDoubleRun(world: World): string | undefined {
+  const running = new Map<string, string>();
+  for (const worker of world.workers.values()) {
+    worker.settle();
+    for (const [task, { run }] of worker.active) {
+      const other = running.get(task);
+      if (other !== undefined) return `${task} runs as ${other} and as ${run} on ${worker.id}`;
+      running.set(task, `${run} on ${worker.id}`);
+    }
+  }
+  return undefined;
+}
