Let calls that wait outlast the timeout of their client

Ruled out: slow workers, the store's delay. Change: the signal of each exchange is its only timeout. A test fails without it.

--- a/packages/hosting/src/httpclient.ts
+++ b/packages/hosting/src/httpclient.ts
@@ -72,8 +72,10 @@
     connections: options.connections,
     pipelining: 1,
     connectTimeout: options.timeoutMs,
-    headersTimeout: options.timeoutMs,
-    bodyTimeout: options.timeoutMs,
+    // The signal of each exchange ends it; these timers have a resolution of a second and would also
+    // end exchanges that ask for a longer timeout than the client's.
+    headersTimeout: 0,
+    bodyTimeout: 0,
     ...(options.keepAliveMs === undefined
       ? {}
       : { keepAliveTimeout: options.keepAliveMs, keepAliveMaxTimeout: options.keepAliveMs }),
@@ -85,8 +87,8 @@
     body?: string,
     sendOptions: SendOptions = {},
   ): Promise<Exchange> {
-    // The timeouts of the library have a resolution of a second; the signal also covers the wait
-    // for a connection, and closes the connection of an exchange that it ends.
+    // The signal also covers the wait for a connection, and closes the connection of an exchange
+    // that it ends.
     const timeout = new AbortController();
     const timer = setTimeout(() => {
       timeout.abort(new Error('no answer in time'));
