Take a lease of the own former process over at once; keep cleared room with the oldest urgent job

After a power loss of all instances nobody scheduled for the whole lease (jobs waited 4 to 5 s); an older urgent job lost the room it had cleared to a younger one that was within its guarantee (5.4 s).

--- a/packages/dispatch/src/instance.ts
+++ b/packages/dispatch/src/instance.ts
@@ -33,7 +33,7 @@
 
 /** Options of an instance. */
 export interface InstanceOptions {
-  /** Unique id of this process. */
+  /** Unique id of this process; begins with `relayAddress` and a slash. */
   processId: string;
   /** Address under which this instance is known. */
   address: string;
@@ -89,9 +89,9 @@
 const instanceTable = 'instance';
 const announceCheckMs = 300;
 /** Longest silence of an owner before another instance takes over is lease plus margin. */
-const leaseMs = 2600;
-const leaseMarginMs = 400;
-const renewMs = 600;
+const leaseMs = 2000;
+const leaseMarginMs = 300;
+const renewMs = 450;
 /** Each write needs a condition of its own, and a transaction of the store holds 100 entries. */
 const maxCommitWrites = 48;
 /** Copies of states are merged for this long; callers look at them a few times a second at most. */
@@ -141,6 +141,9 @@
     metrics,
     region: shard,
     holder: options.processId,
+    // The address belongs to one machine, which runs one process at a time.
+    isFormerSelf: (holder) =>
+      holder !== options.processId && holder.startsWith(`${options.relayAddress}/`),
     address: options.address,
     leaseMs,
     marginMs: leaseMarginMs,
--- a/packages/dispatch/src/relay.ts
+++ b/packages/dispatch/src/relay.ts
@@ -50,6 +50,8 @@
 const maxCallMs = 1000;
 /** Peers that one call is sent to; each has its own copy of the store's rows. */
 const maxPeers = 3;
+/** After no peer reached the store, calls are refused at once for this long. */
+const awayMs = 300;
 /** How long a peer that did not answer is tried last. */
 const avoidMs = 4000;
 
@@ -95,6 +97,7 @@
 export function createRelay(options: RelayOptions): Relay {
   const { clock, logger, metrics } = options;
   const failedMs = new Map<string, number>();
+  let awayUntilMs = -Infinity;
 
   function rankPeer(peer: RelayPeer): number {
     const hasFailed = clock.getNowMs() - (failedMs.get(peer.name) ?? -Infinity) < avoidMs;
@@ -107,6 +110,7 @@
       const peers = options.listPeers().sort((a, b) => rankPeer(a) - rankPeer(b));
       const endMs = clock.getNowMs() + Math.min(message.deadlineMs, maxCallMs);
       let refusal: RelayAnswerMessage | undefined;
+      if (clock.getNowMs() < awayUntilMs) return undefined;
       for (const peer of peers.slice(0, maxPeers)) {
         const leftMs = Math.min(peerTimeoutMs, endMs - clock.getNowMs());
         if (leftMs <= 0) break;
@@ -127,6 +131,7 @@
         }
         failedMs.set(peer.name, clock.getNowMs());
       }
+      awayUntilMs = clock.getNowMs() + awayMs;
       return refusal;
     },
   };
--- a/packages/ownership/src/lease.ts
+++ b/packages/ownership/src/lease.ts
@@ -35,6 +35,11 @@
   leaseMs?: number;
   marginMs?: number;
   renewMs?: number;
+  /**
+   * Tells whether a holder is an earlier process of this instance, which has certainly ended: its
+   * lease is then taken over at once. None is when absent.
+   */
+  isFormerSelf?: (holder: string) => boolean;
   /** Called after each change of the state or the epoch. */
   onChange?: (state: LeaseState, epoch: number) => void;
 }
@@ -202,7 +207,8 @@
     if (sighting?.version !== version) {
       sighting = { version, record: parseRecord(row), sinceMs: storeSeenMs };
     }
-    const isFree = sighting.record === undefined || sighting.record.holder === '';
+    const owner = sighting.record?.holder ?? '';
+    const isFree = owner === '' || options.isFormerSelf?.(owner) === true;
     const isExpired = storeSeenMs - sighting.sinceMs >= leaseMs + marginMs;
     if ((isFree || isExpired) && !isStopped) await takeOver(sighting);
   }
--- a/packages/ownership/tests/lease.test.ts
+++ b/packages/ownership/tests/lease.test.ts
@@ -1,7 +1,13 @@
 import { test } from 'node:test';
-import { settlePromises } from '@bergamotreach/protocol';
+import {
+  createAdvancingClock,
+  createManualClock,
+  createNullLogger,
+  createNullMetrics,
+  settlePromises,
+} from '@bergamotreach/protocol';
 import { expect } from 'earl';
-import { LeaseState } from '../src/index.ts';
+import { LeaseState, createRegionLease } from '../src/index.ts';
 import { TableFault } from './faketable.ts';
 import { createLease, createNode, createState, region } from './setup.ts';
 
@@ -71,3 +77,39 @@
   await stopped;
   expect([second!.isHolding(2), first!.getState()]).toEqual([true, LeaseState.Waiting]);
 });
+
+// Guards against an instance that waits for the lease of its own former process after a restart.
+test('a restarted instance takes its own lease over at once', async () => {
+  const { clock, state } = createState();
+  const before = createNode(state, 'd1/1');
+  createLease(before).start();
+  await clock.advance(1_000);
+  before.process.kill();
+  const after = createNode(state, 'd1/2');
+  const lease = createRegionLease({
+    table: after.table,
+    committer: after.committer,
+    clock: after.process,
+    logger: createNullLogger(),
+    metrics: createNullMetrics(),
+    region,
+    holder: 'd1/2',
+    address: '127.0.0.1:1',
+    isFormerSelf: (holder) => holder === 'd1/1',
+  });
+  lease.start();
+  await clock.advance(100);
+  expect([lease.getState(), lease.getEpoch()]).toEqual([LeaseState.Holding, 2]);
+});
+
+// Guards against a suspended machine whose steady clock stood still while its lease expired.
+test('the deadline counts the time of a suspension', () => {
+  const steady = createManualClock();
+  let wallMs = 0;
+  const clock = createAdvancingClock(steady, () => wallMs);
+  wallMs += 5_000;
+  expect(clock.getNowMs()).toEqual(5_000);
+  wallMs -= 2_000;
+  steady.skip(1_000);
+  expect(clock.getNowMs()).toEqual(6_000);
+});
--- a/packages/scheduling/src/planner.ts
+++ b/packages/scheduling/src/planner.ts
@@ -69,6 +69,8 @@
 const localWaitShare = 1.5;
 /** An urgent job waits this long for the right rack; reclaiming must fit into the rest. */
 const urgentLocalWaitMs = 2100;
+/** A guaranteed job that waited this long goes before all others. */
+const pressingAfterMs = 1000;
 /** A fleet with a smaller free share of its accelerators is crowded. */
 const crowdedFreeShare = 0.3;
 /** A gang that waited this long gets room reserved against work ranked below it. */
@@ -78,15 +80,16 @@
 
 function compareReady(input: PlanInput): (a: ReadyGroup, b: ReadyGroup) => number {
   const ranks = new Map(input.ready.map((ready) => [ready, getRank(ready)]));
-  const getClass = ({ group }: ReadyGroup): number => {
+  const getClass = ({ group, ageMs }: ReadyGroup): number => {
     if (group.job.rules.priority !== urgentPriority) return 2;
-    return input.guaranteed.has(group.job.id) ? 0 : 1;
+    const isPressing = input.guaranteed.has(group.job.id) && ageMs > pressingAfterMs;
+    return isPressing ? 0 : 1;
   };
   return (a, b) => {
     const byClass = getClass(a) - getClass(b);
     if (byClass !== 0) return byClass;
-    // Guaranteed jobs are all bound to start in time, so the oldest goes first.
-    if (getClass(a) === 0) return b.ageMs - a.ageMs;
+    // The oldest urgent job goes first, so that none takes the room that another has cleared.
+    if (getClass(a) < 2) return b.ageMs - a.ageMs;
     return (ranks.get(b) ?? 0) - (ranks.get(a) ?? 0);
   };
 }
--- a/packages/scheduling/tests/planner.test.ts
+++ b/packages/scheduling/tests/planner.test.ts
@@ -136,3 +136,13 @@
   const input = createInput([worker], [createReady(wide, 2800), createReady(small)]);
   expect(planStarts(input).starts).toEqual([]);
 });
+
+// Guards against urgent jobs that take the room which an older one has cleared, time and again.
+test('older urgent job keeps the room that it cleared', () => {
+  const worker = createWorker('w1');
+  const older = createSingle('older', 0, { isGang: true, taskCount: 8 });
+  const younger = createSingle('younger', 0, { isGang: true, taskCount: 4 });
+  const ready = [createReady(younger, 100), createReady(older, 900)];
+  const plan = planStarts(createInput([worker], ready, { guaranteed: new Set(['younger']) }));
+  expect(listWorkers(plan, 'older').length).toEqual(8);
+});
