Decide refused starts by the worker's report when a copy was lost; hold runs over restarts of workers

By reading: a repeated start that was refused as late or for room counted as not begun although its first copy, whose answer was lost, may have run; on a slow instance answers miss the 350 ms often. Such refusals are now undecided until the worker reports. A copy that a worker's next life may carry out is stopped there before the task runs again. Tests fail without either.

--- a/packages/dispatch/src/orders.ts
+++ b/packages/dispatch/src/orders.ts
@@ -22,6 +22,8 @@
   clockMs: number;
   /** End of the window on the worker's clock. */
   windowUntilMs: number;
+  /** A copy of the order got no answer and may be carried out later, also by a new life. */
+  hasLostCopy: boolean;
 }
 
 /** A run to be started or stopped. */
@@ -72,12 +74,14 @@
     windowUntilMs: number,
     clockMs = 0,
   ): StartResult {
-    return { fate, reason, windowUntilMs, clockMs };
+    return { fate, reason, windowUntilMs, clockMs, hasLostCopy: false };
   }
 
-  /** A refusal decides only when no earlier copy of the order may still be on its way. */
+  /**
+   * A refusal, also one for being late, decides only when no earlier copy of the order may have been
+   * carried out or may still be on its way.
+   */
   function decideRefusal(reason: RefusalReason, hasLostCopy: boolean): StartFate {
-    if (reason === RefusalReason.TooLate) return StartFate.NotStarted;
     // An earlier copy may have run and ended; the worker's report tells.
     if (reason === RefusalReason.OldRun) return StartFate.Undecided;
     return hasLostCopy ? StartFate.Undecided : StartFate.NotStarted;
@@ -103,14 +107,14 @@
         });
         if (reply.clockMs !== undefined) link.getClock().note(reply.clockMs, clock.getNowMs());
         const decided = decideStart(reply, hasLostCopy, windowUntilMs);
-        if (decided !== undefined) return decided;
+        if (decided !== undefined) return { ...decided, hasLostCopy };
         hasLostCopy = true;
         metrics.count('orders.lost', 1, { kind: 'start' });
         logger.warn('start_unanswered', { task: name.task, run: name.run, worker: link.id });
         await waitFor(clock, retryMs);
       }
       const fate = hasLostCopy ? StartFate.Undecided : StartFate.NotStarted;
-      return createResult(fate, RefusalReason.None, windowUntilMs);
+      return { ...createResult(fate, RefusalReason.None, windowUntilMs), hasLostCopy };
     },
     async stop(link, name, isWanted) {
       while (isWanted()) {
--- a/packages/dispatch/src/owner.ts
+++ b/packages/dispatch/src/owner.ts
@@ -40,7 +40,7 @@
 import type { Mirror } from './mirror.ts';
 import { StartFate, createOrderSender } from './orders.ts';
 import type { StartResult } from './orders.ts';
-import { RefusalReason } from './taskrunner.ts';
+import { OrderStatus, RefusalReason } from './taskrunner.ts';
 import type { EndedRun, RunStatus, TaskRunner, WorkerReport } from './taskrunner.ts';
 import { LinkState } from './workerlink.ts';
 import type { WorkerLink } from './workerlink.ts';
@@ -104,6 +104,8 @@
 /** Extra wait for the lease of a worker that is no longer listed, beyond the longest lease. */
 const unlistedMarginMs = 500;
 const slowestClockRate = 0.98;
+/** From the platform's pages: an order without an answer is carried out up to 12 s later. */
+const lateOrderMs = 13_000;
 const progressPageRows = 500;
 const loadRetryMs = 20;
 
@@ -114,6 +116,8 @@
   confirmedClockMs: number;
   /** End of the window of a start whose fate is not known; 0 when it is. */
   windowUntilMs: number;
+  /** Steady time until which a lost copy of the start may still be carried out; 0 without one. */
+  lateUntilMs: number;
 }
 
 /** Creates an owner for one epoch. */
@@ -125,6 +129,8 @@
   const watches = new Map<Task, Watch>();
   const records = new Map<string, GroupRecord>();
   const paused = new Map<string, number>();
+  /** Tasks whose last run may still begin on the next life of its worker. */
+  const held = new Map<Task, PlacedTask>();
   /** Room of runs that are not wanted and have not ended yet, by worker. */
   const strayRoom = new Map<string, Resources>();
   let cancelPlan: CancelTimer | undefined;
@@ -417,7 +423,9 @@
   }
 
   function noteRunning(task: Task, confirmedClockMs: number): void {
-    watches.set(task, { run: task.run, missedReports: 0, confirmedClockMs, windowUntilMs: 0 });
+    const lateUntilMs = watches.get(task)?.lateUntilMs ?? 0;
+    const { run } = task;
+    watches.set(task, { run, missedReports: 0, confirmedClockMs, windowUntilMs: 0, lateUntilMs });
   }
 
   /** A run that its worker does not list has not begun, or is gone. */
@@ -469,10 +477,63 @@
     const lost = book.groupByWorker().get(link.id) ?? [];
     logger.info('worker_lapsed', { worker: link.id, reason, runs: lost.length });
     strayRoom.delete(link.id);
-    for (const placed of lost) dropRun(placed);
+    for (const placed of lost) {
+      if (canStartLate(placed.task)) holdRun(placed);
+      else dropRun(placed);
+    }
     planSoon();
   }
 
+  /** Whether a copy of the start may still be carried out by the next life of its worker. */
+  function canStartLate(task: Task): boolean {
+    const watch = watches.get(task);
+    const isOnItsWay = task.phase === TaskPhase.Starting && watch?.confirmedClockMs === Infinity;
+    return isOnItsWay || (watch?.lateUntilMs ?? 0) > clock.getNowMs();
+  }
+
+  /** Keeps a task from its next run until its last one can no longer begin. */
+  function holdRun({ group, task }: PlacedTask): void {
+    task.phase = TaskPhase.Stopping;
+    const lateUntilMs = clock.getNowMs() + lateOrderMs;
+    const { run } = task;
+    held.set(task, { group, task });
+    watches.set(task, {
+      run,
+      missedReports: 0,
+      confirmedClockMs: Infinity,
+      windowUntilMs: 0,
+      lateUntilMs,
+    });
+    logger.info('run_held', { task: getName(group, task), run, worker: task.workerId });
+  }
+
+  /** A worker refuses a run that it was told to stop, so the next life is told to. */
+  function checkHeld(): void {
+    for (const [task, placed] of held) {
+      const watch = watches.get(task);
+      const isOver = task.phase !== TaskPhase.Stopping || watch === undefined;
+      if (isOver) held.delete(task);
+      else if (clock.getNowMs() > watch.lateUntilMs) {
+        held.delete(task);
+        dropRun(placed);
+      } else void stopHeld(placed, watch);
+    }
+  }
+
+  async function stopHeld(placed: PlacedTask, watch: Watch): Promise<void> {
+    const { group, task } = placed;
+    const link = fleet.find(task.workerId);
+    if (link?.getState() !== LinkState.Live || !options.isHolding()) return;
+    const order = { task: getName(group, task), run: watch.run, epoch };
+    const reply = await options.runner.stop(link.getEntry(), order);
+    const isCurrent = held.has(task) && watches.get(task) === watch;
+    if (!isCurrent || reply.status !== OrderStatus.Accepted) return;
+    held.delete(task);
+    // From here on the reports of this life decide: the run ends as stopped, or it is absent.
+    noteRunning(task, reply.clockMs ?? 0);
+    link.hurry();
+  }
+
   /** Runs on workers that are not listed lapse once no lease can be left. */
   function checkUnlisted(): void {
     const boundMs = options.maxLeaseMs / slowestClockRate + unlistedMarginMs;
@@ -596,6 +657,7 @@
         missedReports: 0,
         confirmedClockMs: Infinity,
         windowUntilMs: 0,
+        lateUntilMs: 0,
       });
     }
     writeGroup(group);
@@ -637,9 +699,11 @@
   function applyStart(placed: PlacedTask, link: WorkerLink, result: StartResult): void {
     const { group, task } = placed;
     if (task.phase !== TaskPhase.Starting && task.phase !== TaskPhase.Stopping) return;
+    const lateUntilMs = result.hasLostCopy ? clock.getNowMs() + lateOrderMs : 0;
     if (result.fate === StartFate.Undecided) {
       const { windowUntilMs } = result;
-      watches.set(task, { run: task.run, missedReports: 0, confirmedClockMs: 0, windowUntilMs });
+      const { run } = task;
+      watches.set(task, { run, missedReports: 0, confirmedClockMs: 0, windowUntilMs, lateUntilMs });
       link.hurry();
       return;
     }
@@ -649,6 +713,8 @@
       return;
     }
     noteRunning(task, result.clockMs);
+    const watch = watches.get(task);
+    if (watch !== undefined) watch.lateUntilMs = lateUntilMs;
     if (task.phase === TaskPhase.Starting) {
       task.phase = TaskPhase.Running;
       task.startedAtMs = clock.getNowMs();
@@ -668,6 +734,7 @@
   }
 
   function tick(): void {
+    checkHeld();
     checkUnlisted();
     checkDraining();
     plan();
--- a/packages/dispatch/tests/fakeworkers.ts
+++ b/packages/dispatch/tests/fakeworkers.ts
@@ -38,6 +38,7 @@
   readonly highest = new Map<string, number>();
   private sequence = 0;
   fence = 0;
+  bornAtMs = 1;
   leaseUntilMs = Infinity;
   ackedEnd = 0;
   /** Calls get no answer and have no effect. */
@@ -53,6 +54,18 @@
     readonly runMs: number,
   ) {}
 
+  /** Starts a new life that knows nothing of the one before. */
+  restart(): void {
+    this.active.clear();
+    this.ended.length = 0;
+    this.highest.clear();
+    this.sequence = 0;
+    this.fence = 0;
+    this.ackedEnd = 0;
+    this.leaseUntilMs = Infinity;
+    this.bornAtMs += 1;
+  }
+
   /** Brings the runs up to the present time. */
   settle(): void {
     const nowMs = this.clock.getNowMs();
@@ -123,7 +136,7 @@
       percent: 50,
     }));
     const ends = this.ended.filter(({ sequence }) => sequence > this.ackedEnd);
-    return Ok({ clockMs: this.clock.getNowMs(), bornAtMs: 1, runs, ends });
+    return Ok({ clockMs: this.clock.getNowMs(), bornAtMs: this.bornAtMs, runs, ends });
   }
 
   private keepLease(untilMs: number): void {
--- a/packages/dispatch/tests/owner.test.ts
+++ b/packages/dispatch/tests/owner.test.ts
@@ -196,3 +196,30 @@
   expect(runs.size >= 2).toEqual(true);
   expect(world.getState('j1')).toEqual(JobState.Completed);
 });
+
+// Guards against a start without an answer that the next life of its worker carries out, which knows
+// neither the stop nor the clock of the one before.
+test('late start on a restarted worker does not double the task', async () => {
+  const world = createWorld(2);
+  world.addContender('a');
+  await advance(world, startUpMs);
+  for (const worker of world.workers.values()) worker.lateMs = 3000;
+  world.submit('j1', [{}]);
+  await advance(world, 300);
+  for (const worker of world.workers.values()) worker.lateMs = 0;
+  for (const id of world.workers.keys()) world.restartWorker(id);
+  await advance(world, 20_000);
+  expect(world.getState('j1')).toEqual(JobState.Completed);
+  expect(world.listBegun().length).toEqual(1);
+});
+
+// Guards against tasks that are lost with a life of their worker.
+test('tasks of a restarted worker run again', async () => {
+  const world = createWorld(1);
+  world.addContender('a');
+  world.submit('j1', [{ taskCount: 2 }]);
+  await advance(world, 800);
+  world.restartWorker('w0');
+  await advance(world, 6000);
+  expect(world.getState('j1')).toEqual(JobState.Completed);
+});
--- a/packages/dispatch/tests/world.ts
+++ b/packages/dispatch/tests/world.ts
@@ -103,6 +103,8 @@
   addContender: (id: string) => Contender;
   submit: (id: string, steps: Partial<StepSpec>[], changes?: Partial<JobSubmission>) => void;
   cancel: (id: string) => void;
+  /** Restarts a worker under the same id. */
+  restartWorker: (id: string) => void;
   getState: (id: string) => JobState | undefined;
   /** Runs that began, in order of time. */
   listBegun: () => { task: string; run: number; atMs: number; worker: string }[];
@@ -247,6 +249,12 @@
         apply(`state/${id}`, { ...row, state: JobState.Cancelled });
       }
     },
+    restartWorker(id) {
+      const worker = workers.get(id);
+      worker?.restart();
+      const entry = { ...createEntry(id), bornAtMs: worker?.bornAtMs ?? 1 };
+      apply(`servers/${id}`, entry as unknown as RowValue);
+    },
     getState: (id) => getRow(id)?.state,
     listBegun: () =>
       [...workers.values()]
