--- a/packages/hosting/src/httpclient.ts
+++ b/packages/hosting/src/httpclient.ts
@@ -91,7 +91,10 @@
     // that it ends.
     const timeout = new AbortController();
     const timer = setTimeout(() => {
-      timeout.abort(new Error('no answer in time'));
+      // A busy process runs late timers first; an answer that has arrived meanwhile still counts.
+      setImmediate(() => {
+        timeout.abort(new Error('no answer in time'));
+      });
     }, sendOptions.timeoutMs ?? options.timeoutMs);
     try {
       const type = body === undefined ? {} : { 'content-type': 'application/json' };
