Keep the doubt of a relayed call whose peer did not answer

A peer that got the call and whose answer was lost or late counted as not asked, so the refusal of this instance stood although the peer had stored the job. Such calls are unknown now (504, repeat with the same id). The test fails without the change.

--- a/packages/dispatch/src/relay.ts
+++ b/packages/dispatch/src/relay.ts
@@ -52,6 +52,7 @@
 const maxPeers = 3;
 /** After no peer reached the store, calls are refused at once for this long. */
 const awayMs = 300;
+const doubtRetryMs = 1000;
 /** How long a peer that did not answer is tried last. */
 const avoidMs = 4000;
 
@@ -60,39 +61,59 @@
   return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
 }
 
+/** How a call to one peer ended. */
+interface PeerReply {
+  /** Absent without an answer. */
+  answer?: RelayAnswerMessage;
+  /** The call may have reached the peer. */
+  isSent: boolean;
+}
+
 /** Exchanges one message on a connection of its own: a connection may go silent at any time. */
-function sendMessage(
-  address: string,
-  message: PeerMessage,
-  timeoutMs: number,
-): Promise<PeerMessage | undefined> {
+function sendMessage(address: string, message: PeerMessage, timeoutMs: number): Promise<PeerReply> {
   return new Promise((resolve) => {
     const socket = connect(splitAddress(address));
     const reader = createFrameReader();
-    const finish = (answer: PeerMessage | undefined): void => {
+    let isSent = false;
+    const finish = (answer?: PeerMessage): void => {
       clearTimeout(timer);
       socket.destroy();
-      resolve(answer);
+      const isAnswer = answer?.type === MessageType.RelayAnswer;
+      resolve(isAnswer ? { answer, isSent } : { isSent });
     };
     const timer = setTimeout(() => {
-      finish(undefined);
+      finish();
     }, timeoutMs);
     socket.setNoDelay(true);
-    socket.once('connect', () => socket.write(encodeFrame(message)));
+    socket.once('connect', () => {
+      isSent = true;
+      socket.write(encodeFrame(message));
+    });
     socket.on('data', (chunk: Buffer) => {
       const messages = reader.readChunk(chunk);
-      if (messages.isErr()) finish(undefined);
+      if (messages.isErr()) finish();
       else if (messages.value[0] !== undefined) finish(messages.value[0]);
     });
     socket.once('error', () => {
-      finish(undefined);
+      finish();
     });
     socket.once('close', () => {
-      finish(undefined);
+      finish();
     });
   });
 }
 
+/** Stands for the answer of a peer that got the call and did not answer. */
+function createDoubt(): RelayAnswerMessage {
+  return {
+    type: MessageType.RelayAnswer,
+    faultCode: FaultCode.UnknownOutcome,
+    message: 'a peer did not answer in time; repeat with the same id',
+    retryAfterMs: doubtRetryMs,
+    value: '',
+  };
+}
+
 /** Creates a relay. */
 export function createRelay(options: RelayOptions): Relay {
   const { clock, logger, metrics } = options;
@@ -114,21 +135,21 @@
       for (const peer of peers.slice(0, maxPeers)) {
         const leftMs = Math.min(peerTimeoutMs, endMs - clock.getNowMs());
         if (leftMs <= 0) break;
-        const answer = await sendMessage(peer.relayAddress, message, leftMs);
-        const outcome = answer?.type === MessageType.RelayAnswer ? 'answered' : 'failed';
+        const { answer, isSent } = await sendMessage(peer.relayAddress, message, leftMs);
+        const outcome = answer === undefined ? 'failed' : 'answered';
         metrics.count('relay.calls', 1, { outcome });
         logger.info('call_relayed', {
           job: message.jobId,
           operation: message.operation,
           peer: peer.name,
           outcome,
-          fault: answer?.type === MessageType.RelayAnswer ? answer.faultCode : undefined,
+          isSent,
+          fault: answer?.faultCode,
         });
-        if (answer?.type === MessageType.RelayAnswer) {
-          if (!storeFaults.has(answer.faultCode)) return answer;
-          // A doubt must not be hidden by the refusal of another peer.
-          if (refusal?.faultCode !== FaultCode.UnknownOutcome) refusal = answer;
-        }
+        if (answer !== undefined && !storeFaults.has(answer.faultCode)) return answer;
+        // A peer that may have carried the call out leaves a doubt, which no refusal hides.
+        const reply = answer ?? (isSent ? createDoubt() : undefined);
+        if (refusal?.faultCode !== FaultCode.UnknownOutcome) refusal = reply ?? refusal;
         failedMs.set(peer.name, clock.getNowMs());
       }
       awayUntilMs = clock.getNowMs() + awayMs;
--- /dev/null
+++ b/packages/dispatch/tests/relay.test.ts
@@ -0,0 +1,98 @@
+import { createServer } from 'node:net';
+import type { AddressInfo, Server } from 'node:net';
+import { test } from 'node:test';
+import {
+  FaultCode,
+  MessageType,
+  RelayOperation,
+  createNullLogger,
+  createNullMetrics,
+  createSystemClock,
+} from '@bergamotreach/protocol';
+import type { RelayAnswerMessage, RelayCallMessage } from '@bergamotreach/protocol';
+import { expect } from 'earl';
+import { createRelay, startRelayListener } from '../src/index.ts';
+
+const logger = createNullLogger();
+const call: RelayCallMessage = {
+  type: MessageType.RelayCall,
+  operation: RelayOperation.Submit,
+  host: 'h',
+  path: '/p/1',
+  key: 'k',
+  jobId: '1',
+  job: '{}',
+  deadlineMs: 3000,
+};
+
+function getAddress(server: Server): string {
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+/** A peer that answers every call with one error kind; an empty one is success. */
+async function startPeer(faultCode: string): Promise<Server> {
+  const type = MessageType.RelayAnswer;
+  const answer = { type, faultCode, message: '', retryAfterMs: 0, value: 'done' } as const;
+  return startRelayListener({
+    address: '127.0.0.1:0',
+    logger,
+    handle: () => Promise.resolve(answer),
+  });
+}
+
+/** A peer that takes calls and never answers. */
+async function startMute(): Promise<Server> {
+  const server = createServer((socket) => {
+    socket.on('error', () => socket.destroy());
+    socket.resume();
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  return server;
+}
+
+async function callPeers(servers: readonly Server[]): Promise<RelayAnswerMessage | undefined> {
+  const relay = createRelay({
+    clock: createSystemClock(),
+    logger,
+    metrics: createNullMetrics(),
+    dataCentre: 'd1',
+    listPeers: () =>
+      servers.map((server, index) => ({
+        name: `p${index}`,
+        relayAddress: getAddress(server),
+        dataCentre: 'd1',
+      })),
+  });
+  const answer = await relay.call(call);
+  for (const server of servers) server.close();
+  return answer;
+}
+
+// Guards against a caller that is refused although another instance could have served it.
+test('a peer that reaches the store serves the call', async () => {
+  const peers = [await startPeer(FaultCode.StoreUnavailable), await startPeer('')];
+  expect((await callPeers(peers))?.value).toEqual('done');
+});
+
+// Guards against a refusal of a job that a peer, whose answer was lost, has accepted.
+test('a peer without an answer leaves the outcome unknown', async () => {
+  const peers = [await startMute(), await startPeer(FaultCode.StoreUnavailable)];
+  expect((await callPeers(peers))?.faultCode).toEqual(FaultCode.UnknownOutcome);
+});
+
+// Guards against a doubt where no peer can have got the call.
+test('a peer that is gone leaves no doubt', async () => {
+  const gone = await startMute();
+  const address = getAddress(gone);
+  await new Promise((resolve) => gone.close(resolve));
+  const relay = createRelay({
+    clock: createSystemClock(),
+    logger,
+    metrics: createNullMetrics(),
+    dataCentre: 'd1',
+    listPeers: () => [{ name: 'p', relayAddress: address, dataCentre: 'd1' }],
+  });
+  expect(await relay.call(call)).toEqual(undefined);
+});
