--- /dev/null
+++ b/packages/dispatch/src/fleetview.ts
@@ -0,0 +1,53 @@
+import { Reservation, TaskPhase, addResources } from '@bergamotreach/scheduling';
+import type { PlacedTask, Resources, WorkerView } from '@bergamotreach/scheduling';
+import type { OwnerContext } from './ownercontext.ts';
+import { LinkState } from './workerlink.ts';
+import type { WorkerLink } from './workerlink.ts';
+
+/** The workers that may take new work, as the planner sees them. */
+export function buildViews(context: OwnerContext, nowMs: number): WorkerView[] {
+  const byWorker = context.book.groupByWorker();
+  return context.fleet
+    .list()
+    .filter((link) => isUsable(link))
+    .map((link) => buildView(context, link, byWorker.get(link.id) ?? [], nowMs));
+}
+
+function isUsable(link: WorkerLink): boolean {
+  const entry = link.getEntry();
+  return link.getState() === LinkState.Live && link.isListed() && !entry.isDraining;
+}
+
+function buildView(
+  context: OwnerContext,
+  link: WorkerLink,
+  placed: PlacedTask[],
+  nowMs: number,
+): WorkerView {
+  const { trust, strayRoom, paused } = context;
+  const { id, pool, rack, labels, capacity } = link.getEntry();
+  const free = { ...capacity };
+  const releasing: Resources = { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
+  for (const { group, task } of placed) {
+    addResources(free, group.spec.demand, -1);
+    if (task.phase === TaskPhase.Stopping) addResources(releasing, group.spec.demand);
+  }
+  const stray = strayRoom.get(id);
+  if (stray !== undefined) addResources(free, stray, -1);
+  const isPaused = (paused.get(id) ?? 0) > nowMs;
+  const maxStarts = isPaused ? 0 : trust.countStarts(id, placed.length, nowMs);
+  return {
+    id,
+    pool,
+    rack,
+    labels: new Set(labels),
+    capacity,
+    free,
+    releasing,
+    placed,
+    maxStarts,
+    isSuspect: trust.isSuspect(id, nowMs),
+    reservation: Reservation.None,
+    speed: 1,
+  };
+}
--- /dev/null
+++ b/packages/dispatch/src/runreports.ts
@@ -0,0 +1,145 @@
+import {
+  EndEffect,
+  RunEnd,
+  TaskPhase,
+  addResources,
+  keepCheckpoint,
+  noteEnd,
+} from '@bergamotreach/scheduling';
+import type { PlacedTask, Resources } from '@bergamotreach/scheduling';
+import type { JobLife } from './joblife.ts';
+import { getTaskName } from './ownercontext.ts';
+import type { OwnerContext } from './ownercontext.ts';
+import type { EndedRun, RunStatus, WorkerReport } from './taskrunner.ts';
+import type { WorkerLink } from './workerlink.ts';
+
+/** Takes in what workers say of their runs. */
+export interface RunReports {
+  /** Resolves with the number of the last end that is stored; 0 when none is. */
+  handleReport(link: WorkerLink, report: WorkerReport): Promise<number>;
+}
+
+/** A run that is missing from this many reports after its start is gone. */
+const maxMissedReports = 2;
+
+/** Creates the part of an owner that reads reports. */
+export function createRunReports(context: OwnerContext, life: JobLife): RunReports {
+  const { book, journal, orders, trust, watches, strayRoom } = context;
+  const { clock, logger, metrics } = context.options;
+
+  async function handleReport(link: WorkerLink, report: WorkerReport): Promise<number> {
+    // Ends that come before the jobs are loaded stay with the worker and are listed again.
+    if (!context.isLoaded()) return 0;
+    let lastSequence = 0;
+    let hasEnds = false;
+    for (const ended of [...report.ends].sort((a, b) => a.sequence - b.sequence)) {
+      lastSequence = Math.max(lastSequence, ended.sequence);
+      hasEnds = true;
+      handleEnd(link, ended);
+    }
+    checkRuns(link, report);
+    if (!hasEnds) return 0;
+    context.planSoon();
+    const isStored = await journal.flush();
+    return isStored ? lastSequence : 0;
+  }
+
+  function handleEnd(link: WorkerLink, ended: EndedRun): void {
+    const placed = book.findTask(ended.task);
+    if (placed === undefined) return;
+    const { group, task } = placed;
+    const ranMs =
+      task.startedAtMs > 0 ? Math.round(clock.getNowMs() - task.startedAtMs) : undefined;
+    const effect = noteEnd(group, task, ended.run, ended.end, ended.checkpoint);
+    logger.info('run_ended', {
+      task: ended.task,
+      run: ended.run,
+      worker: link.id,
+      end: ended.end,
+      effect,
+      sequence: ended.sequence,
+      failures: task.failures,
+      ranMs,
+      estimatedMs: group.spec.estimatedMs,
+    });
+    metrics.count('runs.ended', 1, { end: ended.end });
+    if (effect === EndEffect.Stale) return;
+    watches.delete(task);
+    if (ended.end === RunEnd.Done) trust.noteDone(link.id);
+    if (ended.end === RunEnd.Failed) trust.noteFailure(link.id, group.key, clock.getNowMs());
+    life.settleEnd(placed, effect);
+  }
+
+  function checkRuns(link: WorkerLink, report: WorkerReport): void {
+    const running = new Map(report.runs.map((run) => [`${run.task}/${run.run}`, run]));
+    const stray: Resources = { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
+    for (const { group, task } of book.groupByWorker().get(link.id) ?? []) {
+      const key = `${getTaskName(group, task)}/${task.run}`;
+      const status = running.get(key);
+      running.delete(key);
+      if (status === undefined) handleAbsent(link, { group, task }, report.clockMs);
+      else handlePresent(link, { group, task }, status, report.clockMs);
+    }
+    for (const run of running.values()) stopStray(link, run, stray);
+    strayRoom.set(link.id, stray);
+  }
+
+  function handlePresent(
+    link: WorkerLink,
+    { group, task }: PlacedTask,
+    status: RunStatus,
+    clockMs: number,
+  ): void {
+    const watch = watches.get(task);
+    if (watch !== undefined) watch.missedReports = 0;
+    if (task.phase === TaskPhase.Starting) {
+      task.phase = TaskPhase.Running;
+      task.startedAtMs = clock.getNowMs();
+      life.noteRunning(task, clockMs);
+      logger.info('run_found', { task: status.task, run: status.run, worker: link.id });
+    }
+    if (status.checkpoint !== '' && status.checkpoint !== task.checkpoint) {
+      keepCheckpoint(group, task, status.checkpoint);
+      task.savedAtMs = clock.getNowMs();
+    }
+  }
+
+  /** A run that its worker does not list has not begun, or is gone. */
+  function handleAbsent(link: WorkerLink, placed: PlacedTask, clockMs: number): void {
+    const { group, task } = placed;
+    const watch = watches.get(task);
+    const isRestored = watch === undefined;
+    if (watch?.run === task.run) {
+      // Orders under way decide their own fate, and answers may overtake each other.
+      if (watch.windowUntilMs === 0 && watch.confirmedClockMs >= clockMs) return;
+      if (watch.windowUntilMs > 0 && watch.windowUntilMs >= clockMs) return;
+      watch.missedReports += 1;
+      if (watch.windowUntilMs === 0 && watch.missedReports < maxMissedReports) return;
+    }
+    logger.info('run_absent', {
+      task: getTaskName(group, task),
+      run: task.run,
+      worker: link.id,
+      phase: task.phase,
+      clockMs,
+      isRestored,
+    });
+    life.dropRun(placed);
+  }
+
+  /** A run that no job wants: of a job that ended, or older than the current run. */
+  function stopStray(link: WorkerLink, run: RunStatus, room: Resources): void {
+    const placed = book.findTask(run.task);
+    if (placed !== undefined) addResources(room, placed.group.spec.demand);
+    logger.info('stray_stopped', { task: run.task, run: run.run, worker: link.id });
+    let isFirst = true;
+    const isWanted = (): boolean => {
+      const isWantedNow = isFirst && !context.isStopped();
+      isFirst = false;
+      return isWantedNow;
+    };
+    void orders.stop(link, { task: run.task, run: run.run }, isWanted);
+  }
+
+  return { handleReport };
+}
--- /dev/null
+++ b/packages/dispatch/src/runwatch.ts
@@ -0,0 +1,20 @@
+import type { Task } from '@bergamotreach/scheduling';
+
+/** What is certain about the latest run of a task. */
+export interface RunWatch {
+  run: number;
+  /** Reports in a row that lack the run. */
+  missedReports: number;
+  /** The worker's clock when it confirmed the start; infinite before the order was answered. */
+  confirmedClockMs: number;
+  /** End of the window of a start whose fate is not known; 0 when it is. */
+  windowUntilMs: number;
+  /** Steady time until which a lost copy of the start may still be carried out; 0 without one. */
+  lateUntilMs: number;
+}
+
+/** Watches by task. A run without one was restored from the store. */
+export type RunWatches = Map<Task, RunWatch>;
+
+/** From the platform's pages: an order without an answer is carried out up to 12 s later. */
+export const lateOrderMs = 13_000;
--- /dev/null
+++ b/packages/dispatch/src/starter.ts
@@ -0,0 +1,126 @@
+import { JobState, TaskPhase, getLatestRun, isFinal, isOccupying } from '@bergamotreach/scheduling';
+import type { PlacedTask, PlannedStart, Task, TaskGroup } from '@bergamotreach/scheduling';
+import type { JobLife } from './joblife.ts';
+import { StartFate } from './orders.ts';
+import type { StartResult } from './orders.ts';
+import { getTaskName } from './ownercontext.ts';
+import type { OwnerContext } from './ownercontext.ts';
+import { lateOrderMs } from './runwatch.ts';
+import { RefusalReason } from './taskrunner.ts';
+import type { WorkerLink } from './workerlink.ts';
+
+/** Carries out planned starts. */
+export interface Starter {
+  startAll(starts: readonly PlannedStart[]): Promise<void>;
+}
+
+/** How long a worker that refused a start for want of room gets no further one. */
+const refusalPauseMs = 400;
+const unhealthyPauseMs = 2000;
+
+/** Creates the part of an owner that starts runs. */
+export function createStarter(context: OwnerContext, life: JobLife): Starter {
+  const { journal, orders, watches, paused } = context;
+  const { clock, logger, metrics } = context.options;
+
+  /** Stores the runs before they are started, so that any later owner knows where to look. */
+  async function startAll(starts: readonly PlannedStart[]): Promise<void> {
+    for (const start of starts) markStart(start);
+    const isStored = await journal.flush();
+    if (!isStored) return;
+    for (const { group, placements } of starts) {
+      for (const { task } of placements) void startTask(group, task);
+    }
+  }
+
+  function markStart({ group, placements }: PlannedStart): void {
+    const gangRun = getLatestRun(group) + 1;
+    for (const { task, workerId } of placements) {
+      task.run = group.spec.isGang ? gangRun : task.run + 1;
+      task.workerId = workerId;
+      task.phase = TaskPhase.Starting;
+      task.startedAtMs = 0;
+      // Until the order is sent no report can tell anything about the run.
+      watches.set(task, {
+        run: task.run,
+        missedReports: 0,
+        confirmedClockMs: Infinity,
+        windowUntilMs: 0,
+        lateUntilMs: 0,
+      });
+    }
+    life.writeGroup(group);
+    const job = life.findJob(group);
+    if (job?.state === JobState.Queued) {
+      job.state = JobState.Running;
+      life.writeState(job);
+    }
+  }
+
+  async function startTask(group: TaskGroup, task: Task): Promise<void> {
+    const { run, workerId } = task;
+    const link = context.fleet.find(workerId);
+    const isWanted = (): boolean =>
+      !context.isStopped() && task.run === run && task.phase === TaskPhase.Starting;
+    const isCancelled = isFinal(life.findJob(group)?.state ?? JobState.Cancelled);
+    if (link === undefined || isCancelled || !isWanted()) {
+      if (task.run === run && isOccupying(task)) life.dropRun({ group, task });
+      return;
+    }
+    const name = { task: getTaskName(group, task), run };
+    const sentMs = clock.getNowMs();
+    const { payload } = group.job;
+    const { checkpoint } = task;
+    const result = await orders.start(link, name, { payload, checkpoint, isWanted });
+    metrics.reportTiming('orders.start', clock.getNowMs() - sentMs);
+    logger.info('start_sent', {
+      task: name.task,
+      run,
+      worker: workerId,
+      fate: result.fate,
+      reason: result.reason,
+      isResumed: checkpoint !== '',
+      tookMs: Math.round(clock.getNowMs() - sentMs),
+    });
+    if (task.run === run) applyStart({ group, task }, link, result);
+  }
+
+  function applyStart(placed: PlacedTask, link: WorkerLink, result: StartResult): void {
+    const { group, task } = placed;
+    if (task.phase !== TaskPhase.Starting && task.phase !== TaskPhase.Stopping) return;
+    const lateUntilMs = result.hasLostCopy ? clock.getNowMs() + lateOrderMs : 0;
+    if (result.fate === StartFate.Undecided) {
+      const { windowUntilMs } = result;
+      const { run } = task;
+      watches.set(task, { run, missedReports: 0, confirmedClockMs: 0, windowUntilMs, lateUntilMs });
+      link.hurry();
+      return;
+    }
+    if (result.fate === StartFate.NotStarted) {
+      noteRefusal(link, result.reason);
+      life.dropRun(placed);
+      return;
+    }
+    life.noteRunning(task, result.clockMs);
+    const watch = watches.get(task);
+    if (watch !== undefined) watch.lateUntilMs = lateUntilMs;
+    if (task.phase === TaskPhase.Starting) {
+      task.phase = TaskPhase.Running;
+      task.startedAtMs = clock.getNowMs();
+    }
+    // A member of the gang was refused or ended while this one was being started.
+    if (group.spec.isGang && group.tasks.some(({ phase }) => phase === TaskPhase.Waiting)) {
+      life.stopGang(group, 'gang incomplete');
+    }
+  }
+
+  function noteRefusal(link: WorkerLink, reason: RefusalReason): void {
+    metrics.count('orders.refused', 1, { reason });
+    const nowMs = clock.getNowMs();
+    if (reason === RefusalReason.Unhealthy) paused.set(link.id, nowMs + unhealthyPauseMs);
+    else if (reason === RefusalReason.NoRoom) paused.set(link.id, nowMs + refusalPauseMs);
+    link.hurry();
+  }
+
+  return { startAll };
+}
--- a/packages/dispatch/tests/owner.test.ts
+++ b/packages/dispatch/tests/owner.test.ts
@@ -228,3 +228,17 @@
   await advance(world, 6000);
   expect(world.getState('j1')).toEqual(JobState.Completed);
 });
+
+// Guards against a start beyond the attempts when the former owner stored the last failure of a job
+// and not its end.
+test('new owner ends a job whose attempts are used up', async () => {
+  const world = createWorld(1);
+  world.submit('j1', [{}]);
+  const value = { tasks: [[0, 2, 'w0', 2, '']], gangFailures: 0, lastFailedRun: 0 };
+  const writes = [{ key: 'progress/j1.0.0', value }];
+  world.store.apply({ operationId: 'former', conditions: [], writes }, 'former', 0);
+  world.addContender('a');
+  await advance(world, 3000);
+  expect(world.getState('j1')).toEqual(JobState.Failed);
+  expect(world.listBegun()).toEqual([]);
+});
