--- a/packages/dispatch/src/fleetview.ts
+++ b/packages/dispatch/src/fleetview.ts
@@ -48,6 +48,5 @@
     maxStarts,
     isSuspect: trust.isSuspect(id, nowMs),
     reservation: Reservation.None,
-    speed: 1,
   };
 }
--- a/packages/dispatch/src/jobbook.ts
+++ b/packages/dispatch/src/jobbook.ts
@@ -183,10 +183,3 @@
 export function hasOccupying(job: LiveJob): boolean {
   return [...job.groups.values()].some((group) => group.tasks.some(isOccupying));
 }
-
-/** Whether any task of a job has been started. */
-export function hasBegun(job: LiveJob): boolean {
-  return [...job.groups.values()].some((group) =>
-    group.tasks.some((task) => task.run > 0 || task.phase === TaskPhase.Done),
-  );
-}
--- a/packages/dispatch/src/runreports.ts
+++ b/packages/dispatch/src/runreports.ts
@@ -100,7 +100,6 @@
     }
     if (status.checkpoint !== '' && status.checkpoint !== task.checkpoint) {
       keepCheckpoint(group, task, status.checkpoint);
-      task.savedAtMs = clock.getNowMs();
     }
   }
 
--- a/packages/scheduling/src/group.ts
+++ b/packages/scheduling/src/group.ts
@@ -40,8 +40,6 @@
   checkpoint: string;
   /** Steady time at which the current run was confirmed. */
   startedAtMs: number;
-  /** Steady time at which the latest checkpoint was seen. */
-  savedAtMs: number;
   /** Worker on which the task failed last; avoided by the next run. */
   failedOn: string;
 }
@@ -85,7 +83,6 @@
     failures: 0,
     checkpoint: '',
     startedAtMs: 0,
-    savedAtMs: 0,
     failedOn: '',
   };
 }
--- a/packages/scheduling/src/packing.ts
+++ b/packages/scheduling/src/packing.ts
@@ -81,7 +81,7 @@
   return slots;
 }
 
-/** Prefers fast workers, then reserved ones, then those that are left with the least room. */
+/** Prefers reserved workers, then those that are left with the least room. */
 function compareSlots(group: TaskGroup, needed: number): (a: Slot, b: Slot) => number {
   const getLeftover = ({ worker, count }: Slot): number => {
     const left = { ...worker.free };
@@ -94,10 +94,7 @@
     cache.set(slot, known);
     return known;
   };
-  return (a, b) =>
-    b.worker.speed - a.worker.speed ||
-    b.worker.reservation - a.worker.reservation ||
-    read(a) - read(b);
+  return (a, b) => b.worker.reservation - a.worker.reservation || read(a) - read(b);
 }
 
 function fillSlots(slots: readonly Slot[], tasks: readonly Task[]): Placement[] {
--- a/packages/scheduling/src/trust.ts
+++ b/packages/scheduling/src/trust.ts
@@ -4,18 +4,13 @@
   noteDone(workerId: string): void;
   /** Notes a failed run of `groupKey`. */
   noteFailure(workerId: string, groupKey: string, nowMs: number): void;
-  /** Notes a run that made no progress although its worker answers. */
-  noteStall(workerId: string, nowMs: number): void;
   /** How many tasks may start on a worker that now has `running` tasks. */
   countStarts(workerId: string, running: number, nowMs: number): number;
   /** Whether the latest end on a worker was a failure, so that the next may fail too. */
   isSuspect(workerId: string, nowMs: number): boolean;
-  drop(workerId: string): void;
-  /** Workers that are not trusted now. */
-  listDistrusted(nowMs: number): string[];
 }
 
-interface Record {
+interface Health {
   /** Groups that failed on the worker since its last run that ended well. */
   failedGroups: Set<string>;
   /** Steady time until which nothing starts on the worker. */
@@ -37,9 +32,9 @@
 
 /** Creates the record of workers; a worker that is not known is trusted. */
 export function createWorkerTrust(): WorkerTrust {
-  const records = new Map<string, Record>();
+  const records = new Map<string, Health>();
 
-  function getRecord(workerId: string): Record {
+  function getRecord(workerId: string): Health {
     const known = records.get(workerId);
     if (known !== undefined) return known;
     const created = {
@@ -52,7 +47,7 @@
     return created;
   }
 
-  function pause(record: Record, nowMs: number): void {
+  function pause(record: Health, nowMs: number): void {
     record.pausedUntilMs = nowMs + Math.min(maxPauseMs, firstPauseMs * 2 ** record.pauses);
     record.suspectUntilMs = record.pausedUntilMs + suspectMs;
     record.pauses += 1;
@@ -70,9 +65,6 @@
       const limit = record.pauses > 0 ? 1 : maxFailedGroups;
       if (record.failedGroups.size >= limit) pause(record, nowMs);
     },
-    noteStall(workerId, nowMs) {
-      pause(getRecord(workerId), nowMs);
-    },
     countStarts(workerId, running, nowMs) {
       const record = records.get(workerId);
       if (record === undefined) return Infinity;
@@ -81,10 +73,5 @@
       return Math.max(0, probeTasks - running);
     },
     isSuspect: (workerId, nowMs) => nowMs < (records.get(workerId)?.suspectUntilMs ?? -Infinity),
-    drop(workerId) {
-      records.delete(workerId);
-    },
-    listDistrusted: (nowMs) =>
-      [...records].filter(([, record]) => nowMs < record.pausedUntilMs).map(([id]) => id),
   };
 }
--- a/packages/scheduling/src/worker.ts
+++ b/packages/scheduling/src/worker.ts
@@ -27,6 +27,4 @@
   isSuspect: boolean;
   /** Whether its room is set aside for urgent work. */
   reservation: Reservation;
-  /** Observed speed; 1 is nominal, 0.25 a worker that takes four times as long. */
-  speed: number;
 }
--- a/packages/scheduling/tests/samples.ts
+++ b/packages/scheduling/tests/samples.ts
@@ -1,4 +1,4 @@
-import { JobState, Reservation, TaskPhase, createGroup } from '../src/index.ts';
+import { Reservation, TaskPhase, createGroup } from '../src/index.ts';
 import type {
   JobSubmission,
   PlacedTask,
@@ -66,7 +66,6 @@
     maxStarts: Infinity,
     isSuspect: false,
     reservation: Reservation.None,
-    speed: 1,
   };
 }
 
@@ -100,5 +99,3 @@
     .filter(({ group }) => group.job.id === jobId)
     .flatMap(({ placements }) => placements.map(({ workerId }) => workerId));
 }
-
-export const queued = JobState.Queued;
