--- a/packages/daemon/src/httpserver.ts
+++ b/packages/daemon/src/httpserver.ts
@@ -2,8 +2,13 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
 import type { LimitsConfig } from '@bergamotreach/config';
-import { splitAddress } from '@bergamotreach/membership';
-import { FaultCode, createFault, faultAnswers, getOutcome } from '@bergamotreach/protocol';
+import {
+  FaultCode,
+  createFault,
+  faultAnswers,
+  getOutcome,
+  splitAddress,
+} from '@bergamotreach/protocol';
 import type { Fault } from '@bergamotreach/protocol';
 import { formatFaultBody } from './answer.ts';
 
--- a/packages/dispatch/src/relay.ts
+++ b/packages/dispatch/src/relay.ts
@@ -1,6 +1,12 @@
 import { connect, createServer } from 'node:net';
 import type { Server, Socket } from 'node:net';
-import { FaultCode, MessageType, createFrameReader, encodeFrame } from '@bergamotreach/protocol';
+import {
+  FaultCode,
+  MessageType,
+  createFrameReader,
+  encodeFrame,
+  splitAddress,
+} from '@bergamotreach/protocol';
 import type {
   Clock,
   Logger,
@@ -56,11 +62,6 @@
 /** How long a peer that did not answer is tried last. */
 const avoidMs = 4000;
 
-function splitAddress(address: string): { host: string; port: number } {
-  const colon = address.lastIndexOf(':');
-  return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
-}
-
 /** How a call to one peer ended. */
 interface PeerReply {
   /** Absent without an answer. */
--- a/packages/membership/src/peerlink.ts
+++ b/packages/membership/src/peerlink.ts
@@ -1,6 +1,6 @@
 import { connect } from 'node:net';
 import type { Socket } from 'node:net';
-import { encodeFrame } from '@bergamotreach/protocol';
+import { encodeFrame, splitAddress } from '@bergamotreach/protocol';
 import type { CancelTimer, Clock, PeerMessage } from '@bergamotreach/protocol';
 
 /** Events of an outgoing link, handled by the membership task. */
@@ -33,12 +33,6 @@
 // A peer that reads nothing must not make this process buffer without limit.
 const maxBufferedBytes = 2 * 1024 * 1024;
 
-/** Splits `ip:port`. */
-export function splitAddress(address: string): { host: string; port: number } {
-  const colon = address.lastIndexOf(':');
-  return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
-}
-
 /** Creates a link and starts to connect. */
 export function createPeerLink(options: PeerLinkOptions): PeerLink {
   const { clock, events } = options;
--- a/packages/membership/src/peerlistener.ts
+++ b/packages/membership/src/peerlistener.ts
@@ -1,9 +1,8 @@
 import { timingSafeEqual } from 'node:crypto';
 import { createServer } from 'node:net';
 import type { AddressInfo, Server, Socket } from 'node:net';
-import { MessageType, createFrameReader } from '@bergamotreach/protocol';
+import { MessageType, createFrameReader, splitAddress } from '@bergamotreach/protocol';
 import type { HelloMessage, Logger, PeerMessage } from '@bergamotreach/protocol';
-import { splitAddress } from './peerlink.ts';
 
 /** Options of the listener for other daemons. */
 export interface PeerListenerOptions {
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -1,3 +1,4 @@
+export * from './address.ts';
 export * from './clock.ts';
 export * from './fault.ts';
 export * from './frame.ts';
