--- a/model/check.ts
+++ b/model/check.ts
@@ -97,6 +97,26 @@
   return outcomes;
 }
 
+/** Names the programs that are needed and cannot be run. */
+async function findMissing(): Promise<string[]> {
+  const missing: string[] = [];
+  for (const [program, flag] of [
+    ['spin', '-V'],
+    ['gcc', '--version'],
+  ] as const) {
+    const output = await runProgram(modelDirectory, program, [flag]);
+    if (output.startsWith('error: ')) missing.push(program);
+  }
+  return missing;
+}
+
+const missing = await findMissing();
+if (missing.length > 0) {
+  console.error(
+    `model: ${missing.join(' and ')} not found; install with: apt-get install spin gcc`,
+  );
+  process.exit(1);
+}
 const startedAt = performance.now();
 const outcomes = await runAll();
 const failed = outcomes.filter((outcome) => outcome.problem !== '');
--- a/packages/bench/src/failures/main.ts
+++ b/packages/bench/src/failures/main.ts
@@ -20,12 +20,20 @@
   }
 }
 
+const usage = 'usage: npm run failures -- FAULT[+FAULT] ... [--seed N]';
 const { values, positionals } = parseArgs({
-  options: { seed: { type: 'string', default: '7' } },
+  options: {
+    seed: { type: 'string', default: '7' },
+    help: { type: 'boolean', default: false },
+  },
   allowPositionals: true,
 });
+if (values.help) {
+  console.log(usage);
+  process.exit(0);
+}
 let exitCode = positionals.length === 0 ? 1 : 0;
-if (exitCode !== 0) console.error('usage: npm run failures -- FAULT[+FAULT] ... [--seed N]');
+if (exitCode !== 0) console.error(usage);
 for (const name of positionals) {
   const verdict = await runNamed(name, Number(values.seed));
   console.log(formatVerdict(verdict));
