--- a/packages/bench/src/placement/cost.ts
+++ b/packages/bench/src/placement/cost.ts
@@ -11,7 +11,7 @@
 import { createDesignSize } from './deployment.ts';
 import type { RegionSetup } from './deployment.ts';
 import { computeQuantile } from './summary.ts';
-import { createRandom } from './random.ts';
+import { createRandom } from '../random.ts';
 
 /** Cost of decisions with a given number of workers, running tasks and waiting jobs. */
 export interface CostPoint {
--- a/packages/bench/src/placement/workload.ts
+++ b/packages/bench/src/placement/workload.ts
@@ -1,7 +1,7 @@
 import type { JobSpec } from '@bergamotreach/placement';
 import type { JobKind, RegionSetup } from './deployment.ts';
-import { createRandom } from './random.ts';
-import type { Random } from './random.ts';
+import { createRandom } from '../random.ts';
+import type { Random } from '../random.ts';
 
 /** A job with the properties that a policy cannot see. */
 export interface BenchJob {
--- a/packages/bench/src/placement/random.ts
+++ b/packages/bench/src/random.ts
@@ -5,6 +5,8 @@
 export interface Random {
   /** Uniform in [0, 1). */
   getUniform: () => number;
+  /** Whole number from 0 to `limit` - 1. */
+  getIndex: (limit: number) => number;
   /** Exponential with the given mean. */
   getExponential: (mean: number) => number;
   /** Log-uniform between the bounds. */
@@ -21,6 +23,7 @@
   const getUniform = (): number => uniformFloat64(generator);
   return {
     getUniform,
+    getIndex: (limit) => Math.floor(getUniform() * limit),
     getExponential: (mean) => -mean * Math.log(1 - getUniform()),
     getLogUniform: (low, high) => low * (high / low) ** getUniform(),
     getPareto: (shape, low, high) => {
--- a/packages/bench/src/requests/compare.ts
+++ b/packages/bench/src/requests/compare.ts
@@ -2,7 +2,7 @@
 import type { LimitResult } from './limitsim.ts';
 import { Policy, runPolicy } from './policysim.ts';
 import type { PolicyResult, PolicySize } from './policysim.ts';
-import { computeMean } from './random.ts';
+import { computeMean } from './statistics.ts';
 import { runRetries } from './retrysim.ts';
 import type { RetryResult } from './retrysim.ts';
 
--- a/packages/bench/src/requests/limitsim.ts
+++ b/packages/bench/src/requests/limitsim.ts
@@ -1,4 +1,5 @@
-import { createDraws, computePercentile } from './random.ts';
+import { createRandom } from '../random.ts';
+import { computePercentile } from './statistics.ts';
 import { SimClock } from './simclock.ts';
 
 /** Result of a concurrency limit at one endpoint. */
@@ -48,7 +49,7 @@
 /** Simulates one endpoint at 1.5 times its load with a fixed or an adaptive limit. */
 export function runLimit(isAdaptive: boolean, trueSlots: number, seed: number): LimitResult {
   const clock = new SimClock();
-  const draws = createDraws(seed);
+  const draws = createRandom(seed);
   const fixed: Limit = { get: () => declaredSlots, addSample: () => undefined };
   const limit = isAdaptive ? createAdaptiveLimit() : fixed;
   const queue: number[] = [];
--- a/packages/bench/src/requests/policysim.ts
+++ b/packages/bench/src/requests/policysim.ts
@@ -1,6 +1,7 @@
 import { createGrantedPolicy } from './grantedpolicy.ts';
-import { createDraws, computeMean, computePercentile } from './random.ts';
-import type { Draws } from './random.ts';
+import { createRandom } from '../random.ts';
+import type { Random } from '../random.ts';
+import { computeMean, computePercentile } from './statistics.ts';
 import { SimClock } from './simclock.ts';
 
 /** Policies compared. */
@@ -35,7 +36,7 @@
 /** What a policy needs of the simulation. */
 export interface SimContext {
   clock: SimClock;
-  draws: Draws;
+  draws: Random;
   size: PolicySize;
   /** Runs a request at an endpoint now; `finish` is called at its end. */
   runAt(endpoint: number, request: SimRequest, finish: () => void): void;
@@ -147,7 +148,7 @@
 }
 
 /** Half of the load comes in at the first router, as callers do not spread evenly. */
-function pickRouter(draws: Draws, routers: number): number {
+function pickRouter(draws: Random, routers: number): number {
   return draws.getUniform() < 0.5 ? 0 : draws.getIndex(routers);
 }
 
@@ -159,7 +160,7 @@
   seed: number,
 ): PolicyResult {
   const clock = new SimClock();
-  const draws = createDraws(seed);
+  const draws = createRandom(seed);
   const latencies: number[] = [];
   let busyMs = 0;
   let good = 0;
--- a/packages/bench/src/requests/retrysim.ts
+++ b/packages/bench/src/requests/retrysim.ts
@@ -1,5 +1,5 @@
 import { createRetryBudget } from '@bergamotreach/routing';
-import { createDraws } from './random.ts';
+import { createRandom } from '../random.ts';
 
 /** Result of an outage with or without a retry budget. */
 export interface RetryResult {
@@ -19,7 +19,7 @@
   hasBudget: boolean,
   seed: number,
 ): { attempts: number; answered: number } {
-  const draws = createDraws(seed);
+  const draws = createRandom(seed);
   const budget = createRetryBudget(() => ({ getRetryRatio: () => 0.1, maxRetryTokens: 10 }));
   let attempts = 0;
   let answered = 0;
