Raise a worker's fencing token with each of its lives; keep runs that a new life took

Ruled out: late writes of the store (no takeover near). Change: the token is the epoch and the number of the worker's life, so the first call to a new life shuts out earlier copies. Runs that no report has listed wait for that call when a worker restarts. A life that answers a report before its entry comes gets its link at once. The tests of both fail without the change.

--- a/packages/bench/src/cluster/cluster.ts
+++ b/packages/bench/src/cluster/cluster.ts
@@ -1,5 +1,5 @@
 import { mkdtemp, readFile, readdir, rm } from 'node:fs/promises';
-import { createServer } from 'node:net';
+import { findFreePort } from '../ports.ts';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
@@ -65,34 +65,6 @@
   throw new Error(`${what} did not happen within ${timeoutMs} ms`);
 }
 
-// Below the range from which Linux takes ports of outgoing connections: a free port of that range
-// could be taken by a connection of another daemon before the new one listens on it.
-const firstPort = 20_000;
-const portCount = 12_000;
-let nextPort = process.pid * 41;
-
-async function canListen(port: number): Promise<boolean> {
-  const server = createServer();
-  return new Promise((resolve) => {
-    server.once('error', () => {
-      resolve(false);
-    });
-    server.listen(port, '127.0.0.1', () => {
-      server.close(() => {
-        resolve(true);
-      });
-    });
-  });
-}
-
-async function findFreePort(): Promise<number> {
-  for (;;) {
-    nextPort += 1;
-    const port = firstPort + (nextPort % portCount);
-    if (await canListen(port)) return port;
-  }
-}
-
 async function createSettings(
   region: string,
   index: number,
--- /dev/null
+++ b/packages/bench/src/ports.ts
@@ -0,0 +1,30 @@
+import { createServer } from 'node:net';
+
+// Below the range from which Linux takes ports of outgoing connections: a free port of that range
+// could be taken by a connection of another daemon before the new one listens on it.
+const firstPort = 20_000;
+const portCount = 12_000;
+let nextPort = process.pid * 41;
+
+async function canListen(port: number): Promise<boolean> {
+  const server = createServer();
+  return new Promise((resolve) => {
+    server.once('error', () => {
+      resolve(false);
+    });
+    server.listen(port, '127.0.0.1', () => {
+      server.close(() => {
+        resolve(true);
+      });
+    });
+  });
+}
+
+/** A port of the loopback address that is free now. */
+export async function findFreePort(): Promise<number> {
+  for (;;) {
+    nextPort += 1;
+    const port = firstPort + (nextPort % portCount);
+    if (await canListen(port)) return port;
+  }
+}
--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -1,9 +1,10 @@
 import type { Feed } from '@bergamotreach/hosting';
 import type { Clock, Logger, Metrics } from '@bergamotreach/protocol';
+import { computeFence } from './fence.ts';
 import { createMirror } from './mirror.ts';
 import type { TaskRunner, WorkerReport } from './taskrunner.ts';
 import type { WorkerEntry } from './workerentry.ts';
-import { LinkState, createWorkerLink } from './workerlink.ts';
+import { LapseCause, LinkState, createWorkerLink } from './workerlink.ts';
 import type { WorkerLink } from './workerlink.ts';
 
 /** Options of a fleet. Durations are in milliseconds. */
@@ -18,7 +19,7 @@
   heartbeatMs: number;
   isHolding: () => boolean;
   onReport: (link: WorkerLink, report: WorkerReport) => Promise<number>;
-  onLapse: (link: WorkerLink, reason: string) => void;
+  onLapse: (link: WorkerLink, cause: LapseCause) => void;
   onFenced: () => void;
   /** Called when a worker becomes usable or its entry changes. */
   onChange: (link: WorkerLink) => void;
@@ -43,15 +44,26 @@
   const { clock, logger, runner } = options;
   const links = new Map<string, WorkerLink>();
   const updatedMs = new Map<string, number>();
+  /** Lives of each worker that this owner has seen. */
+  const lives = new Map<string, number>();
   let isRunning = false;
 
-  function openLink(entry: WorkerEntry): void {
+  function openLink(entry: WorkerEntry): WorkerLink {
+    const life = lives.get(entry.id) ?? 0;
+    lives.set(entry.id, life + 1);
     const link: WorkerLink = createWorkerLink({
       ...options,
+      fence: computeFence(options.epoch, life),
       entry,
       onReport: (report) => options.onReport(link, report),
-      onLapse: (reason) => {
-        handleLapse(link, reason);
+      onLapse: (cause) => {
+        handleLapse(link, cause);
+      },
+      onRestart: (bornAtMs) => {
+        // Nothing is placed there until its entry tells what the new life offers.
+        if (links.get(link.id) === link) {
+          replaceLink(link, { ...link.getEntry(), bornAtMs }).setListed(false);
+        }
       },
     });
     links.set(entry.id, link);
@@ -63,10 +75,11 @@
       isDraining: entry.isDraining,
     });
     if (isRunning) link.start();
+    return link;
   }
 
-  function handleLapse(link: WorkerLink, reason: string): void {
-    options.onLapse(link, reason);
+  function handleLapse(link: WorkerLink, cause: LapseCause): void {
+    options.onLapse(link, cause);
     if (!link.isListed()) closeLink(link);
   }
 
@@ -76,14 +89,21 @@
     runner.drop(link.getEntry());
   }
 
+  /** The next life gets a link and a fencing token of its own at once. */
+  function replaceLink(link: WorkerLink, entry: WorkerEntry): WorkerLink {
+    logger.info('worker_restarted', { worker: entry.id, life: entry.bornAtMs });
+    link.endLife(LapseCause.Restarted);
+    closeLink(link);
+    return openLink(entry);
+  }
+
   function updateLink(link: WorkerLink, entry: WorkerEntry): void {
     const known = link.getEntry();
+    // An entry that was written by a life before this one says nothing of it.
+    if (entry.bornAtMs < known.bornAtMs) return;
     link.setListed(true);
     if (known.bornAtMs !== entry.bornAtMs) {
-      logger.info('worker_restarted', { worker: entry.id, life: entry.bornAtMs });
-      link.endLife('worker restarted');
-      closeLink(link);
-      openLink(entry);
+      replaceLink(link, entry);
       return;
     }
     if (known.isDraining !== entry.isDraining) {
@@ -99,7 +119,7 @@
       link.getEntry().isDraining && sinceMs < leftWithinHeartbeats * options.heartbeatMs;
     logger.info('worker_unlisted', { worker: link.id, hasLeft, sinceMs: Math.round(sinceMs) });
     link.setListed(false);
-    if (hasLeft) link.endLife('worker left');
+    if (hasLeft) link.endLife(LapseCause.Left);
     else if (link.getState() === LinkState.Lapsed) closeLink(link);
   }
 
--- a/packages/dispatch/src/heldruns.ts
+++ b/packages/dispatch/src/heldruns.ts
@@ -1,79 +1,92 @@
-import { TaskPhase } from '@bergamotreach/scheduling';
+import { JobState, TaskPhase, isFinal } from '@bergamotreach/scheduling';
 import type { PlacedTask, Task } from '@bergamotreach/scheduling';
 import type { JobLife } from './joblife.ts';
 import { getTaskName } from './ownercontext.ts';
 import type { OwnerContext } from './ownercontext.ts';
 import { lateOrderMs } from './runwatch.ts';
-import type { RunWatch } from './runwatch.ts';
-import { OrderStatus } from './taskrunner.ts';
-import { LinkState } from './workerlink.ts';
+import type { WorkerReport } from './taskrunner.ts';
+import { LapseCause } from './workerlink.ts';
+import type { WorkerLink } from './workerlink.ts';
 
 /**
- * Tasks whose last run may still begin on the next life of its worker, because a copy of the start
- * got no answer. They wait until that life refuses the run.
+ * Tasks whose last run may be on the next life of its worker: a copy of the start got no answer, or
+ * the life that took it is not known. They wait for the first report of that life: it takes the
+ * owner's raised fencing token, and from then on no earlier copy can begin.
  */
 export interface HeldRuns {
-  canStartLate(task: Task): boolean;
+  canBeOnNextLife(task: Task, cause: LapseCause): boolean;
   holdRun(placed: PlacedTask): void;
-  /** Goes on with the tasks that are held. */
+  /** Goes on with the tasks that were held for the worker that sent a report. */
+  noteReport(link: WorkerLink, report: WorkerReport): void;
+  /** Goes on with the tasks of workers that did not come back. */
   checkHeld(): void;
 }
 
+interface HeldRun extends PlacedTask {
+  workerId: string;
+  /** Steady time from which no copy of the order can be carried out any more. */
+  untilMs: number;
+}
+
 /** Creates the part of an owner that holds runs back. */
 export function createHeldRuns(context: OwnerContext, life: JobLife): HeldRuns {
   const { watches, options } = context;
-  const { clock, logger, epoch } = options;
-  const held = new Map<Task, PlacedTask>();
+  const { clock, logger } = options;
+  const held = new Map<Task, HeldRun>();
 
-  /** Whether a copy of the start may still be carried out by the next life of its worker. */
-  function canStartLate(task: Task): boolean {
-    const watch = watches.get(task);
-    const isOnItsWay = task.phase === TaskPhase.Starting && watch?.confirmedClockMs === Infinity;
-    return isOnItsWay || (watch?.lateUntilMs ?? 0) > clock.getNowMs();
+  function isHeld(task: Task): boolean {
+    return task.phase === TaskPhase.Stopping;
   }
 
-  /** Keeps a task from its next run until its last one can no longer begin. */
-  function holdRun({ group, task }: PlacedTask): void {
-    task.phase = TaskPhase.Stopping;
-    const lateUntilMs = clock.getNowMs() + lateOrderMs;
-    const { run } = task;
-    held.set(task, { group, task });
-    watches.set(task, {
-      run,
-      missedReports: 0,
-      confirmedClockMs: Infinity,
-      windowUntilMs: 0,
-      lateUntilMs,
-    });
-    logger.info('run_held', { task: getTaskName(group, task), run, worker: task.workerId });
+  /** The late copy began before the report's token arrived, so it is the task's run. */
+  function resumeRun({ group, task }: PlacedTask, clockMs: number): void {
+    task.phase = TaskPhase.Running;
+    task.startedAtMs = clock.getNowMs();
+    life.noteRunning(task, clockMs);
+    const isWanted = !isFinal(life.findJob(group)?.state ?? JobState.Cancelled);
+    if (!isWanted) life.stopTask({ group, task }, 'job ended');
   }
 
-  /** A worker refuses a run that it was told to stop, so the next life is told to. */
-  function checkHeld(): void {
-    for (const [task, placed] of held) {
+  return {
+    canBeOnNextLife(task, cause) {
       const watch = watches.get(task);
-      const isOver = task.phase !== TaskPhase.Stopping || watch === undefined;
-      if (isOver) held.delete(task);
-      else if (clock.getNowMs() > watch.lateUntilMs) {
+      // Only reports name the life that answers, so the new one may have taken the start.
+      if (cause === LapseCause.Restarted && watch?.isListed !== true) return true;
+      const isOnItsWay = task.phase === TaskPhase.Starting && watch?.confirmedClockMs === Infinity;
+      return isOnItsWay || (watch?.lateUntilMs ?? 0) > clock.getNowMs();
+    },
+    holdRun({ group, task }) {
+      task.phase = TaskPhase.Stopping;
+      const { run, workerId } = task;
+      held.set(task, { group, task, workerId, untilMs: clock.getNowMs() + lateOrderMs });
+      watches.set(task, {
+        run,
+        missedReports: 0,
+        confirmedClockMs: Infinity,
+        windowUntilMs: 0,
+        lateUntilMs: 0,
+        isListed: false,
+      });
+      logger.info('run_held', { task: getTaskName(group, task), run, worker: workerId });
+    },
+    noteReport(link, report) {
+      for (const [task, one] of held) {
+        if (one.workerId !== link.id) continue;
         held.delete(task);
-        life.dropRun(placed);
-      } else void stopHeld(placed, watch);
-    }
-  }
-
-  async function stopHeld(placed: PlacedTask, watch: RunWatch): Promise<void> {
-    const { group, task } = placed;
-    const link = context.fleet.find(task.workerId);
-    if (link?.getState() !== LinkState.Live || !options.isHolding()) return;
-    const order = { task: getTaskName(group, task), run: watch.run, epoch };
-    const reply = await options.runner.stop(link.getEntry(), order);
-    const isCurrent = held.has(task) && watches.get(task) === watch;
-    if (!isCurrent || reply.status !== OrderStatus.Accepted) return;
-    held.delete(task);
-    // From here on the reports of this life decide: the run ends as stopped, or it is absent.
-    life.noteRunning(task, reply.clockMs ?? 0);
-    link.hurry();
-  }
-
-  return { canStartLate, holdRun, checkHeld };
+        if (!isHeld(task)) continue;
+        const name = getTaskName(one.group, task);
+        const isListed = report.runs.some((run) => run.task === name && run.run === task.run);
+        logger.info('run_released', { task: name, run: task.run, worker: link.id, isListed });
+        if (isListed) resumeRun(one, report.clockMs);
+        else life.dropRun(one);
+      }
+    },
+    checkHeld() {
+      for (const [task, one] of held) {
+        if (isHeld(task) && clock.getNowMs() <= one.untilMs) continue;
+        held.delete(task);
+        if (isHeld(task)) life.dropRun(one);
+      }
+    },
+  };
 }
--- a/packages/dispatch/src/instance.ts
+++ b/packages/dispatch/src/instance.ts
@@ -41,6 +41,8 @@
   /** Name of this instance, kept over restarts. */
   name: string;
   dataCentre: string;
+  /** Processor time a second of this instance, in cores of usual speed. */
+  power: number;
   /** `ip:port` at which other instances reach this one. */
   relayAddress: string;
   instanceFeed: Feed<InstanceRow>;
@@ -88,10 +90,15 @@
 const shard = 'main';
 const instanceTable = 'instance';
 const announceCheckMs = 300;
+const loadCheckMs = 20;
 /** Longest silence of an owner before another instance takes over is lease plus margin. */
 const leaseMs = 2000;
 const leaseMarginMs = 300;
 const renewMs = 450;
+/** An instance with this many times the power of another owns the scheduling rather than that one. */
+const largerFactor = 1.5;
+/** Lets larger instances, which look at the lease every 450 ms, take it first. */
+const reluctanceMs = 700;
 /** Each write needs a condition of its own, and a transaction of the store holds 100 entries. */
 const maxCommitWrites = 48;
 /** Copies of states are merged for this long; callers look at them a few times a second at most. */
@@ -145,6 +152,7 @@
     isFormerSelf: (holder) =>
       holder !== options.processId && holder.startsWith(`${options.relayAddress}/`),
     address: options.address,
+    getReluctanceMs: () => (hasLargerPeer() ? reluctanceMs : 0),
     leaseMs,
     marginMs: leaseMarginMs,
     renewMs,
@@ -171,6 +179,11 @@
   });
   const jobs = createRelayedJobs({ jobs: localJobs, relay, clock });
 
+  /** A small instance would fall behind as the owner of a large fleet. */
+  function hasLargerPeer(): boolean {
+    return instances.list().some(([, { power = 0 }]) => power >= options.power * largerFactor);
+  }
+
   function getConfig(): ServiceConfig | undefined {
     return configs.list()[0]?.[1];
   }
@@ -217,10 +230,12 @@
   /** Tells the other instances where this one is; its row outlives restarts. */
   async function announceInstance(): Promise<void> {
     const key = `${instanceTable}/${options.name}`;
-    const row = { relayAddress: options.relayAddress, dataCentre: options.dataCentre };
+    const { relayAddress, dataCentre, power } = options;
+    const row = { relayAddress, dataCentre, power };
     while (!isDraining) {
       const known = instances.find(options.name);
-      if (known?.relayAddress === row.relayAddress) return;
+      const isKnown = known?.relayAddress === relayAddress && known.power === power;
+      if (isKnown && known.dataCentre === dataCentre) return;
       if (instances.isLoaded()) {
         const version = instances.findVersion(options.name) ?? 0;
         await committer.submit({
@@ -233,9 +248,13 @@
     }
   }
 
+  function hasLoaded(): boolean {
+    return states.isLoaded() && configs.isLoaded() && instances.isLoaded();
+  }
+
   async function startLease(): Promise<void> {
     // Without a configuration and the states an owner could not decide anything.
-    while (!isDraining && !(states.isLoaded() && configs.isLoaded())) await waitFor(clock, 20);
+    while (!isDraining && !hasLoaded()) await waitFor(clock, loadCheckMs);
     if (!isDraining) lease.start();
   }
 
--- a/packages/dispatch/src/orders.ts
+++ b/packages/dispatch/src/orders.ts
@@ -35,7 +35,6 @@
 /** Options of the sender of orders. */
 export interface OrderSenderOptions {
   runner: TaskRunner;
-  epoch: number;
   clock: Clock;
   logger: Logger;
   metrics: Metrics;
@@ -66,7 +65,7 @@
 
 /** Creates the sender of an owner. */
 export function createOrderSender(options: OrderSenderOptions): OrderSender {
-  const { runner, epoch, clock, logger, metrics, isHolding } = options;
+  const { runner, clock, logger, metrics, isHolding } = options;
 
   function createResult(
     fate: StartFate,
@@ -103,7 +102,7 @@
         const reply = await runner.start(link.getEntry(), {
           ...order,
           leaseUntilMs: windowUntilMs,
-          epoch,
+          fence: link.getFence(),
         });
         if (reply.clockMs !== undefined) link.getClock().note(reply.clockMs, clock.getNowMs());
         const decided = decideStart(reply, hasLostCopy, windowUntilMs);
@@ -119,7 +118,7 @@
     async stop(link, name, isWanted) {
       while (isWanted()) {
         if (isHolding()) {
-          const reply = await runner.stop(link.getEntry(), { ...name, epoch });
+          const reply = await runner.stop(link.getEntry(), { ...name, fence: link.getFence() });
           if (reply.status === OrderStatus.Fenced) options.onFenced();
           if (reply.status === OrderStatus.Unknown) {
             metrics.count('orders.lost', 1, { kind: 'stop' });
--- a/packages/dispatch/src/owner.ts
+++ b/packages/dispatch/src/owner.ts
@@ -25,7 +25,7 @@
 import type { OwnerContext, OwnerOptions } from './ownercontext.ts';
 import { createRunReports } from './runreports.ts';
 import { createStarter } from './starter.ts';
-import type { LinkState, WorkerLink } from './workerlink.ts';
+import type { LapseCause, LinkState, WorkerLink } from './workerlink.ts';
 
 /** Schedules all jobs while this process holds the lease. */
 export interface Owner {
@@ -83,7 +83,6 @@
   });
   const orders = createOrderSender({
     runner: options.runner,
-    epoch,
     clock,
     logger,
     metrics,
@@ -131,8 +130,8 @@
     planSoon,
   };
   const life = createJobLife(context);
-  const reports = createRunReports(context, life);
   const heldRuns = createHeldRuns(context, life);
+  const reports = createRunReports(context, life, heldRuns);
   const starter = createStarter(context, life);
 
   function isCancelledRow(value: RowValue): boolean {
@@ -198,12 +197,12 @@
     }
   }
 
-  function handleLapse(link: WorkerLink, reason: string): void {
+  function handleLapse(link: WorkerLink, cause: LapseCause): void {
     const lost = book.groupByWorker().get(link.id) ?? [];
-    logger.info('worker_lapsed', { worker: link.id, reason, runs: lost.length });
+    logger.info('worker_lapsed', { worker: link.id, reason: cause, runs: lost.length });
     context.strayRoom.delete(link.id);
     for (const placed of lost) {
-      if (heldRuns.canStartLate(placed.task)) heldRuns.holdRun(placed);
+      if (heldRuns.canBeOnNextLife(placed.task, cause)) heldRuns.holdRun(placed);
       else life.dropRun(placed);
     }
     planSoon();
--- a/packages/dispatch/src/relay.ts
+++ b/packages/dispatch/src/relay.ts
@@ -21,6 +21,8 @@
   /** `ip:port`. */
   relayAddress: string;
   dataCentre: string;
+  /** Processor time a second, in cores of usual speed; absent from instances of older versions. */
+  power?: number;
 }
 
 /** A peer that relayed calls may be sent to. */
--- a/packages/dispatch/src/relayedjobs.ts
+++ b/packages/dispatch/src/relayedjobs.ts
@@ -32,7 +32,8 @@
 function decodeFault(answer: RelayAnswerMessage): Fault {
   const known = Object.values(FaultCode).find((code: string) => code === answer.faultCode);
   const code = known ?? FaultCode.UnknownOutcome;
-  return createFault(code, answer.message, { retryAfterMs: answer.retryAfterMs });
+  const extras = answer.retryAfterMs > 0 ? { retryAfterMs: answer.retryAfterMs } : {};
+  return createFault(code, answer.message, extras);
 }
 
 /**
@@ -150,5 +151,6 @@
     return { type, faultCode: '', message: '', retryAfterMs: 0, value: String(result.value) };
   }
   const { code, message, retryAfterMs } = result.error;
+  // Zero stands for a fault that states no time.
   return { type, faultCode: code, message, retryAfterMs: retryAfterMs ?? 0, value: '' };
 }
--- a/packages/dispatch/src/runreports.ts
+++ b/packages/dispatch/src/runreports.ts
@@ -7,6 +7,7 @@
   noteEnd,
 } from '@bergamotreach/scheduling';
 import type { PlacedTask, Resources } from '@bergamotreach/scheduling';
+import type { HeldRuns } from './heldruns.ts';
 import type { JobLife } from './joblife.ts';
 import { getTaskName } from './ownercontext.ts';
 import type { OwnerContext } from './ownercontext.ts';
@@ -23,7 +24,11 @@
 const maxMissedReports = 2;
 
 /** Creates the part of an owner that reads reports. */
-export function createRunReports(context: OwnerContext, life: JobLife): RunReports {
+export function createRunReports(
+  context: OwnerContext,
+  life: JobLife,
+  heldRuns: HeldRuns,
+): RunReports {
   const { book, journal, orders, trust, watches, strayRoom } = context;
   const { clock, logger, metrics } = context.options;
 
@@ -37,6 +42,7 @@
       hasEnds = true;
       handleEnd(link, ended);
     }
+    heldRuns.noteReport(link, report);
     checkRuns(link, report);
     if (!hasEnds) return 0;
     context.planSoon();
@@ -90,14 +96,14 @@
     status: RunStatus,
     clockMs: number,
   ): void {
-    const watch = watches.get(task);
-    if (watch !== undefined) watch.missedReports = 0;
     if (task.phase === TaskPhase.Starting) {
       task.phase = TaskPhase.Running;
       task.startedAtMs = clock.getNowMs();
       life.noteRunning(task, clockMs);
       logger.info('run_found', { task: status.task, run: status.run, worker: link.id });
     }
+    const watch = watches.get(task);
+    if (watch !== undefined) Object.assign(watch, { missedReports: 0, isListed: true });
     if (status.checkpoint !== '' && status.checkpoint !== task.checkpoint) {
       keepCheckpoint(group, task, status.checkpoint);
     }
--- a/packages/dispatch/src/runwatch.ts
+++ b/packages/dispatch/src/runwatch.ts
@@ -11,6 +11,8 @@
   windowUntilMs: number;
   /** Steady time until which a lost copy of the start may still be carried out; 0 without one. */
   lateUntilMs: number;
+  /** A report listed the run, so the life that the report is from has it. */
+  isListed: boolean;
 }
 
 /** Watches by task. A run without one was restored from the store. */
--- a/packages/dispatch/src/starter.ts
+++ b/packages/dispatch/src/starter.ts
@@ -47,6 +47,7 @@
         confirmedClockMs: Infinity,
         windowUntilMs: 0,
         lateUntilMs: 0,
+        isListed: false,
       });
     }
     life.writeGroup(group);
@@ -92,7 +93,14 @@
     if (result.fate === StartFate.Undecided) {
       const { windowUntilMs } = result;
       const { run } = task;
-      watches.set(task, { run, missedReports: 0, confirmedClockMs: 0, windowUntilMs, lateUntilMs });
+      watches.set(task, {
+        run,
+        missedReports: 0,
+        confirmedClockMs: 0,
+        windowUntilMs,
+        lateUntilMs,
+        isListed: false,
+      });
       link.hurry();
       return;
     }
--- a/packages/dispatch/src/taskrunner.ts
+++ b/packages/dispatch/src/taskrunner.ts
@@ -18,15 +18,15 @@
   checkpoint: string;
   /** Time on the worker's clock until which the run may begin and holds its lease. */
   leaseUntilMs: number;
-  /** Fencing token. */
-  epoch: number;
+  /** Token of the owner for this life of the worker; a lower one than the worker knows is refused. */
+  fence: number;
 }
 
 /** Stops one run of a task. */
 export interface StopOrder {
   task: string;
   run: number;
-  epoch: number;
+  fence: number;
 }
 
 /** How an order was answered. */
@@ -68,7 +68,7 @@
 
 /** Extends the lease of everything on a worker and asks what runs there. */
 export interface ReportRequest {
-  epoch: number;
+  fence: number;
   /** Ends up to this number are stored and may be forgotten. */
   ackedEnd: number;
   /** New end of the lease on the worker's clock; absent to leave it. */
--- a/packages/dispatch/src/workerlink.ts
+++ b/packages/dispatch/src/workerlink.ts
@@ -16,11 +16,20 @@
   Lapsed = 'lapsed',
 }
 
+/** Why nothing that was started in a life of a worker can run any more. */
+export enum LapseCause {
+  LeaseExpired = 'lease expired',
+  Restarted = 'worker restarted',
+  Left = 'worker left',
+  OtherWorker = 'another worker answers',
+}
+
 /** Options of a link. Durations are in milliseconds. */
 export interface WorkerLinkOptions {
   entry: WorkerEntry;
   runner: TaskRunner;
-  epoch: number;
+  /** Fencing token for this life of the worker. */
+  fence: number;
   clock: Clock;
   logger: Logger;
   metrics: Metrics;
@@ -34,7 +43,9 @@
    */
   onReport: (report: WorkerReport) => Promise<number>;
   /** Called once nothing that was started there can run any more. */
-  onLapse: (reason: string) => void;
+  onLapse: (cause: LapseCause) => void;
+  /** Called when another life of the worker answers; `bornAtMs` is its start. */
+  onRestart: (bornAtMs: number) => void;
   /** Called when a worker answers that obeys a newer owner. */
   onFenced: () => void;
 }
@@ -51,8 +62,10 @@
   /** Time since the worker answered last, in milliseconds. */
   getSilenceMs(): number;
   getClock(): WorkerClock;
+  /** Fencing token of the orders to this life of the worker. */
+  getFence(): number;
   /** Declares that nothing started in this life of the worker can run any more. */
-  endLife(reason: string): void;
+  endLife(cause: LapseCause): void;
   /** Asks for a report without waiting for an end. */
   hurry(): void;
   start(): void;
@@ -78,7 +91,7 @@
 
 /** Creates a link; `start` begins to call the worker. */
 export function createWorkerLink(options: WorkerLinkOptions): WorkerLink {
-  const { runner, epoch, clock, logger, metrics, maxLeaseMs, isHolding } = options;
+  const { runner, fence, clock, logger, metrics, maxLeaseMs, isHolding } = options;
   let entry = options.entry;
   const { id, bornAtMs } = entry;
   const workerClock = createWorkerClock();
@@ -105,10 +118,10 @@
     metrics.count('worker.states', 1, { state: next });
   }
 
-  function endLife(reason: string): void {
+  function endLife(cause: LapseCause): void {
     if (state === LinkState.Lapsed) return;
-    setState(LinkState.Lapsed, reason);
-    options.onLapse(reason);
+    setState(LinkState.Lapsed, cause);
+    options.onLapse(cause);
   }
 
   /** A worker that never answered holds at most what an earlier owner granted before this one. */
@@ -125,13 +138,14 @@
     failures += 1;
     metrics.count('worker.call_failures');
     if (failures >= silentAfter && state === LinkState.Live) setState(LinkState.Silent, message);
-    if (hasLapsed()) endLife('lease expired');
+    if (hasLapsed()) endLife(LapseCause.LeaseExpired);
   }
 
   async function handleReport(report: WorkerReport): Promise<void> {
     if (report.bornAtMs !== undefined && report.bornAtMs !== bornAtMs) {
-      endLife('worker restarted');
+      endLife(LapseCause.Restarted);
       isRunning = false;
+      options.onRestart(report.bornAtMs);
       return;
     }
     failures = 0;
@@ -159,7 +173,7 @@
     isUrgent = false;
     if (leaseUntilMs !== undefined) workerClock.noteLease(leaseUntilMs);
     const reply = await runner.report(entry, {
-      epoch,
+      fence,
       ackedEnd,
       waitMs,
       ...(leaseUntilMs === undefined ? {} : { leaseUntilMs }),
@@ -171,10 +185,10 @@
     }
     const fault = reply.error;
     if (fault.code === FaultCode.StaleEpoch) {
-      logger.warn('worker_fenced', { worker: id, epoch, reason: fault.message });
+      logger.warn('worker_fenced', { worker: id, fence, reason: fault.message });
       options.onFenced();
     } else if (fault.code === FaultCode.NotFound) {
-      endLife('another life answers');
+      endLife(LapseCause.OtherWorker);
       isRunning = false;
       return;
     }
@@ -186,7 +200,7 @@
     while (isRunning) {
       if (isHolding()) await callOnce();
       else {
-        if (hasLapsed()) endLife('lease expired');
+        if (hasLapsed()) endLife(LapseCause.LeaseExpired);
         await waitFor(clock, idleCheckMs);
       }
     }
@@ -205,6 +219,7 @@
     },
     getSilenceMs: () => clock.getNowMs() - answeredMs,
     getClock: () => workerClock,
+    getFence: () => fence,
     endLife,
     hurry() {
       isUrgent = true;
--- a/packages/dispatch/tests/fakeworkers.ts
+++ b/packages/dispatch/tests/fakeworkers.ts
@@ -19,7 +19,7 @@
 interface ActiveRun {
   run: number;
   endsAtMs: number;
-  epoch: number;
+  fence: number;
 }
 
 /** Accelerators of each fake worker. */
@@ -92,8 +92,8 @@
   start(order: StartOrder): OrderReply {
     this.settle();
     const clockMs = this.getClockMs();
-    if (order.epoch < this.fence) return { status: OrderStatus.Fenced, reason: none, clockMs };
-    this.fence = order.epoch;
+    if (order.fence < this.fence) return { status: OrderStatus.Fenced, reason: none, clockMs };
+    this.fence = order.fence;
     const refuse = (reason: RefusalReason): OrderReply => ({
       status: OrderStatus.Refused,
       reason,
@@ -108,7 +108,7 @@
     this.highest.set(order.task, order.run);
     this.keepLease(order.leaseUntilMs);
     const endsAtMs = clockMs + this.runMs;
-    this.active.set(order.task, { run: order.run, endsAtMs, epoch: order.epoch });
+    this.active.set(order.task, { run: order.run, endsAtMs, fence: order.fence });
     this.begun.push({ task: order.task, run: order.run, atMs: clockMs });
     return { status: OrderStatus.Accepted, reason: none, clockMs };
   }
@@ -116,8 +116,8 @@
   stop(order: StopOrder): OrderReply {
     this.settle();
     const clockMs = this.getClockMs();
-    if (order.epoch < this.fence) return { status: OrderStatus.Fenced, reason: none, clockMs };
-    this.fence = order.epoch;
+    if (order.fence < this.fence) return { status: OrderStatus.Fenced, reason: none, clockMs };
+    this.fence = order.fence;
     this.highest.set(order.task, Math.max(order.run, this.highest.get(order.task) ?? 0));
     const active = this.active.get(order.task);
     if (active !== undefined && active.run <= order.run) {
@@ -132,8 +132,8 @@
 
   report(request: ReportRequest): Result<WorkerReport, Fault> {
     this.settle();
-    if (request.epoch < this.fence) return Err(createFault(FaultCode.StaleEpoch, 'fenced'));
-    this.fence = request.epoch;
+    if (request.fence < this.fence) return Err(createFault(FaultCode.StaleEpoch, 'fenced'));
+    this.fence = request.fence;
     this.ackedEnd = Math.max(this.ackedEnd, request.ackedEnd);
     if (request.leaseUntilMs !== undefined) this.keepLease(request.leaseUntilMs);
     const runs: RunStatus[] = [...this.active].map(([task, { run }]) => ({
@@ -155,6 +155,9 @@
 
 /** The workers as one process reaches them. */
 export class FakeRunner extends TaskRunner {
+  /** Every start that was sent. */
+  readonly starts: StartOrder[] = [];
+
   constructor(
     private readonly workers: ReadonlyMap<string, FakeWorker>,
     private readonly process: FakeProcess,
@@ -163,6 +166,7 @@
   }
 
   start(address: WorkerAddress, order: StartOrder): Promise<OrderReply> {
+    this.starts.push(order);
     return this.sendOrder(address, (worker) => worker.start(order));
   }
 
--- a/packages/dispatch/tests/orders.test.ts
+++ b/packages/dispatch/tests/orders.test.ts
@@ -18,11 +18,10 @@
   const clock = createSystemClock();
   const workerClock = createWorkerClock();
   workerClock.note(0, clock.getNowMs());
-  const link = { id: 'w1', getClock: () => workerClock, getEntry: () => ({}) };
+  const link = { id: 'w1', getClock: () => workerClock, getEntry: () => ({}), getFence: () => 1 };
   const runner = { start: () => Promise.resolve(replies.shift() ?? lost) };
   const sender = createOrderSender({
     runner: runner as unknown as TaskRunner,
-    epoch: 1,
     clock,
     logger: createNullLogger(),
     metrics: createNullMetrics(),
--- a/packages/dispatch/tests/owner.test.ts
+++ b/packages/dispatch/tests/owner.test.ts
@@ -3,6 +3,7 @@
 import type { GroupRecord } from '@bergamotreach/scheduling';
 import { expect } from 'earl';
 import { TableFault } from '../../ownership/tests/faketable.ts';
+import { OrderStatus } from '../src/index.ts';
 import type { FakeWorker } from './fakeworkers.ts';
 import { createWorld, findDoubleRun } from './world.ts';
 import type { World } from './world.ts';
@@ -218,6 +219,37 @@
   expect(world.listBegun().map(({ run }) => run)).toEqual([2]);
 });
 
+// Guards against a lost copy of a start that the next life of its worker carries out after the task
+// was done: a new life knows neither the run nor its end.
+test('late copy of a start is refused by a restarted worker', async () => {
+  const world = createWorld(1);
+  const { runner } = world.addContender('a');
+  const worker = world.workers.get('w0');
+  await advance(world, startUpMs);
+  world.submit('j1', [{}]);
+  await advance(world, 300);
+  const order = runner.starts[0];
+  await advance(world, 2500);
+  expect(world.getState('j1')).toEqual(JobState.Completed);
+  world.restartWorker('w0');
+  await advance(world, 1000);
+  if (worker === undefined || order === undefined) throw new Error('nothing was started');
+  expect(worker.start(order).status).toEqual(OrderStatus.Fenced);
+});
+
+// Guards against a second run of a task whose start was taken by a new life of the worker before the
+// owner knew of it.
+test('start that a new life took is not repeated', async () => {
+  const world = createWorld(1);
+  world.addContender('a');
+  await advance(world, startUpMs);
+  getWorker(world, 'w0').restart();
+  world.submit('j1', [{}]);
+  await advance(world, 6000);
+  expect(world.getState('j1')).toEqual(JobState.Completed);
+  expect(world.listBegun().map(({ run }) => run)).toEqual([1]);
+});
+
 // Guards against tasks that are lost with a life of their worker.
 test('tasks of a restarted worker run again', async () => {
   const world = createWorld(1);
--- a/packages/dispatch/tests/world.ts
+++ b/packages/dispatch/tests/world.ts
@@ -92,6 +92,8 @@
 export interface Contender {
   process: FakeProcess;
   lease: RegionLease;
+  /** The runner of all its owners. */
+  runner: FakeRunner;
   getOwner: () => Owner | undefined;
 }
 
@@ -161,6 +163,7 @@
       maxWrites: 48,
     });
     let owner: Owner | undefined;
+    const runner = new FakeRunner(workers, process);
     const states = createMirror<StateRow>({
       feed: new FakeFeed(store, process, 'state/'),
       name: 'states',
@@ -192,7 +195,7 @@
           jobFeed: new FakeFeed<JobRow>(store, process, 'job/'),
           workerFeed: new FakeFeed<WorkerEntry>(store, process, 'servers/'),
           states,
-          runner: new FakeRunner(workers, process),
+          runner,
           getConfig: () => undefined,
           isHolding: () => lease.isHolding(epoch),
           getEpochCondition: () => (lease.isHolding(epoch) ? lease.getEpochCondition() : undefined),
@@ -209,7 +212,7 @@
     });
     states.start();
     lease.start();
-    return { process, lease, getOwner: () => owner };
+    return { process, lease, runner, getOwner: () => owner };
   }
 
   function getRow(id: string): StateRow | undefined {
--- a/packages/execution/tests/world.ts
+++ b/packages/execution/tests/world.ts
@@ -92,7 +92,7 @@
     const owner = createRegionOwner({
       region,
       createScheduler: () => createScheduler(config, []),
-      createLease: (onChange) => createLease(node, onChange),
+      createLease: (onChange) => createLease(node, { onChange }),
       jobStore,
       workerClient: new FakeWorkerClient(fleet, process),
       clock: process,
--- a/packages/ownership/src/lease.ts
+++ b/packages/ownership/src/lease.ts
@@ -40,6 +40,11 @@
    * lease is then taken over at once. None is when absent.
    */
   isFormerSelf?: (holder: string) => boolean;
+  /**
+   * How long this process leaves a lease that is free to others that are better placed to hold it;
+   * not at all when absent.
+   */
+  getReluctanceMs?: () => number;
   /** Called after each change of the state or the epoch. */
   onChange?: (state: LeaseState, epoch: number) => void;
 }
@@ -207,10 +212,26 @@
     if (sighting?.version !== version) {
       sighting = { version, record: parseRecord(row), sinceMs: storeSeenMs };
     }
-    const owner = sighting.record?.holder ?? '';
-    const isFree = owner === '' || options.isFormerSelf?.(owner) === true;
-    const isExpired = storeSeenMs - sighting.sinceMs >= leaseMs + marginMs;
-    if ((isFree || isExpired) && !isStopped) await takeOver(sighting);
+    await tryTakeOver(sighting);
+  }
+
+  async function tryTakeOver(seen: Sighting): Promise<void> {
+    const reluctanceMs = options.getReluctanceMs?.() ?? 0;
+    const owner = seen.record?.holder ?? '';
+    const isOwn = owner !== '' && options.isFormerSelf?.(owner) === true;
+    const isFree = owner === '' || isOwn;
+    const freeSinceMs = isFree ? seen.sinceMs : seen.sinceMs + leaseMs + marginMs;
+    if (isStopped) return;
+    if (storeSeenMs - freeSinceMs >= reluctanceMs) await takeOver(seen);
+    // The others would wait for the lease of a process that has ended.
+    else if (isOwn && seen.record !== undefined) await releaseRow(seen.version, seen.record);
+  }
+
+  async function releaseRow(version: number, record: LeaseRecord): Promise<void> {
+    await submitLease(
+      [{ key: ownerKey, version }],
+      [{ key: ownerKey, value: encodeRecord(record.epoch, record.renewal + 1, true) }],
+    );
   }
 
   async function takeOver(seen: Sighting): Promise<void> {
@@ -260,10 +281,8 @@
   async function releaseHold(current: Hold): Promise<void> {
     hold = undefined;
     reportState();
-    await submitLease(
-      [{ key: ownerKey, version: current.rowVersion }],
-      [{ key: ownerKey, value: encodeRecord(current.epoch, current.renewal + 1, true) }],
-    );
+    const { epoch, renewal } = current;
+    await releaseRow(current.rowVersion, { holder, address, epoch, renewal });
   }
 
   return {
--- a/packages/ownership/tests/lease.test.ts
+++ b/packages/ownership/tests/lease.test.ts
@@ -103,6 +103,49 @@
   expect([lease.getState(), lease.getEpoch()]).toEqual([LeaseState.Holding, 2]);
 });
 
+// Guards against a lease that goes to a small machine although a large one is up.
+test('a reluctant contender leaves a free lease to others', async () => {
+  const { clock, state } = createState();
+  const [small, large] = ['small', 'large'].map((id) =>
+    createLease(createNode(state, id), { getReluctanceMs: () => (id === 'small' ? 2_000 : 0) }),
+  );
+  small!.start();
+  await clock.advance(1_500);
+  expect(small!.getState()).toEqual(LeaseState.Waiting);
+  large!.start();
+  await clock.advance(5_000);
+  expect([small!.getState(), large!.getState()]).toEqual([LeaseState.Waiting, LeaseState.Holding]);
+});
+
+// Guards against a lease that nobody holds because all that are left are reluctant.
+test('a reluctant contender takes a lease that nobody else takes', async () => {
+  const { clock, state } = createState();
+  const lease = createLease(createNode(state, 'small'), { getReluctanceMs: () => 2_000 });
+  lease.start();
+  await clock.advance(4_000);
+  expect(lease.getState()).toEqual(LeaseState.Holding);
+});
+
+// Guards against a restarted small machine that keeps the lease, and others waiting for its expiry.
+test('a reluctant restarted holder frees its former lease', async () => {
+  const { clock, state } = createState();
+  const before = createNode(state, 'small/1');
+  createLease(before).start();
+  await clock.advance(1_000);
+  const large = createLease(createNode(state, 'large'));
+  large.start();
+  await clock.advance(500);
+  before.process.kill();
+  const after = createLease(createNode(state, 'small/2'), {
+    isFormerSelf: (holder) => holder === 'small/1',
+    getReluctanceMs: () => 2_000,
+  });
+  after.start();
+  // Less than the lease of 3 s that the former process left.
+  await clock.advance(1_500);
+  expect([after.getState(), large.getState()]).toEqual([LeaseState.Waiting, LeaseState.Holding]);
+});
+
 // Guards against a suspended machine whose steady clock stood still while its lease expired.
 test('the deadline counts the time of a suspension', () => {
   const steady = createManualClock();
--- a/packages/ownership/tests/setup.ts
+++ b/packages/ownership/tests/setup.ts
@@ -1,7 +1,12 @@
 import { createManualClock, createNullLogger, createNullMetrics } from '@bergamotreach/protocol';
 import type { ManualClock } from '@bergamotreach/protocol';
 import { createGroupCommitter, createRegionLease } from '../src/index.ts';
-import type { GroupCommitter, GroupCommitterOptions, RegionLease } from '../src/index.ts';
+import type {
+  GroupCommitter,
+  GroupCommitterOptions,
+  RegionLease,
+  RegionLeaseOptions,
+} from '../src/index.ts';
 import { FakeProcess } from './fakeprocess.ts';
 import { FakeTable, TableState } from './faketable.ts';
 
@@ -33,7 +38,7 @@
   return { process, table, committer };
 }
 
-export function createLease(node: Node, onChange: () => void = () => undefined): RegionLease {
+export function createLease(node: Node, options: Partial<RegionLeaseOptions> = {}): RegionLease {
   return createRegionLease({
     table: node.table,
     committer: node.committer,
@@ -43,7 +48,7 @@
     region,
     holder: node.process.id,
     address: '127.0.0.1:1',
-    onChange,
+    ...options,
   });
 }
 
--- a/scripts/build-platform.mjs
+++ b/scripts/build-platform.mjs
@@ -1,6 +1,8 @@
-// Bundles the edition for the users' platform into target/bergamotreach.cjs.
+// Bundles the edition for the users' platform into target/bergamotreach.cjs, or into the file given.
 import { mkdirSync } from 'node:fs';
-import { buildBundle } from './bundle.mjs';
+import { dirname } from 'node:path';
+import { buildBundle, earlySignals } from './bundle.mjs';
 
-mkdirSync('target', { recursive: true });
-await buildBundle('platform/main.ts', 'target/bergamotreach.cjs');
+const [outfile = 'target/bergamotreach.cjs'] = process.argv.slice(2);
+mkdirSync(dirname(outfile), { recursive: true });
+await buildBundle('platform/main.ts', outfile, { banner: earlySignals });
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -45,3 +45,6 @@
 
 /** Heap flags, which must be set before anything is loaded. */
 export const heapFlags = { js: readFileSync('scripts/heapflags.cjs', 'utf8') };
+
+/** Signal handlers, which must be set before anything is loaded. */
+export const earlySignals = { js: readFileSync('scripts/earlysignals.cjs', 'utf8') };
