Hold runs of unlisted workers for a new life that may have taken them

A worker's entry expired, a new life took the repeated start before its entry came, and its link was closed as that of a gone worker; the check of unlisted workers then gave the held runs up and other workers ran the tasks at the same time. Change: a new life keeps a link without an entry, and held runs are left to their own bound. Both tests fail without their part of the change (the second with two runs at once).

--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -80,7 +80,8 @@
 
   function handleLapse(link: WorkerLink, cause: LapseCause): void {
     options.onLapse(link, cause);
-    if (!link.isListed()) closeLink(link);
+    // A new life gets a link even when its entry is missing: it may have taken a start.
+    if (!link.isListed() && cause !== LapseCause.Restarted) closeLink(link);
   }
 
   function closeLink(link: WorkerLink): void {
--- a/packages/dispatch/src/heldruns.ts
+++ b/packages/dispatch/src/heldruns.ts
@@ -16,6 +16,8 @@
 export interface HeldRuns {
   canBeOnNextLife(task: Task, cause: LapseCause): boolean;
   holdRun(placed: PlacedTask): void;
+  /** Whether a task waits for the next life of its worker. */
+  isHeld(task: Task): boolean;
   /** Goes on with the tasks that were held for the worker that sent a report. */
   noteReport(link: WorkerLink, report: WorkerReport): void;
   /** Goes on with the tasks of workers that did not come back. */
@@ -35,7 +37,7 @@
   const held = new Map<Task, HeldRun>();
 
   function isHeld(task: Task): boolean {
-    return task.phase === TaskPhase.Stopping;
+    return held.has(task) && task.phase === TaskPhase.Stopping;
   }
 
   /** The late copy began before the report's token arrived, so it is the task's run. */
@@ -48,6 +50,7 @@
   }
 
   return {
+    isHeld,
     canBeOnNextLife(task, cause) {
       const watch = watches.get(task);
       // Only reports name the life that answers, so the new one may have taken the start.
@@ -72,8 +75,9 @@
     noteReport(link, report) {
       for (const [task, one] of held) {
         if (one.workerId !== link.id) continue;
+        const isWaiting = isHeld(task);
         held.delete(task);
-        if (!isHeld(task)) continue;
+        if (!isWaiting) continue;
         const name = getTaskName(one.group, task);
         const isListed = report.runs.some((run) => run.task === name && run.run === task.run);
         logger.info('run_released', { task: name, run: task.run, worker: link.id, isListed });
@@ -83,9 +87,10 @@
     },
     checkHeld() {
       for (const [task, one] of held) {
-        if (isHeld(task) && clock.getNowMs() <= one.untilMs) continue;
+        const isWaiting = isHeld(task);
+        if (isWaiting && clock.getNowMs() <= one.untilMs) continue;
         held.delete(task);
-        if (isHeld(task)) life.dropRun(one);
+        if (isWaiting) life.dropRun(one);
       }
     },
   };
--- a/packages/dispatch/src/owner.ts
+++ b/packages/dispatch/src/owner.ts
@@ -214,8 +214,10 @@
     if (!fleet.isLoaded() || clock.getNowMs() - startedMs < boundMs) return;
     for (const [workerId, placed] of book.groupByWorker()) {
       if (fleet.find(workerId) !== undefined) continue;
-      logger.info('worker_lapsed', { worker: workerId, reason: 'unlisted', runs: placed.length });
-      for (const one of placed) life.dropRun(one);
+      const lost = placed.filter(({ task }) => !heldRuns.isHeld(task));
+      if (lost.length === 0) continue;
+      logger.info('worker_lapsed', { worker: workerId, reason: 'unlisted', runs: lost.length });
+      for (const one of lost) life.dropRun(one);
     }
   }
 
--- a/packages/dispatch/tests/owner.test.ts
+++ b/packages/dispatch/tests/owner.test.ts
@@ -250,6 +250,46 @@
   expect(world.listBegun().map(({ run }) => run)).toEqual([1]);
 });
 
+// Guards against a run that is given up as that of a gone worker, although a new life of it has
+// taken the start before its list entry comes.
+test('start that an unlisted new life took is not repeated', async () => {
+  const world = createWorld(2);
+  world.addContender('a');
+  // Longer than the longest lease, after which runs on unlisted workers lapse.
+  await advance(world, 12_000);
+  for (const worker of world.workers.values()) worker.isCut = true;
+  world.submit('j1', [{}]);
+  await advance(world, 200);
+  for (const { id } of world.workers.values()) world.unlistWorker(id);
+  for (const one of world.workers.values()) {
+    one.restart();
+    one.isCut = false;
+  }
+  await advance(world, 5000);
+  expect(world.listBegun().map(({ run }) => run)).toEqual([1]);
+  expect(world.getState('j1')).toEqual(JobState.Completed);
+});
+
+// Guards against a run that is given up with its unlisted worker while a copy of its start is still on
+// its way to the worker's next life.
+test('late start on an unlisted worker does not double the task', async () => {
+  const world = createWorld(2);
+  world.addContender('a');
+  await advance(world, 12_000);
+  for (const worker of world.workers.values()) worker.lateMs = 11_000;
+  world.submit('j1', [{}]);
+  await advance(world, 300);
+  for (const worker of world.workers.values()) worker.lateMs = 0;
+  const row = world.store.rows.get('progress/j1.0.0')?.value as unknown as GroupRecord | undefined;
+  const worker = getWorker(world, row?.tasks[0]?.[2] ?? '');
+  worker.isCut = true;
+  world.unlistWorker(worker.id);
+  await advance(world, 10_500);
+  worker.restart();
+  await advance(world, 16_000);
+  expect(world.getState('j1')).toEqual(JobState.Completed);
+});
+
 // Guards against tasks that are lost with a life of their worker.
 test('tasks of a restarted worker run again', async () => {
   const world = createWorld(1);
--- a/packages/dispatch/tests/world.ts
+++ b/packages/dispatch/tests/world.ts
@@ -105,6 +105,8 @@
   addContender: (id: string) => Contender;
   submit: (id: string, steps: Partial<StepSpec>[], changes?: Partial<JobSubmission>) => void;
   cancel: (id: string) => void;
+  /** Removes a worker's entry from the list. */
+  unlistWorker: (id: string) => void;
   /** Restarts a worker under the same id, with changes of its entry. */
   restartWorker: (id: string, changes?: Partial<WorkerEntry>) => void;
   getState: (id: string) => JobState | undefined;
@@ -252,6 +254,11 @@
         apply(`state/${id}`, { ...row, state: JobState.Cancelled });
       }
     },
+    unlistWorker(id) {
+      const key = `servers/${id}`;
+      const operationId = `test/${operations++}`;
+      store.apply({ operationId, conditions: [], writes: [{ key, value: null }] }, 't', 0);
+    },
     restartWorker(id, changes = {}) {
       const worker = workers.get(id);
       worker?.restart();
