Ask for advice on queues with a policy; keep room of unwanted runs; resign a fenced lease

Advice: a queue may admit only some workers for a step. The owner asks the service that knows the policy, 30 workers a call and one call at a time, and starts with the ticket it got.

The next life of a worker refused a repeated order to the life before, which the owner took for a newer owner and ended, while its process kept the lease. Orders to a former life no longer count, and a fenced owner resigns the lease. Reports that come during the load are used once it ends, and a worker without a report gets no starts. Each has a test that fails without its change (run).

--- a/packages/dispatch/src/configuration.ts
+++ b/packages/dispatch/src/configuration.ts
@@ -1,5 +1,12 @@
 import type { QueueRules } from '@bergamotreach/scheduling';
 
+/** How long the service that knows a queue's policy takes. Durations are in milliseconds. */
+export interface AdviceRules {
+  decisionMs: number;
+  /** Added for each worker of a call. */
+  perWorkerMs: number;
+}
+
 /** A queue that callers submit jobs to. */
 export interface QueueConfig {
   name: string;
@@ -10,6 +17,8 @@
   /** Pool of workers that runs its jobs. */
   pool: string;
   rules: QueueRules;
+  /** Absent when its tasks may run on any worker. */
+  advice?: AdviceRules;
   /** Calls need no key. */
   isPublic: boolean;
 }
--- a/packages/dispatch/src/fleetview.ts
+++ b/packages/dispatch/src/fleetview.ts
@@ -9,12 +9,14 @@
   const byWorker = context.book.groupByWorker();
   return context.fleet
     .list()
-    .filter((link) => isUsable(link))
+    .filter((link) => isUsable(context, link))
     .map((link) => buildView(context, link, byWorker.get(link.id) ?? [], nowMs));
 }
 
-function isUsable(link: WorkerLink): boolean {
+function isUsable(context: OwnerContext, link: WorkerLink): boolean {
   const entry = link.getEntry();
+  // Without a report, runs that no job wants may take room there.
+  if (!context.strayRoom.has(link.id)) return false;
   return link.getState() === LinkState.Live && link.isListed() && !entry.isDraining;
 }
 
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -1,3 +1,4 @@
+export * from './advisor.ts';
 export * from './configuration.ts';
 export * from './instance.ts';
 export * from './jobrows.ts';
--- a/packages/dispatch/src/instance.ts
+++ b/packages/dispatch/src/instance.ts
@@ -7,6 +7,7 @@
 } from '@bergamotreach/ownership';
 import { waitFor } from '@bergamotreach/protocol';
 import type { Clock, Logger, Metrics } from '@bergamotreach/protocol';
+import type { Advisor } from './advisor.ts';
 import type { ServiceConfig } from './configuration.ts';
 import type { JobRow, StateRow } from './jobrows.ts';
 import { createJobService } from './jobservice.ts';
@@ -51,6 +52,7 @@
   workerFeed: Feed<WorkerEntry>;
   configFeed: Feed<ServiceConfig>;
   runner: TaskRunner;
+  advisor: Advisor;
   clock: Clock;
   /** Clock that counts the time for which the process was suspended. */
   deadlineClock: Clock;
@@ -205,12 +207,16 @@
       workerFeed: options.workerFeed,
       states,
       runner: options.runner,
+      advisor: options.advisor,
       getConfig,
       isHolding: () => lease.isHolding(epoch),
       getEpochCondition: () => (lease.isHolding(epoch) ? lease.getEpochCondition() : undefined),
       onFenced: () => {
         logger.warn('owner_fenced', { epoch });
-        if (owner?.getDump().epoch === epoch) endOwner();
+        if (owner?.getDump().epoch !== epoch) return;
+        endOwner();
+        // A lease that is still this process's would stay without an owner.
+        void lease.resign();
       },
       clock,
       getWallMs: options.getWallMs,
--- a/packages/dispatch/src/joblife.ts
+++ b/packages/dispatch/src/joblife.ts
@@ -80,7 +80,9 @@
   }
 
   function releaseJob(job: LiveJob): void {
-    if (isFinal(job.state) && !hasOccupying(job)) book.remove(job.submission.id);
+    if (!isFinal(job.state) || hasOccupying(job)) return;
+    book.remove(job.submission.id);
+    context.tickets.dropJob(job.submission.id);
   }
 
   function stopJob(job: LiveJob, reason: string): void {
--- a/packages/dispatch/src/orders.ts
+++ b/packages/dispatch/src/orders.ts
@@ -3,6 +3,7 @@
 import { match } from 'ts-pattern';
 import { OrderStatus, RefusalReason } from './taskrunner.ts';
 import type { OrderReply, TaskRunner } from './taskrunner.ts';
+import { LinkState } from './workerlink.ts';
 import type { WorkerLink } from './workerlink.ts';
 
 /** What is certain about a start. */
@@ -32,6 +33,15 @@
   run: number;
 }
 
+/** What a start carries. */
+export interface StartInput {
+  payload: string;
+  checkpoint: string;
+  ticket?: string;
+  /** Asked before each repetition. */
+  isWanted: () => boolean;
+}
+
 /** Options of the sender of orders. */
 export interface OrderSenderOptions {
   runner: TaskRunner;
@@ -45,11 +55,7 @@
 
 /** Sends orders to workers until their fate is known or their window has passed. */
 export interface OrderSender {
-  start(
-    link: WorkerLink,
-    name: RunName,
-    input: { payload: string; checkpoint: string; isWanted: () => boolean },
-  ): Promise<StartResult>;
+  start(link: WorkerLink, name: RunName, input: StartInput): Promise<StartResult>;
   /** Repeats a stop while `isWanted`. */
   stop(link: WorkerLink, name: RunName, isWanted: () => boolean): Promise<void>;
 }
@@ -76,6 +82,11 @@
     return { fate, reason, windowUntilMs, clockMs, hasLostCopy: false };
   }
 
+  /** The next life of a worker refuses orders to the one before; that says nothing of the owner. */
+  function noteFence(link: WorkerLink): void {
+    if (link.getState() !== LinkState.Lapsed) options.onFenced();
+  }
+
   /**
    * A refusal, also one for being late, decides only when no earlier copy of the order may have been
    * carried out or may still be on its way.
@@ -98,13 +109,15 @@
       while (clock.getNowMs() < endMs) {
         if (!isHolding() || !input.isWanted()) break;
         link.getClock().noteLease(windowUntilMs);
-        const order = { ...name, payload: input.payload, checkpoint: input.checkpoint };
+        const { payload, checkpoint, ticket } = input;
+        const order = { ...name, payload, checkpoint, ...(ticket === undefined ? {} : { ticket }) };
         const reply = await runner.start(link.getEntry(), {
           ...order,
           leaseUntilMs: windowUntilMs,
           fence: link.getFence(),
         });
         if (reply.clockMs !== undefined) link.getClock().note(reply.clockMs, clock.getNowMs());
+        if (reply.status === OrderStatus.Fenced) noteFence(link);
         const decided = decideStart(reply, hasLostCopy, windowUntilMs);
         if (decided !== undefined) return { ...decided, hasLostCopy };
         hasLostCopy = true;
@@ -119,7 +132,7 @@
       while (isWanted()) {
         if (isHolding()) {
           const reply = await runner.stop(link.getEntry(), { ...name, fence: link.getFence() });
-          if (reply.status === OrderStatus.Fenced) options.onFenced();
+          if (reply.status === OrderStatus.Fenced) noteFence(link);
           if (reply.status === OrderStatus.Unknown) {
             metrics.count('orders.lost', 1, { kind: 'stop' });
             await waitFor(clock, retryMs);
@@ -144,7 +157,6 @@
         createResult(decideRefusal(reply.reason, hasLostCopy), reply.reason, windowUntilMs),
       )
       .with(OrderStatus.Fenced, () => {
-        options.onFenced();
         const fate = hasLostCopy ? StartFate.Undecided : StartFate.NotStarted;
         return createResult(fate, RefusalReason.None, windowUntilMs);
       })
--- a/packages/dispatch/src/owner.ts
+++ b/packages/dispatch/src/owner.ts
@@ -8,6 +8,7 @@
   createWorkerTrust,
   isExhausted,
   isFinal,
+  parseTaskName,
   planStarts,
 } from '@bergamotreach/scheduling';
 import type { GroupRecord } from '@bergamotreach/scheduling';
@@ -25,6 +26,7 @@
 import type { OwnerContext, OwnerOptions } from './ownercontext.ts';
 import { createRunReports } from './runreports.ts';
 import { createStarter } from './starter.ts';
+import { createTicketDesk } from './tickets.ts';
 import type { LapseCause, LinkState, WorkerLink } from './workerlink.ts';
 
 /** Schedules all jobs while this process holds the lease. */
@@ -115,6 +117,16 @@
     },
   });
 
+  const tickets = createTicketDesk({
+    advisor: options.advisor,
+    fleet,
+    clock,
+    logger,
+    metrics,
+    findRules: (queue) => options.getConfig()?.queues.find(({ name }) => name === queue)?.advice,
+    onTickets: planSoon,
+  });
+
   const context: OwnerContext = {
     options,
     book,
@@ -122,8 +134,14 @@
     watches: new Map(),
     journal,
     orders,
+    tickets,
     fleet,
     strayRoom: new Map(),
+    findDemand(taskName) {
+      const name = parseTaskName(taskName);
+      const row = name === undefined ? undefined : jobs.find(name.jobId);
+      return row?.submission.steps[name?.step ?? 0]?.demand;
+    },
     paused: new Map(),
     isLoaded: () => isLoaded,
     isStopped: () => isStopped,
@@ -250,11 +268,14 @@
       config?.accounts.map((account) => [account.name, account.guaranteedAccelerators]),
     );
     urgentDemand.note(book.sumUrgentDemand(wallMs), startedAtMs);
+    const workers = buildViews(context, startedAtMs);
+    const ready = book.listReady(wallMs);
+    tickets.prepare(ready, workers);
     const result = planStarts({
       nowMs: startedAtMs,
       urgentReserve: urgentDemand.getLevel(),
-      workers: buildViews(context, startedAtMs),
-      ready: book.listReady(wallMs),
+      workers,
+      ready,
       guaranteed: book.listGuaranteed(guarantees),
     });
     metrics.reportTiming('plan.duration', clock.getNowMs() - startedAtMs);
@@ -282,6 +303,7 @@
       if (!isRead) return;
       isLoaded = true;
       for (const [jobId] of jobs.list()) addJob(jobId);
+      reports.handleEarly();
       logger.info('owner_started', {
         epoch,
         jobs: book.list().length,
--- a/packages/dispatch/src/ownercontext.ts
+++ b/packages/dispatch/src/ownercontext.ts
@@ -3,6 +3,7 @@
 import type { Clock, Logger, Metrics } from '@bergamotreach/protocol';
 import { formatTaskName } from '@bergamotreach/scheduling';
 import type { Resources, Task, TaskGroup, WorkerTrust } from '@bergamotreach/scheduling';
+import type { Advisor } from './advisor.ts';
 import type { ServiceConfig } from './configuration.ts';
 import type { Fleet } from './fleet.ts';
 import type { JobBook } from './jobbook.ts';
@@ -12,6 +13,7 @@
 import type { OrderSender } from './orders.ts';
 import type { RunWatches } from './runwatch.ts';
 import type { TaskRunner } from './taskrunner.ts';
+import type { TicketDesk } from './tickets.ts';
 import type { WorkerEntry } from './workerentry.ts';
 
 /** Options of an owner. Durations are in milliseconds. */
@@ -24,6 +26,7 @@
   /** States of all jobs, kept by the instance. */
   states: Mirror<StateRow>;
   runner: TaskRunner;
+  advisor: Advisor;
   getConfig: () => ServiceConfig | undefined;
   /** Whether this process may give orders now. */
   isHolding: () => boolean;
@@ -47,9 +50,12 @@
   watches: RunWatches;
   journal: Journal;
   orders: OrderSender;
+  tickets: TicketDesk;
   readonly fleet: Fleet;
-  /** Room of runs that are not wanted and have not ended yet, by worker. */
+  /** Room of runs that are not wanted and have not ended yet, by worker that has sent a report. */
   strayRoom: Map<string, Resources>;
+  /** Resources of a task of any job that the store holds, also of one that has ended. */
+  findDemand: (taskName: string) => Resources | undefined;
   /** Steady time until which a worker that refused a start gets no further one. */
   paused: Map<string, number>;
   /** Whether the rows of all jobs were read. */
--- a/packages/dispatch/src/runreports.ts
+++ b/packages/dispatch/src/runreports.ts
@@ -12,12 +12,15 @@
 import { getTaskName } from './ownercontext.ts';
 import type { OwnerContext } from './ownercontext.ts';
 import type { EndedRun, RunStatus, WorkerReport } from './taskrunner.ts';
+import { LinkState } from './workerlink.ts';
 import type { WorkerLink } from './workerlink.ts';
 
 /** Takes in what workers say of their runs. */
 export interface RunReports {
   /** Resolves with the number of the last end that is stored; 0 when none is. */
   handleReport(link: WorkerLink, report: WorkerReport): Promise<number>;
+  /** Takes in what workers said while the jobs were being loaded. */
+  handleEarly(): void;
 }
 
 /** A run that is missing from this many reports after its start is gone. */
@@ -32,9 +35,14 @@
   const { book, journal, orders, trust, watches, strayRoom } = context;
   const { clock, logger, metrics } = context.options;
 
+  /** The latest report of each worker that came before the jobs were loaded. */
+  const early = new Map<WorkerLink, WorkerReport>();
+
   async function handleReport(link: WorkerLink, report: WorkerReport): Promise<number> {
-    // Ends that come before the jobs are loaded stay with the worker and are listed again.
-    if (!context.isLoaded()) return 0;
+    if (!context.isLoaded()) {
+      early.set(link, report);
+      return 0;
+    }
     let lastSequence = 0;
     let hasEnds = false;
     for (const ended of [...report.ends].sort((a, b) => a.sequence - b.sequence)) {
@@ -134,8 +142,8 @@
 
   /** A run that no job wants: of a job that ended, or older than the current run. */
   function stopStray(link: WorkerLink, run: RunStatus, room: Resources): void {
-    const placed = book.findTask(run.task);
-    if (placed !== undefined) addResources(room, placed.group.spec.demand);
+    // Nothing is known of a task whose row was removed, so it may take the whole worker.
+    addResources(room, context.findDemand(run.task) ?? link.getEntry().capacity);
     logger.info('stray_stopped', { task: run.task, run: run.run, worker: link.id });
     let isFirst = true;
     const isWanted = (): boolean => {
@@ -146,5 +154,14 @@
     void orders.stop(link, { task: run.task, run: run.run }, isWanted);
   }
 
-  return { handleReport };
+  return {
+    handleReport,
+    handleEarly() {
+      // Their ends are not acknowledged, so that they are listed again.
+      for (const [link, report] of early) {
+        if (link.getState() !== LinkState.Lapsed) void handleReport(link, report);
+      }
+      early.clear();
+    },
+  };
 }
--- a/packages/dispatch/src/starter.ts
+++ b/packages/dispatch/src/starter.ts
@@ -70,9 +70,16 @@
     }
     const name = { task: getTaskName(group, task), run };
     const sentMs = clock.getNowMs();
+    const ticket = context.tickets.findTicket(group, workerId);
+    if (ticket === undefined && group.allowedWorkers !== undefined) {
+      life.dropRun({ group, task });
+      return;
+    }
     const { payload } = group.job;
     const { checkpoint } = task;
-    const result = await orders.start(link, name, { payload, checkpoint, isWanted });
+    const input = { payload, checkpoint, isWanted, ...(ticket === undefined ? {} : { ticket }) };
+    const result = await orders.start(link, name, input);
+    if (result.reason === RefusalReason.BadTicket) context.tickets.dropTicket(group, workerId);
     metrics.reportTiming('orders.start', clock.getNowMs() - sentMs);
     logger.info('start_sent', {
       task: name.task,
--- a/packages/dispatch/src/taskrunner.ts
+++ b/packages/dispatch/src/taskrunner.ts
@@ -16,6 +16,8 @@
   payload: string;
   /** Saved progress to resume from; empty when there is none. */
   checkpoint: string;
+  /** Proof that the queue's policy admits the worker; absent when it needs none. */
+  ticket?: string;
   /** Time on the worker's clock until which the run may begin and holds its lease. */
   leaseUntilMs: number;
   /** Token of the owner for this life of the worker; a lower one than the worker knows is refused. */
@@ -52,6 +54,8 @@
   OldRun = 'old_run',
   /** The time until which the run could begin has passed. */
   TooLate = 'too_late',
+  /** The ticket is missing, expired or of another life of the worker. */
+  BadTicket = 'bad_ticket',
   /** The worker is unhealthy. */
   Unhealthy = 'unhealthy',
   /** The worker does not accept the order as it is. */
--- /dev/null
+++ b/packages/dispatch/tests/fakeadvisor.ts
@@ -0,0 +1,37 @@
+import { FaultCode, createFault, waitFor } from '@bergamotreach/protocol';
+import type { Clock, Fault } from '@bergamotreach/protocol';
+import { Err, Ok } from 'ts-results-es';
+import type { Result } from 'ts-results-es';
+import { Advisor } from '../src/index.ts';
+import type { Advice } from '../src/index.ts';
+
+/** Knows which workers all queues admit. */
+export class FakeAdvisor extends Advisor {
+  /** Workers that are admitted; queues have no policy while it is undefined. */
+  admitted: ReadonlySet<string> | undefined;
+  /** Calls that get no answer before the next one does. */
+  lostCalls = 0;
+  validityMs = 4000;
+  readonly calls: { step: string; workers: readonly string[] }[] = [];
+
+  constructor(private readonly clock: Clock) {
+    super();
+  }
+
+  async advise(
+    step: string,
+    workerIds: readonly string[],
+    timeoutMs: number,
+  ): Promise<Result<Advice, Fault>> {
+    this.calls.push({ step, workers: workerIds });
+    if (this.lostCalls > 0) {
+      this.lostCalls -= 1;
+      await waitFor(this.clock, timeoutMs);
+      return Err(createFault(FaultCode.WorkerUnavailable, 'no answer'));
+    }
+    await waitFor(this.clock, 20);
+    const good = workerIds.filter((id) => this.admitted?.has(id) === true);
+    const tickets = new Map(good.map((id) => [id, `${step} on ${id}`]));
+    return Ok({ tickets, validityMs: this.validityMs });
+  }
+}
--- a/packages/dispatch/tests/fakeworkers.ts
+++ b/packages/dispatch/tests/fakeworkers.ts
@@ -46,6 +46,8 @@
   isCut = false;
   /** Orders get no answer and are carried out this much later; 0 is off. */
   lateMs = 0;
+  /** Starts that did not fit. */
+  overloads = 0;
   /** How tasks end here. */
   end = RunEnd.Done;
 
@@ -104,7 +106,10 @@
     }
     if ((this.highest.get(order.task) ?? 0) >= order.run) return refuse(RefusalReason.OldRun);
     if (order.leaseUntilMs <= clockMs) return refuse(RefusalReason.TooLate);
-    if (this.active.size >= workerSlots) return refuse(RefusalReason.NoRoom);
+    if (this.active.size >= workerSlots) {
+      this.overloads += 1;
+      return refuse(RefusalReason.NoRoom);
+    }
     this.highest.set(order.task, order.run);
     this.keepLease(order.leaseUntilMs);
     const endsAtMs = clockMs + this.runMs;
--- a/packages/dispatch/tests/orders.test.ts
+++ b/packages/dispatch/tests/orders.test.ts
@@ -5,6 +5,7 @@
 import type { OrderReply, TaskRunner } from '../src/index.ts';
 import { StartFate, createOrderSender } from '../src/orders.ts';
 import { createWorkerClock } from '../src/workerclock.ts';
+import { LinkState } from '../src/workerlink.ts';
 import type { WorkerLink } from '../src/workerlink.ts';
 
 const lost: OrderReply = { status: OrderStatus.Unknown, reason: RefusalReason.None };
@@ -13,12 +14,28 @@
   return { status: OrderStatus.Refused, reason, clockMs: 100 };
 }
 
+interface Sent {
+  fate: StartFate;
+  isOwnerFenced: boolean;
+}
+
 /** Sends one start to a worker that gives these answers in turn. */
 async function sendStart(...replies: OrderReply[]): Promise<StartFate> {
+  return (await sendOnLink(LinkState.Live, replies)).fate;
+}
+
+async function sendOnLink(state: LinkState, replies: OrderReply[]): Promise<Sent> {
+  let isOwnerFenced = false;
   const clock = createSystemClock();
   const workerClock = createWorkerClock();
   workerClock.note(0, clock.getNowMs());
-  const link = { id: 'w1', getClock: () => workerClock, getEntry: () => ({}), getFence: () => 1 };
+  const link = {
+    id: 'w1',
+    getClock: () => workerClock,
+    getEntry: () => ({}),
+    getFence: () => 1,
+    getState: () => state,
+  };
   const runner = { start: () => Promise.resolve(replies.shift() ?? lost) };
   const sender = createOrderSender({
     runner: runner as unknown as TaskRunner,
@@ -26,11 +43,14 @@
     logger: createNullLogger(),
     metrics: createNullMetrics(),
     isHolding: () => true,
-    onFenced: () => undefined,
+    onFenced: () => {
+      isOwnerFenced = true;
+    },
   });
   const input = { payload: '', checkpoint: '', isWanted: () => true };
   const name = { task: 'j.0.0.0', run: 1 };
-  return (await sender.start(link as unknown as WorkerLink, name, input)).fate;
+  const { fate } = await sender.start(link as unknown as WorkerLink, name, input);
+  return { fate, isOwnerFenced };
 }
 
 // Guards against a task that runs twice because the refusal of a repeated order hid that the first
@@ -42,3 +62,13 @@
   }
   expect(await sendStart(createRefusal(RefusalReason.OldRun))).toEqual(StartFate.Undecided);
 });
+
+// Guards against an owner that gives up because the next life of a worker, which knows the token that
+// the owner gave it, refuses a late repetition for the life before.
+test('only the present life of a worker fences its owner', async () => {
+  const fenced: OrderReply = { status: OrderStatus.Fenced, reason: RefusalReason.None };
+  const present = await sendOnLink(LinkState.Live, [fenced]);
+  const former = await sendOnLink(LinkState.Lapsed, [lost, fenced]);
+  expect(present).toEqual({ fate: StartFate.NotStarted, isOwnerFenced: true });
+  expect(former).toEqual({ fate: StartFate.Undecided, isOwnerFenced: false });
+});
--- a/packages/dispatch/tests/owner.test.ts
+++ b/packages/dispatch/tests/owner.test.ts
@@ -290,6 +290,26 @@
   expect(world.getState('j1')).toEqual(JobState.Completed);
 });
 
+// Guards against a worker that is overloaded because the runs of a job that ended before the takeover
+// still take room there.
+test('room of runs that no job wants is not given away', async () => {
+  const world = createWorld(1);
+  const first = world.addContender('a');
+  await advance(world, startUpMs);
+  world.submit('j1', [{ taskCount: 4 }]);
+  await advance(world, 300);
+  first.process.kill();
+  const worker = getWorker(world, 'w0');
+  // They go on until they are stopped.
+  for (const run of worker.active.values()) run.endsAtMs = Infinity;
+  world.cancel('j1');
+  world.submit('j2', [{ taskCount: 2 }]);
+  world.addContender('b');
+  await advance(world, 9000);
+  expect(world.getState('j2')).toEqual(JobState.Completed);
+  expect(worker.overloads).toEqual(0);
+});
+
 // Guards against tasks that are lost with a life of their worker.
 test('tasks of a restarted worker run again', async () => {
   const world = createWorld(1);
--- /dev/null
+++ b/packages/dispatch/tests/tickets.test.ts
@@ -0,0 +1,65 @@
+import { test } from 'node:test';
+import { JobState } from '@bergamotreach/scheduling';
+import { expect } from 'earl';
+import { createWorld } from './world.ts';
+import type { World } from './world.ts';
+
+const startUpMs = 1000;
+
+function listWorkers(world: World): string[] {
+  return [...new Set(world.listBegun().map(({ worker }) => worker))].sort();
+}
+
+// Guards against a start on a worker that the queue's policy does not admit, and against one that
+// carries no ticket.
+test('advised job runs on admitted workers only', async () => {
+  const world = createWorld(6);
+  world.advisor.admitted = new Set(['w2', 'w4']);
+  const { runner } = world.addContender('a');
+  await world.clock.advance(startUpMs);
+  world.submit('j1', [{ taskCount: 6 }, { dependsOn: [0] }]);
+  await world.clock.advance(6000);
+  expect(world.getState('j1')).toEqual(JobState.Completed);
+  expect(listWorkers(world)).toEqual(['w2', 'w4']);
+  expect(runner.starts.map(({ ticket }) => ticket?.split(' on ')[0]).slice(0, 6)).toEqual(
+    Array.from({ length: 6 }, () => 'j1.0.0'),
+  );
+});
+
+// Guards against a step that waits for good because one call to the advisor got no answer.
+test('advice is asked for again after a call without an answer', async () => {
+  const world = createWorld(2);
+  world.advisor.admitted = new Set(['w1']);
+  world.advisor.lostCalls = 2;
+  world.addContender('a');
+  await world.clock.advance(startUpMs);
+  world.submit('j1', [{}]);
+  await world.clock.advance(8000);
+  expect(world.getState('j1')).toEqual(JobState.Completed);
+});
+
+// Guards against calls for workers that the policy has refused before: it does not change.
+test('refused workers are not asked about again', async () => {
+  const world = createWorld(2);
+  world.advisor.admitted = new Set();
+  world.addContender('a');
+  await world.clock.advance(startUpMs);
+  world.submit('j1', [{}]);
+  await world.clock.advance(5000);
+  expect(world.advisor.calls.map(({ workers }) => workers.length)).toEqual([2]);
+  expect(world.listBegun()).toEqual([]);
+});
+
+// Guards against tasks that use a ticket after its end: their starts would be refused.
+test('expired tickets are renewed before a start', async () => {
+  const world = createWorld(1);
+  world.advisor.admitted = new Set(['w0']);
+  const { runner } = world.addContender('a');
+  await world.clock.advance(startUpMs);
+  // Four at a time, a second each, so that the last ones start after the first ticket has expired.
+  world.submit('j1', [{ taskCount: 16 }]);
+  await world.clock.advance(9000);
+  expect(world.getState('j1')).toEqual(JobState.Completed);
+  expect(world.advisor.calls.length >= 2).toEqual(true);
+  expect(runner.starts.every(({ ticket }) => ticket !== undefined)).toEqual(true);
+});
--- a/packages/dispatch/tests/world.ts
+++ b/packages/dispatch/tests/world.ts
@@ -19,9 +19,10 @@
 import { FakeTable, TableFault, TableState } from '../../ownership/tests/faketable.ts';
 import { createStep } from '../../scheduling/tests/samples.ts';
 import { createMirror } from '../src/index.ts';
-import type { JobRow, StateRow, WorkerEntry } from '../src/index.ts';
+import type { JobRow, ServiceConfig, StateRow, WorkerEntry } from '../src/index.ts';
 import { createOwner } from '../src/owner.ts';
 import type { Owner } from '../src/owner.ts';
+import { FakeAdvisor } from './fakeadvisor.ts';
 import { FakeRunner, FakeWorker, workerSlots } from './fakeworkers.ts';
 
 interface Change {
@@ -102,6 +103,7 @@
   clock: ManualClock;
   store: TableState;
   workers: Map<string, FakeWorker>;
+  advisor: FakeAdvisor;
   addContender: (id: string) => Contender;
   submit: (id: string, steps: Partial<StepSpec>[], changes?: Partial<JobSubmission>) => void;
   cancel: (id: string) => void;
@@ -139,6 +141,7 @@
   const clock = createManualClock();
   const store = new TableState(clock);
   const workers = new Map<string, FakeWorker>();
+  const advisor = new FakeAdvisor(clock);
   let operations = 0;
 
   function apply(key: string, value: RowValue): void {
@@ -198,7 +201,8 @@
           workerFeed: new FakeFeed<WorkerEntry>(store, process, 'servers/'),
           states,
           runner,
-          getConfig: () => undefined,
+          advisor,
+          getConfig,
           isHolding: () => lease.isHolding(epoch),
           getEpochCondition: () => (lease.isHolding(epoch) ? lease.getEpochCondition() : undefined),
           onFenced: () => owner?.stop(),
@@ -217,6 +221,15 @@
     return { process, lease, runner, getOwner: () => owner };
   }
 
+  function getConfig(): ServiceConfig | undefined {
+    if (advisor.admitted === undefined) return undefined;
+    const rules = { priority: 1, maxAttempts: 2, stretch: 3, targetMs: 1000 };
+    const queue = { name: 'q1', host: 'h', prefix: '/', pool: 'p1', rules, isPublic: true };
+    const advice = { decisionMs: 10, perWorkerMs: 1 };
+    const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
+    return { version: 1, queues: [{ ...queue, advice }], accounts: [], limits };
+  }
+
   function getRow(id: string): StateRow | undefined {
     return store.rows.get(`state/${id}`)?.value as unknown as StateRow | undefined;
   }
@@ -225,6 +238,7 @@
     clock,
     store,
     workers,
+    advisor,
     addContender,
     submit(id, steps, changes = {}) {
       const submission: JobSubmission = {
--- a/packages/ownership/src/lease.ts
+++ b/packages/ownership/src/lease.ts
@@ -75,6 +75,8 @@
   start(): void;
   /** Stops contending; releases the lease when held, so that another daemon takes over at once. */
   stop(): Promise<void>;
+  /** Gives the lease up when held and goes on contending, so that the next epoch is a new one. */
+  resign(): Promise<void>;
   /** Whether an effect of `epoch` is allowed now. To be asked right before each effect. */
   isHolding(epoch: number): boolean;
   getState(): LeaseState;
@@ -298,6 +300,10 @@
       cancelDeadline?.();
       if (hold !== undefined) await releaseHold(hold);
     },
+    async resign() {
+      await step;
+      if (hold !== undefined) await releaseHold(hold);
+    },
     isHolding: (epoch) => hold?.epoch === epoch && getState() === LeaseState.Holding,
     getState,
     getEpoch: () => lastEpoch,
--- a/packages/ownership/tests/lease.test.ts
+++ b/packages/ownership/tests/lease.test.ts
@@ -103,6 +103,20 @@
   expect([lease.getState(), lease.getEpoch()]).toEqual([LeaseState.Holding, 2]);
 });
 
+// Guards against a holder without effects: one that a worker refused as outdated must come back with
+// a higher epoch, or leave the lease to another.
+test('a holder that resigns contends with the next epoch', async () => {
+  const { clock, state } = createState();
+  const lease = createLease(createNode(state, 'd1'));
+  lease.start();
+  await clock.advance(1_000);
+  void lease.resign();
+  await clock.advance(100);
+  expect(lease.isHolding(1)).toEqual(false);
+  await clock.advance(2_000);
+  expect(lease.isHolding(2)).toEqual(true);
+});
+
 // Guards against a lease that goes to a small machine although a large one is up.
 test('a reluctant contender leaves a free lease to others', async () => {
   const { clock, state } = createState();
--- a/packages/scheduling/src/group.ts
+++ b/packages/scheduling/src/group.ts
@@ -56,6 +56,8 @@
   gangFailures: number;
   /** Latest run of a gang that was counted as failed. */
   lastFailedRun: number;
+  /** Workers that the policy of the queue admits now; any when undefined. */
+  allowedWorkers?: ReadonlySet<string> | undefined;
 }
 
 /** Creates a group none of whose tasks has run. */
--- a/packages/scheduling/src/packing.ts
+++ b/packages/scheduling/src/packing.ts
@@ -32,6 +32,7 @@
 export function isEligible(group: TaskGroup, worker: WorkerView): boolean {
   const { requiredLabel } = group.spec;
   if (worker.pool !== group.job.pool || worker.maxStarts <= 0) return false;
+  if (group.allowedWorkers?.has(worker.id) === false) return false;
   return requiredLabel === '' || worker.labels.has(requiredLabel);
 }
 
