Acknowledge ends only to the life that listed them; call peers side by side

A call to a worker that had started again carried the cursor of the life before. The new life dropped its first end, done, unseen, and the task ran again. Ruled out: late orders (the end was acknowledged 4 ms after it was listed, by that call). Change: a call after a failure or after 300 ms without an answer carries no cursor; if ends wait for it, it only looks at the worker's life and the next call acknowledges.

Relay: a peer that does not answer is joined by the next after 60 ms and avoided twice as long each time.

--- a/packages/dispatch/src/relay.ts
+++ b/packages/dispatch/src/relay.ts
@@ -58,11 +58,24 @@
 const maxCallMs = 1000;
 /** Peers that one call is sent to; each has its own copy of the store's rows. */
 const maxPeers = 3;
+/**
+ * A peer that has not answered for this long is joined by the next one. A call names its job, so it
+ * does no harm that several instances carry it out.
+ */
+const staggerMs = 60;
 /** After no peer reached the store, calls are refused at once for this long. */
-const awayMs = 300;
+const awayMs = 700;
 const doubtRetryMs = 1000;
-/** How long a peer that did not answer is tried last. */
-const avoidMs = 4000;
+/** How long a peer that did not answer is tried last; doubled each time. */
+const silentAvoidMs = 4000;
+const maxAvoidMs = 60_000;
+
+interface Avoidance {
+  /** Calls in a row without an answer. */
+  silences: number;
+  /** Steady time until which the peer is tried last. */
+  untilMs: number;
+}
 
 /** How a call to one peer ended. */
 interface PeerReply {
@@ -120,43 +133,91 @@
 /** Creates a relay. */
 export function createRelay(options: RelayOptions): Relay {
   const { clock, logger, metrics } = options;
-  const failedMs = new Map<string, number>();
+  const avoided = new Map<string, Avoidance>();
   let awayUntilMs = -Infinity;
 
   function rankPeer(peer: RelayPeer): number {
-    const hasFailed = clock.getNowMs() - (failedMs.get(peer.name) ?? -Infinity) < avoidMs;
+    const isAvoided = clock.getNowMs() < (avoided.get(peer.name)?.untilMs ?? -Infinity);
     const isFar = peer.dataCentre !== options.dataCentre;
-    return Number(hasFailed) * 2 + Number(isFar);
+    return Number(isAvoided) * 2 + Number(isFar);
   }
 
-  return {
-    async call(message) {
-      const peers = options.listPeers().sort((a, b) => rankPeer(a) - rankPeer(b));
-      const endMs = clock.getNowMs() + Math.min(message.deadlineMs, maxCallMs);
+  /** A machine that is gone for good keeps its row, so silence counts more each time. */
+  function noteSilence(name: string): void {
+    const silences = (avoided.get(name)?.silences ?? 0) + 1;
+    const avoidMs = Math.min(maxAvoidMs, silentAvoidMs * 2 ** (silences - 1));
+    avoided.set(name, { silences, untilMs: clock.getNowMs() + avoidMs });
+  }
+
+  async function callPeer(
+    peer: RelayPeer,
+    message: RelayCallMessage,
+    timeoutMs: number,
+  ): Promise<RelayAnswerMessage | undefined> {
+    const { answer, isSent } = await sendMessage(peer.relayAddress, message, timeoutMs);
+    const outcome = answer === undefined ? 'failed' : 'answered';
+    metrics.count('relay.calls', 1, { outcome });
+    logger.info('call_relayed', {
+      job: message.jobId,
+      operation: message.operation,
+      peer: peer.name,
+      outcome,
+      isSent,
+      fault: answer?.faultCode,
+    });
+    if (answer === undefined) {
+      noteSilence(peer.name);
+      return isSent ? createDoubt() : undefined;
+    }
+    const isAway = storeFaults.has(answer.faultCode);
+    if (isAway) avoided.set(peer.name, { silences: 0, untilMs: clock.getNowMs() + awayMs });
+    else avoided.delete(peer.name);
+    return answer;
+  }
+
+  /** The first answer of a peer that reaches the store; else the refusal or the doubt that is left. */
+  function callPeers(
+    peers: readonly RelayPeer[],
+    message: RelayCallMessage,
+    endMs: number,
+  ): Promise<RelayAnswerMessage | undefined> {
+    return new Promise((resolve) => {
+      let open = peers.length;
+      let isDecided = false;
       let refusal: RelayAnswerMessage | undefined;
-      if (clock.getNowMs() < awayUntilMs) return undefined;
-      for (const peer of peers.slice(0, maxPeers)) {
+      const decide = (answer: RelayAnswerMessage | undefined): void => {
+        isDecided = true;
+        resolve(answer);
+      };
+      const tryPeer = async (peer: RelayPeer): Promise<void> => {
         const leftMs = Math.min(peerTimeoutMs, endMs - clock.getNowMs());
-        if (leftMs <= 0) break;
-        const { answer, isSent } = await sendMessage(peer.relayAddress, message, leftMs);
-        const outcome = answer === undefined ? 'failed' : 'answered';
-        metrics.count('relay.calls', 1, { outcome });
-        logger.info('call_relayed', {
-          job: message.jobId,
-          operation: message.operation,
-          peer: peer.name,
-          outcome,
-          isSent,
-          fault: answer?.faultCode,
-        });
-        if (answer !== undefined && !storeFaults.has(answer.faultCode)) return answer;
+        const answer = isDecided || leftMs <= 0 ? undefined : await callPeer(peer, message, leftMs);
+        if (isDecided) return;
+        if (answer !== undefined && !storeFaults.has(answer.faultCode)) {
+          decide(answer);
+          return;
+        }
         // A peer that may have carried the call out leaves a doubt, which no refusal hides.
-        const reply = answer ?? (isSent ? createDoubt() : undefined);
-        if (refusal?.faultCode !== FaultCode.UnknownOutcome) refusal = reply ?? refusal;
-        failedMs.set(peer.name, clock.getNowMs());
+        if (refusal?.faultCode !== FaultCode.UnknownOutcome) refusal = answer ?? refusal;
+        open -= 1;
+        if (open > 0) return;
+        awayUntilMs = clock.getNowMs() + awayMs;
+        decide(refusal);
+      };
+      for (const [index, peer] of peers.entries()) {
+        clock.setTimer(index * staggerMs, () => {
+          void tryPeer(peer);
+        });
       }
-      awayUntilMs = clock.getNowMs() + awayMs;
-      return refusal;
+    });
+  }
+
+  return {
+    async call(message) {
+      const peers = options.listPeers().sort((a, b) => rankPeer(a) - rankPeer(b));
+      if (clock.getNowMs() < awayUntilMs || peers.length === 0) return undefined;
+      const endMs = clock.getNowMs() + Math.min(message.deadlineMs, maxCallMs);
+      return callPeers(peers.slice(0, maxPeers), message, endMs);
     },
   };
 }
--- a/packages/dispatch/src/workerlink.ts
+++ b/packages/dispatch/src/workerlink.ts
@@ -81,6 +81,8 @@
 const idleCheckMs = 50;
 /** How long a report may wait for the store before the lease is extended without it. */
 const storeWaitMs = 1500;
+/** A worker does not start again within this time of an answer. */
+const freshMs = 300;
 /** Failed calls in a row after which a worker gets no new work. */
 const silentAfter = 1;
 
@@ -101,6 +103,8 @@
   let isRunning = false;
   let failures = 0;
   let ackedEnd = 0;
+  /** Highest end whose acknowledgement was answered. */
+  let sentEnd = 0;
   let answeredMs = clock.getNowMs();
   let isUrgent = false;
 
@@ -141,16 +145,21 @@
     if (hasLapsed()) endLife(LapseCause.LeaseExpired);
   }
 
-  async function handleReport(report: WorkerReport): Promise<void> {
+  /** Takes note of an answer; false when it comes from another life of the worker. */
+  function checkLife(report: WorkerReport): boolean {
     if (report.bornAtMs !== undefined && report.bornAtMs !== bornAtMs) {
       endLife(LapseCause.Restarted);
       isRunning = false;
       options.onRestart(report.bornAtMs);
-      return;
+      return false;
     }
     failures = 0;
     answeredMs = clock.getNowMs();
     workerClock.note(report.clockMs, answeredMs);
+    return true;
+  }
+
+  async function handleReport(report: WorkerReport): Promise<void> {
     const isFirst = state !== LinkState.Live;
     setState(LinkState.Live, 'answered');
     if (isFirst) workerClock.noteLease(report.clockMs + maxLeaseMs);
@@ -168,19 +177,25 @@
     // A call without an answer may have extended the lease. So a silent worker is only looked at:
     // with an extension in each call its lease would never lapse for certain.
     const canExtend = estimate !== undefined && failures === 0;
+    // The worker may have started again meanwhile, and the cursor would acknowledge ends of its next
+    // life, whose numbers begin anew.
+    const isFresh = failures === 0 && nowMs - answeredMs <= freshMs;
+    const isLook = !isFresh && ackedEnd > sentEnd;
+    const cursor = isFresh ? ackedEnd : 0;
     const leaseUntilMs = canExtend ? Math.floor(estimate + maxLeaseMs) : undefined;
-    const waitMs = canExtend && !isUrgent ? reportWaitMs : 0;
+    const waitMs = canExtend && !isUrgent && !isLook ? reportWaitMs : 0;
     isUrgent = false;
     if (leaseUntilMs !== undefined) workerClock.noteLease(leaseUntilMs);
     const reply = await runner.report(entry, {
       fence,
-      ackedEnd,
+      ackedEnd: cursor,
       waitMs,
       ...(leaseUntilMs === undefined ? {} : { leaseUntilMs }),
     });
     if (!isRunning) return;
     if (reply.isOk()) {
-      await handleReport(reply.value);
+      sentEnd = Math.max(sentEnd, cursor);
+      if (checkLife(reply.value) && !isLook) await handleReport(reply.value);
       return;
     }
     const fault = reply.error;
--- a/packages/dispatch/tests/relay.test.ts
+++ b/packages/dispatch/tests/relay.test.ts
@@ -82,6 +82,15 @@
   expect((await callPeers(peers))?.faultCode).toEqual(FaultCode.UnknownOutcome);
 });
 
+// Guards against callers that wait for a machine that is gone while another one would serve them.
+test('a silent peer does not hold the call up', async () => {
+  const peers = [await startMute(), await startPeer('')];
+  const startedMs = performance.now();
+  expect((await callPeers(peers))?.value).toEqual('done');
+  // A silent peer alone takes 450 ms.
+  expect(performance.now() - startedMs < 300).toEqual(true);
+});
+
 // Guards against a doubt where no peer can have got the call.
 test('a peer that is gone leaves no doubt', async () => {
   const gone = await startMute();
