--- a/packages/dispatch/src/jobbook.ts
+++ b/packages/dispatch/src/jobbook.ts
@@ -54,6 +54,8 @@
   /** Accelerators that urgent work holds or could start on at the Unix time `wallMs`. */
   sumUrgentDemand(wallMs: number): number;
   isComplete(job: LiveJob): boolean;
+  /** Unix time at which the newest job was accepted; 0 before the first. */
+  getNewestAtMs(): number;
 }
 
 // Clocks of the instances differ a little; an occurrence must not start before its time.
@@ -64,6 +66,7 @@
 export function createJobBook(): JobBook {
   const jobs = new Map<string, LiveJob>();
   const means = createWorkMeans();
+  let newestAtMs = 0;
 
   function listGroups(job: LiveJob): TaskGroup[] {
     return [...job.groups.values()];
@@ -105,6 +108,7 @@
         }
       }
       jobs.set(submission.id, job);
+      newestAtMs = Math.max(newestAtMs, acceptedAtMs);
       means.add(submission);
     },
     find: (jobId) => jobs.get(jobId),
@@ -175,6 +179,7 @@
       }
       return sum;
     },
+    getNewestAtMs: () => newestAtMs,
     isComplete: (job) => listGroups(job).every(isGroupDone),
   };
 }
--- a/packages/dispatch/src/owner.ts
+++ b/packages/dispatch/src/owner.ts
@@ -274,6 +274,7 @@
     const result = planStarts({
       nowMs: startedAtMs,
       urgentReserve: urgentDemand.getLevel(),
+      quietMs: wallMs - book.getNewestAtMs(),
       workers,
       ready,
       guaranteed: book.listGuaranteed(guarantees),
--- a/packages/scheduling/src/planner.ts
+++ b/packages/scheduling/src/planner.ts
@@ -13,7 +13,8 @@
 import { getChainMs, getRank } from './ranking.ts';
 import { listStops, planClearing, takeClearing } from './reclaim.ts';
 import type { Clearing } from './reclaim.ts';
-import { addResources } from './resources.ts';
+import { addResources, getDominantShare } from './resources.ts';
+import type { Resources } from './resources.ts';
 import { markReserved } from './urgentshare.ts';
 import type { PlacedTask, WorkerView } from './worker.ts';
 
@@ -37,6 +38,8 @@
   guaranteed: ReadonlySet<string>;
   /** Accelerators to be set aside for urgent work. */
   urgentReserve: number;
+  /** Time since the last job was accepted, in milliseconds. */
+  quietMs: number;
 }
 
 /** Tasks of one group to be started. */
@@ -73,6 +76,13 @@
 const pressingAfterMs = 1000;
 /** A fleet with a smaller free share of its accelerators is crowded. */
 const crowdedFreeShare = 0.3;
+/**
+ * Without a new job for this long, an idle fleet makes none wait for a better place: nothing else is
+ * coming that the room could be kept for. The platform asks 14 s after its last job.
+ */
+const quietAfterMs = 8000;
+/** A fleet is idle when at most this share of it is in use. */
+const idleUsedShare = 0.5;
 /** A gang that waited this long gets room reserved against work ranked below it. */
 const reserveAfterMs = 2500;
 /** Gangs that may hold a reservation at once. */
@@ -94,6 +104,18 @@
   };
 }
 
+function isIdle(input: PlanInput): boolean {
+  if (input.quietMs < quietAfterMs) return false;
+  const used: Resources = { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
+  const total = { ...used };
+  for (const { capacity, free } of input.workers) {
+    addResources(used, capacity);
+    addResources(used, free, -1);
+    addResources(total, capacity);
+  }
+  return getDominantShare(used, total) <= idleUsedShare;
+}
+
 /** Spread tasks take several times as long, which a crowded fleet cannot afford. */
 function isCrowded(workers: readonly WorkerView[]): boolean {
   let free = 0;
@@ -119,7 +141,8 @@
   const plan: Plan = { starts: [], stops: [] };
   const stopping = new Set<Task>();
   let reservations = 0;
-  markReserved(input.workers, input.urgentReserve);
+  const isQuiet = isIdle(input);
+  markReserved(input.workers, isQuiet ? 0 : input.urgentReserve);
   const order = [...input.ready].sort(compareReady(input));
 
   function addStart(group: TaskGroup, placements: Placement[]): void {
@@ -186,7 +209,7 @@
     const { group } = ready;
     // A gang starts whole, so it waits until the last member of its previous run has ended.
     if (group.tasks.some(isOccupying)) return;
-    const spread = chooseSpread(ready, input.workers);
+    const spread = isQuiet ? Spread.Anywhere : chooseSpread(ready, input.workers);
     const placements = placeGang(group, input.workers, spread);
     if (placements !== undefined) addStart(group, placements);
     else if (group.job.rules.priority === urgentPriority) freeRoom(group, spread);
@@ -209,7 +232,8 @@
 
   function planTasks(ready: ReadyGroup): void {
     const { group } = ready;
-    addStart(group, placeSome(group, input.workers, chooseSpread(ready, input.workers)));
+    const spread = isQuiet ? Spread.Anywhere : chooseSpread(ready, input.workers);
+    addStart(group, placeSome(group, input.workers, spread));
     const placed = plan.starts.find((start) => start.group === group)?.placements.length ?? 0;
     const isUrgent = group.job.rules.priority === urgentPriority;
     if (isUrgent && placed < listWaiting(group).length) freeRoom(group, Spread.Anywhere);
--- a/packages/scheduling/tests/planner.test.ts
+++ b/packages/scheduling/tests/planner.test.ts
@@ -146,3 +146,17 @@
   const plan = planStarts(createInput([worker], ready, { guaranteed: new Set(['younger']) }));
   expect(listWorkers(plan, 'older').length).toEqual(8);
 });
+
+// Guards against a gang that waits for its rack, or for room that is set aside, while most of the
+// fleet stands idle and nothing else is coming.
+test('quiet fleet makes no job wait', () => {
+  const workers = ['r1', 'r2'].map((rack) => createWorker(`w${rack}`, rack));
+  for (const worker of workers) runOn(worker, createSingle(`b${worker.id}`, 2, { taskCount: 3 }));
+  const gang = createSingle('g', 1, { isGang: true, isRackBound: true, taskCount: 8 });
+  const changes = { urgentReserve: 16 };
+  const busy = planStarts(createInput(workers, [createReady(gang, 1000)], changes));
+  expect(busy.starts).toEqual([]);
+  const quiet = { ...changes, quietMs: 9000 };
+  const plan = planStarts(createInput(workers, [createReady(gang, 1000)], quiet));
+  expect(listWorkers(plan, 'g').length).toEqual(8);
+});
--- a/packages/scheduling/tests/samples.ts
+++ b/packages/scheduling/tests/samples.ts
@@ -90,7 +90,15 @@
   ready: ReadyGroup[],
   changes: Partial<PlanInput> = {},
 ): PlanInput {
-  return { nowMs: 10_000, workers, ready, guaranteed: new Set(), urgentReserve: 0, ...changes };
+  return {
+    nowMs: 10_000,
+    workers,
+    ready,
+    guaranteed: new Set(),
+    urgentReserve: 0,
+    quietMs: 0,
+    ...changes,
+  };
 }
 
 /** Workers that a plan starts tasks of a job on. */
