Settle tasks that an older run has done; remember lost copies beyond their run

An older run of a task, begun late by a next life, ended done and was acknowledged while the task went on. A lost copy of an earlier run was forgotten with that run, so a restart of its worker let the task run elsewhere at once. A new owner forgot the copies that the former one had sent. Change: an older run that is done settles its task and stops the present one; lost copies are kept by task and worker for 13 s; for 13 s after a takeover each run of a restarted worker waits for its next report.

--- a/packages/dispatch/src/heldruns.ts
+++ b/packages/dispatch/src/heldruns.ts
@@ -35,6 +35,8 @@
   const { watches, options } = context;
   const { clock, logger } = options;
   const held = new Map<Task, HeldRun>();
+  /** Copies that an owner before this one sent may be under way for some time after it. */
+  const createdMs = clock.getNowMs();
 
   function isHeld(task: Task): boolean {
     return held.has(task) && task.phase === TaskPhase.Stopping;
@@ -54,9 +56,11 @@
     canBeOnNextLife(task, cause) {
       const watch = watches.get(task);
       // Only reports name the life that answers, so the new one may have taken the start.
-      if (cause === LapseCause.Restarted && watch?.isListed !== true) return true;
+      const isOwnerNew = clock.getNowMs() - createdMs < lateOrderMs;
+      if (cause === LapseCause.Restarted && (watch?.isListed !== true || isOwnerNew)) return true;
       const isOnItsWay = task.phase === TaskPhase.Starting && watch?.confirmedClockMs === Infinity;
-      return isOnItsWay || (watch?.lateUntilMs ?? 0) > clock.getNowMs();
+      const lateUntilMs = context.lateCopies.get(task)?.get(task.workerId) ?? -Infinity;
+      return isOnItsWay || lateUntilMs > clock.getNowMs();
     },
     holdRun({ group, task }) {
       task.phase = TaskPhase.Stopping;
@@ -67,7 +71,6 @@
         missedReports: 0,
         confirmedClockMs: Infinity,
         windowUntilMs: 0,
-        lateUntilMs: 0,
         isListed: false,
       });
       logger.info('run_held', { task: getTaskName(group, task), run, worker: workerId });
--- a/packages/dispatch/src/joblife.ts
+++ b/packages/dispatch/src/joblife.ts
@@ -145,14 +145,12 @@
   }
 
   function noteRunning(task: Task, confirmedClockMs: number): void {
-    const lateUntilMs = watches.get(task)?.lateUntilMs ?? 0;
     const { run } = task;
     watches.set(task, {
       run,
       missedReports: 0,
       confirmedClockMs,
       windowUntilMs: 0,
-      lateUntilMs,
       isListed: false,
     });
   }
--- a/packages/dispatch/src/owner.ts
+++ b/packages/dispatch/src/owner.ts
@@ -132,6 +132,7 @@
     book,
     trust,
     watches: new Map(),
+    lateCopies: new WeakMap(),
     journal,
     orders,
     tickets,
--- a/packages/dispatch/src/ownercontext.ts
+++ b/packages/dispatch/src/ownercontext.ts
@@ -11,7 +11,7 @@
 import type { Journal } from './journal.ts';
 import type { Mirror } from './mirror.ts';
 import type { OrderSender } from './orders.ts';
-import type { RunWatches } from './runwatch.ts';
+import type { LateCopies, RunWatches } from './runwatch.ts';
 import type { TaskRunner } from './taskrunner.ts';
 import type { TicketDesk } from './tickets.ts';
 import type { WorkerEntry } from './workerentry.ts';
@@ -48,6 +48,7 @@
   book: JobBook;
   trust: WorkerTrust;
   watches: RunWatches;
+  lateCopies: LateCopies;
   journal: Journal;
   orders: OrderSender;
   tickets: TicketDesk;
--- a/packages/dispatch/src/runreports.ts
+++ b/packages/dispatch/src/runreports.ts
@@ -78,6 +78,11 @@
     });
     metrics.count('runs.ended', 1, { end: ended.end });
     if (effect === EndEffect.Stale) return;
+    if (effect === EndEffect.Settled) {
+      life.writeGroup(group);
+      life.stopTask(placed, 'an earlier run was done');
+      return;
+    }
     watches.delete(task);
     if (ended.end === RunEnd.Done) trust.noteDone(link.id);
     if (ended.end === RunEnd.Failed) trust.noteFailure(link.id, group.key, clock.getNowMs());
--- a/packages/dispatch/src/runwatch.ts
+++ b/packages/dispatch/src/runwatch.ts
@@ -9,8 +9,6 @@
   confirmedClockMs: number;
   /** End of the window of a start whose fate is not known; 0 when it is. */
   windowUntilMs: number;
-  /** Steady time until which a lost copy of the start may still be carried out; 0 without one. */
-  lateUntilMs: number;
   /** A report listed the run, so the life that the report is from has it. */
   isListed: boolean;
 }
@@ -18,5 +16,8 @@
 /** Watches by task. A run without one was restored from the store. */
 export type RunWatches = Map<Task, RunWatch>;
 
+/** Until which steady time a lost copy of some start of a task may be carried out, by worker. */
+export type LateCopies = WeakMap<Task, Map<string, number>>;
+
 /** From the platform's pages: an order without an answer is carried out up to 12 s later. */
 export const lateOrderMs = 13_000;
--- a/packages/dispatch/src/starter.ts
+++ b/packages/dispatch/src/starter.ts
@@ -46,7 +46,6 @@
         missedReports: 0,
         confirmedClockMs: Infinity,
         windowUntilMs: 0,
-        lateUntilMs: 0,
         isListed: false,
       });
     }
@@ -79,6 +78,7 @@
     const { checkpoint } = task;
     const input = { payload, checkpoint, isWanted, ...(ticket === undefined ? {} : { ticket }) };
     const result = await orders.start(link, name, input);
+    if (result.hasLostCopy) noteLateCopy(task, workerId);
     if (result.reason === RefusalReason.BadTicket) context.tickets.dropTicket(group, workerId);
     metrics.reportTiming('orders.start', clock.getNowMs() - sentMs);
     logger.info('start_sent', {
@@ -96,7 +96,6 @@
   function applyStart(placed: PlacedTask, link: WorkerLink, result: StartResult): void {
     const { group, task } = placed;
     if (task.phase !== TaskPhase.Starting && task.phase !== TaskPhase.Stopping) return;
-    const lateUntilMs = result.hasLostCopy ? clock.getNowMs() + lateOrderMs : 0;
     if (result.fate === StartFate.Undecided) {
       const { windowUntilMs } = result;
       const { run } = task;
@@ -105,7 +104,6 @@
         missedReports: 0,
         confirmedClockMs: 0,
         windowUntilMs,
-        lateUntilMs,
         isListed: false,
       });
       link.hurry();
@@ -117,8 +115,6 @@
       return;
     }
     life.noteRunning(task, result.clockMs);
-    const watch = watches.get(task);
-    if (watch !== undefined) watch.lateUntilMs = lateUntilMs;
     if (task.phase === TaskPhase.Starting) {
       task.phase = TaskPhase.Running;
       task.startedAtMs = clock.getNowMs();
@@ -129,6 +125,13 @@
     }
   }
 
+  /** Remembered beyond the run: also an older copy may begin in the worker's next life. */
+  function noteLateCopy(task: Task, workerId: string): void {
+    const copies = context.lateCopies.get(task) ?? new Map<string, number>();
+    copies.set(workerId, clock.getNowMs() + lateOrderMs);
+    context.lateCopies.set(task, copies);
+  }
+
   function noteRefusal(link: WorkerLink, reason: RefusalReason): void {
     metrics.count('orders.refused', 1, { reason });
     const nowMs = clock.getNowMs();
--- a/packages/scheduling/src/group.ts
+++ b/packages/scheduling/src/group.ts
@@ -42,6 +42,8 @@
   startedAtMs: number;
   /** Worker on which the task failed last; avoided by the next run. */
   failedOn: string;
+  /** An earlier run ended done while the present one was under way. */
+  isSettled: boolean;
 }
 
 /** One step of one occurrence of a job with the state of its tasks. */
@@ -86,6 +88,7 @@
     checkpoint: '',
     startedAtMs: 0,
     failedOn: '',
+    isSettled: false,
   };
 }
 
@@ -121,6 +124,8 @@
   /** Not the current run of the task; only to be acknowledged. */
   Stale = 'stale',
   Done = 'done',
+  /** An earlier run was done; the present one is not needed any more. */
+  Settled = 'settled',
   /** The task waits for its next run. */
   Retry = 'retry',
   /** The attempts are used up. */
@@ -135,20 +140,37 @@
   end: RunEnd,
   checkpoint: string,
 ): EndEffect {
-  if (task.run !== run || task.phase === TaskPhase.Done) return EndEffect.Stale;
-  if (task.phase === TaskPhase.Waiting) return EndEffect.Stale;
+  if (task.phase === TaskPhase.Done) return EndEffect.Stale;
+  if (run < task.run) return noteOlderEnd(group, task, end);
+  if (task.run !== run || task.phase === TaskPhase.Waiting) return EndEffect.Stale;
   if (end === RunEnd.Done && !group.spec.isLongRunning) {
     // One finished member stands for the whole gang.
     const finished = group.spec.isGang ? group.tasks : [task];
     for (const one of finished) one.phase = TaskPhase.Done;
     return EndEffect.Done;
   }
+  if (task.isSettled) {
+    task.phase = TaskPhase.Done;
+    return EndEffect.Done;
+  }
   task.phase = TaskPhase.Waiting;
   if (checkpoint !== '') keepCheckpoint(group, task, checkpoint);
   if (end === RunEnd.Failed) countFailure(group, task, run);
   return isExhausted(group) ? EndEffect.Exhausted : EndEffect.Retry;
 }
 
+/** A late copy of a start may run to its end after its run was given up. */
+function noteOlderEnd(group: TaskGroup, task: Task, end: RunEnd): EndEffect {
+  const { isGang, isLongRunning } = group.spec;
+  if (end !== RunEnd.Done || isGang || isLongRunning) return EndEffect.Stale;
+  if (isOccupying(task)) {
+    task.isSettled = true;
+    return EndEffect.Settled;
+  }
+  task.phase = TaskPhase.Done;
+  return EndEffect.Done;
+}
+
 /** Takes over a checkpoint; that of any member serves a whole gang. */
 export function keepCheckpoint(group: TaskGroup, task: Task, checkpoint: string): void {
   const owners = group.spec.isGang ? group.tasks : [task];
--- a/packages/scheduling/src/progress.ts
+++ b/packages/scheduling/src/progress.ts
@@ -19,8 +19,8 @@
   Done = 2,
 }
 
-function encodePhase(phase: TaskPhase): StoredPhase {
-  if (phase === TaskPhase.Done) return StoredPhase.Done;
+function encodePhase({ phase, isSettled }: Task): StoredPhase {
+  if (phase === TaskPhase.Done || isSettled) return StoredPhase.Done;
   return phase === TaskPhase.Waiting ? StoredPhase.Waiting : StoredPhase.Sent;
 }
 
@@ -28,7 +28,7 @@
 export function encodeGroup(group: TaskGroup): GroupRecord {
   return {
     tasks: group.tasks.map((task) => [
-      encodePhase(task.phase),
+      encodePhase(task),
       task.run,
       task.workerId,
       task.failures,
