Send each start for the run it was planned for; count runs that end done after all

A run was given up while its start waited for the store, and planned anew. Both starts then read the present run of the task: the second found it working, took it for unwanted and gave it up without an order, and the task ran again after its end was acknowledged. Ruled out: late orders (no lost copy), lapses (none between). Change: a start keeps the run it was planned for. Also seen there: ends done of runs whose worker had lapsed were dropped as stale and their work done twice; they count now.

--- a/packages/dispatch/src/starter.ts
+++ b/packages/dispatch/src/starter.ts
@@ -1,5 +1,5 @@
 import { JobState, TaskPhase, getLatestRun, isFinal, isOccupying } from '@bergamotreach/scheduling';
-import type { PlacedTask, PlannedStart, Task, TaskGroup } from '@bergamotreach/scheduling';
+import type { PlacedTask, PlannedStart, Task } from '@bergamotreach/scheduling';
 import type { JobLife } from './joblife.ts';
 import { StartFate } from './orders.ts';
 import type { StartResult } from './orders.ts';
@@ -14,6 +14,12 @@
   startAll(starts: readonly PlannedStart[]): Promise<void>;
 }
 
+/** A run whose start waits for the store. */
+interface MarkedRun extends PlacedTask {
+  run: number;
+  workerId: string;
+}
+
 /** How long a worker that refused a start for want of room gets no further one. */
 const refusalPauseMs = 400;
 const unhealthyPauseMs = 2000;
@@ -25,15 +31,13 @@
 
   /** Stores the runs before they are started, so that any later owner knows where to look. */
   async function startAll(starts: readonly PlannedStart[]): Promise<void> {
-    for (const start of starts) markStart(start);
+    const marked = starts.flatMap((start) => markStart(start));
     const isStored = await journal.flush();
     if (!isStored) return;
-    for (const { group, placements } of starts) {
-      for (const { task } of placements) void startTask(group, task);
-    }
+    for (const one of marked) void startTask(one);
   }
 
-  function markStart({ group, placements }: PlannedStart): void {
+  function markStart({ group, placements }: PlannedStart): MarkedRun[] {
     const gangRun = getLatestRun(group) + 1;
     for (const { task, workerId } of placements) {
       task.run = group.spec.isGang ? gangRun : task.run + 1;
@@ -55,16 +59,18 @@
       job.state = JobState.Running;
       life.writeState(job);
     }
+    return placements.map(({ task, workerId }) => ({ group, task, run: task.run, workerId }));
   }
 
-  async function startTask(group: TaskGroup, task: Task): Promise<void> {
-    const { run, workerId } = task;
+  async function startTask({ group, task, run, workerId }: MarkedRun): Promise<void> {
+    // Given up while it was being stored; a later run has a start of its own.
+    if (task.run !== run) return;
     const link = context.fleet.find(workerId);
     const isWanted = (): boolean =>
       !context.isStopped() && task.run === run && task.phase === TaskPhase.Starting;
     const isCancelled = isFinal(life.findJob(group)?.state ?? JobState.Cancelled);
     if (link === undefined || isCancelled || !isWanted()) {
-      if (task.run === run && isOccupying(task)) life.dropRun({ group, task });
+      if (isOccupying(task)) life.dropRun({ group, task });
       return;
     }
     const name = { task: getTaskName(group, task), run };
--- a/packages/scheduling/src/group.ts
+++ b/packages/scheduling/src/group.ts
@@ -141,8 +141,9 @@
   checkpoint: string,
 ): EndEffect {
   if (task.phase === TaskPhase.Done) return EndEffect.Stale;
-  if (run < task.run) return noteOlderEnd(group, task, end);
-  if (task.run !== run || task.phase === TaskPhase.Waiting) return EndEffect.Stale;
+  if (run > task.run) return EndEffect.Stale;
+  const isGivenUp = run < task.run || task.phase === TaskPhase.Waiting;
+  if (isGivenUp) return noteGivenUpEnd(group, task, end);
   if (end === RunEnd.Done && !group.spec.isLongRunning) {
     // One finished member stands for the whole gang.
     const finished = group.spec.isGang ? group.tasks : [task];
@@ -159,8 +160,8 @@
   return isExhausted(group) ? EndEffect.Exhausted : EndEffect.Retry;
 }
 
-/** A late copy of a start may run to its end after its run was given up. */
-function noteOlderEnd(group: TaskGroup, task: Task, end: RunEnd): EndEffect {
+/** A run may go on to its end after it was given up: begun late, or on a worker that came back. */
+function noteGivenUpEnd(group: TaskGroup, task: Task, end: RunEnd): EndEffect {
   const { isGang, isLongRunning } = group.spec;
   if (end !== RunEnd.Done || isGang || isLongRunning) return EndEffect.Stale;
   if (isOccupying(task)) {
--- a/packages/scheduling/tests/group.test.ts
+++ b/packages/scheduling/tests/group.test.ts
@@ -131,6 +131,7 @@
   startRun(waiting, 2);
   const [task, other] = [getTask(waiting), createSingle('k', 1)];
   noteEnd(waiting, task, 2, RunEnd.Stopped, '');
+  expect(noteEnd(waiting, task, 2, RunEnd.Failed, '')).toEqual(EndEffect.Stale);
   expect(noteEnd(waiting, task, 1, RunEnd.Done, '')).toEqual(EndEffect.Done);
   expect(isGroupDone(waiting)).toEqual(true);
   startRun(other, 2);
@@ -140,3 +141,11 @@
   expect(encodeGroup(other).tasks[0]?.[0]).toEqual(2);
   expect(noteEnd(other, getTask(other), 2, RunEnd.Stopped, '')).toEqual(EndEffect.Done);
 });
+
+// Guards against work that is done twice because its worker was silent until its lease had lapsed.
+test('a run that was given up and is done counts', () => {
+  const group = createSingle('j', 1);
+  startRun(group, 1);
+  noteEnd(group, getTask(group), 1, RunEnd.Lapsed, '');
+  expect(noteEnd(group, getTask(group), 1, RunEnd.Done, '')).toEqual(EndEffect.Done);
+});
