Use one piece of code for watches, tasks on a worker and refusals

Change: createRunWatch; listOnWorker, which builds no map, for reports and lapses; the callers' interface alone states the time of a refusal, which the store's own faults needed anyway. Behaviour and answers stay as they are; no figures were measured. Checked: types, lint and the tests of dispatch, scheduling and platform.

--- a/packages/dispatch/src/heldruns.ts
+++ b/packages/dispatch/src/heldruns.ts
@@ -3,7 +3,7 @@
 import type { JobLife } from './joblife.ts';
 import { getTaskName } from './ownercontext.ts';
 import type { OwnerContext } from './ownercontext.ts';
-import { lateOrderMs } from './runwatch.ts';
+import { createRunWatch, lateOrderMs } from './runwatch.ts';
 import type { WorkerReport } from './taskrunner.ts';
 import { LapseCause } from './workerlink.ts';
 import type { WorkerLink } from './workerlink.ts';
@@ -66,13 +66,7 @@
       task.phase = TaskPhase.Stopping;
       const { run, workerId } = task;
       held.set(task, { group, task, workerId, untilMs: clock.getNowMs() + lateOrderMs });
-      watches.set(task, {
-        run,
-        missedReports: 0,
-        confirmedClockMs: Infinity,
-        windowUntilMs: 0,
-        isListed: false,
-      });
+      watches.set(task, createRunWatch(run));
       logger.info('run_held', { task: getTaskName(group, task), run, worker: workerId });
     },
     noteReport(link, report) {
--- a/packages/dispatch/src/jobbook.ts
+++ b/packages/dispatch/src/jobbook.ts
@@ -18,6 +18,7 @@
   JobSubmission,
   PlacedTask,
   ReadyGroup,
+  Task,
   TaskGroup,
 } from '@bergamotreach/scheduling';
 import type { JobRow, StateRow } from './jobrows.ts';
@@ -49,6 +50,8 @@
   listReady(wallMs: number): ReadyGroup[];
   /** Tasks that hold room, by worker. */
   groupByWorker(): Map<string, PlacedTask[]>;
+  /** Tasks that hold room on one worker. */
+  listOnWorker(workerId: string): PlacedTask[];
   /** Urgent jobs that fit into what their account is guaranteed, the oldest first. */
   listGuaranteed(guarantees: ReadonlyMap<string, number>): Set<string>;
   /** Accelerators that urgent work holds or could start on at the Unix time `wallMs`. */
@@ -72,6 +75,14 @@
     return [...job.groups.values()];
   }
 
+  function visitOccupying(visit: (group: TaskGroup, task: Task) => void): void {
+    for (const job of jobs.values()) {
+      for (const group of job.groups.values()) {
+        for (const task of group.tasks) if (isOccupying(task)) visit(group, task);
+      }
+    }
+  }
+
   function hasDependencies(job: LiveJob, group: TaskGroup): boolean {
     const { id } = job.submission;
     const { occurrence } = group;
@@ -137,16 +148,18 @@
     },
     groupByWorker() {
       const placed = new Map<string, PlacedTask[]>();
-      for (const job of jobs.values()) {
-        for (const group of job.groups.values()) {
-          for (const task of group.tasks) {
-            if (!isOccupying(task)) continue;
-            const own = placed.get(task.workerId);
-            if (own === undefined) placed.set(task.workerId, [{ group, task }]);
-            else own.push({ group, task });
-          }
-        }
-      }
+      visitOccupying((group, task) => {
+        const own = placed.get(task.workerId);
+        if (own === undefined) placed.set(task.workerId, [{ group, task }]);
+        else own.push({ group, task });
+      });
+      return placed;
+    },
+    listOnWorker(workerId) {
+      const placed: PlacedTask[] = [];
+      visitOccupying((group, task) => {
+        if (task.workerId === workerId) placed.push({ group, task });
+      });
       return placed;
     },
     listGuaranteed(guarantees) {
--- a/packages/dispatch/src/joblife.ts
+++ b/packages/dispatch/src/joblife.ts
@@ -14,6 +14,7 @@
 import type { StateRow } from './jobrows.ts';
 import { getTaskName } from './ownercontext.ts';
 import type { OwnerContext } from './ownercontext.ts';
+import { createRunWatch } from './runwatch.ts';
 import type { WorkerLink } from './workerlink.ts';
 
 /** Changes of jobs and their tasks, each with its rows and orders. */
@@ -145,14 +146,7 @@
   }
 
   function noteRunning(task: Task, confirmedClockMs: number): void {
-    const { run } = task;
-    watches.set(task, {
-      run,
-      missedReports: 0,
-      confirmedClockMs,
-      windowUntilMs: 0,
-      isListed: false,
-    });
+    watches.set(task, createRunWatch(task.run, { confirmedClockMs }));
   }
 
   return {
--- a/packages/dispatch/src/jobservice.ts
+++ b/packages/dispatch/src/jobservice.ts
@@ -109,7 +109,7 @@
   }
 
   function createUnavailable(message: string): Fault {
-    return createFault(FaultCode.StoreUnavailable, message, { retryAfterMs });
+    return createFault(FaultCode.StoreUnavailable, message);
   }
 
   function decide(
--- a/packages/dispatch/src/owner.ts
+++ b/packages/dispatch/src/owner.ts
@@ -217,7 +217,7 @@
   }
 
   function handleLapse(link: WorkerLink, cause: LapseCause): void {
-    const lost = book.groupByWorker().get(link.id) ?? [];
+    const lost = book.listOnWorker(link.id);
     logger.info('worker_lapsed', { worker: link.id, reason: cause, runs: lost.length });
     context.strayRoom.delete(link.id);
     for (const placed of lost) {
--- a/packages/dispatch/src/runreports.ts
+++ b/packages/dispatch/src/runreports.ts
@@ -92,7 +92,7 @@
   function checkRuns(link: WorkerLink, report: WorkerReport): void {
     const running = new Map(report.runs.map((run) => [`${run.task}/${run.run}`, run]));
     const stray: Resources = { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
-    for (const { group, task } of book.groupByWorker().get(link.id) ?? []) {
+    for (const { group, task } of book.listOnWorker(link.id)) {
       const key = `${getTaskName(group, task)}/${task.run}`;
       const status = running.get(key);
       running.delete(key);
--- a/packages/dispatch/src/runwatch.ts
+++ b/packages/dispatch/src/runwatch.ts
@@ -13,6 +13,18 @@
   isListed: boolean;
 }
 
+/** Creates the watch of a run about which no answer and no report has told anything yet. */
+export function createRunWatch(run: number, known: Partial<RunWatch> = {}): RunWatch {
+  return {
+    run,
+    missedReports: 0,
+    confirmedClockMs: Infinity,
+    windowUntilMs: 0,
+    isListed: false,
+    ...known,
+  };
+}
+
 /** Watches by task. A run without one was restored from the store. */
 export type RunWatches = Map<Task, RunWatch>;
 
--- a/packages/dispatch/src/starter.ts
+++ b/packages/dispatch/src/starter.ts
@@ -5,7 +5,7 @@
 import type { StartResult } from './orders.ts';
 import { getTaskName } from './ownercontext.ts';
 import type { OwnerContext } from './ownercontext.ts';
-import { lateOrderMs } from './runwatch.ts';
+import { createRunWatch, lateOrderMs } from './runwatch.ts';
 import { RefusalReason } from './taskrunner.ts';
 import type { WorkerLink } from './workerlink.ts';
 
@@ -45,13 +45,7 @@
       task.phase = TaskPhase.Starting;
       task.startedAtMs = 0;
       // Until the order is sent no report can tell anything about the run.
-      watches.set(task, {
-        run: task.run,
-        missedReports: 0,
-        confirmedClockMs: Infinity,
-        windowUntilMs: 0,
-        isListed: false,
-      });
+      watches.set(task, createRunWatch(task.run));
     }
     life.writeGroup(group);
     const job = life.findJob(group);
@@ -104,14 +98,7 @@
     if (task.phase !== TaskPhase.Starting && task.phase !== TaskPhase.Stopping) return;
     if (result.fate === StartFate.Undecided) {
       const { windowUntilMs } = result;
-      const { run } = task;
-      watches.set(task, {
-        run,
-        missedReports: 0,
-        confirmedClockMs: 0,
-        windowUntilMs,
-        isListed: false,
-      });
+      watches.set(task, createRunWatch(task.run, { confirmedClockMs: 0, windowUntilMs }));
       link.hurry();
       return;
     }
