--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -127,6 +127,8 @@
   {
     // node:test returns a promise from test(), which the runner itself awaits.
     files: ['packages/*/tests/**/*.ts', 'platform/tests/**/*.ts'],
+    // The soak runs on its own, without the runner.
+    ignores: ['platform/tests/soak/**/*.ts'],
     rules: {
       '@typescript-eslint/no-floating-promises': 'off',
       '@typescript-eslint/no-non-null-assertion': 'off',
