--- a/packages/dispatch/src/instance.ts
+++ b/packages/dispatch/src/instance.ts
@@ -26,6 +26,10 @@
 export interface InstanceLimits {
   /** Longest lease that a worker grants. */
   maxLeaseMs: number;
+  /** Time within which a guaranteed job has to begin. */
+  reclaimMs: number;
+  /** Longest time that a stop takes a worker. */
+  stopMs: number;
   /** Interval at which workers renew their entries. */
   heartbeatMs: number;
   /** Commits per second of this process; all instances share the store's rate. */
@@ -247,8 +251,7 @@
       getWallMs: options.getWallMs,
       logger,
       metrics,
-      maxLeaseMs: limits.maxLeaseMs,
-      heartbeatMs: limits.heartbeatMs,
+      ...limits,
     });
     void owner.start();
   }
--- a/packages/dispatch/src/owner.ts
+++ b/packages/dispatch/src/owner.ts
@@ -57,6 +57,8 @@
 const drainStopMs = 1500;
 /** Extra wait for the lease of a worker that is no longer listed, beyond the longest lease. */
 const unlistedMarginMs = 500;
+/** Orders, a round of planning and the start of a gang on the room that was cleared. */
+const reclaimMarginMs = 1000;
 const slowestClockRate = 0.98;
 const progressPageRows = 500;
 const loadRetryMs = 20;
@@ -64,6 +66,7 @@
 /** Creates an owner for one epoch. */
 export function createOwner(options: OwnerOptions): Owner {
   const { epoch, table, clock, logger, metrics, states, getWallMs } = options;
+  const stopUrgentAfterMs = Math.max(0, options.reclaimMs - options.stopMs - reclaimMarginMs);
   const book = createJobBook();
   const trust = createWorkerTrust();
   const urgentDemand = createUrgentDemand();
@@ -304,6 +307,7 @@
       nowMs: startedAtMs,
       urgentReserve: urgentDemand.getLevel(),
       quietMs: wallMs - book.getNewestAtMs(),
+      stopUrgentAfterMs,
       workers,
       ready,
       guaranteed: book.listGuaranteed(guarantees),
--- a/packages/dispatch/src/ownercontext.ts
+++ b/packages/dispatch/src/ownercontext.ts
@@ -39,6 +39,10 @@
   logger: Logger;
   metrics: Metrics;
   maxLeaseMs: number;
+  /** Time within which a guaranteed job has to begin. */
+  reclaimMs: number;
+  /** Longest time that a stop takes a worker. */
+  stopMs: number;
   heartbeatMs: number;
 }
 
--- a/packages/dispatch/tests/world.ts
+++ b/packages/dispatch/tests/world.ts
@@ -219,6 +219,8 @@
           logger,
           metrics,
           maxLeaseMs,
+          reclaimMs: 2900,
+          stopMs: 900,
           heartbeatMs: 1500,
         });
         void owner.start();
--- a/packages/scheduling/src/planner.ts
+++ b/packages/scheduling/src/planner.ts
@@ -40,6 +40,8 @@
   urgentReserve: number;
   /** Time since the last job was accepted, in milliseconds. */
   quietMs: number;
+  /** Wait after which a guaranteed job stops other urgent work, in milliseconds. */
+  stopUrgentAfterMs: number;
 }
 
 /** Tasks of one group to be started. */
@@ -155,15 +157,20 @@
   }
 
   /** Stops work for a group, or holds the room of stops that are under way. */
-  function freeRoom(group: TaskGroup, spread: Spread): void {
-    const mayPreemptUrgent = input.guaranteed.has(group.job.id);
+  function freeRoom({ group, ageMs }: ReadyGroup, spread: Spread): void {
+    const isLower = (victim: TaskGroup): boolean =>
+      victim.job.rules.priority > group.job.rules.priority;
     const canStop = (victim: TaskGroup): boolean => {
-      if (victim.job.rules.priority > group.job.rules.priority) return true;
+      if (isLower(victim)) return true;
       if (victim.job.account === group.job.account) return false;
       const isUrgent = victim.job.rules.priority === urgentPriority;
-      return isUrgent && mayPreemptUrgent && !input.guaranteed.has(victim.job.id);
+      return isUrgent && !input.guaranteed.has(victim.job.id);
     };
-    const clearing = chooseClearing(group, spread, canStop);
+    // Stopping urgent work for urgent work only loses what has run, and most ends by itself in time.
+    const mayStopUrgent = input.guaranteed.has(group.job.id) && ageMs >= input.stopUrgentAfterMs;
+    const clearing =
+      chooseClearing(group, spread, isLower) ??
+      (mayStopUrgent ? chooseClearing(group, spread, canStop) : undefined);
     if (clearing === undefined) return;
     takeClearing(group, clearing);
     for (const victim of listStops(clearing)) {
@@ -212,7 +219,7 @@
     const spread = isQuiet ? Spread.Anywhere : chooseSpread(ready, input.workers);
     const placements = placeGang(group, input.workers, spread);
     if (placements !== undefined) addStart(group, placements);
-    else if (group.job.rules.priority === urgentPriority) freeRoom(group, spread);
+    else if (group.job.rules.priority === urgentPriority) freeRoom(ready, spread);
     else holdGang(ready, spread);
   }
 
@@ -236,7 +243,7 @@
     addStart(group, placeSome(group, input.workers, spread));
     const placed = plan.starts.find((start) => start.group === group)?.placements.length ?? 0;
     const isUrgent = group.job.rules.priority === urgentPriority;
-    if (isUrgent && placed < listWaiting(group).length) freeRoom(group, Spread.Anywhere);
+    if (isUrgent && placed < listWaiting(group).length) freeRoom(ready, Spread.Anywhere);
   }
 
   for (const ready of order) {
--- a/packages/scheduling/tests/planner.test.ts
+++ b/packages/scheduling/tests/planner.test.ts
@@ -160,3 +160,35 @@
   const plan = planStarts(createInput(workers, [createReady(gang, 1000)], quiet));
   expect(listWorkers(plan, 'g').length).toEqual(8);
 });
+
+// Guards against urgent work that is started and stopped over and over under a burst: a replayed day
+// started 1,474 urgent runs in 12 s, of which 169 ended done.
+test('a guaranteed job waits for other urgent work before it stops any', () => {
+  const worker = createWorker('w1');
+  const other = createSingle('other', 0, { taskCount: 8 });
+  other.job.account = 'a2';
+  runOn(worker, other, 9000);
+  const group = createSingle('urgent', 0, { isGang: true, taskCount: 2 });
+  const guaranteed = new Set(['urgent']);
+  const planAt = (ageMs: number) =>
+    planStarts(createInput([worker], [createReady(group, ageMs)], { guaranteed }));
+  expect(planAt(0).stops).toEqual([]);
+  expect(planAt(1500).stops.length).toEqual(2);
+});
+
+// Guards against urgent work that is stopped although work of lower priority has the room.
+test('urgent work is stopped only where nothing lower can be', () => {
+  const urgentWorker = createWorker('w1');
+  const other = createSingle('other', 0, { taskCount: 8 });
+  other.job.account = 'a2';
+  // It has run for a moment only, so that stopping it would lose least.
+  runOn(urgentWorker, other, 9990);
+  const lowWorker = createWorker('w2');
+  runOn(lowWorker, createSingle('low', 2, { taskCount: 8 }), 0);
+  const group = createSingle('urgent', 0, { isGang: true, taskCount: 2 });
+  const changes = { guaranteed: new Set(['urgent']) };
+  const plan = planStarts(
+    createInput([urgentWorker, lowWorker], [createReady(group, 2000)], changes),
+  );
+  expect(plan.stops.map((stop) => stop.group.job.id)).toEqual(['low', 'low']);
+});
--- a/packages/scheduling/tests/samples.ts
+++ b/packages/scheduling/tests/samples.ts
@@ -97,6 +97,7 @@
     guaranteed: new Set(),
     urgentReserve: 0,
     quietMs: 0,
+    stopUrgentAfterMs: 1500,
     ...changes,
   };
 }
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -26,6 +26,14 @@
   return spawnSync(process.execPath, args, { stdio: 'inherit' }).status ?? 1;
 }
 
+function printKnownRedSeeds() {
+  if (!existsSync('KNOWN-RED.txt')) return;
+  const lines = readFileSync('KNOWN-RED.txt', 'utf8').split('\n');
+  for (const line of lines.filter((one) => one.startsWith('seed: '))) {
+    console.log(`known red (KNOWN-RED.txt), not part of CI: ${line.slice('seed: '.length)}`);
+  }
+}
+
 const wanted = process.argv.slice(2);
 const knownRed = readKnownRed();
 const files = (
@@ -33,6 +41,7 @@
 ).sort();
 const green = files.filter((file) => !knownRed.includes(file));
 const status = runFiles(green);
+printKnownRedSeeds();
 for (const file of files.filter((name) => knownRed.includes(name))) {
   console.log(`known red (KNOWN-RED.txt): ${file}`);
   const isRed = runFiles([file]) !== 0;
