Check a copy of the configuration from before a suspension against the store

Cause: a process that was suspended admitted calls by the copy that it had before, so a key that was withdrawn meanwhile worked until the feed caught up. The age of the copy now counts suspensions, and a copy older than 2 s without a known loss is read again first. During an outage of the store calls are still admitted by the last copy.

--- a/packages/dispatch/src/instance.ts
+++ b/packages/dispatch/src/instance.ts
@@ -151,7 +151,8 @@
   const configs = createMirror<ServiceConfig>({
     feed: options.configFeed,
     name: 'configuration',
-    clock,
+    // Its age counts the time for which the process was suspended.
+    clock: options.deadlineClock,
     logger,
     metrics,
     onChange(_key, config) {
--- a/packages/dispatch/src/jobservice.ts
+++ b/packages/dispatch/src/jobservice.ts
@@ -91,6 +91,8 @@
 const retryAfterMs = 1000;
 /** A copy of the configuration that was confirmed this recently answers for itself. */
 const freshConfigMs = 300;
+/** A feed that works confirms the configuration every second; its timeout is 1.7 s. */
+const staleConfigMs = 2000;
 /** A store that has not answered for this long is taken for away: new jobs are refused at once. */
 const storeAwayMs = 1600;
 /** Reads that fail for this long mean the same; one lost connection is replaced sooner. */
@@ -238,8 +240,12 @@
       const config = getConfig();
       if (config === undefined) return Err(createUnavailable('no configuration yet'));
       const decided = decide(config, host, path, key);
+      const ageMs = configs.getAgeMs();
+      // Without a loss a copy is only this old when the process was suspended: keys may be gone.
+      const isStale = ageMs > staleConfigMs && configs.getLostMs() === 0;
       // A key or queue may be newer than the copy, so a refusal is checked against the store.
-      if (decided.isOk() || configs.getAgeMs() < freshConfigMs) return decided;
+      const isTrusted = decided.isOk() ? !isStale : ageMs < freshConfigMs;
+      if (isTrusted) return decided;
       await configs.refresh();
       return decide(getConfig() ?? config, host, path, key);
     },
--- a/packages/dispatch/tests/slowstore.test.ts
+++ b/packages/dispatch/tests/slowstore.test.ts
@@ -1,13 +1,12 @@
 import { test } from 'node:test';
 import { LeaseState, createGroupCommitter } from '@bergamotreach/ownership';
-import { createNullLogger, createNullMetrics } from '@bergamotreach/protocol';
-import type { Clock } from '@bergamotreach/protocol';
+import { FaultCode, createNullLogger, createNullMetrics } from '@bergamotreach/protocol';
 import { JobState, RunEnd } from '@bergamotreach/scheduling';
 import { expect } from 'earl';
 import { FakeProcess } from '../../ownership/tests/fakeprocess.ts';
 import { FakeTable } from '../../ownership/tests/faketable.ts';
 import { createJobService, createMirror } from '../src/index.ts';
-import type { Admission, JobService, StateRow } from '../src/index.ts';
+import type { Admission, JobService, ServiceConfig, StateRow } from '../src/index.ts';
 import { FakeFeed, createWorld, runMs } from './world.ts';
 import type { World } from './world.ts';
 
@@ -40,7 +39,7 @@
 };
 
 /** The job service of one more instance of a world. */
-function addService(world: World, id: string): { jobs: JobService; clock: Clock } {
+function addService(world: World, id: string): { jobs: JobService; process: FakeProcess } {
   const process = new FakeProcess(id, world.clock);
   const table = new FakeTable(world.store, process);
   let operations = 0;
@@ -58,7 +57,7 @@
     feed: new FakeFeed(world.store, process, 'state/'),
     getPauseMs: () => 1000,
   });
-  const configs = createMirror<never>({
+  const configs = createMirror<ServiceConfig>({
     ...common,
     name: 'configuration',
     feed: new FakeFeed(world.store, process, 'config/'),
@@ -67,7 +66,7 @@
   configs.start();
   const getWallMs = (): number => world.clock.getNowMs();
   const jobs = createJobService({ ...common, table, committer, states, configs, getWallMs });
-  return { jobs, clock: process };
+  return { jobs, process };
 }
 
 /** Partitions of the users' platform: accepted jobs are spread, all else is the owner's. */
@@ -153,3 +152,29 @@
   expect(world.getState('a')).toEqual(JobState.Cancelled);
   expect(world.listBegun()).toEqual([]);
 });
+
+function writeConfig(world: World, version: number, keys: string[]): void {
+  const key = 'config/main';
+  const accounts = [{ name: 'a1', keys, guaranteedAccelerators: 0 }];
+  const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
+  const config = { version, queues: [{ ...queue, isPublic: false }], accounts, limits };
+  const conditions = [{ key, version: version - 1 }];
+  world.store.apply({ operationId: 'x', conditions, writes: [{ key, value: config }] }, 't', 0);
+}
+
+// Guards against a process that was suspended and then serves a key that was withdrawn meanwhile.
+test('a copy of the configuration from before a suspension admits nobody', async () => {
+  const world = createWorld();
+  writeConfig(world, 1, ['k1']);
+  const { jobs, process } = addService(world, 's1');
+  await world.clock.advance(1500);
+  expect((await jobs.admit('h', '/x', 'k1')).isOk()).toEqual(true);
+  process.pause();
+  await world.clock.advance(1000);
+  writeConfig(world, 2, ['k2']);
+  await world.clock.advance(4000);
+  const early = jobs.admit('h', '/x', 'k1');
+  await process.resume();
+  await world.clock.advance(500);
+  expect((await early).unwrapErr().code).toEqual(FaultCode.Unauthorized);
+});
