--- a/packages/dispatch/tests/world.ts
+++ b/packages/dispatch/tests/world.ts
@@ -117,6 +117,8 @@
   cancel: (id: string) => void;
   /** Removes a worker's entry from the list. */
   unlistWorker: (id: string) => void;
+  /** Puts a worker's entry back on the list. */
+  listWorker: (id: string) => void;
   /** Restarts a worker under the same id, with changes of its entry. */
   restartWorker: (id: string, changes?: Partial<WorkerEntry>) => void;
   getState: (id: string) => JobState | undefined;
@@ -145,7 +147,7 @@
 }
 
 /** Creates a world with idle workers and no contender. */
-export function createWorld(workerCount = 2): World {
+export function createWorld(workerCount = 2, taskMs = runMs): World {
   const clock = createManualClock();
   const store = new TableState(clock);
   const workers = new Map<string, FakeWorker>();
@@ -160,7 +162,7 @@
 
   for (let index = 0; index < workerCount; index += 1) {
     const id = `w${index}`;
-    workers.set(id, new FakeWorker(id, clock, runMs));
+    workers.set(id, new FakeWorker(id, clock, taskMs));
     apply(`servers/${id}`, createEntry(id) as unknown as RowValue);
   }
 
@@ -275,6 +277,10 @@
       const operationId = `test/${operations++}`;
       store.apply({ operationId, conditions: [], writes: [{ key, value: null }] }, 't', 0);
     },
+    listWorker(id) {
+      const bornAtMs = workers.get(id)?.bornAtMs ?? 1;
+      apply(`servers/${id}`, { ...createEntry(id), bornAtMs } as unknown as RowValue);
+    },
     restartWorker(id, changes = {}) {
       const worker = workers.get(id);
       worker?.restart();
