--- a/packages/dispatch/tests/silence.test.ts
+++ b/packages/dispatch/tests/silence.test.ts
@@ -23,10 +23,10 @@
 }
 
 /** Runs one job of tasks on all workers while `silent` of them do not answer for `silenceMs`. */
-async function playSilence(
+async function runSilence(
   silent: number,
   silenceMs: number,
-  strike: (world: World) => () => void = () => () => undefined,
+  fail: (world: World) => () => void = () => () => undefined,
 ): Promise<World> {
   const world = createWorld(workerCount, taskMs);
   world.addContender('one');
@@ -35,7 +35,7 @@
   await advance(world, 2000);
   const workers = [...world.workers.values()].slice(0, silent);
   for (const worker of workers) worker.isCut = true;
-  const heal = strike(world);
+  const heal = fail(world);
   await advance(world, silenceMs);
   for (const worker of workers) worker.isCut = false;
   heal();
@@ -53,7 +53,7 @@
 test('a silence below the lease restarts nothing', async () => {
   for (const silenceMs of harmlessMs) {
     for (const silent of [1, workerCount]) {
-      expect(countRestarts(await playSilence(silent, silenceMs))).toEqual(0);
+      expect(countRestarts(await runSilence(silent, silenceMs))).toEqual(0);
     }
   }
 });
@@ -61,33 +61,33 @@
 // Guards against a second run while the first one may still be on a worker whose lease is about to end.
 test('a silence around the end of the lease doubles nothing', async () => {
   for (const silenceMs of lapsingMs) {
-    for (const silent of [1, workerCount]) await playSilence(silent, silenceMs);
+    for (const silent of [1, workerCount]) await runSilence(silent, silenceMs);
   }
 });
 
 // Guards against workers that are taken for gone because their entries lapsed with a silence.
 test('a silent worker whose entry has lapsed keeps its work', async () => {
-  const strike = (world: World) => {
+  const dropEntry = (world: World) => {
     world.unlistWorker('w0');
     return () => {
       world.listWorker('w0');
     };
   };
   for (const silenceMs of harmlessMs) {
-    expect(countRestarts(await playSilence(1, silenceMs, strike))).toEqual(0);
+    expect(countRestarts(await runSilence(1, silenceMs, dropEntry))).toEqual(0);
   }
 });
 
 // Guards against silent workers being given up when the store is away as well and the owner, without a
 // lease, may extend nothing.
 test('a silence during an outage of the store restarts nothing', async () => {
-  const strike = (world: World) => {
+  const failStore = (world: World) => {
     world.store.fault = TableFault.Down;
     return () => {
       world.store.fault = TableFault.None;
     };
   };
   for (const silenceMs of harmlessMs.filter((ms) => ms <= 4600)) {
-    expect(countRestarts(await playSilence(2, silenceMs, strike))).toEqual(0);
+    expect(countRestarts(await runSilence(2, silenceMs, failStore))).toEqual(0);
   }
 });
