--- a/packages/dispatch/tests/malformed.test.ts
+++ b/packages/dispatch/tests/malformed.test.ts
@@ -23,6 +23,7 @@
 import fc from 'fast-check';
 import { Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
+import { createStep } from '../../scheduling/tests/samples.ts';
 import { createMirror, createRelay, startRelayListener } from '../src/index.ts';
 import type { JobService, Mirror } from '../src/index.ts';
 import { answerRelayedCall } from '../src/relayedjobs.ts';
@@ -31,20 +32,7 @@
 const logger = createNullLogger();
 const metrics = createNullMetrics();
 const seed = 20261204;
-const step = {
-  taskCount: 2,
-  demand: { cpuMillis: 100, memoryMb: 64, accelerators: 1 },
-  estimatedMs: 500,
-  dependsOn: [],
-  isGang: false,
-  isRackBound: false,
-  requiredLabel: '',
-  preferredRack: '',
-  maxPerWorker: 0,
-  isCheckpointing: false,
-  isLongRunning: false,
-  image: '',
-};
+const step = createStep({ taskCount: 2 });
 const call = {
   type: MessageType.RelayCall,
   operation: RelayOperation.Submit,
--- a/packages/dispatch/tests/slowstore.test.ts
+++ b/packages/dispatch/tests/slowstore.test.ts
@@ -5,6 +5,7 @@
 import { expect } from 'earl';
 import { FakeProcess } from '../../ownership/tests/fakeprocess.ts';
 import { FakeTable } from '../../ownership/tests/faketable.ts';
+import { createStep } from '../../scheduling/tests/samples.ts';
 import { createJobService, createMirror } from '../src/index.ts';
 import type { Admission, JobService, ServiceConfig, StateRow } from '../src/index.ts';
 import { FakeFeed, createWorld, runMs } from './world.ts';
@@ -15,20 +16,7 @@
 /** A store that takes 50 times as long: 250 ms a transaction instead of 5. */
 const slowTransactionMs = 250;
 const callerDeadlineMs = 3000;
-const step = {
-  taskCount: 1,
-  demand: { cpuMillis: 1, memoryMb: 1, accelerators: 0 },
-  estimatedMs: 100,
-  dependsOn: [],
-  isGang: false,
-  isRackBound: false,
-  requiredLabel: '',
-  preferredRack: '',
-  maxPerWorker: 0,
-  isCheckpointing: false,
-  isLongRunning: false,
-  image: '',
-};
+const step = createStep({ demand: { cpuMillis: 1, memoryMb: 1, accelerators: 0 } });
 const rules = { priority: 1, maxAttempts: 2, stretch: 3, targetMs: 1000 };
 const queue = { name: 'q1', host: 'h', prefix: '/', pool: 'p1', rules, isPublic: true };
 const admission: Admission = {
