--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -6,6 +6,7 @@
   subCommands: {
     placement: async () => (await import('./placement/command.ts')).placementCommand,
     requests: async () => (await import('./requests/command.ts')).requestsCommand,
+    planning: async () => (await import('./planning/command.ts')).planningCommand,
     capacity: async () => (await import('./capacity/command.ts')).capacityCommand,
     restarts: async () => (await import('./restarts/command.ts')).restartsCommand,
   },
