--- a/packages/ownership/tests/lease.test.ts
+++ b/packages/ownership/tests/lease.test.ts
@@ -193,3 +193,16 @@
   await clock.advance(4000 + 4000 + 3500 + 1100);
   expect(watchers.filter((one) => one.getState() === LeaseState.Holding).length).toEqual(1);
 });
+
+// Guards against an epoch that goes back, or a second holder, because a row could not be read.
+test('nobody takes over a lease whose rows cannot be read', async () => {
+  for (const key of [`owner/${region}`, `epoch/${region}`]) {
+    const { clock, state } = createState();
+    const writes = [{ key, value: { epoch: 'seven' } }];
+    state.apply({ operationId: 'x', conditions: [], writes }, 't', 0);
+    const lease = createLease(createNode(state, 'd1'));
+    lease.start();
+    await clock.advance(20_000);
+    expect(lease.getState()).toEqual(LeaseState.Waiting);
+  }
+});
