Shorten the lease while renewals are quick

The former owner is without its lease 1.7 s after its last renewal, the next one starts 1.0 to 1.3 s later, and both times are fixed for the slowest store.

The holder now chooses the length of its lease from the time that its latest renewals took (1.1 to 2 s) and writes it into the row. It cuts its own deadline before it sends a renewal that shortens the lease, since the renewal may take effect although its answer is lost. A renewal that took longer than the interval is followed by the next at once, and watchers look again when the lease ends.

Ruled out: a fixed short lease, which a store of 60 times its usual time would end again and again.

--- a/packages/dispatch/src/instance.ts
+++ b/packages/dispatch/src/instance.ts
@@ -101,6 +101,8 @@
 /** Longest silence of an owner before another instance takes over is lease plus margin. */
 const leaseMs = 2000;
 const leaseMarginMs = 300;
+/** Lease while renewals are quick: it outlasts one that is lost, and others take over 0.9 s sooner. */
+const shortestLeaseMs = 1100;
 const renewMs = 450;
 /** An instance with this many times the power of another owns the scheduling rather than that one. */
 const largerFactor = 1.5;
@@ -177,6 +179,7 @@
     leaseMs,
     marginMs: leaseMarginMs,
     renewMs,
+    shortestLeaseMs,
     onChange: handleLease,
   });
   const instances = createMirror<InstanceRow>({
--- a/packages/ownership/src/lease.ts
+++ b/packages/ownership/src/lease.ts
@@ -4,6 +4,7 @@
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
 import type { GroupCommitter } from './committer.ts';
+import { createLeasePace } from './leaseterms.ts';
 import { TransactionStatus, WritePriority } from './transaction.ts';
 import type { TransactionReply } from './transaction.ts';
 
@@ -37,6 +38,11 @@
   leaseMs?: number;
   marginMs?: number;
   renewMs?: number;
+  /**
+   * Shortest lease that the holder takes while its renewals are quick; `leaseMs` when absent. The row
+   * tells the others how long the lease is.
+   */
+  shortestLeaseMs?: number;
   /**
    * Tells whether a holder is an earlier process of this instance, which has certainly ended: its
    * lease is then taken over at once. None is when absent.
@@ -63,6 +69,8 @@
   address: string;
   epoch: number;
   renewal: number;
+  /** Duration of the lease in milliseconds; the longest one when absent. */
+  leaseMs?: number;
 }
 
 /** State of a lease for the dump. */
@@ -116,12 +124,15 @@
 
 function isLeaseRecord(value: unknown): value is LeaseRecord {
   const record = value as Partial<Record<keyof LeaseRecord, unknown>> | null;
+  const leaseMs = record?.leaseMs;
+  const hasDuration = typeof leaseMs === 'number' && Number.isFinite(leaseMs) && leaseMs > 0;
   return (
     typeof record === 'object' &&
     typeof record?.holder === 'string' &&
     typeof record.address === 'string' &&
     typeof record.epoch === 'number' &&
-    typeof record.renewal === 'number'
+    typeof record.renewal === 'number' &&
+    (leaseMs === undefined || hasDuration)
   );
 }
 
@@ -135,6 +146,11 @@
   const { table, committer, clock, logger, metrics, region, holder, address } = options;
   const { leaseMs, marginMs, renewMs } = { ...defaults, ...options };
   const deadlineClock = options.deadlineClock ?? clock;
+  const pace = createLeasePace({
+    longest: { leaseMs, renewMs },
+    shortestMs: options.shortestLeaseMs ?? leaseMs,
+    marginMs,
+  });
   const ownerKey = `owner/${region}`;
   const epochKey = `epoch/${region}`;
   let hold: Hold | undefined;
@@ -143,8 +159,12 @@
   let reported = LeaseState.Waiting;
   let storeSeenMs = clock.getNowMs();
   let cancelTick: CancelTimer | undefined;
+  /** Time at which the next step is due. */
+  let dueMs = clock.getNowMs();
   let cancelDeadline: CancelTimer | undefined;
   let step: Promise<void> | undefined;
+  /** A step was due while the one before it was under way. */
+  let isOverdue = false;
   let isStopped = true;
   /** The latest look showed no renewal since the one before. */
   let isUnchanged = false;
@@ -171,9 +191,8 @@
     cancelDeadline = clock.setTimer(hold.deadlineMs - deadlineClock.getNowMs(), reportState);
   }
 
-  function encodeRecord(epoch: number, renewal: number, isReleased = false): RowValue {
-    const holderName = isReleased ? '' : holder;
-    return { holder: holderName, address, epoch, renewal };
+  function encodeRecord(epoch: number, renewal: number, durationMs: number): RowValue {
+    return { holder, address, epoch, renewal, leaseMs: durationMs };
   }
 
   function submitLease(
@@ -190,25 +209,31 @@
     reportState();
   }
 
-  async function renewHold(current: Hold): Promise<void> {
+  async function renewHold(current: Hold, wasDueMs: number): Promise<void> {
     const sentMs = deadlineClock.getNowMs();
     const renewal = current.renewal + 1;
+    const terms = pace.getTerms();
+    const deadlineMs = sentMs + terms.leaseMs - marginMs;
+    // A renewal of unknown fate may have shortened the lease that the others see.
+    current.deadlineMs = Math.min(current.deadlineMs, deadlineMs);
+    planDeadline();
     const reply = await submitLease(
       [
         { key: ownerKey, version: current.rowVersion },
         { key: epochKey, version: current.epochVersion },
       ],
-      [{ key: ownerKey, value: encodeRecord(current.epoch, renewal) }],
+      [{ key: ownerKey, value: encodeRecord(current.epoch, renewal, terms.leaseMs) }],
     );
     if (reply.status === TransactionStatus.Committed) {
       storeSeenMs = clock.getNowMs();
       current.renewal = renewal;
       current.rowVersion = reply.versions[ownerKey] ?? 0;
-      current.deadlineMs = sentMs + leaseMs - marginMs;
+      current.deadlineMs = deadlineMs;
       planDeadline();
     } else if (reply.status !== TransactionStatus.Unavailable) {
       await checkHold(current);
     }
+    pace.note(clock.getNowMs() - wasDueMs);
     reportState();
   }
 
@@ -250,17 +275,22 @@
     const owner = seen.record?.holder ?? '';
     const isOwn = owner !== '' && options.isFormerSelf?.(owner) === true;
     const isFree = owner === '' || isOwn;
-    const freeSinceMs = isFree ? seen.sinceMs : seen.sinceMs + leaseMs + marginMs;
+    const freeSinceMs = isFree ? seen.sinceMs : getExpiryMs(seen);
     if (isStopped) return;
     if (storeSeenMs - freeSinceMs >= reluctanceMs) await takeOver(seen);
     // The others would wait for the lease of a process that has ended.
     else if (isOwn && seen.record !== undefined) await releaseRow(seen.version, seen.record);
   }
 
+  /** Time at which a lease that is not renewed any more may be taken over. */
+  function getExpiryMs({ sinceMs, record }: Sighting): number {
+    return sinceMs + (record?.leaseMs ?? leaseMs) + marginMs;
+  }
+
   async function releaseRow(version: number, record: LeaseRecord): Promise<void> {
     await submitLease(
       [{ key: ownerKey, version }],
-      [{ key: ownerKey, value: encodeRecord(record.epoch, record.renewal + 1, true) }],
+      [{ key: ownerKey, value: { ...record, holder: '', address, renewal: record.renewal + 1 } }],
     );
   }
 
@@ -277,7 +307,7 @@
         { key: epochKey, version: epochRow.value?.version ?? 0 },
       ],
       [
-        { key: ownerKey, value: encodeRecord(epoch, 0) },
+        { key: ownerKey, value: encodeRecord(epoch, 0, leaseMs) },
         { key: epochKey, value: { epoch, holder } },
       ],
     );
@@ -289,6 +319,7 @@
     if (epochVersion === undefined || rowVersion === undefined) return;
     const deadlineMs = sentMs + leaseMs - marginMs;
     hold = { epoch, epochVersion, rowVersion, renewal: 0, deadlineMs };
+    pace.reset();
     lastEpoch = epoch;
     planDeadline();
     reportState();
@@ -311,21 +342,37 @@
     return Err(createFault(FaultCode.StoreUnavailable, `row ${key} cannot be read`));
   }
 
-  async function runStep(): Promise<void> {
-    if (hold !== undefined) await renewHold(hold);
+  async function runStep(wasDueMs: number): Promise<void> {
+    if (hold !== undefined) await renewHold(hold, wasDueMs);
     else await watchRow();
   }
 
   function tick(): void {
     reportState();
-    step ??= runContained(logger, 'lease', runStep).then(() => {
+    if (step === undefined) startStep(dueMs);
+    else isOverdue = true;
+  }
+
+  function startStep(wasDueMs: number): void {
+    isOverdue = false;
+    step = runContained(logger, 'lease', () => runStep(wasDueMs)).then(() => {
       step = undefined;
+      // A renewal that took longer than the interval is followed by the next one at once.
+      if (isOverdue && hold !== undefined && !isStopped) startStep(clock.getNowMs());
     });
   }
 
+  function getTickDelayMs(): number {
+    if (hold !== undefined) return pace.getTerms().renewMs;
+    if (sighting === undefined) return renewMs;
+    if (!isUnchanged) return options.getWatchMs?.() ?? renewMs;
+    const leftMs = getExpiryMs(sighting) - clock.getNowMs();
+    return leftMs > 0 ? Math.min(renewMs, leftMs) : renewMs;
+  }
+
   function planTick(): void {
-    const isCalm = hold === undefined && !isUnchanged && sighting !== undefined;
-    const delayMs = isCalm ? (options.getWatchMs?.() ?? renewMs) : renewMs;
+    const delayMs = getTickDelayMs();
+    dueMs = clock.getNowMs() + delayMs;
     cancelTick = clock.setTimer(delayMs, () => {
       tick();
       planTick();
