--- /dev/null
+++ b/packages/bench/src/decisions/shapes.ts
@@ -0,0 +1,131 @@
+import type { LoadShape } from './load.ts';
+import type { FleetShape } from './world.ts';
+
+/** A load and the fleet that it meets. */
+export interface Scenario {
+  name: string;
+  load: LoadShape;
+  fleet: FleetShape;
+}
+
+const fleet: FleetShape = {
+  racks: 4,
+  workersPerRack: 8,
+  capacity: { cpuMillis: 128_000, memoryMb: 262_144, accelerators: 8 },
+  guarantees: new Map([
+    ['a1', 40],
+    ['a2', 40],
+    ['a3', 30],
+    ['a4', 30],
+  ]),
+  gaps: [],
+  slow: [],
+  failing: [],
+  spreadFactor: 3,
+  stopMs: 300,
+  reclaimMs: 2900,
+  checkpointMs: 500,
+  restoreMs: 600,
+};
+
+const calm: LoadShape = {
+  queues: [
+    {
+      queue: 'urgent',
+      priority: 0,
+      jobsPerSecond: 1.07,
+      tasks: { mean: 3.4, spread: 0.8, max: 21 },
+      taskMs: { mean: 2500, spread: 0.5, max: 8000 },
+      cpuMillis: 15_000,
+      memoryMb: 31_000,
+      accelerators: [1, 2, 4, 8, 8],
+      isGang: true,
+      rackBoundShare: 0.8,
+      checkpointShare: 0,
+      stretch: 1.5,
+      targetMs: 500,
+    },
+    {
+      queue: 'study',
+      priority: 1,
+      jobsPerSecond: 0.44,
+      tasks: { mean: 5, spread: 0.8, max: 30 },
+      taskMs: { mean: 8500, spread: 0.3, max: 11_000 },
+      cpuMillis: 52_000,
+      memoryMb: 75_000,
+      accelerators: [1, 2, 4, 8, 8],
+      isGang: true,
+      rackBoundShare: 0.6,
+      checkpointShare: 0.45,
+      stretch: 3,
+      targetMs: 1200,
+    },
+    {
+      queue: 'batch',
+      priority: 2,
+      jobsPerSecond: 0.33,
+      tasks: { mean: 16, spread: 0.8, max: 94 },
+      taskMs: { mean: 9500, spread: 0.3, max: 11_000 },
+      cpuMillis: 11_000,
+      memoryMb: 23_000,
+      accelerators: [1],
+      isGang: false,
+      rackBoundShare: 0,
+      checkpointShare: 0.45,
+      stretch: 3,
+      targetMs: 3000,
+    },
+  ],
+  accounts: [
+    ['a1', 4],
+    ['a2', 3],
+    ['a3', 2],
+    ['a4', 1],
+  ],
+  lengthMs: 60_000,
+  bursts: [],
+  estimateFactor: 1.6,
+};
+
+function scaleLoad(load: LoadShape, factor: number): LoadShape {
+  const queues = load.queues.map((queue) => ({
+    ...queue,
+    jobsPerSecond: queue.jobsPerSecond * factor,
+  }));
+  return { ...load, queues };
+}
+
+/** The loads that policies are compared on. */
+export const scenarios: readonly Scenario[] = [
+  { name: 'calm', load: calm, fleet },
+  { name: 'overload', load: scaleLoad(calm, 1.3), fleet },
+  {
+    name: 'bursts',
+    load: {
+      ...scaleLoad(calm, 1.1),
+      bursts: [
+        { queue: 'urgent', fromMs: 10_000, forMs: 6000, factor: 2.4 },
+        { queue: 'batch', fromMs: 20_000, forMs: 4000, factor: 3 },
+        { queue: 'study', fromMs: 30_000, forMs: 4000, factor: 3 },
+      ],
+    },
+    fleet,
+  },
+  {
+    name: 'owner-gaps',
+    load: calm,
+    fleet: {
+      ...fleet,
+      gaps: [15_000, 35_000, 50_000].map((fromMs) => ({ fromMs, forMs: 2500 })),
+    },
+  },
+  {
+    name: 'bad-workers',
+    load: calm,
+    fleet: {
+      ...fleet,
+      slow: [{ fromMs: 10_000, forMs: 8000, workers: [1, 9, 17, 25, 30], factor: 6 }],
+      failing: [{ fromMs: 30_000, forMs: 7000, workers: [3, 12, 20] }],
+    },
+  },
+];
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -1,6 +1,7 @@
 export * from './advisor.ts';
 export * from './configuration.ts';
 export * from './instance.ts';
+export * from './jobbook.ts';
 export * from './jobrequest.ts';
 export * from './jobrows.ts';
 export * from './jobservice.ts';
