--- a/packages/dispatch/src/owner.ts
+++ b/packages/dispatch/src/owner.ts
@@ -49,6 +49,8 @@
   pendingWrites: number;
 }
 
+/** A connection that went silent hides new jobs for this long and the time that an answer may take. */
+const jobWaitMs = 300;
 // Events that come close together are planned for at once.
 const planDelayMs = 15;
 /** Timed jobs, waiting times and pauses of workers need plans without an event. */
@@ -115,6 +117,7 @@
   const jobs = createMirror<JobRow>({
     feed: options.jobFeed,
     name: 'jobs',
+    waitMs: jobWaitMs,
     clock,
     logger,
     metrics,
--- a/packages/ownership/src/lease.ts
+++ b/packages/ownership/src/lease.ts
@@ -367,7 +367,7 @@
     if (sighting === undefined) return renewMs;
     if (!isUnchanged) return options.getWatchMs?.() ?? renewMs;
     const leftMs = getExpiryMs(sighting) - clock.getNowMs();
-    return leftMs > 0 ? Math.min(renewMs, leftMs) : renewMs;
+    return leftMs > 0 ? Math.min(renewMs, Math.ceil(leftMs)) : renewMs;
   }
 
   function planTick(): void {
