--- /dev/null
+++ b/packages/cli/src/commands/log.ts
@@ -0,0 +1,128 @@
+import { readFileSync } from 'node:fs';
+import { FaultCode, createFault } from '@bergamotreach/protocol';
+import type { Fault } from '@bergamotreach/protocol';
+import type { CommandDef } from 'citty';
+import { Err, Ok } from 'ts-results-es';
+import type { Result } from 'ts-results-es';
+import { createCommand } from '../command.ts';
+import type { CliIo } from '../io.ts';
+import { parseLogs } from '../logevents.ts';
+import type { LogEvent } from '../logevents.ts';
+import { collectJobs, listJobEvents, summarizeLogs } from '../logreport.ts';
+import type { JobHistory, LogReport } from '../logreport.ts';
+import { finishCommand } from '../output.ts';
+import type { CommandOutput } from '../output.ts';
+import { createColumns, renderRecord, renderTable } from '../table.ts';
+
+const files = {
+  json: { type: 'boolean', default: false, description: 'Print JSON' },
+  file: {
+    type: 'positional',
+    required: true,
+    description: 'Log files of all instances; more may follow',
+  },
+} as const;
+
+/** Creates `log`, which explains decisions from the logs of all instances. */
+export function createLogCommand(io: CliIo): CommandDef {
+  return createCommand({
+    meta: { name: 'log', description: 'Explain waits, stops and takeovers from log files' },
+    subCommands: { job: createLogJobCommand(io), report: createLogReportCommand(io) },
+  });
+}
+
+function createLogReportCommand(io: CliIo): CommandDef {
+  return createCommand({
+    meta: { name: 'report', description: 'Waits, lost work and time without an owner' },
+    args: files,
+    run: ({ args }) => {
+      const report = readLogs(args._).map(summarizeLogs).map(renderReport);
+      return finishCommand(io, args.json, Promise.resolve(report));
+    },
+  });
+}
+
+function createLogJobCommand(io: CliIo): CommandDef {
+  return createCommand({
+    meta: { name: 'job', description: 'Life of one job' },
+    args: {
+      id: { type: 'positional', required: true, description: 'Id of the job' },
+      ...files,
+    },
+    run: ({ args }) => {
+      const [, ...paths] = args._;
+      const history = readLogs(paths).andThen((events) => renderJob(events, args.id));
+      return finishCommand(io, args.json, Promise.resolve(history));
+    },
+  });
+}
+
+/** Faults: `bad_request` (no file, a file that cannot be read, or no event in any). */
+function readLogs(paths: readonly string[]): Result<LogEvent[], Fault> {
+  if (paths.length === 0) return Err(createFault(FaultCode.BadRequest, 'no log file is named'));
+  const texts: string[] = [];
+  for (const path of paths) {
+    try {
+      texts.push(readFileSync(path, 'utf8'));
+    } catch (error) {
+      const reason = error instanceof Error ? error.message : String(error);
+      return Err(createFault(FaultCode.BadRequest, `cannot read ${path}: ${reason}`));
+    }
+  }
+  const events = parseLogs(texts);
+  if (events.length > 0) return Ok(events);
+  return Err(createFault(FaultCode.BadRequest, `no log events in ${paths.join(', ')}`));
+}
+
+function renderReport(report: LogReport): CommandOutput {
+  const waitColumns = createColumns([
+    'queue',
+    'account',
+    'jobs',
+    'neverStarted',
+    'p50Ms',
+    'p95Ms',
+    'mostMs',
+    'mostOvertaken',
+  ]);
+  const lostColumns = createColumns(['cause', 'stops', 'coreSeconds']);
+  const rows = report.waits.map((wait) => ({ ...wait }));
+  const text = [
+    renderTable(rows, waitColumns, false),
+    renderTable(
+      report.lost.map((row) => ({ ...row })),
+      lostColumns,
+      false,
+    ),
+    renderRecord({ ownerlessMs: report.ownerlessMs, takeovers: report.takeovers }),
+  ].join('\n');
+  return { data: report, text };
+}
+
+function formatEvent({ atMs, process, event, fields }: LogEvent): string {
+  const hidden = new Set(['time', 'level', 'process', 'event']);
+  const shown = Object.entries(fields).filter(([key]) => !hidden.has(key));
+  const pairs = shown.map(([key, value]) => `${key}=${JSON.stringify(value)}`).join(' ');
+  return `${new Date(atMs).toISOString()} ${process} ${event} ${pairs}\n`;
+}
+
+function describeJob(job: JobHistory): Record<string, unknown> {
+  const { startedAtMs, endedAtMs, acceptedAtMs, stops, ...rest } = job;
+  return {
+    ...rest,
+    acceptedAt: new Date(acceptedAtMs).toISOString(),
+    waitedMs: startedAtMs === undefined ? 'not started' : startedAtMs - acceptedAtMs,
+    tookMs: endedAtMs === undefined ? 'not ended' : endedAtMs - acceptedAtMs,
+    stops: Object.fromEntries(stops),
+  };
+}
+
+/** Faults: `not_found` (no line names the job). */
+function renderJob(events: readonly LogEvent[], id: string): Result<CommandOutput, Fault> {
+  const own = listJobEvents(events, id);
+  if (own.length === 0) return Err(createFault(FaultCode.NotFound, `no event of job ${id}`));
+  const job = collectJobs(own)[0];
+  const summary = job === undefined ? {} : describeJob(job);
+  const text = `${renderRecord(summary)}\n${own.map(formatEvent).join('')}`;
+  return Ok({ data: { job: summary, events: own }, text });
+}
--- a/packages/cli/src/root.ts
+++ b/packages/cli/src/root.ts
@@ -38,6 +38,7 @@
       job: async () => (await import('./commands/job.ts')).createJobCommand(io),
       worker: async () => (await import('./commands/instance.ts')).createWorkerCommand(io),
       instance: async () => (await import('./commands/instance.ts')).createInstanceCommand(io),
+      log: async () => (await import('./commands/log.ts')).createLogCommand(io),
       drain: async () => (await import('./commands/daemon.ts')).createDrainCommand(io),
       dump: async () => (await import('./commands/daemon.ts')).createDumpCommand(io),
     },
--- /dev/null
+++ b/packages/cli/tests/log.test.ts
@@ -0,0 +1,103 @@
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { test } from 'node:test';
+import { ExitCode } from '@bergamotreach/protocol';
+import { expect } from 'earl';
+import { parseLogLine, parseLogs } from '../src/logevents.ts';
+import { collectJobs, summarizeLogs } from '../src/logreport.ts';
+import { runCli } from '../src/run.ts';
+
+const startMs = Date.parse('2026-05-01T10:00:00.000Z');
+
+function formatLine(atMs: number, process: string, text: string): string {
+  const time = new Date(startMs + atMs).toISOString();
+  return `time=${time} level=info process=${process} ${text}\n`;
+}
+
+function formatJob(id: string, atMs: number, waitMs: number): string {
+  return [
+    formatLine(
+      atMs,
+      'i1',
+      `event=job_adopted job=${id} queue=q account=a state=queued priority=1 steps=1 ageMs=0`,
+    ),
+    formatLine(atMs + waitMs, 'i1', `event=start_sent task=${id}.0.0.0 run=1 fate=started`),
+  ].join('');
+}
+
+// Guards against a report that misreads values with spaces, or takes other lines for events.
+test('lines are read with quoted values', () => {
+  const line = formatLine(5, 'i1', 'event=task_stopped task=j.0.0.1 run=2 reason="preempted by k"');
+  expect(parseLogLine(line)?.fields).toEqual({
+    time: '2026-05-01T10:00:00.005Z',
+    level: 'info',
+    process: 'i1',
+    event: 'task_stopped',
+    task: 'j.0.0.1',
+    run: '2',
+    reason: 'preempted by k',
+  });
+  expect(parseLogLine('Listening on port 80')).toEqual(undefined);
+});
+
+// Guards against a job that was passed by younger ones and does not show.
+test('overtaken jobs are counted', () => {
+  const lines = [formatJob('old', 0, 9000), formatJob('b', 100, 20), formatJob('c', 200, 20)];
+  const { waits } = summarizeLogs(parseLogs(lines));
+  expect(waits.map(({ jobs, mostOvertaken, mostMs }) => [jobs, mostOvertaken, mostMs])).toEqual([
+    [3, 2, 9000],
+  ]);
+});
+
+// Guards against lost work that is put down to the wrong cause, or counted for work that was saved.
+test('lost work is summed by cause', () => {
+  const run = 'task=j.0.0.0 run=1';
+  const lines = [
+    formatJob('j', 0, 20),
+    formatLine(500, 'i1', `event=task_stopped ${run} worker=w reason="preempted by k.0.0"`),
+    formatLine(800, 'i1', `event=run_ended ${run} end=stopped ranMs=780 lostCoreSeconds=40`),
+    formatLine(900, 'i1', 'event=run_ended task=j.0.0.1 run=1 end=failed lostCoreSeconds=3'),
+  ];
+  expect(summarizeLogs(parseLogs(lines)).lost).toEqual([
+    { cause: 'preempted', stops: 1, coreSeconds: 40 },
+    { cause: 'not stopped, failed', stops: 1, coreSeconds: 3 },
+  ]);
+  const [job] = collectJobs(parseLogs(lines));
+  expect([job?.lostCoreSeconds, job?.stops.get('preempted')]).toEqual([43, 1]);
+});
+
+// Guards against a takeover whose length nobody sees.
+test('time without an owner is counted over several logs', () => {
+  const first = [
+    formatLine(0, 'i1', 'event=owner_started epoch=1'),
+    formatLine(4000, 'i1', 'event=lease_state region=main state=suspended epoch=1'),
+    formatLine(9000, 'i1', 'event=lease_state region=main state=waiting epoch=1'),
+  ].join('');
+  const second = formatLine(5200, 'i2', 'event=owner_started epoch=2');
+  const { ownerlessMs, takeovers } = summarizeLogs(parseLogs([second, first]));
+  expect([ownerlessMs, takeovers]).toEqual([1200, 1]);
+});
+
+// Guards against an operator who cannot tell why a job never began.
+test('the life of a job is printed with the reason for which it waits', async () => {
+  const folder = mkdtempSync(join(tmpdir(), 'log-'));
+  const path = join(folder, 'i1.log');
+  const text =
+    formatLine(0, 'i1', 'event=job_adopted job=j queue=q account=a priority=1 ageMs=0') +
+    formatLine(900, 'i1', 'event=job_waits job=j reason=rack ageMs=900 ahead=3');
+  writeFileSync(path, text);
+  const output: string[] = [];
+  const io = {
+    writeOut: (part: string) => void output.push(part),
+    writeErr: (part: string) => void output.push(part),
+    env: {},
+    isTerminal: false,
+    wait: () => Promise.resolve(),
+  };
+  expect(await runCli(['log', 'job', 'j', path], io)).toEqual(ExitCode.Ok);
+  expect(output.join('').includes('waitReason       rack')).toEqual(true);
+  expect(await runCli(['log', 'job', 'other', path], io)).toEqual(ExitCode.NotFound);
+  expect(await runCli(['log', 'report', join(folder, 'absent')], io)).toEqual(ExitCode.Usage);
+  rmSync(folder, { recursive: true });
+});
--- a/packages/dispatch/src/owner.ts
+++ b/packages/dispatch/src/owner.ts
@@ -27,6 +27,7 @@
 import { createRunReports } from './runreports.ts';
 import { createStarter } from './starter.ts';
 import { createTicketDesk } from './tickets.ts';
+import { createWaitLog } from './waitlog.ts';
 import { LinkState } from './workerlink.ts';
 import type { LapseCause, WorkerLink } from './workerlink.ts';
 
@@ -157,6 +158,7 @@
     isStopped: () => isStopped,
     planSoon,
   };
+  const waitLog = createWaitLog(clock, logger);
   const life = createJobLife(context);
   const heldRuns = createHeldRuns(context, life);
   const reports = createRunReports(context, life, heldRuns);
@@ -317,6 +319,7 @@
     });
     metrics.reportTiming('plan.duration', clock.getNowMs() - startedAtMs);
     metrics.reportTiming('reports.age', getOldestReportMs());
+    waitLog.note(result.waits, workers);
     for (const { group, task, reason, beneficiary } of result.stops) {
       const stopReason = `${reason} by ${beneficiary}`;
       if (group.spec.isGang) life.stopGang(group, stopReason);
--- a/packages/dispatch/src/runreports.ts
+++ b/packages/dispatch/src/runreports.ts
@@ -3,10 +3,11 @@
   RunEnd,
   TaskPhase,
   addResources,
+  getCoreEquivalent,
   keepCheckpoint,
   noteEnd,
 } from '@bergamotreach/scheduling';
-import type { PlacedTask, Resources } from '@bergamotreach/scheduling';
+import type { PlacedTask, Resources, TaskGroup } from '@bergamotreach/scheduling';
 import type { HeldRuns } from './heldruns.ts';
 import type { JobLife } from './joblife.ts';
 import { getTaskName } from './ownercontext.ts';
@@ -25,6 +26,7 @@
 
 /** A run that is missing from this many reports after its start is gone. */
 const maxMissedReports = 2;
+const msPerSecond = 1000;
 
 /** Creates the part of an owner that reads reports. */
 export function createRunReports(
@@ -58,6 +60,16 @@
     return isStored ? lastSequence : 0;
   }
 
+  /** Work in core-seconds that a run has lost; absent when it is not known how long it ran. */
+  function getLostWork(
+    { spec }: TaskGroup,
+    { end, checkpoint }: EndedRun,
+    ranMs: number | undefined,
+  ): number | undefined {
+    if (ranMs === undefined || end === RunEnd.Done || checkpoint !== '') return undefined;
+    return Math.round((getCoreEquivalent(spec.demand) * ranMs) / msPerSecond);
+  }
+
   function handleEnd(link: WorkerLink, ended: EndedRun): void {
     const placed = book.findTask(ended.task);
     if (placed === undefined) return;
@@ -75,6 +87,7 @@
       failures: task.failures,
       ranMs,
       estimatedMs: group.spec.estimatedMs,
+      lostCoreSeconds: getLostWork(group, ended, ranMs),
     });
     metrics.count('runs.ended', 1, { end: ended.end });
     if (effect === EndEffect.Stale) return;
--- /dev/null
+++ b/packages/dispatch/src/waitlog.ts
@@ -0,0 +1,58 @@
+import type { Clock, Logger } from '@bergamotreach/protocol';
+import { findWaitReason } from '@bergamotreach/scheduling';
+import type { TaskGroup, Wait, WaitReason, WorkerView } from '@bergamotreach/scheduling';
+
+/** Logs why accepted jobs wait, once for each change of the reason. */
+export interface WaitLog {
+  /** Takes in what a plan left waiting; `workers` have the room that the plan left. */
+  note(waits: readonly Wait[], workers: readonly WorkerView[]): void;
+}
+
+/** A wait this short is the usual time until an order is sent. */
+const minWaitMs = 300;
+/** The reason of a group is looked for at most this often. */
+const checkEveryMs = 1000;
+/** Groups that are looked at after one plan, so that the time of a plan stays bounded. */
+const maxChecks = 10;
+
+interface Checked {
+  atMs: number;
+  reason: WaitReason;
+}
+
+/** Creates a log of one owner. */
+export function createWaitLog(clock: Clock, logger: Logger): WaitLog {
+  const checked = new WeakMap<TaskGroup, Checked>();
+
+  function checkWait(wait: Wait, workers: readonly WorkerView[]): void {
+    const { group, ageMs, ahead } = wait;
+    const reason = findWaitReason(wait, workers);
+    const known = checked.get(group);
+    checked.set(group, { atMs: clock.getNowMs(), reason });
+    if (known?.reason === reason) return;
+    const { job, spec } = group;
+    logger.info('job_waits', {
+      job: job.id,
+      step: group.step,
+      reason,
+      queue: job.queue,
+      account: job.account,
+      priority: job.rules.priority,
+      tasks: spec.taskCount,
+      accelerators: spec.taskCount * spec.demand.accelerators,
+      ageMs: Math.round(ageMs),
+      ahead,
+    });
+  }
+
+  return {
+    note(waits, workers) {
+      const nowMs = clock.getNowMs();
+      const due = waits.filter(({ group, ageMs }) => {
+        const lastMs = checked.get(group)?.atMs ?? -Infinity;
+        return ageMs >= minWaitMs && nowMs - lastMs >= checkEveryMs;
+      });
+      for (const wait of due.slice(0, maxChecks)) checkWait(wait, workers);
+    },
+  };
+}
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -9,4 +9,5 @@
 export * from './taskname.ts';
 export * from './trust.ts';
 export * from './urgentshare.ts';
+export * from './waiting.ts';
 export type * from './worker.ts';
--- a/packages/scheduling/src/packing.ts
+++ b/packages/scheduling/src/packing.ts
@@ -28,14 +28,19 @@
   return room;
 };
 
-/** Whether tasks of a group may run on a worker, room aside. */
-export function isEligible(group: TaskGroup, worker: WorkerView): boolean {
+/** Whether a worker is of the pool of a group, has its label and is admitted by its policy. */
+export function isMember(group: TaskGroup, worker: WorkerView): boolean {
   const { requiredLabel } = group.spec;
-  if (worker.pool !== group.job.pool || worker.maxStarts <= 0) return false;
+  if (worker.pool !== group.job.pool) return false;
   if (group.allowedWorkers?.has(worker.id) === false) return false;
   return requiredLabel === '' || worker.labels.has(requiredLabel);
 }
 
+/** Whether tasks of a group may start on a worker now, room aside. */
+export function isEligible(group: TaskGroup, worker: WorkerView): boolean {
+  return worker.maxStarts > 0 && isMember(group, worker);
+}
+
 /** How many waiting tasks of a group a worker can take. */
 export function countRoom(group: TaskGroup, worker: WorkerView, room: Resources): number {
   if (!isEligible(group, worker)) return 0;
@@ -61,7 +66,7 @@
  * Whether a worker's health and reservation admit a group. A worker that may fail all it starts is
  * probed by work that can afford the attempt: an urgent job would lose one of its few.
  */
-function isAdmitted(group: TaskGroup, worker: WorkerView): boolean {
+export function isAdmitted(group: TaskGroup, worker: WorkerView): boolean {
   if (worker.isSuspect && !canProbe(group)) return false;
   if (group.job.rules.priority === urgentPriority) return true;
   if (worker.reservation === Reservation.None) return true;
@@ -118,7 +123,8 @@
   }
 }
 
-function groupByRack(workers: readonly WorkerView[]): Map<string, WorkerView[]> {
+/** Workers by rack. */
+export function groupByRack(workers: readonly WorkerView[]): Map<string, WorkerView[]> {
   const racks = new Map<string, WorkerView[]>();
   for (const worker of workers) {
     const members = racks.get(worker.rack);
--- a/packages/scheduling/src/planner.ts
+++ b/packages/scheduling/src/planner.ts
@@ -16,6 +16,7 @@
 import { addResources, getDominantShare } from './resources.ts';
 import type { Resources } from './resources.ts';
 import { markReserved } from './urgentshare.ts';
+import type { Wait } from './waiting.ts';
 import type { PlacedTask, WorkerView } from './worker.ts';
 
 /** A group that may start tasks now: due, its dependencies done, its job live. */
@@ -67,6 +68,8 @@
 export interface Plan {
   starts: PlannedStart[];
   stops: PlannedStop[];
+  /** Groups with tasks that wait on, in the order in which they were planned. */
+  waits: Wait[];
 }
 
 const urgentPriority = 0;
@@ -140,7 +143,8 @@
 
 /** Plans starts and stops. It changes the room in `input.workers` and nothing else. */
 export function planStarts(input: PlanInput): Plan {
-  const plan: Plan = { starts: [], stops: [] };
+  const plan: Plan = { starts: [], stops: [], waits: [] };
+  const clearing = new Set<TaskGroup>();
   const stopping = new Set<Task>();
   let reservations = 0;
   const isQuiet = isIdle(input);
@@ -168,12 +172,13 @@
     };
     // Stopping urgent work for urgent work only loses what has run, and most ends by itself in time.
     const mayStopUrgent = input.guaranteed.has(group.job.id) && ageMs >= input.stopUrgentAfterMs;
-    const clearing =
+    const found =
       chooseClearing(group, spread, isLower) ??
       (mayStopUrgent ? chooseClearing(group, spread, canStop) : undefined);
-    if (clearing === undefined) return;
-    takeClearing(group, clearing);
-    for (const victim of listStops(clearing)) {
+    if (found === undefined) return;
+    clearing.add(group);
+    takeClearing(group, found);
+    for (const victim of listStops(found)) {
       if (victim.task.phase !== TaskPhase.Running || stopping.has(victim.task)) continue;
       stopping.add(victim.task);
       noteRelease(victim);
@@ -200,14 +205,14 @@
       for (const rack of racks) {
         if (group.spec.preferredRack !== '' && rack !== group.spec.preferredRack) continue;
         const members = input.workers.filter((worker) => worker.rack === rack);
-        const clearing = planClearing(group, members, canStop, input.nowMs);
-        if (clearing !== undefined) choices.push(clearing);
+        const found = planClearing(group, members, canStop, input.nowMs);
+        if (found !== undefined) choices.push(found);
       }
     }
     const isWide = !isBound || (choices.length === 0 && spread === Spread.Anywhere);
     if (isWide) {
-      const clearing = planClearing(group, input.workers, canStop, input.nowMs);
-      if (clearing !== undefined) choices.push(clearing);
+      const found = planClearing(group, input.workers, canStop, input.nowMs);
+      if (found !== undefined) choices.push(found);
     }
     return choices.sort((a, b) => a.cost - b.cost)[0];
   }
@@ -233,8 +238,8 @@
 
   /** Reserves room that other work holds now; nothing is stopped for it. */
   function holdLater(group: TaskGroup, spread: Spread): void {
-    const clearing = chooseClearing(group, spread, () => true);
-    if (clearing !== undefined) takeClearing(group, clearing);
+    const found = chooseClearing(group, spread, () => true);
+    if (found !== undefined) takeClearing(group, found);
   }
 
   function planTasks(ready: ReadyGroup): void {
@@ -246,9 +251,16 @@
     if (isUrgent && placed < listWaiting(group).length) freeRoom(ready, Spread.Anywhere);
   }
 
+  function noteWait({ group, ageMs }: ReadyGroup, ahead: number): void {
+    const placed = plan.starts.find((start) => start.group === group)?.placements.length ?? 0;
+    if (placed >= listWaiting(group).length) return;
+    plan.waits.push({ group, ageMs, isClearing: clearing.has(group), ahead });
+  }
+
   for (const ready of order) {
     if (ready.group.spec.isGang) planGang(ready);
     else planTasks(ready);
   }
+  for (const [ahead, ready] of order.entries()) noteWait(ready, ahead);
   return plan;
 }
--- /dev/null
+++ b/packages/scheduling/src/waiting.ts
@@ -0,0 +1,66 @@
+import { isOccupying } from './group.ts';
+import type { TaskGroup } from './group.ts';
+import { countRoom, getFreeRoom, groupByRack, isAdmitted, isMember, listWaiting } from './packing.ts';
+import type { WorkerView } from './worker.ts';
+
+/** Why a group that is ready has waiting tasks after a plan. */
+export enum WaitReason {
+  /** No worker of its pool with its label is usable. */
+  NoWorker = 'no_worker',
+  /** The usable workers could not hold it even if all of them were empty. */
+  TooLarge = 'too_large',
+  /** Members of its former run have not ended yet. */
+  Ending = 'ending',
+  /** Other work is being stopped for it. */
+  Clearing = 'clearing',
+  /** There is room, but not in one rack or not near its data. */
+  Rack = 'rack',
+  /** There is room on workers that are suspect or paused after failures. */
+  Trust = 'trust',
+  /** The room that is left does not suffice. */
+  NoRoom = 'no_room',
+}
+
+/** A group that waits, with its place in the order of the plan. */
+export interface Wait {
+  group: TaskGroup;
+  ageMs: number;
+  /** Whether other work is being stopped for it. */
+  isClearing: boolean;
+  /** Groups that were planned before it. */
+  ahead: number;
+}
+
+function sumRoom(
+  workers: readonly WorkerView[],
+  count: (worker: WorkerView) => number,
+): number {
+  return workers.reduce((sum, worker) => sum + count(worker), 0);
+}
+
+/**
+ * Finds out why a group got nothing, or not all, from a plan. `workers` have the room that the plan
+ * left. It looks at each worker several times, so it is for logs and not for each plan.
+ */
+export function findWaitReason(
+  { group, isClearing }: Wait,
+  workers: readonly WorkerView[],
+): WaitReason {
+  if (group.spec.isGang && group.tasks.some(isOccupying)) return WaitReason.Ending;
+  const members = workers.filter((worker) => isMember(group, worker));
+  if (members.length === 0) return WaitReason.NoWorker;
+  const needed = group.spec.isGang ? listWaiting(group).length : 1;
+  const whole = (worker: WorkerView): number =>
+    countRoom(group, { ...worker, maxStarts: Infinity }, worker.capacity);
+  if (sumRoom(members, whole) < needed) return WaitReason.TooLarge;
+  if (isClearing) return WaitReason.Clearing;
+  const free = (worker: WorkerView): number =>
+    countRoom(group, { ...worker, maxStarts: Infinity }, getFreeRoom(worker));
+  if (sumRoom(members, free) < needed) return WaitReason.NoRoom;
+  const admitted = members.filter((worker) => worker.maxStarts > 0 && isAdmitted(group, worker));
+  if (sumRoom(admitted, free) < needed) return WaitReason.Trust;
+  const isBound = group.spec.isRackBound || group.spec.preferredRack !== '';
+  const racks = [...groupByRack(admitted).values()];
+  const isSplit = racks.every((rack) => sumRoom(rack, free) < needed);
+  return isBound || isSplit ? WaitReason.Rack : WaitReason.NoRoom;
+}
