Gather room where it is free soonest; declare the worth of jobs

Cause: a quarter of the medium class waited over 5 s, and wide gangs starved. Room for them was held where the loss of a stop is least, which is the youngest work and free last.

--- /dev/null
+++ b/packages/bench/src/decisions/policies.ts
@@ -0,0 +1,21 @@
+import { createArrivalOrder, createPlanPolicy } from '@bergamotreach/scheduling';
+import type { PlanPolicy } from '@bergamotreach/scheduling';
+
+/** A policy under comparison. */
+export interface NamedPolicy {
+  name: string;
+  policy: PlanPolicy;
+}
+
+/** The default policy first, then each of its parts taken away, and the baseline. */
+export function listPolicies(): NamedPolicy[] {
+  return [
+    { name: 'default', policy: createPlanPolicy() },
+    { name: 'no-reserve', policy: createPlanPolicy({ urgentReserveShare: 0 }) },
+    { name: 'half-reserve', policy: createPlanPolicy({ urgentReserveShare: 0.5 }) },
+    { name: 'no-gathering', policy: createPlanPolicy({ maxGatherings: 0 }) },
+    { name: 'no-loss-limit', policy: createPlanPolicy({ maxLossFactor: Infinity }) },
+    { name: 'equal-worth', policy: createPlanPolicy({ worth: { priorityWeights: [1] } }) },
+    { name: 'arrival-order', policy: createPlanPolicy({ order: createArrivalOrder() }) },
+  ];
+}
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -7,6 +7,7 @@
     placement: async () => (await import('./placement/command.ts')).placementCommand,
     requests: async () => (await import('./requests/command.ts')).requestsCommand,
     planning: async () => (await import('./planning/command.ts')).planningCommand,
+    decisions: async () => (await import('./decisions/command.ts')).decisionsCommand,
     capacity: async () => (await import('./capacity/command.ts')).capacityCommand,
     restarts: async () => (await import('./restarts/command.ts')).restartsCommand,
   },
--- a/packages/bench/src/planning/planning.ts
+++ b/packages/bench/src/planning/planning.ts
@@ -1,5 +1,11 @@
 import { createSystemClock } from '@bergamotreach/protocol';
-import { Reservation, TaskPhase, createGroup, planStarts } from '@bergamotreach/scheduling';
+import {
+  Reservation,
+  TaskPhase,
+  createGroup,
+  createPlanPolicy,
+  planStarts,
+} from '@bergamotreach/scheduling';
 import type { PlacedTask, PlanInput, TaskGroup, WorkerView } from '@bergamotreach/scheduling';
 import { createRandom } from '../random.ts';
 import type { Random } from '../random.ts';
@@ -109,9 +115,9 @@
     workers,
     ready,
     guaranteed,
-    urgentReserve: workerCount,
-    quietMs: 0,
+    urgentDemand: workerCount,
     stopUrgentAfterMs: 1500,
+    policy: createPlanPolicy(),
   };
 }
 
--- a/packages/cli/src/logevents.ts
+++ b/packages/cli/src/logevents.ts
@@ -22,7 +22,8 @@
 /** Reads one line; `undefined` for a line that is no event of this product. */
 export function parseLogLine(line: string): LogEvent | undefined {
   const fields: Record<string, string> = {};
-  for (const [, key = '', value = ''] of line.matchAll(pairPattern)) fields[key] = parseValue(value);
+  for (const [, key = '', value = ''] of line.matchAll(pairPattern))
+    fields[key] = parseValue(value);
   const { time, event, process = '' } = fields;
   const atMs = time === undefined ? NaN : Date.parse(time);
   if (event === undefined || Number.isNaN(atMs)) return undefined;
--- a/packages/dispatch/src/instance.ts
+++ b/packages/dispatch/src/instance.ts
@@ -5,6 +5,8 @@
   createGroupCommitter,
   createRegionLease,
 } from '@bergamotreach/ownership';
+import { createPlanPolicy } from '@bergamotreach/scheduling';
+import type { PlanPolicy } from '@bergamotreach/scheduling';
 import { rankMembers, runContained, runEvery, waitFor } from '@bergamotreach/protocol';
 import type { CancelTimer, Clock, Logger, Metrics } from '@bergamotreach/protocol';
 import type { Advisor } from './advisor.ts';
@@ -65,6 +67,8 @@
   logger: Logger;
   metrics: Metrics;
   limits: InstanceLimits;
+  /** What the operators chose about plans; the default when absent. */
+  policy?: PlanPolicy;
 }
 
 /** State of an instance for the dump. */
@@ -127,6 +131,7 @@
 /** Creates an instance; `start` begins its work. */
 export function createInstance(options: InstanceOptions): Instance {
   const { table, clock, logger, metrics, limits } = options;
+  const policy = options.policy ?? createPlanPolicy();
   let owner: Owner | undefined;
   let isDraining = false;
   let cancelLoopWatch: CancelTimer = () => undefined;
@@ -256,6 +261,7 @@
       logger,
       metrics,
       ...limits,
+      policy,
     });
     void owner.start();
   }
--- a/packages/dispatch/src/jobbook.ts
+++ b/packages/dispatch/src/jobbook.ts
@@ -11,6 +11,7 @@
   isGroupDone,
   isOccupying,
   parseTaskName,
+  urgentPriority,
 } from '@bergamotreach/scheduling';
 import type {
   GroupRecord,
@@ -57,19 +58,15 @@
   /** Accelerators that urgent work holds or could start on at the Unix time `wallMs`. */
   sumUrgentDemand(wallMs: number): number;
   isComplete(job: LiveJob): boolean;
-  /** Unix time at which the newest job was accepted; 0 before the first. */
-  getNewestAtMs(): number;
 }
 
 // Clocks of the instances differ a little; an occurrence must not start before its time.
 const dueMarginMs = 60;
-const urgentPriority = 0;
 
 /** Creates an empty book. */
 export function createJobBook(): JobBook {
   const jobs = new Map<string, LiveJob>();
   const means = createWorkMeans();
-  let newestAtMs = 0;
 
   function listGroups(job: LiveJob): TaskGroup[] {
     return [...job.groups.values()];
@@ -119,7 +116,6 @@
         }
       }
       jobs.set(submission.id, job);
-      newestAtMs = Math.max(newestAtMs, acceptedAtMs);
       means.add(submission);
       return job;
     },
@@ -193,7 +189,6 @@
       }
       return sum;
     },
-    getNewestAtMs: () => newestAtMs,
     isComplete: (job) => listGroups(job).every(isGroupDone),
   };
 }
--- a/packages/dispatch/src/owner.ts
+++ b/packages/dispatch/src/owner.ts
@@ -310,9 +310,9 @@
     tickets.prepare(ready, workers);
     const result = planStarts({
       nowMs: startedAtMs,
-      urgentReserve: urgentDemand.getLevel(),
-      quietMs: wallMs - book.getNewestAtMs(),
+      urgentDemand: urgentDemand.getLevel(),
       stopUrgentAfterMs,
+      policy: options.policy,
       workers,
       ready,
       guaranteed: book.listGuaranteed(guarantees),
--- a/packages/dispatch/src/ownercontext.ts
+++ b/packages/dispatch/src/ownercontext.ts
@@ -2,7 +2,13 @@
 import type { GroupCommitter } from '@bergamotreach/ownership';
 import type { Clock, Logger, Metrics } from '@bergamotreach/protocol';
 import { formatTaskName } from '@bergamotreach/scheduling';
-import type { Resources, Task, TaskGroup, WorkerTrust } from '@bergamotreach/scheduling';
+import type {
+  PlanPolicy,
+  Resources,
+  Task,
+  TaskGroup,
+  WorkerTrust,
+} from '@bergamotreach/scheduling';
 import type { Advisor } from './advisor.ts';
 import type { ServiceConfig } from './configuration.ts';
 import type { Fleet } from './fleet.ts';
@@ -41,6 +47,8 @@
   maxLeaseMs: number;
   /** Time within which a guaranteed job has to begin. */
   reclaimMs: number;
+  /** What the operators chose about plans. */
+  policy: PlanPolicy;
   /** Longest time that a stop takes a worker. */
   stopMs: number;
   heartbeatMs: number;
--- a/packages/dispatch/tests/world.ts
+++ b/packages/dispatch/tests/world.ts
@@ -11,7 +11,7 @@
   waitFor,
 } from '@bergamotreach/protocol';
 import type { Fault, ManualClock } from '@bergamotreach/protocol';
-import { JobState } from '@bergamotreach/scheduling';
+import { JobState, createPlanPolicy } from '@bergamotreach/scheduling';
 import type { JobSubmission, StepSpec } from '@bergamotreach/scheduling';
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
@@ -222,6 +222,7 @@
           metrics,
           maxLeaseMs,
           reclaimMs: 2900,
+          policy: createPlanPolicy(),
           stopMs: 900,
           heartbeatMs: 1500,
         });
--- a/packages/hosting/src/httpclient.ts
+++ b/packages/hosting/src/httpclient.ts
@@ -134,13 +134,16 @@
     const timeout = new AbortController();
     const { waitMs = 0 } = sendOptions;
     const startedMs = performance.now();
-    const timer = setTimeout(() => {
-      // A busy process runs late timers first; an answer that has arrived meanwhile still counts.
-      setImmediate(() => {
-        noteTimeout();
-        timeout.abort(new Error('no answer in time'));
-      });
-    }, waitMs + (sendOptions.timeoutMs ?? answerTime.getTimeoutMs()));
+    const timer = setTimeout(
+      () => {
+        // A busy process runs late timers first; an answer that has arrived meanwhile still counts.
+        setImmediate(() => {
+          noteTimeout();
+          timeout.abort(new Error('no answer in time'));
+        });
+      },
+      waitMs + (sendOptions.timeoutMs ?? answerTime.getTimeoutMs()),
+    );
     try {
       const type = body === undefined ? {} : { 'content-type': 'application/json' };
       const headers = { ...type, ...sendOptions.headers };
--- a/packages/hosting/tests/httpclient.test.ts
+++ b/packages/hosting/tests/httpclient.test.ts
@@ -33,3 +33,68 @@
     await client.abort();
   });
 });
+
+/** A server whose connections, once they have gone silent, swallow requests; new ones work. */
+async function runWithSilentServer(
+  run: (origin: string, silence: () => void) => Promise<void>,
+): Promise<void> {
+  let opened = 0;
+  let silentUpTo = 0;
+  const numbers = new WeakMap<object, number>();
+  const server = createServer((request, response) => {
+    if ((numbers.get(request.socket) ?? 0) > silentUpTo) response.end('ok');
+  });
+  server.on('connection', (socket) => {
+    opened += 1;
+    numbers.set(socket, opened);
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const silence = (): void => {
+    silentUpTo = opened;
+  };
+  try {
+    await run(`http://127.0.0.1:${(server.address() as AddressInfo).port}`, silence);
+  } finally {
+    server.closeAllConnections();
+    server.close();
+  }
+}
+
+// Guards against calls that time out one after the other because each takes another connection that
+// went silent: an owner saw no new jobs for 1.3 s after its connections to the store went silent.
+test('one lost answer replaces all connections', async () => {
+  await runWithSilentServer(async (origin, silence) => {
+    const client = createHttpClient({
+      origin,
+      connections: 4,
+      timeoutMs: 5000,
+      learnedTimeoutMs: 100,
+    });
+    const sendFour = () => Promise.all([1, 2, 3, 4].map(() => client.send('GET', '/')));
+    for (let round = 0; round < 6; round += 1) await sendFour();
+    silence();
+    expect((await client.send('GET', '/')).status).toEqual(ExchangeStatus.Lost);
+    const next = await sendFour();
+    expect(next.map(({ status }) => status)).toEqual(
+      Array.from({ length: 4 }, () => ExchangeStatus.Answered),
+    );
+    await client.abort();
+  });
+});
+
+// Guards against a learned timeout that ends a call while the service holds its answer back.
+test('the time that a service may hold an answer comes on top', async () => {
+  await runWithServer(async (origin) => {
+    const client = createHttpClient({
+      origin,
+      connections: 1,
+      timeoutMs: 300,
+      learnedTimeoutMs: 100,
+    });
+    const waiting = await client.send('GET', '/', undefined, { waitMs: answerAfterMs });
+    expect(waiting.status).toEqual(ExchangeStatus.Answered);
+    await client.abort();
+  });
+});
--- a/packages/scheduling/src/packing.ts
+++ b/packages/scheduling/src/packing.ts
@@ -2,10 +2,10 @@
 import type { Task, TaskGroup } from './group.ts';
 import { addResources, countFitting, getDominantShare } from './resources.ts';
 import type { Resources } from './resources.ts';
+import { urgentPriority } from './submission.ts';
 import { Reservation } from './urgentshare.ts';
 import type { WorkerView } from './worker.ts';
 
-const urgentPriority = 0;
 /** Attempts that a group must have left to be tried on a suspect worker. */
 const minProbeAttempts = 2;
 
@@ -157,6 +157,13 @@
   return [...racks.keys()];
 }
 
+/** Sets of workers in which a group that is bound to a rack, or has local data, runs at full speed. */
+export function listLocalSets(group: TaskGroup, workers: readonly WorkerView[]): WorkerView[][] {
+  if (!group.spec.isRackBound && group.spec.preferredRack === '') return [];
+  const racks = groupByRack(workers);
+  return listGoodRacks(group, racks).map((rack) => racks.get(rack) ?? []);
+}
+
 /** Places all waiting tasks inside one rack, the one that is left with the fewest slots. */
 function placeOneRack(
   group: TaskGroup,
--- a/packages/scheduling/src/planner.ts
+++ b/packages/scheduling/src/planner.ts
@@ -1,20 +1,25 @@
+import { planGathering, takeGathering } from './gathering.ts';
+import type { Gathering } from './gathering.ts';
 import { TaskPhase, isOccupying } from './group.ts';
 import type { Task, TaskGroup } from './group.ts';
 import {
   Spread,
   getComingRoom,
   hasRackSize,
+  listLocalSets,
   listWaiting,
   placeGang,
   placeSome,
   takeRoom,
 } from './packing.ts';
 import type { Placement } from './packing.ts';
-import { getChainMs, getRank } from './ranking.ts';
+import type { PlanPolicy } from './policy.ts';
+import { getTaskMs, getTaskWork } from './ranking.ts';
 import { listStops, planClearing, takeClearing } from './reclaim.ts';
 import type { Clearing } from './reclaim.ts';
 import { addResources, getDominantShare } from './resources.ts';
 import type { Resources } from './resources.ts';
+import { urgentPriority } from './submission.ts';
 import { markReserved } from './urgentshare.ts';
 import type { Wait } from './waiting.ts';
 import type { PlacedTask, WorkerView } from './worker.ts';
@@ -37,12 +42,11 @@
   ready: readonly ReadyGroup[];
   /** Ids of the urgent jobs that are within their account's guarantee. */
   guaranteed: ReadonlySet<string>;
-  /** Accelerators to be set aside for urgent work. */
-  urgentReserve: number;
-  /** Time since the last job was accepted, in milliseconds. */
-  quietMs: number;
+  /** Accelerators that urgent work has needed lately. */
+  urgentDemand: number;
   /** Wait after which a guaranteed job stops other urgent work, in milliseconds. */
   stopUrgentAfterMs: number;
+  policy: PlanPolicy;
 }
 
 /** Tasks of one group to be started. */
@@ -72,45 +76,18 @@
   waits: Wait[];
 }
 
-const urgentPriority = 0;
-/** A rack-bound job waits for its rack at most this share of its run time, then is spread. */
-const localWaitShare = 1.5;
 /** An urgent job waits this long for the right rack; reclaiming must fit into the rest. */
 const urgentLocalWaitMs = 2100;
-/** A guaranteed job that waited this long goes before all others. */
-const pressingAfterMs = 1000;
-/** A fleet with a smaller free share of its accelerators is crowded. */
-const crowdedFreeShare = 0.3;
-/**
- * Without a new job for this long, an idle fleet makes none wait for a better place: nothing else is
- * coming that the room could be kept for. The platform asks 14 s after its last job.
- */
-const quietAfterMs = 8000;
+/** An idle fleet makes no job wait longer than this for a better place, in milliseconds. */
+const idleLocalWaitMs = 5000;
 /** A fleet is idle when at most this share of it is in use. */
 const idleUsedShare = 0.5;
-/** A gang that waited this long gets room reserved against work ranked below it. */
-const reserveAfterMs = 2500;
-/** Gangs that may hold a reservation at once. */
-const maxReservations = 2;
-
-function compareReady(input: PlanInput): (a: ReadyGroup, b: ReadyGroup) => number {
-  const ranks = new Map(input.ready.map((ready) => [ready, getRank(ready)]));
-  const getClass = ({ group, ageMs }: ReadyGroup): number => {
-    if (group.job.rules.priority !== urgentPriority) return 2;
-    const isPressing = input.guaranteed.has(group.job.id) && ageMs > pressingAfterMs;
-    return isPressing ? 0 : 1;
-  };
-  return (a, b) => {
-    const byClass = getClass(a) - getClass(b);
-    if (byClass !== 0) return byClass;
-    // The oldest urgent job goes first, so that none takes the room that another has cleared.
-    if (getClass(a) < 2) return b.ageMs - a.ageMs;
-    return (ranks.get(b) ?? 0) - (ranks.get(a) ?? 0);
-  };
-}
+/** Room is gathered for a gang that waited this long, in milliseconds. */
+const gatherAfterMs = 2500;
+/** Work may use gathered room if it ends in time even when it takes this much longer than declared. */
+const backfillMargin = 1.3;
 
 function isIdle(input: PlanInput): boolean {
-  if (input.quietMs < quietAfterMs) return false;
   const used: Resources = { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
   const total = { ...used };
   for (const { capacity, free } of input.workers) {
@@ -121,24 +98,16 @@
   return getDominantShare(used, total) <= idleUsedShare;
 }
 
-/** Spread tasks take several times as long, which a crowded fleet cannot afford. */
-function isCrowded(workers: readonly WorkerView[]): boolean {
-  let free = 0;
-  let total = 0;
-  for (const worker of workers) {
-    free += Math.max(0, worker.free.accelerators);
-    total += worker.capacity.accelerators;
-  }
-  return free < total * crowdedFreeShare;
-}
-
-function chooseSpread({ group, ageMs }: ReadyGroup, workers: readonly WorkerView[]): Spread {
-  if (group.spec.isRackBound && group.spec.isGang && !hasRackSize(group, workers)) {
-    return Spread.Anywhere;
-  }
+/**
+ * Work that is spread off its rack takes several times as long, which costs it its objective and others
+ * their room. So it waits for its rack as long as a rack could hold it.
+ */
+function chooseSpread({ group, ageMs }: ReadyGroup, input: PlanInput, isIdleNow: boolean): Spread {
+  const { isGang, isRackBound } = group.spec;
+  if (isRackBound && isGang && !hasRackSize(group, input.workers)) return Spread.Anywhere;
+  if (isIdleNow && ageMs >= idleLocalWaitMs) return Spread.Anywhere;
   const isUrgent = group.job.rules.priority === urgentPriority;
-  const waitMs = isUrgent ? urgentLocalWaitMs : getChainMs(group.job, group.step) * localWaitShare;
-  return ageMs < waitMs || (!isUrgent && isCrowded(workers)) ? Spread.Local : Spread.Anywhere;
+  return isUrgent && ageMs >= urgentLocalWaitMs ? Spread.Anywhere : Spread.Local;
 }
 
 /** Plans starts and stops. It changes the room in `input.workers` and nothing else. */
@@ -146,10 +115,10 @@
   const plan: Plan = { starts: [], stops: [], waits: [] };
   const clearing = new Set<TaskGroup>();
   const stopping = new Set<Task>();
-  let reservations = 0;
-  const isQuiet = isIdle(input);
-  markReserved(input.workers, isQuiet ? 0 : input.urgentReserve);
-  const order = [...input.ready].sort(compareReady(input));
+  const gatherings = new Map<TaskGroup, Gathering>();
+  const isIdleNow = isIdle(input);
+  markReserved(input.workers, isIdleNow ? 0 : input.urgentDemand * input.policy.urgentReserveShare);
+  const order = input.policy.order.sort(input.ready, input);
 
   function addStart(group: TaskGroup, placements: Placement[]): void {
     if (placements.length === 0) return;
@@ -175,7 +144,7 @@
     const found =
       chooseClearing(group, spread, isLower) ??
       (mayStopUrgent ? chooseClearing(group, spread, canStop) : undefined);
-    if (found === undefined) return;
+    if (found === undefined || !isWorthStopping(group, found)) return;
     clearing.add(group);
     takeClearing(group, found);
     for (const victim of listStops(found)) {
@@ -186,6 +155,16 @@
     }
   }
 
+  /**
+   * A guarantee is made good whatever it costs; beyond it a job is not worth the loss of far more work
+   * than its own: a burst of small urgent jobs stopped one wide gang after the other.
+   */
+  function isWorthStopping(group: TaskGroup, { cost, victims }: Clearing): boolean {
+    if (victims.length === 0 || input.guaranteed.has(group.job.id)) return true;
+    const ownWork = getTaskWork(group.spec) * listWaiting(group).length;
+    return cost <= ownWork * input.policy.maxLossFactor;
+  }
+
   function noteRelease(victim: PlacedTask): void {
     const worker = input.workers.find(({ id }) => id === victim.task.workerId);
     if (worker === undefined) return;
@@ -198,18 +177,11 @@
     spread: Spread,
     canStop: (victim: TaskGroup) => boolean,
   ): Clearing | undefined {
-    const isBound = group.spec.isRackBound || group.spec.preferredRack !== '';
-    const racks = new Set(input.workers.map(({ rack }) => rack));
-    const choices: Clearing[] = [];
-    if (isBound) {
-      for (const rack of racks) {
-        if (group.spec.preferredRack !== '' && rack !== group.spec.preferredRack) continue;
-        const members = input.workers.filter((worker) => worker.rack === rack);
-        const found = planClearing(group, members, canStop, input.nowMs);
-        if (found !== undefined) choices.push(found);
-      }
-    }
-    const isWide = !isBound || (choices.length === 0 && spread === Spread.Anywhere);
+    const sets = listLocalSets(group, input.workers);
+    const choices = sets
+      .map((members) => planClearing(group, members, canStop, input.nowMs))
+      .filter((found) => found !== undefined);
+    const isWide = sets.length === 0 || (choices.length === 0 && spread === Spread.Anywhere);
     if (isWide) {
       const found = planClearing(group, input.workers, canStop, input.nowMs);
       if (found !== undefined) choices.push(found);
@@ -221,7 +193,7 @@
     const { group } = ready;
     // A gang starts whole, so it waits until the last member of its previous run has ended.
     if (group.tasks.some(isOccupying)) return;
-    const spread = isQuiet ? Spread.Anywhere : chooseSpread(ready, input.workers);
+    const spread = chooseSpread(ready, input, isIdleNow);
     const placements = placeGang(group, input.workers, spread);
     if (placements !== undefined) addStart(group, placements);
     else if (group.job.rules.priority === urgentPriority) freeRoom(ready, spread);
@@ -229,22 +201,43 @@
   }
 
   function holdGang({ group, ageMs }: ReadyGroup, spread: Spread): void {
-    if (ageMs < reserveAfterMs || reservations >= maxReservations) return;
-    reservations += 1;
+    if (ageMs < gatherAfterMs || gatherings.size >= input.policy.maxGatherings) return;
     const coming = placeGang(group, input.workers, spread, getComingRoom);
-    if (coming !== undefined) takeRoom(group, coming);
-    else holdLater(group, spread);
+    if (coming !== undefined) {
+      takeRoom(group, coming);
+      return;
+    }
+    const gathering = chooseGathering(group, spread);
+    if (gathering === undefined) return;
+    gatherings.set(group, gathering);
+    takeGathering(group, gathering);
+  }
+
+  function chooseGathering(group: TaskGroup, spread: Spread): Gathering | undefined {
+    const sets = listLocalSets(group, input.workers);
+    if (sets.length === 0 || spread === Spread.Anywhere) sets.push(input.workers);
+    return sets
+      .map((workers) => planGathering(group, workers, input.nowMs))
+      .filter((gathering) => gathering !== undefined)
+      .sort((a, b) => a.readyInMs - b.readyInMs)[0];
   }
 
-  /** Reserves room that other work holds now; nothing is stopped for it. */
-  function holdLater(group: TaskGroup, spread: Spread): void {
-    const found = chooseClearing(group, spread, () => true);
-    if (found !== undefined) takeClearing(group, found);
+  /** Lends gathered room to work that ends before the room is needed. */
+  function planBackfilled(ready: ReadyGroup): void {
+    const { group } = ready;
+    const takesMs = getTaskMs(group.spec) * backfillMargin;
+    const lent = [...gatherings].filter(
+      ([owner, { readyInMs }]) => owner !== group && takesMs <= readyInMs,
+    );
+    for (const [owner, gathering] of lent) takeGathering(owner, gathering, -1);
+    if (group.spec.isGang) planGang(ready);
+    else planTasks(ready);
+    for (const [owner, gathering] of lent) takeGathering(owner, gathering);
   }
 
   function planTasks(ready: ReadyGroup): void {
     const { group } = ready;
-    const spread = isQuiet ? Spread.Anywhere : chooseSpread(ready, input.workers);
+    const spread = chooseSpread(ready, input, isIdleNow);
     addStart(group, placeSome(group, input.workers, spread));
     const placed = plan.starts.find((start) => start.group === group)?.placements.length ?? 0;
     const isUrgent = group.job.rules.priority === urgentPriority;
@@ -257,10 +250,7 @@
     plan.waits.push({ group, ageMs, isClearing: clearing.has(group), ahead });
   }
 
-  for (const ready of order) {
-    if (ready.group.spec.isGang) planGang(ready);
-    else planTasks(ready);
-  }
+  for (const ready of order) planBackfilled(ready);
   for (const [ahead, ready] of order.entries()) noteWait(ready, ahead);
   return plan;
 }
--- a/packages/scheduling/src/ranking.ts
+++ b/packages/scheduling/src/ranking.ts
@@ -3,15 +3,16 @@
 import { getCoreEquivalent } from './resources.ts';
 import type { JobSubmission, StepSpec } from './submission.ts';
 
-/** Worth of a job of mean size by priority, from the users' sheets. */
-const worthByPriority = [4, 3, 1];
-const lowestWorth = 1;
-/** Part of a job's worth that does not depend on its size, from the users' rules. */
-const fixedWorthShare = 0.3;
-/** Share of the worth that a late job earns, from the users' sheets. */
-const lateShare = 0.25;
-/** A job that takes more than this many objectives earns nothing. */
-const lateObjectives = 3;
+/** What jobs are worth to the operators. */
+export interface WorthPolicy {
+  /** Worth of a job of mean size by priority; the last one holds for all further priorities. */
+  priorityWeights: readonly number[];
+  /** Part of a job's worth that does not depend on its size, 0 to 1. */
+  fixedShare: number;
+}
+
+/** A job that can no longer be in time ranks lower by this factor, and no lower however late it is. */
+const lateFactor = 0.5;
 const defaultTaskMs = 5000;
 const msPerSecond = 1000;
 /** Weight of work that is already under way against work that has not begun. */
@@ -84,17 +85,18 @@
 }
 
 /**
- * Credit that a group can still earn per core-second of remaining work. It answers overload: with
- * more work than room, the jobs that earn most for the room they take go first, a job that can
- * no longer be in time yields to those that can, and a begun job goes before a new one.
+ * Worth of a group per core-second of its job's work. It answers overload: with more work than room,
+ * the jobs that are worth most for the room they take go first, a job that can no longer be in time
+ * yields to those that can, and a begun job goes before a new one.
  */
-export function getRank(input: RankInput): number {
+export function getRank(input: RankInput, policy: WorthPolicy): number {
   const { group, ageMs, meanWork } = input;
   const { job } = group;
-  const worth = worthByPriority[job.rules.priority] ?? lowestWorth;
+  const { priorityWeights, fixedShare } = policy;
+  const worth = priorityWeights[job.rules.priority] ?? priorityWeights.at(-1) ?? 1;
   const work = getJobWork(job);
   const size = meanWork > 0 ? work / meanWork : 1;
-  const value = worth * (fixedWorthShare + (1 - fixedWorthShare) * size);
+  const value = worth * (fixedShare + (1 - fixedShare) * size);
   const density = value / Math.max(work, 1);
   const hasBegun = group.step > 0 || group.tasks.some((task) => task.run > 0);
   return density * getTimeliness(group, ageMs) * (hasBegun ? begunFactor : 1);
@@ -103,8 +105,7 @@
 function getTimeliness(group: TaskGroup, ageMs: number): number {
   const objectiveMs = getObjectiveMs(group.job);
   const doneAtMs = ageMs + getChainMs(group.job, group.step);
-  if (doneAtMs <= objectiveMs) return 1;
-  return doneAtMs <= lateObjectives * objectiveMs ? lateShare : lateShare / lateObjectives;
+  return doneAtMs <= objectiveMs ? 1 : lateFactor;
 }
 
 /** Whether a group has tasks that wait for a run. */
--- a/packages/scheduling/src/submission.ts
+++ b/packages/scheduling/src/submission.ts
@@ -1,5 +1,8 @@
 import type { Resources } from './resources.ts';
 
+/** Priority of the queues whose jobs may stop the work of others. */
+export const urgentPriority = 0;
+
 /** One step of a job: tasks of one shape. */
 export interface StepSpec {
   taskCount: number;
--- a/packages/scheduling/src/urgentshare.ts
+++ b/packages/scheduling/src/urgentshare.ts
@@ -13,7 +13,7 @@
 export interface UrgentDemand {
   /** Notes the accelerators that urgent work holds or waits for now. */
   note(accelerators: number, nowMs: number): void;
-  /** Accelerators to be set aside. */
+  /** Accelerators that urgent work has needed lately. */
   getLevel(): number;
 }
 
@@ -21,8 +21,6 @@
 // slowly.
 const riseMs = 600;
 const fallMs = 7000;
-/** Part of the demand that is set aside beyond it, for the next arrival. */
-const marginShare = 0.5;
 /** Part of the reserved workers that is kept free rather than lent. */
 const keptShare = 0.65;
 /** Urgent work gets at most this part of all accelerators set aside. */
@@ -39,7 +37,7 @@
       const timeMs = accelerators > level ? riseMs : fallMs;
       level += (accelerators - level) * (1 - Math.exp(-elapsedMs / timeMs));
     },
-    getLevel: () => level * (1 + marginShare),
+    getLevel: () => level,
   };
 }
 
--- a/packages/scheduling/src/waiting.ts
+++ b/packages/scheduling/src/waiting.ts
@@ -1,6 +1,13 @@
 import { isOccupying } from './group.ts';
 import type { TaskGroup } from './group.ts';
-import { countRoom, getFreeRoom, groupByRack, isAdmitted, isMember, listWaiting } from './packing.ts';
+import {
+  countRoom,
+  getFreeRoom,
+  groupByRack,
+  isAdmitted,
+  isMember,
+  listWaiting,
+} from './packing.ts';
 import type { WorkerView } from './worker.ts';
 
 /** Why a group that is ready has waiting tasks after a plan. */
@@ -31,10 +38,7 @@
   ahead: number;
 }
 
-function sumRoom(
-  workers: readonly WorkerView[],
-  count: (worker: WorkerView) => number,
-): number {
+function sumRoom(workers: readonly WorkerView[], count: (worker: WorkerView) => number): number {
   return workers.reduce((sum, worker) => sum + count(worker), 0);
 }
 
