--- a/packages/bench/src/decisions/command.ts
+++ b/packages/bench/src/decisions/command.ts
@@ -1,7 +1,7 @@
 import { writeFileSync } from 'node:fs';
 import { availableParallelism } from 'node:os';
 import { defineCommand } from 'citty';
-import { comparePairs, playAll } from './compare.ts';
+import { comparePairs, runPlays } from './compare.ts';
 import type { Difference } from './compare.ts';
 import type { Summary } from './outcome.ts';
 import type { Played } from './player.ts';
@@ -77,7 +77,7 @@
         Array.from({ length: seeds }, (___, index) => ({ scenario, policy, seed: index + 1 })),
       ),
     );
-    const played = await playAll(plays, Math.max(1, Math.floor(availableParallelism() / 2)));
+    const played = await runPlays(plays, Math.max(1, Math.floor(availableParallelism() / 2)));
     for (const scenario of scenarios.keys()) printScenario(played, scenario);
     console.log('\nDifference to the default over all scenarios, with 95 % intervals');
     const rows = figures.map((figure) => compareToDefault(played, figure));
--- a/packages/bench/src/decisions/compare.ts
+++ b/packages/bench/src/decisions/compare.ts
@@ -26,7 +26,7 @@
 }
 
 /** Runs plays on several threads; the results come in the order of the plays. */
-export async function playAll(plays: readonly Play[], threads: number): Promise<Played[]> {
+export async function runPlays(plays: readonly Play[], threads: number): Promise<Played[]> {
   const results = new Map<Play, Played>();
   const waiting = [...plays];
 
@@ -36,7 +36,10 @@
       let current: Play | undefined;
       const sendNext = (): void => {
         current = waiting.shift();
-        if (current === undefined) void worker.terminate().then(() => resolve());
+        if (current === undefined)
+          void worker.terminate().then(() => {
+            resolve();
+          });
         else worker.postMessage(current);
       };
       worker.on('message', (played: Played) => {
--- a/packages/bench/src/decisions/load.ts
+++ b/packages/bench/src/decisions/load.ts
@@ -61,25 +61,25 @@
 const pool = 'p1';
 const maxAttempts = 4;
 
-function drawNormal(random: Random): number {
+function getNormal(random: Random): number {
   const radius = Math.sqrt(-2 * Math.log(1 - random.getUniform()));
   return radius * Math.cos(2 * Math.PI * random.getUniform());
 }
 
-function draw(random: Random, { mean, spread, max }: Distribution): number {
+function getSample(random: Random, { mean, spread, max }: Distribution): number {
   const variance = Math.log(1 + spread * spread);
-  const value = mean * Math.exp(drawNormal(random) * Math.sqrt(variance) - variance / 2);
+  const value = mean * Math.exp(getNormal(random) * Math.sqrt(variance) - variance / 2);
   return Math.min(max, value);
 }
 
-function drawStep(random: Random, shape: QueueShape, estimatedMs: number): StepSpec {
+function createStep(random: Random, shape: QueueShape, estimatedMs: number): StepSpec {
   const demand: Resources = {
     cpuMillis: shape.cpuMillis,
     memoryMb: shape.memoryMb,
     accelerators: shape.accelerators[random.getIndex(shape.accelerators.length)] ?? 1,
   };
   return {
-    taskCount: Math.max(1, Math.round(draw(random, shape.tasks))),
+    taskCount: Math.max(1, Math.round(getSample(random, shape.tasks))),
     demand,
     estimatedMs,
     dependsOn: [],
@@ -95,14 +95,14 @@
 }
 
 /** Draws the jobs of one load; the same seed gives the same jobs. */
-export function drawLoad(shape: LoadShape, seed: number): DrawnJob[] {
+export function createLoad(shape: LoadShape, seed: number): DrawnJob[] {
   const random = createRandom(seed);
   const jobs: DrawnJob[] = [];
 
-  function drawJob(queue: QueueShape, arrivesAtMs: number): DrawnJob {
-    const meanMs = draw(random, queue.taskMs);
+  function createJob(queue: QueueShape, arrivesAtMs: number): DrawnJob {
+    const meanMs = getSample(random, queue.taskMs);
     const off = random.getLogUniform(1 / shape.estimateFactor, shape.estimateFactor);
-    const step = drawStep(random, queue, Math.round(meanMs * off));
+    const step = createStep(random, queue, Math.round(meanMs * off));
     const { priority, stretch, targetMs } = queue;
     const submission: JobSubmission = {
       id: '',
@@ -128,7 +128,7 @@
     while (atMs < shape.lengthMs) {
       const active = ownBursts.find(({ fromMs, forMs }) => atMs >= fromMs && atMs < fromMs + forMs);
       const isKept = random.getUniform() < (active?.factor ?? 1) / peak;
-      if (isKept) jobs.push(drawJob(queue, atMs));
+      if (isKept) jobs.push(createJob(queue, atMs));
       atMs += random.getExponential(meanGapMs);
     }
   }
--- a/packages/bench/src/decisions/outcome.ts
+++ b/packages/bench/src/decisions/outcome.ts
@@ -92,7 +92,7 @@
   ).length;
 }
 
-function summarizeQueue(queue: string, outcomes: readonly Outcome[]): QueueSummary {
+function measureQueue(queue: string, outcomes: readonly Outcome[]): QueueSummary {
   const waits = outcomes.map(getWaitMs).sort((a, b) => a - b);
   const credits = outcomes.map(getCredit);
   return {
@@ -108,10 +108,10 @@
 }
 
 /** Sums up what the callers of a load got. */
-export function summarizeOutcomes(outcomes: readonly Outcome[]): Summary {
+export function measureOutcomes(outcomes: readonly Outcome[]): Summary {
   const queues = [...groupBy(outcomes, ({ job }) => job.submission.queue)]
     .sort(([a], [b]) => a.localeCompare(b))
-    .map(([queue, own]) => summarizeQueue(queue, own));
+    .map(([queue, own]) => measureQueue(queue, own));
   const accounts = [...groupBy(outcomes, ({ job }) => job.submission.account).values()];
   const work = outcomes.reduce((sum, { job }) => {
     const cores = getCoreEquivalent(job.submission.steps[0]?.demand ?? noDemand);
--- a/packages/bench/src/decisions/player.ts
+++ b/packages/bench/src/decisions/player.ts
@@ -1,10 +1,10 @@
 import { parentPort } from 'node:worker_threads';
-import { drawLoad } from './load.ts';
-import { summarizeOutcomes } from './outcome.ts';
+import { createLoad } from './load.ts';
+import { measureOutcomes } from './outcome.ts';
 import type { Summary } from './outcome.ts';
 import { listPolicies } from './policies.ts';
 import { scenarios } from './shapes.ts';
-import { playLoad } from './world.ts';
+import { runLoad } from './world.ts';
 
 /** One play, by the indexes of its scenario and policy. */
 export interface Play {
@@ -19,12 +19,12 @@
 }
 
 /** Plays one load under one policy. */
-export function play({ scenario, policy, seed }: Play): Played {
+export function runPlay({ scenario, policy, seed }: Play): Played {
   const shape = scenarios[scenario];
   const named = listPolicies()[policy];
   if (shape === undefined || named === undefined) throw new Error('unknown scenario or policy');
-  const outcomes = playLoad(drawLoad(shape.load, seed), shape.fleet, named.policy);
-  return { scenario, policy, seed, summary: summarizeOutcomes(outcomes) };
+  const outcomes = runLoad(createLoad(shape.load, seed), shape.fleet, named.policy);
+  return { scenario, policy, seed, summary: measureOutcomes(outcomes) };
 }
 
-parentPort?.on('message', (message: Play) => parentPort?.postMessage(play(message)));
+parentPort?.on('message', (message: Play) => parentPort?.postMessage(runPlay(message)));
--- a/packages/bench/src/decisions/shapes.ts
+++ b/packages/bench/src/decisions/shapes.ts
@@ -87,7 +87,7 @@
   estimateFactor: 1.6,
 };
 
-function scaleLoad(load: LoadShape, factor: number): LoadShape {
+function changeRate(load: LoadShape, factor: number): LoadShape {
   const queues = load.queues.map((queue) => ({
     ...queue,
     jobsPerSecond: queue.jobsPerSecond * factor,
@@ -98,11 +98,11 @@
 /** The loads that policies are compared on. */
 export const scenarios: readonly Scenario[] = [
   { name: 'calm', load: calm, fleet },
-  { name: 'overload', load: scaleLoad(calm, 1.3), fleet },
+  { name: 'overload', load: changeRate(calm, 1.3), fleet },
   {
     name: 'bursts',
     load: {
-      ...scaleLoad(calm, 1.1),
+      ...changeRate(calm, 1.1),
       bursts: [
         { queue: 'urgent', fromMs: 10_000, forMs: 6000, factor: 2.4 },
         { queue: 'batch', fromMs: 20_000, forMs: 4000, factor: 3 },
--- a/packages/bench/src/decisions/world.ts
+++ b/packages/bench/src/decisions/world.ts
@@ -94,7 +94,7 @@
 }
 
 /** Plays a load through the decisions on a clock of its own, without a network. */
-export function playLoad(
+export function runLoad(
   jobs: readonly DrawnJob[],
   fleet: FleetShape,
   policy: PlanPolicy = createPlanPolicy(),
@@ -196,7 +196,7 @@
       task.phase = TaskPhase.Starting;
       const { run } = task;
       addEvent(nowMs + orderMs, () => {
-        if (task.run === run && task.phase === TaskPhase.Starting) beginRun(group, task, isSpread);
+        if (task.run === run && task.phase === TaskPhase.Starting) enterRun(group, task, isSpread);
       });
     }
   }
@@ -205,7 +205,7 @@
     return workers.find(({ id }) => id === workerId)?.rack ?? '';
   }
 
-  function beginRun(group: TaskGroup, task: Task, isSpread: boolean): void {
+  function enterRun(group: TaskGroup, task: Task, isSpread: boolean): void {
     const outcome = outcomes.get(group.job.id);
     if (outcome === undefined) return;
     outcome.firstStartMs ??= nowMs;
--- a/packages/cli/src/commands/log.ts
+++ b/packages/cli/src/commands/log.ts
@@ -8,7 +8,7 @@
 import type { CliIo } from '../io.ts';
 import { parseLogs } from '../logevents.ts';
 import type { LogEvent } from '../logevents.ts';
-import { collectJobs, listJobEvents, summarizeLogs } from '../logreport.ts';
+import { collectJobs, listJobEvents, measureLogs } from '../logreport.ts';
 import type { JobHistory, LogReport } from '../logreport.ts';
 import { finishCommand } from '../output.ts';
 import type { CommandOutput } from '../output.ts';
@@ -36,7 +36,7 @@
     meta: { name: 'report', description: 'Waits, lost work and time without an owner' },
     args: files,
     run: ({ args }) => {
-      const report = readLogs(args._).map(summarizeLogs).map(renderReport);
+      const report = readLogs(args._).map(measureLogs).map(renderReport);
       return finishCommand(io, args.json, Promise.resolve(report));
     },
   });
@@ -106,7 +106,7 @@
   return `${new Date(atMs).toISOString()} ${process} ${event} ${pairs}\n`;
 }
 
-function describeJob(job: JobHistory): Record<string, unknown> {
+function formatJob(job: JobHistory): Record<string, unknown> {
   const { startedAtMs, endedAtMs, acceptedAtMs, stops, ...rest } = job;
   return {
     ...rest,
@@ -122,7 +122,7 @@
   const own = listJobEvents(events, id);
   if (own.length === 0) return Err(createFault(FaultCode.NotFound, `no event of job ${id}`));
   const job = collectJobs(own)[0];
-  const summary = job === undefined ? {} : describeJob(job);
+  const summary = job === undefined ? {} : formatJob(job);
   const text = `${renderRecord(summary)}\n${own.map(formatEvent).join('')}`;
   return Ok({ data: { job: summary, events: own }, text });
 }
--- a/packages/cli/src/logreport.ts
+++ b/packages/cli/src/logreport.ts
@@ -58,17 +58,17 @@
 }
 
 function noteJobEvent(jobs: Map<string, MutableHistory>, { atMs, event, fields }: LogEvent): void {
-  const id = fields['job'] ?? getJobId(fields['task']);
+  const id = fields.job ?? getJobId(fields.task);
   if (event === 'job_adopted' && !jobs.has(id)) {
     jobs.set(id, {
       id,
-      queue: fields['queue'] ?? '',
-      account: fields['account'] ?? '',
-      priority: Number(fields['priority'] ?? 0),
-      acceptedAtMs: atMs - Number(fields['ageMs'] ?? 0),
+      queue: fields.queue ?? '',
+      account: fields.account ?? '',
+      priority: Number(fields.priority ?? 0),
+      acceptedAtMs: atMs - Number(fields.ageMs ?? 0),
       startedAtMs: undefined,
       endedAtMs: undefined,
-      state: fields['state'] ?? '',
+      state: fields.state ?? '',
       starts: 0,
       stops: new Map(),
       lostCoreSeconds: 0,
@@ -77,19 +77,19 @@
   }
   const job = jobs.get(id);
   if (job === undefined) return;
-  if (event === 'job_waits') job.waitReason = fields['reason'] ?? '';
-  if (event === 'start_sent' && fields['fate'] === lastStarted) {
+  if (event === 'job_waits') job.waitReason = fields.reason ?? '';
+  if (event === 'start_sent' && fields.fate === lastStarted) {
     job.starts += 1;
     job.startedAtMs ??= atMs;
   }
   if (event === 'task_stopped') {
-    const cause = getCause(fields['reason'] ?? '');
+    const cause = getCause(fields.reason ?? '');
     job.stops.set(cause, (job.stops.get(cause) ?? 0) + 1);
   }
-  if (event === 'run_ended') job.lostCoreSeconds += Number(fields['lostCoreSeconds'] ?? 0);
+  if (event === 'run_ended') job.lostCoreSeconds += Number(fields.lostCoreSeconds ?? 0);
   if (event === 'job_ended' || event === 'job_cancelled') {
     job.endedAtMs ??= atMs;
-    job.state = fields['state'] ?? 'cancelled';
+    job.state = fields.state ?? 'cancelled';
   }
 }
 
@@ -102,7 +102,7 @@
 
 /** The lines of one job, in order. */
 export function listJobEvents(events: readonly LogEvent[], id: string): LogEvent[] {
-  return events.filter(({ fields }) => fields['job'] === id || getJobId(fields['task']) === id);
+  return events.filter(({ fields }) => fields.job === id || getJobId(fields.task) === id);
 }
 
 function getQuantile(sorted: readonly number[], share: number): number {
@@ -119,7 +119,7 @@
   ).length;
 }
 
-function summarizeWaits(jobs: readonly JobHistory[], endMs: number): WaitSummary[] {
+function measureWaits(jobs: readonly JobHistory[], endMs: number): WaitSummary[] {
   const groups = new Map<string, JobHistory[]>();
   for (const job of jobs) {
     const key = `${job.queue}\n${job.account}`;
@@ -142,17 +142,17 @@
   });
 }
 
-function summarizeLost(events: readonly LogEvent[]): LogReport['lost'] {
+function measureLost(events: readonly LogEvent[]): LogReport['lost'] {
   const causes = new Map<string, string>();
   const lost = new Map<string, { stops: number; coreSeconds: number }>();
   for (const { event, fields } of events) {
-    const run = `${fields['task'] ?? ''} ${fields['run'] ?? ''}`;
-    if (event === 'task_stopped') causes.set(run, getCause(fields['reason'] ?? ''));
-    if (event !== 'run_ended' || fields['end'] === 'done') continue;
-    const cause = causes.get(run) ?? `${notStopped}, ${fields['end'] ?? ''}`;
+    const run = `${fields.task ?? ''} ${fields.run ?? ''}`;
+    if (event === 'task_stopped') causes.set(run, getCause(fields.reason ?? ''));
+    if (event !== 'run_ended' || fields.end === 'done') continue;
+    const cause = causes.get(run) ?? `${notStopped}, ${fields.end ?? ''}`;
     const known = lost.get(cause) ?? { stops: 0, coreSeconds: 0 };
     known.stops += 1;
-    known.coreSeconds += Number(fields['lostCoreSeconds'] ?? 0);
+    known.coreSeconds += Number(fields.lostCoreSeconds ?? 0);
     lost.set(cause, known);
   }
   return [...lost]
@@ -161,13 +161,13 @@
 }
 
 /** An owner works from its start until it stops, its lease ends or another one starts. */
-function summarizeOwners(events: readonly LogEvent[]): { ownerlessMs: number; takeovers: number } {
+function measureOwners(events: readonly LogEvent[]): { ownerlessMs: number; takeovers: number } {
   let holder: string | undefined;
   let freeSinceMs: number | undefined;
   let ownerlessMs = 0;
   let starts = 0;
   for (const { atMs, event, process, fields } of events) {
-    if (event === 'owner_started' || (event === 'lease_state' && fields['state'] === 'holding')) {
+    if (event === 'owner_started' || (event === 'lease_state' && fields.state === 'holding')) {
       if (freeSinceMs !== undefined) ownerlessMs += atMs - freeSinceMs;
       if (event === 'owner_started') starts += 1;
       freeSinceMs = undefined;
@@ -181,16 +181,16 @@
 
 function isOwnerEnd(event: string, fields: LogEvent['fields']): boolean {
   if (event === 'owner_stopped') return true;
-  return event === 'lease_state' && fields['state'] !== 'holding';
+  return event === 'lease_state' && fields.state !== 'holding';
 }
 
 /** Sums up what the logs of all instances tell of a day. */
-export function summarizeLogs(events: readonly LogEvent[]): LogReport {
+export function measureLogs(events: readonly LogEvent[]): LogReport {
   const jobs = collectJobs(events);
   const endMs = events.at(-1)?.atMs ?? 0;
   return {
-    waits: summarizeWaits(jobs, endMs),
-    lost: summarizeLost(events),
-    ...summarizeOwners(events),
+    waits: measureWaits(jobs, endMs),
+    lost: measureLost(events),
+    ...measureOwners(events),
   };
 }
--- a/packages/hosting/tests/httpclient.test.ts
+++ b/packages/hosting/tests/httpclient.test.ts
@@ -36,7 +36,7 @@
 
 /** A server whose connections, once they have gone silent, swallow requests; new ones work. */
 async function runWithSilentServer(
-  run: (origin: string, silence: () => void) => Promise<void>,
+  run: (origin: string, markSilent: () => void) => Promise<void>,
 ): Promise<void> {
   let opened = 0;
   let silentUpTo = 0;
@@ -51,11 +51,11 @@
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
   });
-  const silence = (): void => {
+  const markSilent = (): void => {
     silentUpTo = opened;
   };
   try {
-    await run(`http://127.0.0.1:${(server.address() as AddressInfo).port}`, silence);
+    await run(`http://127.0.0.1:${(server.address() as AddressInfo).port}`, markSilent);
   } finally {
     server.closeAllConnections();
     server.close();
@@ -65,7 +65,7 @@
 // Guards against calls that time out one after the other because each takes another connection that
 // went silent: an owner saw no new jobs for 1.3 s after its connections to the store went silent.
 test('one lost answer replaces all connections', async () => {
-  await runWithSilentServer(async (origin, silence) => {
+  await runWithSilentServer(async (origin, markSilent) => {
     const client = createHttpClient({
       origin,
       connections: 4,
@@ -74,7 +74,7 @@
     });
     const sendFour = () => Promise.all([1, 2, 3, 4].map(() => client.send('GET', '/')));
     for (let round = 0; round < 6; round += 1) await sendFour();
-    silence();
+    markSilent();
     expect((await client.send('GET', '/')).status).toEqual(ExchangeStatus.Lost);
     const next = await sendFour();
     expect(next.map(({ status }) => status)).toEqual(
--- a/packages/scheduling/src/order.ts
+++ b/packages/scheduling/src/order.ts
@@ -1,4 +1,4 @@
-import { getRank } from './ranking.ts';
+import { getObjectiveMs, getRank } from './ranking.ts';
 import type { RankInput, WorthPolicy } from './ranking.ts';
 import { urgentPriority } from './submission.ts';
 
@@ -11,21 +11,29 @@
 /** Decides in which order the groups of a plan get room. */
 export abstract class ReadyOrder {
   /** Groups in the order in which they are served; equal groups keep their order. */
-  abstract sort<T extends RankInput>(ready: readonly T[], input: OrderInput): T[];
+  abstract rank<T extends RankInput>(ready: readonly T[], input: OrderInput): T[];
 }
 
 /** A guaranteed job that waited this long goes before all others, in milliseconds. */
 const pressingAfterMs = 1000;
 
+/** A job that waited this many times its objective goes before all that are not urgent. */
+const overdueObjectives = 2;
+
 enum ServiceClass {
   /** Its guarantee is at stake. */
   Pressing = 0,
   Urgent = 1,
-  Other = 2,
+  /** Passed by other work for so long that its turn has come. */
+  Overdue = 2,
+  Other = 3,
 }
 
 function getServiceClass({ group, ageMs }: RankInput, { guaranteed }: OrderInput): ServiceClass {
-  if (group.job.rules.priority !== urgentPriority) return ServiceClass.Other;
+  if (group.job.rules.priority !== urgentPriority) {
+    const isOverdue = ageMs > overdueObjectives * getObjectiveMs(group.job);
+    return isOverdue ? ServiceClass.Overdue : ServiceClass.Other;
+  }
   const isPressing = guaranteed.has(group.job.id) && ageMs > pressingAfterMs;
   return isPressing ? ServiceClass.Pressing : ServiceClass.Urgent;
 }
@@ -35,7 +43,7 @@
     super();
   }
 
-  sort<T extends RankInput>(ready: readonly T[], input: OrderInput): T[] {
+  rank<T extends RankInput>(ready: readonly T[], input: OrderInput): T[] {
     const ranked = ready.map((one) => ({
       one,
       serviceClass: getServiceClass(one, input),
@@ -51,7 +59,7 @@
 }
 
 class ArrivalOrder extends ReadyOrder {
-  sort<T extends RankInput>(ready: readonly T[]): T[] {
+  rank<T extends RankInput>(ready: readonly T[]): T[] {
     const getPriority = ({ group }: T): number => group.job.rules.priority;
     return [...ready].sort((a, b) => getPriority(a) - getPriority(b) || b.ageMs - a.ageMs);
   }
@@ -59,7 +67,7 @@
 
 /**
  * Creates the order by what a job is worth for the room it takes. It answers overload: urgent jobs first
- * by age, then the jobs that bring most for their work.
+ * by age, then the jobs that bring most for their work; no job is passed for more than a few objectives.
  */
 export function createWorthOrder(policy: WorthPolicy): ReadyOrder {
   return new WorthOrder(policy);
--- a/packages/scheduling/src/planner.ts
+++ b/packages/scheduling/src/planner.ts
@@ -118,7 +118,7 @@
   const gatherings = new Map<TaskGroup, Gathering>();
   const isIdleNow = isIdle(input);
   markReserved(input.workers, isIdleNow ? 0 : input.urgentDemand * input.policy.urgentReserveShare);
-  const order = input.policy.order.sort(input.ready, input);
+  const order = input.policy.order.rank(input.ready, input);
 
   function addStart(group: TaskGroup, placements: Placement[]): void {
     if (placements.length === 0) return;
--- a/packages/scheduling/src/waiting.ts
+++ b/packages/scheduling/src/waiting.ts
@@ -54,17 +54,17 @@
   const members = workers.filter((worker) => isMember(group, worker));
   if (members.length === 0) return WaitReason.NoWorker;
   const needed = group.spec.isGang ? listWaiting(group).length : 1;
-  const whole = (worker: WorkerView): number =>
+  const countWhole = (worker: WorkerView): number =>
     countRoom(group, { ...worker, maxStarts: Infinity }, worker.capacity);
-  if (sumRoom(members, whole) < needed) return WaitReason.TooLarge;
+  if (sumRoom(members, countWhole) < needed) return WaitReason.TooLarge;
   if (isClearing) return WaitReason.Clearing;
-  const free = (worker: WorkerView): number =>
+  const countFree = (worker: WorkerView): number =>
     countRoom(group, { ...worker, maxStarts: Infinity }, getFreeRoom(worker));
-  if (sumRoom(members, free) < needed) return WaitReason.NoRoom;
+  if (sumRoom(members, countFree) < needed) return WaitReason.NoRoom;
   const admitted = members.filter((worker) => worker.maxStarts > 0 && isAdmitted(group, worker));
-  if (sumRoom(admitted, free) < needed) return WaitReason.Trust;
+  if (sumRoom(admitted, countFree) < needed) return WaitReason.Trust;
   const isBound = group.spec.isRackBound || group.spec.preferredRack !== '';
   const racks = [...groupByRack(admitted).values()];
-  const isSplit = racks.every((rack) => sumRoom(rack, free) < needed);
+  const isSplit = racks.every((rack) => sumRoom(rack, countFree) < needed);
   return isBound || isSplit ? WaitReason.Rack : WaitReason.NoRoom;
 }
--- a/packages/scheduling/tests/planner.test.ts
+++ b/packages/scheduling/tests/planner.test.ts
@@ -214,7 +214,7 @@
     const low = createSingle('low', 2, { taskCount: 8 });
     const high = createSingle('high', 1, { taskCount: 9 });
     const ready = [createReady(low), createReady(high)];
-    return policy.order.sort(ready, { guaranteed: new Set() }).map(({ group }) => group.job.id);
+    return policy.order.rank(ready, { guaranteed: new Set() }).map(({ group }) => group.job.id);
   };
   expect([order([1]), order()]).toEqual([
     ['low', 'high'],
