--- a/packages/scheduling/src/packing.ts
+++ b/packages/scheduling/src/packing.ts
@@ -63,11 +63,16 @@
 }
 
 /**
- * Whether a worker's health and reservation admit a group. A worker that may fail all it starts is
- * probed by work that can afford the attempt: an urgent job would lose one of its few.
+ * Whether a worker's health admits a group. A worker that may fail all it starts is probed by work that
+ * can afford the attempt: an urgent job would lose one of its few.
  */
+export function isTrusted(group: TaskGroup, worker: WorkerView): boolean {
+  return !worker.isSuspect || canProbe(group);
+}
+
+/** Whether a worker's health and reservation admit a group. */
 export function isAdmitted(group: TaskGroup, worker: WorkerView): boolean {
-  if (worker.isSuspect && !canProbe(group)) return false;
+  if (!isTrusted(group, worker)) return false;
   if (group.job.rules.priority === urgentPriority) return true;
   if (worker.reservation === Reservation.None) return true;
   return worker.reservation === Reservation.Lent && group.spec.isCheckpointing;
--- a/packages/scheduling/src/waiting.ts
+++ b/packages/scheduling/src/waiting.ts
@@ -6,6 +6,7 @@
   groupByRack,
   isAdmitted,
   isMember,
+  isTrusted,
   listWaiting,
 } from './packing.ts';
 import type { WorkerView } from './worker.ts';
@@ -24,6 +25,8 @@
   Rack = 'rack',
   /** There is room on workers that are suspect or paused after failures. */
   Trust = 'trust',
+  /** There is room on workers that are set aside for urgent work. */
+  Reserved = 'reserved',
   /** The room that is left does not suffice. */
   NoRoom = 'no_room',
 }
@@ -61,8 +64,10 @@
   const countFree = (worker: WorkerView): number =>
     countRoom(group, { ...worker, maxStarts: Infinity }, getFreeRoom(worker));
   if (sumRoom(members, countFree) < needed) return WaitReason.NoRoom;
-  const admitted = members.filter((worker) => worker.maxStarts > 0 && isAdmitted(group, worker));
-  if (sumRoom(admitted, countFree) < needed) return WaitReason.Trust;
+  const trusted = members.filter((worker) => worker.maxStarts > 0 && isTrusted(group, worker));
+  if (sumRoom(trusted, countFree) < needed) return WaitReason.Trust;
+  const admitted = trusted.filter((worker) => isAdmitted(group, worker));
+  if (sumRoom(admitted, countFree) < needed) return WaitReason.Reserved;
   const isBound = group.spec.isRackBound || group.spec.preferredRack !== '';
   const racks = [...groupByRack(admitted).values()];
   const isSplit = racks.every((rack) => sumRoom(rack, countFree) < needed);
--- a/packages/scheduling/tests/waiting.test.ts
+++ b/packages/scheduling/tests/waiting.test.ts
@@ -1,6 +1,6 @@
 import { test } from 'node:test';
 import { expect } from 'earl';
-import { TaskPhase, WaitReason, findWaitReason } from '../src/index.ts';
+import { Reservation, TaskPhase, WaitReason, findWaitReason } from '../src/index.ts';
 import type { TaskGroup, WorkerView } from '../src/index.ts';
 import { createSingle, createWorker, runOn } from './samples.ts';
 
@@ -39,6 +39,12 @@
   expect(findReason(createSingle('g', 1), [paused])).toEqual(WaitReason.Trust);
 });
 
+// Guards against a reserve that holds work up and is taken for failing workers.
+test('room that is set aside is named', () => {
+  const kept = { ...createWorker('w1'), reservation: Reservation.Kept };
+  expect(findReason(createSingle('g', 1), [kept])).toEqual(WaitReason.Reserved);
+});
+
 // Guards against stops under way that look like a fleet without room.
 test('stops and former runs are named', () => {
   const worker = createWorker('w1');
