--- a/packages/bench/src/decisions/shapes.ts
+++ b/packages/bench/src/decisions/shapes.ts
@@ -24,7 +24,6 @@
   spreadFactor: 3,
   stopMs: 300,
   reclaimMs: 2900,
-  checkpointMs: 500,
   restoreMs: 600,
 };
 
--- a/packages/bench/src/decisions/world.ts
+++ b/packages/bench/src/decisions/world.ts
@@ -50,7 +50,6 @@
   spreadFactor: number;
   stopMs: number;
   reclaimMs: number;
-  checkpointMs: number;
   restoreMs: number;
 }
 
