Log how a cancel reaches the owner and how stops are answered

Change: job_cancelled has the age of the cancel and of the copy, start_sent the age of the copy, journal_overruled the dropped value, task_stopped the state of the worker, stray_stopped the state of the job; stop_sent logs each order to stop with its answer; timing cancels.delay.

No decision is changed.

--- a/packages/dispatch/src/jobbook.ts
+++ b/packages/dispatch/src/jobbook.ts
@@ -193,7 +193,7 @@
   };
 }
 
-/** Whether any task of a job holds room. */
-export function hasOccupying(job: LiveJob): boolean {
-  return [...job.groups.values()].some((group) => group.tasks.some(isOccupying));
+/** Number of a job's tasks that hold room. */
+export function countOccupying(job: LiveJob): number {
+  return [...job.groups.values()].flatMap((group) => group.tasks.filter(isOccupying)).length;
 }
--- a/packages/dispatch/src/joblife.ts
+++ b/packages/dispatch/src/joblife.ts
@@ -8,7 +8,7 @@
   noteEnd,
 } from '@bergamotreach/scheduling';
 import type { PlacedTask, Task, TaskGroup } from '@bergamotreach/scheduling';
-import { hasOccupying } from './jobbook.ts';
+import { countOccupying } from './jobbook.ts';
 import type { LiveJob } from './jobbook.ts';
 import { createStateRow, encodeRow, getProgressKey, getStateKey } from './jobrows.ts';
 import { getTaskName } from './ownercontext.ts';
@@ -73,7 +73,7 @@
   }
 
   function releaseJob(job: LiveJob): void {
-    if (!isFinal(job.state) || hasOccupying(job)) return;
+    if (!isFinal(job.state) || countOccupying(job) > 0) return;
     book.remove(job.submission.id);
     context.tickets.dropJob(job.submission.id);
   }
@@ -89,14 +89,15 @@
     if (task.phase !== TaskPhase.Running && task.phase !== TaskPhase.Starting) return;
     task.phase = TaskPhase.Stopping;
     const { run } = task;
+    const link = context.fleet.find(task.workerId);
     logger.info('task_stopped', {
       task: getTaskName(group, task),
       run,
       worker: task.workerId,
       reason,
+      workerState: link?.getState() ?? 'unknown',
     });
     metrics.count('tasks.stopped');
-    const link = context.fleet.find(task.workerId);
     if (link !== undefined) sendStop(link, placed, run);
   }
 
--- a/packages/dispatch/src/journal.ts
+++ b/packages/dispatch/src/journal.ts
@@ -155,7 +155,11 @@
     versions.set(key, row?.version ?? 0);
     if (row !== undefined && JSON.stringify(row.value) === JSON.stringify(write.value)) return;
     if (row !== undefined && options.isOverruled(key, row.value)) {
-      logger.info('journal_overruled', { key, version: row.version });
+      logger.info('journal_overruled', {
+        key,
+        version: row.version,
+        dropped: JSON.stringify(write.value),
+      });
       return;
     }
     putBack(key, write);
--- a/packages/dispatch/src/orders.ts
+++ b/packages/dispatch/src/orders.ts
@@ -131,7 +131,16 @@
     async stop(link, name, isWanted) {
       while (isWanted()) {
         if (isHolding()) {
+          const sentMs = clock.getNowMs();
           const reply = await runner.stop(link.getEntry(), { ...name, fence: link.getFence() });
+          logger.info('stop_sent', {
+            task: name.task,
+            run: name.run,
+            worker: link.id,
+            status: reply.status,
+            reason: reply.reason,
+            tookMs: Math.round(clock.getNowMs() - sentMs),
+          });
           if (reply.status === OrderStatus.Fenced) noteFence(link);
           if (reply.status === OrderStatus.Unknown) {
             metrics.count('orders.lost', 1, { kind: 'stop' });
--- a/packages/dispatch/src/owner.ts
+++ b/packages/dispatch/src/owner.ts
@@ -15,7 +15,7 @@
 import { createFleet } from './fleet.ts';
 import { buildViews } from './fleetview.ts';
 import { createHeldRuns } from './heldruns.ts';
-import { createJobBook } from './jobbook.ts';
+import { countOccupying, createJobBook } from './jobbook.ts';
 import type { LiveJob } from './jobbook.ts';
 import { createJobLife } from './joblife.ts';
 import { checkGroupRecord, getStateKey, progressTable, stateTable } from './jobrows.ts';
@@ -383,7 +383,14 @@
       if (job === undefined || row?.state !== JobState.Cancelled || isFinal(job.state)) return;
       job.state = JobState.Cancelled;
       journal.discard(getStateKey(jobId));
-      logger.info('job_cancelled', { job: jobId });
+      const ageMs = getWallMs() - row.changedAtMs;
+      logger.info('job_cancelled', {
+        job: jobId,
+        ageMs: Math.round(ageMs),
+        stateAgeMs: Math.round(states.getAgeMs()),
+        occupying: countOccupying(job),
+      });
+      metrics.reportTiming('cancels.delay', Math.max(0, ageMs));
       life.stopJob(job, 'job cancelled');
       life.releaseJob(job);
       planSoon();
--- a/packages/dispatch/src/runreports.ts
+++ b/packages/dispatch/src/runreports.ts
@@ -6,6 +6,7 @@
   getCoreEquivalent,
   keepCheckpoint,
   noteEnd,
+  parseTaskName,
 } from '@bergamotreach/scheduling';
 import type { PlacedTask, Resources, TaskGroup } from '@bergamotreach/scheduling';
 import type { HeldRuns } from './heldruns.ts';
@@ -162,7 +163,9 @@
   function stopStray(link: WorkerLink, run: RunStatus, room: Resources): void {
     // Nothing is known of a task whose row was removed, so it may take the whole worker.
     addResources(room, context.findDemand(run.task) ?? link.getEntry().capacity);
-    logger.info('stray_stopped', { task: run.task, run: run.run, worker: link.id });
+    const jobId = parseTaskName(run.task)?.jobId;
+    const jobState = jobId === undefined ? undefined : context.options.states.find(jobId)?.state;
+    logger.info('stray_stopped', { task: run.task, run: run.run, worker: link.id, jobState });
     let isFirst = true;
     const isWanted = (): boolean => {
       const isWantedNow = isFirst && !context.isStopped();
--- a/packages/dispatch/src/starter.ts
+++ b/packages/dispatch/src/starter.ts
@@ -70,6 +70,7 @@
     }
     const name = { task: getTaskName(group, task), run };
     const sentMs = clock.getNowMs();
+    const stateAgeMs = Math.round(context.options.states.getAgeMs());
     const ticket = context.tickets.findTicket(group, workerId);
     if (ticket === undefined && group.allowedWorkers !== undefined) {
       life.dropRun({ group, task });
@@ -89,6 +90,7 @@
       fate: result.fate,
       reason: result.reason,
       isResumed: checkpoint !== '',
+      stateAgeMs,
       tookMs: Math.round(clock.getNowMs() - sentMs),
     });
     if (task.run === run) applyStart({ group, task }, link, result);
