Give the starter's test a copy of the states

Cause: start_sent logs the age of the copy of the states since the last commit; the context that this test fakes lacked it, so the test failed there. Its assertions are unchanged.

--- a/packages/dispatch/tests/starter.test.ts
+++ b/packages/dispatch/tests/starter.test.ts
@@ -45,7 +45,12 @@
     tickets: { findTicket: () => undefined },
     fleet: { find: () => link },
     isStopped: () => false,
-    options: { clock, logger: createNullLogger(), metrics: createNullMetrics() },
+    options: {
+      clock,
+      logger: createNullLogger(),
+      metrics: createNullMetrics(),
+      states: { getAgeMs: () => 0 },
+    },
   } as unknown as OwnerContext;
   const life = {
     findJob: () => ({ state: JobState.Running }),
