Show each row once in the feed of the simulated world

Cause: the users' store returns a changed row with its newest version, the simulated feed returned every change.

--- a/packages/dispatch/tests/world.ts
+++ b/packages/dispatch/tests/world.ts
@@ -32,7 +32,7 @@
   atMs: number;
 }
 
-/** Feed of the rows whose key begins with a prefix. */
+/** Feed of the rows whose key begins with a prefix; a row comes once, with its newest value. */
 export class FakeFeed<T> extends Feed<T> {
   private readonly changes: Change[] = [];
 
@@ -65,13 +65,12 @@
 
   async wait(position: number, waitMs: number): Promise<Result<FeedPage<T>, Fault>> {
     const endMs = this.process.getNowMs() + waitMs;
-    const hasNews = (): boolean =>
-      this.listShown(position).some(({ key }) => key.startsWith(this.prefix));
+    const hasNews = (): boolean => this.listNewest(position).length > 0;
     while (!hasNews() && this.process.getNowMs() < endMs) await waitFor(this.process, 20);
     return this.answer(() => ({
-      items: this.listShown(position)
-        .filter(({ key }) => key.startsWith(this.prefix))
-        .map(({ key, version, value }) => this.createItem(key, version, value)),
+      items: this.listNewest(position).map(({ key, version, value }) =>
+        this.createItem(key, version, value),
+      ),
       isSnapshot: false,
       position: position + this.listShown(position).length,
     }));
@@ -82,6 +81,12 @@
     return this.changes.slice(position).filter(({ atMs }) => atMs <= untilMs);
   }
 
+  private listNewest(position: number): Change[] {
+    const own = this.listShown(position).filter(({ key }) => key.startsWith(this.prefix));
+    const last = new Map(own.map((change) => [change.key, change]));
+    return own.filter((change) => last.get(change.key) === change);
+  }
+
   private createItem(key: string, version: number, value: RowValue | null): FeedItem<T> {
     const copy = value === null ? undefined : (structuredClone(value) as unknown as T);
     return { key: key.slice(this.prefix.length), version, value: copy };
