Cancel a job when the owner's write meets the cancel in the store

Callers saw: a job whose cancel was acknowledged is worked on and shown as completed; workers run tasks that nobody wants any more.

The owner went on; its next write of the state carried that version and replaced the cancel. The feed shows the newest value of a row only, so the owner never saw the cancel. This is a lost update: a write was based on a version that the decision behind it had not seen.

Evidence: 'cancel that overrules a write stops the job' ended with state completed instead of cancelled, and 'waiting job that was cancelled is not started from an old copy' began four tasks 5.5 s after the cancel; both pass now.

--- a/packages/dispatch/src/journal.ts
+++ b/packages/dispatch/src/journal.ts
@@ -16,8 +16,10 @@
   getEpochCondition: () => RowCondition | undefined;
   /** Called when another owner has taken over. */
   onFenced: () => void;
-  /** Whether the value that somebody else gave a row stands against this owner's write. */
+  /** Whether the value that somebody else gave a row stands against this owner's writes for good. */
   isOverruled: (key: string, value: RowValue) => boolean;
+  /** Called with such a value when a write met it in the store. */
+  onOverruled: (key: string, value: RowValue) => void;
 }
 
 /** Rows that an owner keeps in the store. Writes of one row are merged; the latest wins. */
@@ -29,8 +31,8 @@
   /** Resolves with true once all writes planned so far are stored, with false when they never are. */
   flush(): Promise<boolean>;
   countPending(): number;
-  /** Drops a planned write of a row. */
-  discard(key: string): void;
+  /** Writes a row no more: the value that somebody else gave it stands. */
+  releaseRow(key: string): void;
   close(): void;
 }
 
@@ -52,6 +54,8 @@
 export function createJournal(options: JournalOptions): Journal {
   const { table, committer, clock, logger, metrics } = options;
   const versions = new Map<string, number>();
+  /** Rows whose value by somebody else stands. */
+  const released = new Set<string>();
   const pending = new Map<string, PendingWrite>();
   let inFlight = new Map<string, PendingWrite>();
   let waiters: Waiter[] = [];
@@ -76,6 +80,7 @@
 
   /** Puts a write back unless a newer value of the row is waiting. */
   function putBack(key: string, write: PendingWrite): void {
+    if (released.has(key)) return;
     const newer = pending.get(key);
     pending.set(key, newer === undefined ? write : { ...newer, sequence: write.sequence });
   }
@@ -160,11 +165,19 @@
         version: row.version,
         dropped: JSON.stringify(write.value),
       });
+      releaseRow(key);
+      options.onOverruled(key, row.value);
       return;
     }
     putBack(key, write);
   }
 
+  function releaseRow(key: string): void {
+    released.add(key);
+    pending.delete(key);
+    settleWaiters();
+  }
+
   async function pump(): Promise<void> {
     if (isPumping) return;
     isPumping = true;
@@ -190,7 +203,7 @@
       versions.set(key, version);
     },
     write(key, value) {
-      if (isClosed) return;
+      if (isClosed || released.has(key)) return;
       sequence += 1;
       const older = pending.get(key);
       pending.set(key, { value, sequence: older?.sequence ?? sequence });
@@ -203,10 +216,7 @@
         void pump();
       });
     },
-    discard(key) {
-      pending.delete(key);
-      settleWaiters();
-    },
+    releaseRow,
     countPending: () => pending.size + inFlight.size,
     close,
   };
