Bound a commit by its writes and conditions together

Cause: the users' store takes 100 entries a transaction, conditions included. The committer counted writes only, which was enough while each write had exactly one condition (48 writes). Conditions on rows that are not written need a bound of their own.

Change: option maxEntries of the committer; instances set 100. Test: 40 inserts with one further condition each go as 33 and 7.

--- a/packages/dispatch/src/instance.ts
+++ b/packages/dispatch/src/instance.ts
@@ -118,8 +118,8 @@
 const calmWatchMs = 1800;
 /** The list of instances changes rarely, and an old one costs a relayed call one more peer. */
 const instanceWaitMs = 10_000;
-/** Each write needs a condition of its own, and a transaction of the store holds 100 entries. */
-const maxCommitWrites = 48;
+/** A transaction of the users' store holds so many writes and conditions. */
+const maxCommitEntries = 100;
 /** An owner sees cancels within this time. */
 const ownerPauseMs = 60;
 /**
@@ -144,7 +144,7 @@
     metrics,
     createOperationId: () => `${options.processId}/${String((nextOperation += 1))}`,
     commitsPerSecond: limits.commitsPerSecond,
-    maxWrites: maxCommitWrites,
+    maxEntries: maxCommitEntries,
   });
   const states = createMirror<StateRow>({
     feed: options.stateFeed,
--- a/packages/dispatch/tests/world.ts
+++ b/packages/dispatch/tests/world.ts
@@ -180,7 +180,7 @@
       logger,
       metrics,
       createOperationId: () => `${id}/${operations++}`,
-      maxWrites: 48,
+      maxEntries: 100,
     });
     let owner: Owner | undefined;
     const runner = new FakeRunner(workers, process);
--- a/packages/ownership/src/committer.ts
+++ b/packages/ownership/src/committer.ts
@@ -31,6 +31,8 @@
   maxQueued?: number;
   /** Largest number of writes in one table commit. */
   maxWrites?: number;
+  /** Largest number of writes and conditions in one table commit; without a bound when absent. */
+  maxEntries?: number;
   /** Longest wait in the queue before a transaction is given up. */
   maxQueueMs?: number;
   /** Commits under way at once in one partition, besides one of the lease. */
@@ -65,6 +67,7 @@
   burst: 10,
   maxQueued: 2000,
   maxWrites: maxCommitWrites,
+  maxEntries: Infinity,
   maxQueueMs: 2000,
   maxInFlight: 2,
   resolveForMs: 3000,
@@ -118,7 +121,7 @@
     if (!isLeaseInFlight && queue.has(WritePriority.Lease)) {
       budget.take(true);
       isLeaseInFlight = true;
-      void commitGroup(queue.takeGroup(settings.maxWrites, true, () => true)).finally(() => {
+      void commitGroup(queue.takeGroup(settings, true, () => true)).finally(() => {
         isLeaseInFlight = false;
         pump();
       });
@@ -134,7 +137,7 @@
   }
 
   function startOrdinary(): void {
-    const group = queue.takeGroup(settings.maxWrites, false, isOpen);
+    const group = queue.takeGroup(settings, false, isOpen);
     const partition = group.pending[0]?.partition ?? '';
     noteInFlight(partition, 1);
     void commitGroup(group).finally(() => {
--- a/packages/ownership/src/transaction.ts
+++ b/packages/ownership/src/transaction.ts
@@ -87,8 +87,15 @@
   listWrites(): RowWrite[];
 }
 
-/** Creates an empty group of at most `maxWrites` writes. */
-export function createGroup(maxWrites: number): TransactionGroup {
+/** Bounds of one table commit. */
+export interface GroupLimits {
+  maxWrites: number;
+  /** Bound of writes and conditions together. */
+  maxEntries: number;
+}
+
+/** Creates an empty group. */
+export function createGroup({ maxWrites, maxEntries }: GroupLimits): TransactionGroup {
   const required = new Map<string, number>();
   const written = new Set<string>();
   const pending: PendingTransaction[] = [];
@@ -102,11 +109,17 @@
     return !hasClash && !transaction.writes.some(({ key }) => required.has(key));
   }
 
+  function hasRoom({ writes, conditions }: Transaction): boolean {
+    const writesAfter = writeCount + writes.length;
+    const added = conditions.filter(({ key }) => !required.has(key));
+    return writesAfter <= maxWrites && writesAfter + required.size + added.length <= maxEntries;
+  }
+
   return {
     pending,
     add(entry) {
       const { transaction } = entry;
-      if (writeCount + transaction.writes.length > maxWrites) return false;
+      if (!hasRoom(transaction)) return false;
       if (!isIndependent(transaction)) return false;
       for (const { key, version } of transaction.conditions) required.set(key, version);
       for (const { key } of transaction.writes) written.add(key);
--- a/packages/ownership/src/writequeue.ts
+++ b/packages/ownership/src/writequeue.ts
@@ -1,5 +1,5 @@
 import { WritePriority, createGroup, writePriorities } from './transaction.ts';
-import type { PendingTransaction, TransactionGroup } from './transaction.ts';
+import type { GroupLimits, PendingTransaction, TransactionGroup } from './transaction.ts';
 
 /** Bounded queue of transactions by priority. */
 export interface WriteQueue {
@@ -13,7 +13,7 @@
    * of the partition of the first transaction whose partition `isOpen` admits; empty without one.
    */
   takeGroup(
-    maxWrites: number,
+    limits: GroupLimits,
     isLease: boolean,
     isOpen: (partition: string) => boolean,
   ): TransactionGroup;
@@ -83,8 +83,8 @@
     addFront(entries) {
       for (const entry of entries.toReversed()) getQueue(entry.transaction.priority).unshift(entry);
     },
-    takeGroup(maxWrites, isLease, isOpen) {
-      const group = createGroup(maxWrites);
+    takeGroup(limits, isLease, isOpen) {
+      const group = createGroup(limits);
       const partition = findOpen(isLease, isOpen)?.partition;
       for (const priority of listPriorities(isLease)) {
         const left = getQueue(priority).filter(
--- a/packages/ownership/tests/committer.test.ts
+++ b/packages/ownership/tests/committer.test.ts
@@ -20,6 +20,21 @@
   expect(state.accepted.map((commit) => commit.writes.length)).toEqual([100, 100, 50]);
 });
 
+// Guards against a commit that the store refuses because its conditions are too many.
+test('conditions count for the size of a commit', async () => {
+  const { clock, state } = createState();
+  const { committer } = createNode(state, 'd1', { maxEntries: 100 });
+  const replies = Array.from({ length: 40 }, (_, n) => {
+    const insert = createInsert(`k${n}`);
+    const guard = { key: `guard${n}`, version: 0 };
+    return committer.submit({ ...insert, conditions: [...insert.conditions, guard] });
+  });
+  await clock.advance(100);
+  const statuses = (await Promise.all(replies)).map((reply) => reply.status);
+  expect(new Set(statuses)).toEqual(new Set([TransactionStatus.Committed]));
+  expect(state.accepted.map((commit) => commit.writes.length)).toEqual([33, 7]);
+});
+
 // Guards against one refused transaction failing the whole group.
 test('a conflict drops only the transactions concerned', async () => {
   const { clock, state } = createState();
