Store starts under the condition that the job's state is unchanged

Callers saw: tasks of a job begin long after its cancel was acknowledged.

Cause: the owner plans from its copy of the states, and nothing bounds the age of that copy. While the feed is silent or lags and commits still pass, the next step of a cancelled job, or a task that is to run again, was stored under the epoch and the progress row alone and started.

If the state has changed, the owner is told of the cancel and stops the job instead. A batch holds up to 90 entries, guards included. A write that is sent again or merged keeps its guard.

Ruled out: a bound on the age of the copy, which would hold up all starts while the feed is away.

--- a/packages/dispatch/src/joblife.ts
+++ b/packages/dispatch/src/joblife.ts
@@ -21,6 +21,8 @@
   findJob(group: TaskGroup): LiveJob | undefined;
   /** Plans to store the progress of a group. */
   writeGroup(group: TaskGroup): void;
+  /** Plans to store runs that are to be started, unless the job was cancelled meanwhile. */
+  writeStarts(group: TaskGroup): void;
   /** Plans to store the state of a job. */
   writeState(job: LiveJob): void;
   finishJob(job: LiveJob, state: JobState, reason: string): void;
@@ -50,6 +52,12 @@
     journal.write(getProgressKey(group.key), encodeRow(encodeGroup(group)));
   }
 
+  /** The copy of the states may lag behind a cancel, so the store checks the state it was planned on. */
+  function writeStarts(group: TaskGroup): void {
+    const stateKey = getStateKey(group.job.id);
+    journal.write(getProgressKey(group.key), encodeRow(encodeGroup(group)), stateKey);
+  }
+
   function writeState(job: LiveJob): void {
     const row = createStateRow(job.submission, job.state, getWallMs());
     journal.write(getStateKey(job.submission.id), encodeRow(row));
@@ -145,6 +153,7 @@
   return {
     findJob,
     writeGroup,
+    writeStarts,
     writeState,
     finishJob,
     releaseJob,
--- a/packages/dispatch/src/journal.ts
+++ b/packages/dispatch/src/journal.ts
@@ -26,8 +26,11 @@
 export interface Journal {
   /** Tells the version of a row that was read; rows never mentioned are absent. */
   noteVersion(key: string, version: number): void;
-  /** Plans to write a row. */
-  write(key: string, value: RowValue): void;
+  /**
+   * Plans to write a row. With `guardKey` the write is stored only while that row is as this owner
+   * knows it; a value of it that stands against this owner is told first.
+   */
+  write(key: string, value: RowValue, guardKey?: string): void;
   /** Resolves with true once all writes planned so far are stored, with false when they never are. */
   flush(): Promise<boolean>;
   countPending(): number;
@@ -44,12 +47,19 @@
 interface PendingWrite {
   value: RowValue;
   sequence: number;
+  guardKey: string | undefined;
 }
 
-// Each write needs a condition on its row, and a transaction of the store holds 100 entries.
-const maxBatch = 45;
+/** A transaction of the store holds 100 entries; the rest is left to writes of the instance itself. */
+const maxBatchEntries = 90;
 const retryMs = 100;
 
+/** The latest value wins; it contains what the older one had to be guarded for. */
+function mergeWrites(older: PendingWrite, newer: PendingWrite): PendingWrite {
+  const { sequence } = older;
+  return { value: newer.value, sequence, guardKey: newer.guardKey ?? older.guardKey };
+}
+
 /** Creates a journal. */
 export function createJournal(options: JournalOptions): Journal {
   const { table, committer, clock, logger, metrics } = options;
@@ -73,8 +83,15 @@
   }
 
   function takeBatch(): Map<string, PendingWrite> {
-    const batch = new Map([...pending].slice(0, maxBatch));
-    for (const key of batch.keys()) pending.delete(key);
+    const batch = new Map<string, PendingWrite>();
+    let entries = 0;
+    for (const [key, write] of pending) {
+      // The value, the condition on the row and the one on the row that guards it.
+      entries += write.guardKey === undefined ? 2 : 3;
+      if (entries > maxBatchEntries) break;
+      batch.set(key, write);
+      pending.delete(key);
+    }
     return batch;
   }
 
@@ -82,7 +99,13 @@
   function putBack(key: string, write: PendingWrite): void {
     if (released.has(key)) return;
     const newer = pending.get(key);
-    pending.set(key, newer === undefined ? write : { ...newer, sequence: write.sequence });
+    pending.set(key, newer === undefined ? write : mergeWrites(write, newer));
+  }
+
+  /** Rows that guard a batch, beside those that it writes. */
+  function listGuards(batch: ReadonlyMap<string, PendingWrite>): string[] {
+    const guards = [...batch.values()].flatMap(({ guardKey }) => guardKey ?? []);
+    return [...new Set(guards)].filter((key) => !batch.has(key) && !released.has(key));
   }
 
   async function commitBatch(): Promise<void> {
@@ -93,7 +116,7 @@
     }
     inFlight = takeBatch();
     const batch = inFlight;
-    const keys = [...batch.keys()];
+    const keys = [...batch.keys(), ...listGuards(batch)];
     const startedMs = clock.getNowMs();
     const reply = await committer.submit({
       conditions: [epoch, ...keys.map((key) => ({ key, version: versions.get(key) ?? 0 }))],
@@ -129,6 +152,9 @@
           if (conflicts.includes(key)) await resolveRow(key, write);
           else putBack(key, write);
         }
+        for (const key of listGuards(batch)) {
+          if (conflicts.includes(key)) await resolveGuard(key);
+        }
       })
       .otherwise(async ({ message }) => {
         logger.warn('journal_retry', { rows: batch.size, status: reply.status, reason: message });
@@ -159,17 +185,23 @@
     if (isClosed) return;
     versions.set(key, row?.version ?? 0);
     if (row !== undefined && JSON.stringify(row.value) === JSON.stringify(write.value)) return;
-    if (row !== undefined && options.isOverruled(key, row.value)) {
-      logger.info('journal_overruled', {
-        key,
-        version: row.version,
-        dropped: JSON.stringify(write.value),
-      });
-      releaseRow(key);
-      options.onOverruled(key, row.value);
-      return;
-    }
-    putBack(key, write);
+    if (row === undefined || !noteForeign(row, write)) putBack(key, write);
+  }
+
+  async function resolveGuard(key: string): Promise<void> {
+    const row = await readRow(key);
+    if (isClosed) return;
+    versions.set(key, row?.version ?? 0);
+    if (row !== undefined) noteForeign(row);
+  }
+
+  /** Takes note of a value by somebody else; false when this owner may write over it. */
+  function noteForeign({ key, version, value }: Row, dropped?: PendingWrite): boolean {
+    if (!options.isOverruled(key, value)) return false;
+    logger.info('journal_overruled', { key, version, dropped: JSON.stringify(dropped?.value) });
+    releaseRow(key);
+    options.onOverruled(key, value);
+    return true;
   }
 
   function releaseRow(key: string): void {
@@ -202,11 +234,12 @@
     noteVersion(key, version) {
       versions.set(key, version);
     },
-    write(key, value) {
+    write(key, value, guardKey) {
       if (isClosed || released.has(key)) return;
       sequence += 1;
       const older = pending.get(key);
-      pending.set(key, { value, sequence: older?.sequence ?? sequence });
+      const write = { value, sequence, guardKey };
+      pending.set(key, older === undefined ? write : mergeWrites(older, write));
     },
     flush() {
       if (isClosed) return Promise.resolve(false);
--- a/packages/dispatch/src/starter.ts
+++ b/packages/dispatch/src/starter.ts
@@ -48,7 +48,7 @@
       // Until the order is sent no report can tell anything about the run.
       watches.set(task, createRunWatch(task.run));
     }
-    life.writeGroup(group);
+    life.writeStarts(group);
     const job = life.findJob(group);
     if (job?.state === JobState.Queued) {
       job.state = JobState.Running;
--- /dev/null
+++ b/packages/dispatch/tests/journal.test.ts
@@ -0,0 +1,71 @@
+import { test } from 'node:test';
+import { TransactionStatus } from '@bergamotreach/ownership';
+import type { Transaction, TransactionReply } from '@bergamotreach/ownership';
+import { createManualClock, createNullLogger, createNullMetrics } from '@bergamotreach/protocol';
+import { expect } from 'earl';
+import { createJournal } from '../src/journal.ts';
+import type { Journal, JournalOptions } from '../src/journal.ts';
+
+/** Entries of one transaction of the users' store. */
+const maxStoreEntries = 100;
+const committed: TransactionReply = { status: TransactionStatus.Committed, versions: {} };
+const refused: TransactionReply = { status: TransactionStatus.Unavailable, message: 'busy' };
+
+interface Bench {
+  journal: Journal;
+  sent: Transaction[];
+  /** Replies in order; each write is committed as version 1 after the last. */
+  replies: TransactionReply[];
+  advance: (durationMs: number) => Promise<void>;
+}
+
+function createBench(): Bench {
+  const clock = createManualClock();
+  const sent: Transaction[] = [];
+  const replies: TransactionReply[] = [];
+  const submit = (transaction: Transaction): Promise<TransactionReply> => {
+    sent.push(transaction);
+    const versions = Object.fromEntries(transaction.writes.map(({ key }) => [key, 1]));
+    return Promise.resolve(replies.shift() ?? { ...committed, versions });
+  };
+  const journal = createJournal({
+    committer: { submit },
+    clock,
+    logger: createNullLogger(),
+    metrics: createNullMetrics(),
+    getEpochCondition: () => ({ key: 'epoch/main', version: 7 }),
+    onFenced: () => undefined,
+    isOverruled: () => false,
+    onOverruled: () => undefined,
+  } as unknown as JournalOptions);
+  return { journal, sent, replies, advance: (durationMs) => clock.advance(durationMs) };
+}
+
+// Guards against a batch that the store refuses for its size again and again.
+test('guarded writes are split into transactions that the store takes', async () => {
+  const { journal, sent, advance } = createBench();
+  for (let job = 0; job < 100; job += 1) journal.write(`progress/${job}`, 'x', `state/${job}`);
+  void journal.flush();
+  await advance(100);
+  expect(sent.flatMap(({ writes }) => writes).length).toEqual(100);
+  const sizes = sent.map(({ writes, conditions }) => writes.length + conditions.length);
+  expect(Math.max(...sizes) <= maxStoreEntries).toEqual(true);
+});
+
+// Guards against a start that is stored without its condition after the store refused it once.
+test('a write that is sent again keeps its guard', async () => {
+  const { journal, sent, replies, advance } = createBench();
+  journal.noteVersion('state/j', 5);
+  journal.write('progress/j', 'start', 'state/j');
+  replies.push(refused);
+  void journal.flush();
+  journal.write('progress/j', 'start and more');
+  await advance(1);
+  await advance(500);
+  const guards = sent.map(({ conditions }) => conditions.find(({ key }) => key === 'state/j'));
+  expect(guards).toEqual([
+    { key: 'state/j', version: 5 },
+    { key: 'state/j', version: 5 },
+  ]);
+  expect(sent.at(-1)?.writes).toEqual([{ key: 'progress/j', value: 'start and more' }]);
+});
--- a/packages/dispatch/tests/starter.test.ts
+++ b/packages/dispatch/tests/starter.test.ts
@@ -54,7 +54,7 @@
   } as unknown as OwnerContext;
   const life = {
     findJob: () => ({ state: JobState.Running }),
-    writeGroup: () => undefined,
+    writeStarts: () => undefined,
     noteRunning: () => undefined,
     dropRun() {
       drops += 1;
