Show a new owner the states without the pause of a follower

Callers saw: a cancel within a second after a takeover stops its job up to a second late, and until then the owner may start tasks of it.

Cause: an instance that is no owner pauses 1 s between two reads of the states, an owner 60 ms. The pause that had begun before the takeover was slept out.

Change: a refresh, which a new owner asks for when it loads the jobs, ends the pause.

--- a/packages/dispatch/src/mirror.ts
+++ b/packages/dispatch/src/mirror.ts
@@ -1,5 +1,5 @@
 import type { Feed, FeedItem, FeedPage } from '@bergamotreach/hosting';
-import { callContained, runContained, waitFor } from '@bergamotreach/protocol';
+import { callContained, runContained } from '@bergamotreach/protocol';
 import type { Clock, Logger, Metrics } from '@bergamotreach/protocol';
 
 /** Options of a mirror. Durations are in milliseconds. */
@@ -31,7 +31,10 @@
   getAgeMs(): number;
   /** How long reads have been failing, in milliseconds; 0 while they succeed. */
   getLostMs(): number;
-  /** Reads the rest of the changes at once; false when the store does not answer. */
+  /**
+   * Reads the rest of the changes at once and ends the pause between reads; false when the store does
+   * not answer.
+   */
   refresh(): Promise<boolean>;
 }
 
@@ -59,6 +62,7 @@
   let confirmedMs = -Infinity;
   let isRunning = false;
   let lostSinceMs: number | undefined;
+  let endPause: () => void = () => undefined;
 
   function applyItem({ key, value, version }: FeedItem<T>): void {
     // A row that a snapshot lacks was gone by then, so an older version of it has been deleted.
@@ -133,10 +137,20 @@
       const isDone = await runContained(logger, `feed of ${name}`, () => readPage(waitMs));
       const isRead = isDone && lostSinceMs === undefined;
       const delayMs = isRead ? (options.getPauseMs?.() ?? 0) : retryMs;
-      if (delayMs > 0) await waitFor(clock, delayMs);
+      if (delayMs > 0) await pauseReads(delayMs);
     }
   }
 
+  async function pauseReads(delayMs: number): Promise<void> {
+    await new Promise<void>((resolve) => {
+      const cancelTimer = clock.setTimer(delayMs, resolve);
+      endPause = () => {
+        cancelTimer();
+        resolve();
+      };
+    });
+  }
+
   return {
     start() {
       isRunning = true;
@@ -151,6 +165,10 @@
     list: () => [...entries].map(([key, { value }]) => [key, value]),
     getAgeMs: () => clock.getNowMs() - confirmedMs,
     getLostMs: () => (lostSinceMs === undefined ? 0 : clock.getNowMs() - lostSinceMs),
-    refresh: readRest,
+    refresh() {
+      // The pause may have grown shorter since it began: a new owner refreshes the states.
+      endPause();
+      return readRest();
+    },
   };
 }
