Send a stop also when its worker is listed only later

Cause: stopTask sets the phase Stopping and sends nothing while the owner has no link to the worker. The report that lists the run later did not send the stop either. It needs a new owner that has read the jobs and not yet the entry of the worker: after an outage of the store entries are missing for up to two seconds.

Change: runstops.ts holds one sender for each run of a link. The decision to stop asks for it, and so does each report that lists a run which is being stopped. A sender ends with its link, so that it no longer repeats a stop with the fencing token of a worker's former life.

Evidence: in the new test the entry comes back 0.5 s after the cancel.

Ruled out: a next life of the worker gets a link, and its first report ends or resumes each held run, so a cancel then needs no stop of its own.

--- a/packages/dispatch/src/joblife.ts
+++ b/packages/dispatch/src/joblife.ts
@@ -14,7 +14,6 @@
 import { getTaskName } from './ownercontext.ts';
 import type { OwnerContext } from './ownercontext.ts';
 import { createRunWatch } from './runwatch.ts';
-import type { WorkerLink } from './workerlink.ts';
 
 /** Changes of jobs and their tasks, each with its rows and orders. */
 export interface JobLife {
@@ -41,7 +40,7 @@
 
 /** Creates the part of an owner that changes jobs. */
 export function createJobLife(context: OwnerContext): JobLife {
-  const { book, journal, orders, watches } = context;
+  const { book, journal, stops, watches } = context;
   const { logger, metrics, getWallMs } = context.options;
 
   function findJob(group: TaskGroup): LiveJob | undefined {
@@ -106,14 +105,8 @@
       workerState: link?.getState() ?? 'unknown',
     });
     metrics.count('tasks.stopped');
-    if (link !== undefined) sendStop(link, placed, run);
-  }
-
-  function sendStop(link: WorkerLink, { group, task }: PlacedTask, run: number): void {
-    const isWanted = (): boolean =>
-      !context.isStopped() && task.run === run && task.phase === TaskPhase.Stopping;
-    const name = { task: getTaskName(group, task), run };
-    void orders.stop(link, name, isWanted);
+    // Without a link the worker's first report lists the run, and the stop follows.
+    if (link !== undefined) stops.stopRun(link, { task: getTaskName(group, task), run });
   }
 
   function settleEnd({ group, task }: PlacedTask, effect: EndEffect): void {
--- a/packages/dispatch/src/owner.ts
+++ b/packages/dispatch/src/owner.ts
@@ -31,6 +31,7 @@
 import { createOrderSender } from './orders.ts';
 import type { OwnerContext, OwnerOptions } from './ownercontext.ts';
 import { createRunReports } from './runreports.ts';
+import { createRunStops } from './runstops.ts';
 import { createStarter } from './starter.ts';
 import { createTicketDesk } from './tickets.ts';
 import { createWaitLog } from './waitlog.ts';
@@ -164,6 +165,7 @@
     lateCopies: new WeakMap(),
     journal,
     orders,
+    stops: createRunStops({ book, orders, logger, isStopped: () => isStopped }),
     tickets,
     fleet,
     strayRoom: new Map(),
--- a/packages/dispatch/src/ownercontext.ts
+++ b/packages/dispatch/src/ownercontext.ts
@@ -17,6 +17,7 @@
 import type { Journal } from './journal.ts';
 import type { Mirror } from './mirror.ts';
 import type { OrderSender } from './orders.ts';
+import type { RunStops } from './runstops.ts';
 import type { LateCopies, RunWatches } from './runwatch.ts';
 import type { TaskRunner } from './taskrunner.ts';
 import type { TicketDesk } from './tickets.ts';
@@ -63,6 +64,7 @@
   lateCopies: LateCopies;
   journal: Journal;
   orders: OrderSender;
+  stops: RunStops;
   tickets: TicketDesk;
   readonly fleet: Fleet;
   /** Room of runs that are not wanted and have not ended yet, by worker that has sent a report. */
--- a/packages/dispatch/src/runreports.ts
+++ b/packages/dispatch/src/runreports.ts
@@ -35,7 +35,7 @@
   life: JobLife,
   heldRuns: HeldRuns,
 ): RunReports {
-  const { book, journal, orders, trust, watches, strayRoom } = context;
+  const { book, journal, orders, stops, trust, watches, strayRoom } = context;
   const { clock, logger, metrics } = context.options;
 
   /** The latest report of each worker that came before the jobs were loaded. */
@@ -129,6 +129,10 @@
       life.noteRunning(task, clockMs);
       logger.info('run_found', { task: status.task, run: status.run, worker: link.id });
     }
+    // The stop may have been decided while there was no link to the worker.
+    if (task.phase === TaskPhase.Stopping) {
+      stops.stopRun(link, { task: status.task, run: status.run });
+    }
     const watch = watches.get(task);
     if (watch !== undefined) Object.assign(watch, { missedReports: 0, isListed: true });
     if (status.checkpoint !== '' && status.checkpoint !== task.checkpoint) {
--- /dev/null
+++ b/packages/dispatch/tests/stops.test.ts
@@ -0,0 +1,67 @@
+import { test } from 'node:test';
+import { expect } from 'earl';
+import { createWorld, findDoubleRun } from './world.ts';
+import type { Contender, World } from './world.ts';
+
+/** Longer than any test watches, so that tasks end by stops only. */
+const taskMs = 60_000;
+const startUpMs = 1000;
+const stepMs = 20;
+/** Steps of the clock and the stop of a worker. */
+const stopMs = 400;
+
+function countRunning(world: World): number {
+  let count = 0;
+  for (const worker of world.workers.values()) {
+    worker.settle();
+    count += worker.active.size;
+  }
+  return count;
+}
+
+async function advance(world: World, durationMs: number): Promise<void> {
+  for (let leftMs = durationMs; leftMs > 0; leftMs -= stepMs) {
+    await world.clock.advance(stepMs);
+    expect(findDoubleRun(world)).toEqual(undefined);
+  }
+}
+
+/** Time until no task runs; a little over `limitMs` when some still do by then. */
+async function measureStop(world: World, limitMs: number): Promise<number> {
+  const startMs = world.clock.getNowMs();
+  while (countRunning(world) > 0 && world.clock.getNowMs() - startMs <= limitMs) {
+    await advance(world, stepMs);
+  }
+  return world.clock.getNowMs() - startMs;
+}
+
+/** Starts a job of four tasks. */
+async function startJob(world: World): Promise<Contender> {
+  const owner = world.addContender('a');
+  await advance(world, startUpMs);
+  world.submit('j1', [{ taskCount: 4 }]);
+  await advance(world, 300);
+  expect(countRunning(world)).toEqual(4);
+  return owner;
+}
+
+/** Ends an owner and waits until the next one has begun. */
+async function replaceOwner(world: World, former: Contender): Promise<void> {
+  former.process.kill();
+  const next = world.addContender('b');
+  while (next.getOwner() === undefined) await advance(world, stepMs);
+}
+
+// Guards against a stop that is never sent because the worker is not listed when the cancel comes.
+test('cancel stops the tasks of a worker that is listed later', async () => {
+  const world = createWorld(1, taskMs);
+  const former = await startJob(world);
+  world.unlistWorker('w0');
+  await replaceOwner(world, former);
+  await advance(world, 300);
+  world.cancel('j1');
+  await advance(world, 500);
+  expect(countRunning(world)).toEqual(4);
+  world.listWorker('w0');
+  expect(await measureStop(world, 20_000)).toBeLessThanOrEqual(stopMs);
+});
