Repeat the stops of stray runs that get no answer

Cause: stopStray sent one order for each report. A lost one was repeated by the next report only, which a worker without ends holds back for a second.

Change: stray runs use the senders of runstops.ts. A run has to be stopped as long as its task is being stopped or the latest report of its worker lists it and no job wants it. A lost stop is repeated after 60 ms, and a run that is listed again while its stop is under way gets no second order. stray_stopped is logged once for each sender instead of once for each report.

The stand-in of a worker can now lose single stops.

--- a/packages/dispatch/src/runreports.ts
+++ b/packages/dispatch/src/runreports.ts
@@ -35,7 +35,7 @@
   life: JobLife,
   heldRuns: HeldRuns,
 ): RunReports {
-  const { book, journal, orders, stops, trust, watches, strayRoom } = context;
+  const { book, journal, stops, trust, watches, strayRoom } = context;
   const { clock, logger, metrics } = context.options;
 
   /** The latest report of each worker that came before the jobs were loaded. */
@@ -113,6 +113,7 @@
       if (status === undefined) handleAbsent(link, { group, task }, report.clockMs);
       else handlePresent(link, { group, task }, status, report.clockMs);
     }
+    stops.noteStrays(link, [...running.values()]);
     for (const run of running.values()) stopStray(link, run, stray);
     strayRoom.set(link.id, stray);
   }
@@ -167,16 +168,10 @@
   function stopStray(link: WorkerLink, run: RunStatus, room: Resources): void {
     // Nothing is known of a task whose row was removed, so it may take the whole worker.
     addResources(room, context.findDemand(run.task) ?? link.getEntry().capacity);
+    if (!stops.stopRun(link, { task: run.task, run: run.run })) return;
     const jobId = parseTaskName(run.task)?.jobId;
     const jobState = jobId === undefined ? undefined : context.options.states.find(jobId)?.state;
     logger.info('stray_stopped', { task: run.task, run: run.run, worker: link.id, jobState });
-    let isFirst = true;
-    const isWanted = (): boolean => {
-      const isWantedNow = isFirst && !context.isStopped();
-      isFirst = false;
-      return isWantedNow;
-    };
-    void orders.stop(link, { task: run.task, run: run.run }, isWanted);
   }
 
   return {
--- a/packages/dispatch/src/runstops.ts
+++ b/packages/dispatch/src/runstops.ts
@@ -1,6 +1,6 @@
 import { runContained } from '@bergamotreach/protocol';
 import type { Logger } from '@bergamotreach/protocol';
-import { TaskPhase } from '@bergamotreach/scheduling';
+import { TaskPhase, isOccupying } from '@bergamotreach/scheduling';
 import type { JobBook } from './jobbook.ts';
 import type { OrderSender, RunName } from './orders.ts';
 import { LinkState } from './workerlink.ts';
@@ -19,6 +19,8 @@
  * as it is decided or seen: one sender at a time repeats the stop of a run for as long as it is needed.
  */
 export interface RunStops {
+  /** Takes note of all runs that the latest report of a worker lists and no job wants. */
+  noteStrays(link: WorkerLink, strays: readonly RunName[]): void;
   /** Sends a stop until the run is not to be stopped any more; false when that is being done already. */
   stopRun(link: WorkerLink, name: RunName): boolean;
 }
@@ -27,17 +29,27 @@
 export function createRunStops({ book, orders, logger, isStopped }: RunStopsOptions): RunStops {
   /** Runs with a sender, by the link that it uses. */
   const sending = new WeakMap<WorkerLink, Set<string>>();
+  const strays = new WeakMap<WorkerLink, ReadonlySet<string>>();
 
-  function isNeeded(link: WorkerLink, { task: name, run }: RunName): boolean {
+  function formatKey({ task, run }: RunName): string {
+    return `${task}/${run}`;
+  }
+
+  function isNeeded(link: WorkerLink, name: RunName): boolean {
     // A lapsed worker runs nothing, and its next life has a link of its own.
     if (isStopped() || link.getState() === LinkState.Lapsed) return false;
-    const task = book.findTask(name)?.task;
-    return task?.run === run && task.phase === TaskPhase.Stopping;
+    const task = book.findTask(name.task)?.task;
+    const isCurrent = task?.run === name.run && task.workerId === link.id && isOccupying(task);
+    if (isCurrent) return task.phase === TaskPhase.Stopping;
+    return strays.get(link)?.has(formatKey(name)) === true;
   }
 
   return {
+    noteStrays(link, runs) {
+      strays.set(link, new Set(runs.map(formatKey)));
+    },
     stopRun(link, name) {
-      const key = `${name.task}/${name.run}`;
+      const key = formatKey(name);
       const keys = sending.get(link) ?? new Set();
       if (keys.has(key)) return false;
       sending.set(link, keys.add(key));
--- a/packages/dispatch/tests/fakeworkers.ts
+++ b/packages/dispatch/tests/fakeworkers.ts
@@ -46,6 +46,8 @@
   isCut = false;
   /** Orders get no answer and are carried out this much later; 0 is off. */
   lateMs = 0;
+  /** So many of the next stops get no answer and have no effect. */
+  lostStops = 0;
   /** Starts that did not fit. */
   overloads = 0;
   /** How tasks end here. */
@@ -175,7 +177,13 @@
     return this.sendOrder(address, (worker) => worker.start(order));
   }
 
-  stop(address: WorkerAddress, order: StopOrder): Promise<OrderReply> {
+  async stop(address: WorkerAddress, order: StopOrder): Promise<OrderReply> {
+    const worker = this.workers.get(address.id);
+    if (worker !== undefined && worker.lostStops > 0) {
+      worker.lostStops -= 1;
+      await waitFor(this.process, lostAnswerMs);
+      return { status: OrderStatus.Unknown, reason: none };
+    }
     return this.sendOrder(address, (worker) => worker.stop(order));
   }
 
--- a/packages/dispatch/tests/stops.test.ts
+++ b/packages/dispatch/tests/stops.test.ts
@@ -9,6 +9,8 @@
 const stepMs = 20;
 /** Steps of the clock and the stop of a worker. */
 const stopMs = 400;
+/** A stop without an answer, and the pause before its repetition. */
+const lostStopMs = 410;
 
 function countRunning(world: World): number {
   let count = 0;
@@ -65,3 +67,14 @@
   world.listWorker('w0');
   expect(await measureStop(world, 20_000)).toBeLessThanOrEqual(stopMs);
 });
+
+// Guards against stray runs whose stop is repeated by their worker's next reports only.
+test('lost stops of stray runs are repeated', async () => {
+  const world = createWorld(1, taskMs);
+  const former = await startJob(world);
+  // Four stops of each of the four runs.
+  for (const worker of world.workers.values()) worker.lostStops = 16;
+  world.cancel('j1');
+  await replaceOwner(world, former);
+  expect(await measureStop(world, 8000)).toBeLessThanOrEqual(4 * lostStopMs + stopMs);
+});
