Send a stop as soon as the lease is held again

Lease and feed come back from an outage of the store at about the same time, so a cancel often comes then.

Evidence: the new test lets the store fail until the lease is suspended, at six offsets from a renewal, and brings the cancel with the store's return.

--- a/packages/dispatch/src/orders.ts
+++ b/packages/dispatch/src/orders.ts
@@ -97,6 +97,25 @@
     return hasLostCopy ? StartFate.Undecided : StartFate.NotStarted;
   }
 
+  async function sendStop(link: WorkerLink, name: RunName): Promise<OrderStatus> {
+    const sentMs = clock.getNowMs();
+    const { status, reason } = await runner.stop(link.getEntry(), {
+      ...name,
+      fence: link.getFence(),
+    });
+    logger.info('stop_sent', {
+      task: name.task,
+      run: name.run,
+      worker: link.id,
+      status,
+      reason,
+      tookMs: Math.round(clock.getNowMs() - sentMs),
+    });
+    if (status === OrderStatus.Fenced) noteFence(link);
+    if (status === OrderStatus.Unknown) metrics.count('orders.lost', 1, { kind: 'stop' });
+    return status;
+  }
+
   return {
     async start(link, name, input) {
       const estimate = link.getClock().estimate(clock.getNowMs());
@@ -130,25 +149,9 @@
     },
     async stop(link, name, isWanted) {
       while (isWanted()) {
-        if (isHolding()) {
-          const sentMs = clock.getNowMs();
-          const reply = await runner.stop(link.getEntry(), { ...name, fence: link.getFence() });
-          logger.info('stop_sent', {
-            task: name.task,
-            run: name.run,
-            worker: link.id,
-            status: reply.status,
-            reason: reply.reason,
-            tookMs: Math.round(clock.getNowMs() - sentMs),
-          });
-          if (reply.status === OrderStatus.Fenced) noteFence(link);
-          if (reply.status === OrderStatus.Unknown) {
-            metrics.count('orders.lost', 1, { kind: 'stop' });
-            await waitFor(clock, retryMs);
-            continue;
-          }
-        }
-        await waitFor(clock, stopRepeatMs);
+        const status = isHolding() ? await sendStop(link, name) : undefined;
+        const isSent = status !== undefined && status !== OrderStatus.Unknown;
+        await waitFor(clock, isSent ? stopRepeatMs : retryMs);
       }
     },
   };
--- a/packages/dispatch/tests/stops.test.ts
+++ b/packages/dispatch/tests/stops.test.ts
@@ -1,5 +1,6 @@
 import { test } from 'node:test';
 import { expect } from 'earl';
+import { TableFault } from '../../ownership/tests/faketable.ts';
 import { createWorld, findDoubleRun } from './world.ts';
 import type { Contender, World } from './world.ts';
 
@@ -78,3 +79,18 @@
   await replaceOwner(world, former);
   expect(await measureStop(world, 8000)).toBeLessThanOrEqual(4 * lostStopMs + stopMs);
 });
+
+// Guards against a stop that goes on waiting after the lease was not held for a moment.
+test('stop follows as soon as the lease is held again', async () => {
+  for (let offsetMs = 0; offsetMs < 600; offsetMs += 100) {
+    const world = createWorld(1, taskMs);
+    const { lease } = await startJob(world);
+    await advance(world, offsetMs);
+    world.store.fault = TableFault.Down;
+    while (lease.isHolding(lease.getEpoch())) await advance(world, stepMs);
+    world.cancel('j1');
+    world.store.fault = TableFault.None;
+    while (!lease.isHolding(lease.getEpoch())) await advance(world, stepMs);
+    expect(await measureStop(world, 4000)).toBeLessThanOrEqual(stopMs);
+  }
+});
