Tell a held run apart from the next run of its task

Seen by callers: a task may begin again while its run is still being stopped on another worker (TWICE), or its stop pauses until the next report (UNASKED).

Cause: a start that waits for the store is held when its worker restarts, and given up, with its task waiting again, when the store answers. The held entry stays until the next check, up to 200 ms later. If by then the next run is being stopped on another worker, the entry is taken for that run, for up to 13 s: the first report of the restarted worker lacks it, so it is given up.

Change: a held entry counts only for the run that it was made for.

Evidence: the new test, on this part alone, failed before (the next run was taken for held) and passes now.

--- a/packages/dispatch/src/heldruns.ts
+++ b/packages/dispatch/src/heldruns.ts
@@ -25,6 +25,7 @@
 }
 
 interface HeldRun extends PlacedTask {
+  run: number;
   workerId: string;
   /** Steady time from which no copy of the order can be carried out any more. */
   untilMs: number;
@@ -39,7 +40,7 @@
   const createdMs = clock.getNowMs();
 
   function isHeld(task: Task): boolean {
-    return held.has(task) && task.phase === TaskPhase.Stopping;
+    return held.get(task)?.run === task.run && task.phase === TaskPhase.Stopping;
   }
 
   /** The late copy began before the report's token arrived, so it is the task's run. */
@@ -65,7 +66,7 @@
     holdRun({ group, task }) {
       task.phase = TaskPhase.Stopping;
       const { run, workerId } = task;
-      held.set(task, { group, task, workerId, untilMs: clock.getNowMs() + lateOrderMs });
+      held.set(task, { group, task, run, workerId, untilMs: clock.getNowMs() + lateOrderMs });
       watches.set(task, createRunWatch(run));
       logger.info('run_held', { task: getTaskName(group, task), run, worker: workerId });
     },
--- a/packages/dispatch/tests/stops.test.ts
+++ b/packages/dispatch/tests/stops.test.ts
@@ -1,6 +1,13 @@
 import { test } from 'node:test';
+import { createManualClock, createNullLogger } from '@bergamotreach/protocol';
+import { TaskPhase } from '@bergamotreach/scheduling';
 import { expect } from 'earl';
 import { TableFault } from '../../ownership/tests/faketable.ts';
+import { createSingle } from '../../scheduling/tests/samples.ts';
+import { createHeldRuns } from '../src/heldruns.ts';
+import type { JobLife } from '../src/joblife.ts';
+import type { OwnerContext } from '../src/ownercontext.ts';
+import type { WorkerLink } from '../src/workerlink.ts';
 import { createWorld, findDoubleRun } from './world.ts';
 import type { Contender, World } from './world.ts';
 
@@ -106,3 +113,29 @@
   world.cancel('j1');
   expect(await measureStop(world, 8000)).toBeLessThanOrEqual(3 * refusedStopMs + stopMs);
 });
+
+// Guards against a run that is given up, while it is being stopped elsewhere, by the report of a worker
+// on which an earlier run of its task was held.
+test('run is not given up for the held run before it', () => {
+  const dropped: number[] = [];
+  const life = {
+    dropRun: ({ task }: { task: { run: number } }) => dropped.push(task.run),
+  } as unknown as JobLife;
+  const context = {
+    watches: new Map(),
+    lateCopies: new WeakMap(),
+    options: { clock: createManualClock(), logger: createNullLogger() },
+  } as unknown as OwnerContext;
+  const heldRuns = createHeldRuns(context, life);
+  const group = createSingle('j', 1);
+  const [task] = group.tasks;
+  if (task === undefined) throw new Error('no task');
+  Object.assign(task, { phase: TaskPhase.Starting, run: 1, workerId: 'w0' });
+  heldRuns.holdRun({ group, task });
+  // Its start was given up before it was sent, and the next run is being stopped on another worker.
+  Object.assign(task, { phase: TaskPhase.Stopping, run: 2, workerId: 'w1' });
+  expect(heldRuns.isHeld(task)).toEqual(false);
+  heldRuns.noteReport({ id: 'w0' } as WorkerLink, { clockMs: 1, runs: [], ends: [] });
+  heldRuns.checkHeld();
+  expect(dropped).toEqual([]);
+});
