Test that starts carry what was submitted and what their task saved

The workers of the simulated world can save progress now; each value names the task and the run that saved it.

A second test repeats a submission, with another body and on an instance that knows neither the job nor its cancel: the cancelled job stays cancelled, and the first body is the one that runs.

The job service of an instance moves from slowstore.test.ts to services.ts, so that both test files use it.

--- a/packages/dispatch/tests/fakeworkers.ts
+++ b/packages/dispatch/tests/fakeworkers.ts
@@ -18,6 +18,7 @@
 
 interface ActiveRun {
   run: number;
+  beganAtMs: number;
   endsAtMs: number;
   fence: number;
 }
@@ -54,6 +55,8 @@
   overloads = 0;
   /** How tasks end here. */
   end = RunEnd.Done;
+  /** Time between two checkpoints of a run; 0 is without. */
+  saveEveryMs = 0;
 
   constructor(
     readonly id: string,
@@ -90,9 +93,19 @@
   }
 
   private finish(task: string, run: number, end: RunEnd): void {
+    const checkpoint = end === RunEnd.Done ? '' : this.getCheckpoint(task, end === RunEnd.Stopped);
     this.active.delete(task);
     this.sequence += 1;
-    this.ended.push({ sequence: this.sequence, task, run, end, checkpoint: '' });
+    this.ended.push({ sequence: this.sequence, task, run, end, checkpoint });
+  }
+
+  /** Latest saved progress of a run; it names the task and the run that saved it. */
+  private getCheckpoint(task: string, isStopped = false): string {
+    const active = this.active.get(task);
+    if (active === undefined || this.saveEveryMs === 0) return '';
+    const saves = Math.floor((this.getClockMs() - active.beganAtMs) / this.saveEveryMs);
+    if (isStopped) return `${task}/${active.run}/stop`;
+    return saves === 0 ? '' : `${task}/${active.run}/${saves}`;
   }
 
   start(order: StartOrder): OrderReply {
@@ -117,7 +130,8 @@
     this.highest.set(order.task, order.run);
     this.keepLease(order.leaseUntilMs);
     const endsAtMs = clockMs + this.runMs;
-    this.active.set(order.task, { run: order.run, endsAtMs, fence: order.fence });
+    const { run, fence } = order;
+    this.active.set(order.task, { run, beganAtMs: clockMs, endsAtMs, fence });
     this.begun.push({ task: order.task, run: order.run, atMs: clockMs });
     return { status: OrderStatus.Accepted, reason: none, clockMs };
   }
@@ -148,7 +162,7 @@
     const runs: RunStatus[] = [...this.active].map(([task, { run }]) => ({
       task,
       run,
-      checkpoint: '',
+      checkpoint: this.getCheckpoint(task),
       percent: 50,
     }));
     const ends = this.ended.filter(({ sequence }) => sequence > this.ackedEnd);
--- /dev/null
+++ b/packages/dispatch/tests/services.ts
@@ -0,0 +1,50 @@
+import { createGroupCommitter } from '@bergamotreach/ownership';
+import { createNullLogger, createNullMetrics } from '@bergamotreach/protocol';
+import { FakeProcess } from '../../ownership/tests/fakeprocess.ts';
+import { FakeTable } from '../../ownership/tests/faketable.ts';
+import { createJobService, createMirror } from '../src/index.ts';
+import type { Admission, JobService, ServiceConfig, StateRow } from '../src/index.ts';
+import { FakeFeed } from './world.ts';
+import type { World } from './world.ts';
+
+const logger = createNullLogger();
+const metrics = createNullMetrics();
+const rules = { priority: 1, maxAttempts: 2, stretch: 3, targetMs: 1000 };
+export const queue = { name: 'q1', host: 'h', prefix: '/', pool: 'p1', rules, isPublic: true };
+export const admission: Admission = {
+  queue,
+  account: { name: 'a1', keys: [], guaranteedAccelerators: 0 },
+  version: 1,
+  call: { host: 'h', path: '/', key: undefined },
+};
+
+/** The job service of one more instance of a world. */
+export function addService(world: World, id: string): { jobs: JobService; process: FakeProcess } {
+  const process = new FakeProcess(id, world.clock);
+  const table = new FakeTable(world.store, process);
+  let operations = 0;
+  const committer = createGroupCommitter({
+    table,
+    clock: process,
+    logger,
+    metrics,
+    createOperationId: () => `${id}/${operations++}`,
+  });
+  const common = { clock: process, logger, metrics };
+  const states = createMirror<StateRow>({
+    ...common,
+    name: 'states',
+    feed: new FakeFeed(world.store, process, 'state/'),
+    getPauseMs: () => 1000,
+  });
+  const configs = createMirror<ServiceConfig>({
+    ...common,
+    name: 'configuration',
+    feed: new FakeFeed(world.store, process, 'config/'),
+  });
+  states.start();
+  configs.start();
+  const getWallMs = (): number => world.clock.getNowMs();
+  const jobs = createJobService({ ...common, table, committer, states, configs, getWallMs });
+  return { jobs, process };
+}
--- a/packages/dispatch/tests/slowstore.test.ts
+++ b/packages/dispatch/tests/slowstore.test.ts
@@ -1,61 +1,18 @@
 import { test } from 'node:test';
-import { LeaseState, createGroupCommitter } from '@bergamotreach/ownership';
-import { FaultCode, createNullLogger, createNullMetrics } from '@bergamotreach/protocol';
+import { LeaseState } from '@bergamotreach/ownership';
+import { FaultCode } from '@bergamotreach/protocol';
 import { JobState, RunEnd } from '@bergamotreach/scheduling';
 import { expect } from 'earl';
-import { FakeProcess } from '../../ownership/tests/fakeprocess.ts';
-import { FakeTable } from '../../ownership/tests/faketable.ts';
 import { createStep } from '../../scheduling/tests/samples.ts';
-import { createJobService, createMirror } from '../src/index.ts';
-import type { Admission, JobService, ServiceConfig, StateRow } from '../src/index.ts';
-import { FakeFeed, createWorld, runMs } from './world.ts';
+import type { JobService } from '../src/index.ts';
+import { addService, admission, queue } from './services.ts';
+import { createWorld, runMs } from './world.ts';
 import type { World } from './world.ts';
 
-const logger = createNullLogger();
-const metrics = createNullMetrics();
 /** A store that takes 50 times as long: 250 ms a transaction instead of 5. */
 const slowTransactionMs = 250;
 const callerDeadlineMs = 3000;
 const step = createStep({ demand: { cpuMillis: 1, memoryMb: 1, accelerators: 0 } });
-const rules = { priority: 1, maxAttempts: 2, stretch: 3, targetMs: 1000 };
-const queue = { name: 'q1', host: 'h', prefix: '/', pool: 'p1', rules, isPublic: true };
-const admission: Admission = {
-  queue,
-  account: { name: 'a1', keys: [], guaranteedAccelerators: 0 },
-  version: 1,
-  call: { host: 'h', path: '/', key: undefined },
-};
-
-/** The job service of one more instance of a world. */
-function addService(world: World, id: string): { jobs: JobService; process: FakeProcess } {
-  const process = new FakeProcess(id, world.clock);
-  const table = new FakeTable(world.store, process);
-  let operations = 0;
-  const committer = createGroupCommitter({
-    table,
-    clock: process,
-    logger,
-    metrics,
-    createOperationId: () => `${id}/${operations++}`,
-  });
-  const common = { clock: process, logger, metrics };
-  const states = createMirror<StateRow>({
-    ...common,
-    name: 'states',
-    feed: new FakeFeed(world.store, process, 'state/'),
-    getPauseMs: () => 1000,
-  });
-  const configs = createMirror<ServiceConfig>({
-    ...common,
-    name: 'configuration',
-    feed: new FakeFeed(world.store, process, 'config/'),
-  });
-  states.start();
-  configs.start();
-  const getWallMs = (): number => world.clock.getNowMs();
-  const jobs = createJobService({ ...common, table, committer, states, configs, getWallMs });
-  return { jobs, process };
-}
 
 /** Partitions of the users' platform: accepted jobs are spread, all else is the owner's. */
 function getPartition(key: string): string {
--- /dev/null
+++ b/packages/dispatch/tests/wantedstarts.test.ts
@@ -0,0 +1,234 @@
+import { test } from 'node:test';
+import { JobState, formatGroupName, parseTaskName } from '@bergamotreach/scheduling';
+import { expect } from 'earl';
+import fc from 'fast-check';
+import { TableFault } from '../../ownership/tests/faketable.ts';
+import { createStep } from '../../scheduling/tests/samples.ts';
+import type { JobRequest, JobService, StartOrder } from '../src/index.ts';
+import { addService, admission } from './services.ts';
+import { createWorld } from './world.ts';
+import type { Contender, World } from './world.ts';
+
+enum Step {
+  KillOwner = 'kill_owner',
+  PauseOwner = 'pause_owner',
+  CutWorker = 'cut_worker',
+  RestartWorker = 'restart_worker',
+  LateOrders = 'late_orders',
+  StoreDown = 'store_down',
+  LostReplies = 'lost_replies',
+  LateWrites = 'late_writes',
+  SubmitGang = 'submit_gang',
+  SubmitUrgent = 'submit_urgent',
+  CancelJob = 'cancel_job',
+}
+
+interface Action {
+  step: Step;
+  /** Picks a worker, a contender or a job. */
+  target: number;
+  /** How long the fault lasts. */
+  forMs: number;
+  /** Pause before the next action. */
+  gapMs: number;
+}
+
+const seed = 20261204;
+const numRuns = 25;
+const taskMs = 5000;
+const saveEveryMs = 400;
+const settleMs = 20_000;
+
+const actions = fc.array(
+  fc.record({
+    step: fc.constantFrom(...Object.values(Step)),
+    target: fc.nat(5),
+    forMs: fc.integer({ min: 300, max: 6000 }),
+    gapMs: fc.integer({ min: 100, max: 2500 }),
+  }),
+  { minLength: 5, maxLength: 16 },
+);
+
+function getGroupKey(taskName: string): string {
+  const name = parseTaskName(taskName);
+  if (name === undefined) throw new Error(`${taskName} names no task`);
+  return formatGroupName(name);
+}
+
+/** Whether a start may carry its checkpoint: one of its task, or of any member of its gang. */
+function isOwnCheckpoint({ task, checkpoint }: StartOrder, isGang: boolean): boolean {
+  if (checkpoint === '') return true;
+  const [savedBy = ''] = checkpoint.split('/');
+  return isGang ? getGroupKey(savedBy) === getGroupKey(task) : savedBy === task;
+}
+
+/** What is wrong with the starts that were sent, in words; empty when nothing is. */
+function listFaults(world: World, starts: readonly StartOrder[]): string[] {
+  const faults: string[] = [];
+  const carried = new Map<string, string>();
+  for (const start of starts) {
+    const { task, run, payload, checkpoint } = start;
+    const name = parseTaskName(task);
+    const isGang = task.startsWith('gang');
+    if (name === undefined || world.getState(name.jobId) === undefined) {
+      faults.push(`${task} was not submitted`);
+    }
+    if (payload !== `payload of ${String(name?.jobId)}`) faults.push(`${task} carries ${payload}`);
+    if (!isOwnCheckpoint(start, isGang)) faults.push(`${task} resumes from ${checkpoint}`);
+    const unit = isGang ? `${getGroupKey(task)}/${run}` : `${task}/${run}`;
+    const other = carried.get(unit) ?? checkpoint;
+    if (other !== checkpoint) faults.push(`${unit} resumes from ${other} and from ${checkpoint}`);
+    carried.set(unit, checkpoint);
+  }
+  return faults;
+}
+
+/** Plays a day; resolves with all starts that were sent. */
+async function runDay(world: World, list: readonly Action[]): Promise<StartOrder[]> {
+  const workers = [...world.workers.values()];
+  for (const worker of workers) worker.saveEveryMs = saveEveryMs;
+  const all: Contender[] = [world.addContender('a'), world.addContender('b')];
+  let contenders = [...all];
+  const jobs: string[] = [];
+  await world.clock.advance(800);
+
+  function submit(id: string, priority: number, isGang: boolean): void {
+    jobs.push(id);
+    const rules = { priority, maxAttempts: 50, stretch: 3, targetMs: 1000 };
+    const recurrence = { count: 2, firstAtMs: world.clock.getNowMs(), intervalMs: 300 };
+    const payload = `payload of ${id}`;
+    const timed = isGang ? { recurrence } : {};
+    const step = { isCheckpointing: true };
+    world.submit(
+      id,
+      [
+        { ...step, taskCount: 3, isGang },
+        { ...step, taskCount: 2, isGang },
+      ],
+      { rules, payload, ...timed },
+    );
+  }
+
+  function apply({ step, target, forMs }: Action): void {
+    const worker = workers[target % workers.length];
+    const contender = contenders[target % contenders.length];
+    if (worker === undefined || contender === undefined) return;
+    const endLater = (action: () => void): void => {
+      world.clock.setTimer(forMs, action);
+    };
+    const setFault = (fault: TableFault): void => {
+      world.store.fault = fault;
+      endLater(() => {
+        world.store.fault = TableFault.None;
+      });
+    };
+    switch (step) {
+      case Step.KillOwner: {
+        contender.process.kill();
+        const next = world.addContender(`c${all.length}`);
+        contenders = [...contenders.filter((one) => one !== contender), next];
+        all.push(next);
+        break;
+      }
+      case Step.PauseOwner:
+        contender.process.pause();
+        endLater(() => void contender.process.resume());
+        break;
+      case Step.CutWorker:
+        worker.isCut = true;
+        endLater(() => {
+          worker.isCut = false;
+        });
+        break;
+      case Step.RestartWorker:
+        world.restartWorker(worker.id);
+        break;
+      case Step.LateOrders:
+        worker.lateMs = forMs;
+        world.clock.setTimer(500, () => {
+          worker.lateMs = 0;
+        });
+        break;
+      case Step.StoreDown:
+        setFault(TableFault.Down);
+        break;
+      case Step.LostReplies:
+        setFault(TableFault.LostReply);
+        break;
+      case Step.LateWrites:
+        setFault(TableFault.LateEffect);
+        break;
+      case Step.SubmitGang:
+        submit(`gang${jobs.length}`, 2, true);
+        break;
+      case Step.SubmitUrgent:
+        submit(`urgent${jobs.length}`, 0, false);
+        break;
+      case Step.CancelJob: {
+        const id = jobs[target % Math.max(1, jobs.length)];
+        if (id !== undefined) world.cancel(id);
+      }
+    }
+  }
+
+  submit('gang', 2, true);
+  submit('single', 1, false);
+  for (const action of list) {
+    apply(action);
+    await world.clock.advance(action.gapMs);
+  }
+  await world.clock.advance(settleMs);
+  return all.flatMap(({ runner }) => runner.starts);
+}
+
+// Guards against a start of another spec, or from a checkpoint of another task, occurrence or run.
+test('starts carry what was submitted and what their task saved', async () => {
+  let resumed = 0;
+  await fc.assert(
+    fc.asyncProperty(actions, async (list) => {
+      const world = createWorld(3, taskMs);
+      const starts = await runDay(world, list);
+      resumed += starts.filter(({ checkpoint }) => checkpoint !== '').length;
+      expect(listFaults(world, starts)).toEqual([]);
+    }),
+    { seed, numRuns },
+  );
+  // Otherwise the days would show nothing.
+  expect(resumed).toBeGreaterThan(numRuns);
+});
+
+const deadlineMs = 3000;
+
+function createRequest(id: string, payload = 'x'): JobRequest {
+  return { id, payload, steps: [createStep()] };
+}
+
+async function cancel(world: World, jobs: JobService, id: string): Promise<boolean | undefined> {
+  const result = jobs.cancel(admission, id, deadlineMs);
+  await world.clock.advance(1000);
+  return (await result).unwrapOr(undefined);
+}
+
+// Guards against a repeated submission, with the copy of an instance that knows neither the job nor its
+// cancel, that brings a cancelled job back or changes what runs.
+test('a submission that is repeated after the cancel starts nothing', async () => {
+  const world = createWorld();
+  const { runner } = world.addContender('one');
+  const first = addService(world, 's1').jobs;
+  await world.clock.advance(2000);
+  for (const id of ['a', 'b']) void first.submit(admission, createRequest(id), deadlineMs);
+  await world.clock.advance(10);
+  const late = addService(world, 's2');
+  expect(await cancel(world, first, 'a')).toEqual(true);
+  const begun = world.listBegun().filter(({ task }) => task.startsWith('a')).length;
+  for (const id of ['a', 'b']) {
+    const repeated = late.jobs.submit(admission, createRequest(id, 'y'), deadlineMs);
+    await world.clock.advance(500);
+    expect((await repeated).isOk()).toEqual(true);
+  }
+  await world.clock.advance(5000);
+  expect(world.getState('a')).toEqual(JobState.Cancelled);
+  expect(world.listBegun().filter(({ task }) => task.startsWith('a')).length).toEqual(begun);
+  expect(world.getState('b')).toEqual(JobState.Completed);
+  expect(runner.starts.filter(({ payload }) => payload !== 'x')).toEqual([]);
+});
