Keep a cancelled id from running when its submission is stored late

Cause: a DELETE that found neither the state nor the job left nothing behind. The store may carry out a transaction without an answer seconds later, and the committer of the instance that took the submission repeats it for 3 s. The job's only condition is that its row is absent, so it was stored after the cancel and taken on as queued.

Change: a cancel that finds no job writes the state `cancelled`, marked as withdrawn, under the condition that there is none, and is answered 410 after that. An owner takes on no job with a final state; if its copy of the states is older, its own write of the state conflicts with the cancel and is overruled as for any cancel. A state that was created meanwhile makes the cancel look again. GET shows a withdrawn job only when the row of the job exists, since nobody may have submitted it. A repeated submission under the id is answered as before and never runs. A cancel of an unknown id costs one write.

Evidence: "a cancel that found no job holds when the submission is stored late" failed before (task a.0.0.0 began 2.5 s after the 410) and passes now. "a cancel of an unknown id shows no job" passed before and guards the mark.

Ruled out: a 410 for a job that was accepted, since both rows are read by key and the store is linearizable; a submission after the cancel that brings the job back, since its row is never removed.

Not shown: that this is what the users saw.

--- a/packages/dispatch/src/jobrows.ts
+++ b/packages/dispatch/src/jobrows.ts
@@ -25,6 +25,11 @@
   isTimed: boolean;
   /** Unix time of the last change in milliseconds. */
   changedAtMs: number;
+  /**
+   * Written by a cancel that found no job: a submission without an answer may still be stored, and must
+   * not run then. Nobody may have submitted the job, so the state alone does not show that it exists.
+   */
+  isWithdrawn?: boolean;
 }
 
 const jobRowSchema = z.object({
@@ -52,6 +57,7 @@
   account: z.string(),
   isTimed: z.boolean(),
   changedAtMs: z.number(),
+  isWithdrawn: z.exactOptional(z.boolean()),
 });
 
 const groupRecordSchema = z.object({
--- a/packages/dispatch/src/jobservice.ts
+++ b/packages/dispatch/src/jobservice.ts
@@ -73,7 +73,8 @@
   /** State of a job in this instance's copy, however old; `undefined` when it is not there. */
   findCopy(admission: Admission, id: string): JobState | undefined;
   /**
-   * Cancels a job; false when there is none. Faults: `store_unavailable`, `unknown_outcome`.
+   * Cancels a job; false when there is none, and one that is submitted later under the id never runs.
+   * Faults: `store_unavailable`, `unknown_outcome`.
    */
   cancel(admission: Admission, id: string, deadlineMs: number): Promise<Result<boolean, Fault>>;
   /** Jobs of a queue none of whose tasks has started; timed jobs are not counted. */
@@ -99,6 +100,10 @@
 const storeLostMs = 250;
 const maxCancelTries = 4;
 
+function isWithdrawn(row: StateRow): boolean {
+  return row.isWithdrawn === true;
+}
+
 interface StoredState {
   state: StateRow;
   /** Version of the state row; 0 while there is none. */
@@ -197,9 +202,24 @@
    */
   async function findState(id: string): Promise<Result<StateRow | undefined, Fault>> {
     const known = states.find(id);
-    if (known !== undefined && isFinal(known.state)) return Ok(known);
+    if (known !== undefined && isFinal(known.state) && !isWithdrawn(known)) return Ok(known);
     if (isStoreAway()) return Err(createUnavailable('the store is away'));
-    return (await readState(id)).map((stored) => stored?.state);
+    const stored = await readState(id);
+    if (stored.isErr()) return stored;
+    const state = stored.value?.state;
+    if (state === undefined || !isWithdrawn(state)) return Ok(state);
+    return (await readNewJob(id)).map((job) => (job === undefined ? undefined : state));
+  }
+
+  function createWithdrawal({ queue, account }: Admission): StateRow {
+    return {
+      state: JobState.Cancelled,
+      queue: queue.name,
+      account: account?.name ?? anonymousAccount,
+      isTimed: false,
+      changedAtMs: Math.round(getWallMs()),
+      isWithdrawn: true,
+    };
   }
 
   async function cancelOnce(
@@ -208,9 +228,10 @@
   ): Promise<Result<boolean, Fault> | undefined> {
     const stored = await readState(id);
     if (stored.isErr()) return Err(createUnavailable(stored.error.message));
-    if (stored.value === undefined || !isVisible(stored.value.state, admission)) return Ok(false);
-    const { state, version } = stored.value;
-    if (isFinal(state.state)) return Ok(true);
+    const isFound = stored.value !== undefined;
+    const { state, version } = stored.value ?? { state: createWithdrawal(admission), version: 0 };
+    if (!isVisible(state, admission)) return Ok(false);
+    if (isFound && isFinal(state.state)) return Ok(!isWithdrawn(state));
     const cancelled = { ...state, state: JobState.Cancelled, changedAtMs: Math.round(getWallMs()) };
     const reply = await committer.submit({
       conditions: [{ key: getStateKey(id), version }],
@@ -218,7 +239,7 @@
       priority: WritePriority.Outcome,
     });
     return match(reply)
-      .with({ status: TransactionStatus.Committed }, () => Ok(true))
+      .with({ status: TransactionStatus.Committed }, () => Ok(isFound))
       .with({ status: TransactionStatus.Conflict }, () => undefined)
       .with({ status: TransactionStatus.Unavailable }, ({ message }) =>
         Err(createUnavailable(message)),
@@ -305,7 +326,8 @@
     },
     findCopy(admission, id) {
       const row = states.find(id);
-      return row !== undefined && isVisible(row, admission) ? row.state : undefined;
+      const isShown = row !== undefined && !isWithdrawn(row) && isVisible(row, admission);
+      return isShown ? row.state : undefined;
     },
     async cancel(admission, id, deadlineMs) {
       const startedMs = clock.getNowMs();
--- a/packages/dispatch/tests/wantedstarts.test.ts
+++ b/packages/dispatch/tests/wantedstarts.test.ts
@@ -209,6 +209,51 @@
   return (await result).unwrapOr(undefined);
 }
 
+async function getState(
+  world: World,
+  jobs: JobService,
+  id: string,
+): Promise<JobState | undefined | string> {
+  const result = jobs.getState(admission, id, deadlineMs);
+  await world.clock.advance(100);
+  return (await result).unwrapOr('no answer');
+}
+
+// Guards against a job that runs after its cancel was answered 410, because the submission got no
+// answer and the store carries it out only after the cancel.
+test('a cancel that found no job holds when the submission is stored late', async () => {
+  const world = createWorld();
+  world.addContender('one');
+  const first = addService(world, 's1');
+  const second = addService(world, 's2').jobs;
+  await world.clock.advance(2000);
+  world.store.fault = TableFault.LateEffect;
+  world.store.lateMs = 2500;
+  void first.jobs.submit(admission, createRequest('a'), deadlineMs);
+  await world.clock.advance(50);
+  first.process.kill();
+  world.store.fault = TableFault.None;
+  expect(await cancel(world, second, 'a')).toEqual(false);
+  await world.clock.advance(5000);
+  expect(world.store.rows.has('job/a')).toEqual(true);
+  expect(world.listBegun()).toEqual([]);
+  expect(await getState(world, second, 'a')).toEqual(JobState.Cancelled);
+});
+
+// Guards against a job that nobody submitted being shown because somebody cancelled its id.
+test('a cancel of an unknown id shows no job', async () => {
+  const world = createWorld();
+  const first = addService(world, 's1').jobs;
+  const second = addService(world, 's2').jobs;
+  await world.clock.advance(2000);
+  expect(await cancel(world, first, 'a')).toEqual(false);
+  expect(await cancel(world, second, 'a')).toEqual(false);
+  await world.clock.advance(2000);
+  expect(await getState(world, first, 'a')).toEqual(undefined);
+  expect(second.findCopy(admission, 'a')).toEqual(undefined);
+  expect(second.countPending('q1')).toEqual(0);
+});
+
 // Guards against a repeated submission, with the copy of an instance that knows neither the job nor its
 // cancel, that brings a cancelled job back or changes what runs.
 test('a submission that is repeated after the cancel starts nothing', async () => {
