Store a job that is submitted under an id that was cancelled before

A submission that came after the cancel of its unknown id was answered 200 from the copy of the states and not stored, so a GET of the accepted job was answered 410.

Change: such a state does not stand for the job; the submission is stored, shown as cancelled and never runs.

Evidence: "a job that is submitted after its cancel is stored and shown as cancelled" failed before (no state instead of `cancelled`) and passes now.

--- a/packages/dispatch/src/jobservice.ts
+++ b/packages/dispatch/src/jobservice.ts
@@ -297,7 +297,8 @@
         metrics.count('jobs.submitted', 1, { outcome });
         metrics.reportTiming('jobs.submit', clock.getNowMs() - startedMs);
       };
-      if (states.find(request.id) !== undefined) {
+      const known = states.find(request.id);
+      if (known !== undefined && !isWithdrawn(known)) {
         reportResult('known');
         return Ok(undefined);
       }
--- a/packages/dispatch/tests/wantedstarts.test.ts
+++ b/packages/dispatch/tests/wantedstarts.test.ts
@@ -254,6 +254,21 @@
   expect(second.countPending('q1')).toEqual(0);
 });
 
+// Guards against a submission that is answered as accepted under a cancelled id and cannot be found.
+test('a job that is submitted after its cancel is stored and shown as cancelled', async () => {
+  const world = createWorld();
+  world.addContender('one');
+  const { jobs } = addService(world, 's1');
+  await world.clock.advance(2000);
+  expect(await cancel(world, jobs, 'a')).toEqual(false);
+  await world.clock.advance(2000);
+  const submitted = jobs.submit(admission, createRequest('a'), deadlineMs);
+  await world.clock.advance(3000);
+  expect((await submitted).isOk()).toEqual(true);
+  expect(await getState(world, jobs, 'a')).toEqual(JobState.Cancelled);
+  expect(world.listBegun()).toEqual([]);
+});
+
 // Guards against a repeated submission, with the copy of an instance that knows neither the job nor its
 // cancel, that brings a cancelled job back or changes what runs.
 test('a submission that is repeated after the cancel starts nothing', async () => {
