--- a/packages/dispatch/src/owner.ts
+++ b/packages/dispatch/src/owner.ts
@@ -1,4 +1,4 @@
-import type { Row, RowValue } from '@bergamotreach/hosting';
+import type { Row } from '@bergamotreach/hosting';
 import { callContained, runContained, runEvery, waitFor } from '@bergamotreach/protocol';
 import type { CancelTimer } from '@bergamotreach/protocol';
 import {
@@ -12,19 +12,14 @@
   planStarts,
 } from '@bergamotreach/scheduling';
 import type { GroupRecord } from '@bergamotreach/scheduling';
+import { CancelSource, createJobCancels, isCancel } from './cancels.ts';
 import { createFleet } from './fleet.ts';
 import { buildViews } from './fleetview.ts';
 import { createHeldRuns } from './heldruns.ts';
-import { countOccupying, createJobBook } from './jobbook.ts';
+import { createJobBook } from './jobbook.ts';
 import type { LiveJob } from './jobbook.ts';
 import { createJobLife } from './joblife.ts';
-import {
-  checkGroupRecord,
-  checkStateRow,
-  getStateKey,
-  progressTable,
-  stateTable,
-} from './jobrows.ts';
+import { checkGroupRecord, getStateKey, progressTable } from './jobrows.ts';
 import type { JobRow, StateRow } from './jobrows.ts';
 import { createJournal } from './journal.ts';
 import { createMirror } from './mirror.ts';
@@ -47,14 +42,6 @@
   getDump(): OwnerDump;
 }
 
-/** How an owner learned of a cancel. */
-enum CancelSource {
-  /** The copy of the states showed it. */
-  Feed = 'feed',
-  /** A write of the owner met it in the store. */
-  Conflict = 'conflict',
-}
-
 /** State of an owner for the dump. */
 export interface OwnerDump {
   epoch: number;
@@ -80,7 +67,6 @@
 const slowestClockRate = 0.98;
 const progressPageRows = 500;
 const loadRetryMs = 20;
-const statePrefix = `${stateTable}/`;
 
 /** Creates an owner for one epoch. */
 export function createOwner(options: OwnerOptions): Owner {
@@ -106,10 +92,9 @@
     metrics,
     getEpochCondition: options.getEpochCondition,
     onFenced: options.onFenced,
-    isOverruled: (key, value) => findCancel(key, value) !== undefined,
-    onOverruled(key, value) {
-      const row = findCancel(key, value);
-      if (row !== undefined) cancelJob(key.slice(statePrefix.length), row, CancelSource.Conflict);
+    isOverruled: isCancel,
+    onOverruled: (key, value) => {
+      cancels.noteRow(key, value);
     },
   });
   const orders = createOrderSender({
@@ -181,37 +166,11 @@
   };
   const waitLog = createWaitLog(clock, logger);
   const life = createJobLife(context);
+  const cancels = createJobCancels(context, life);
   const heldRuns = createHeldRuns(context, life);
   const reports = createRunReports(context, life, heldRuns);
   const starter = createStarter(context, life);
 
-  /** The cancel that a row holds; absent when it is no state of a cancelled job. */
-  function findCancel(key: string, value: RowValue): StateRow | undefined {
-    if (!key.startsWith(statePrefix)) return undefined;
-    const row = checkStateRow(value).unwrapOr(undefined);
-    return row?.state === JobState.Cancelled ? row : undefined;
-  }
-
-  /** Stops a job that its caller cancelled. */
-  function cancelJob(jobId: string, row: StateRow, source: CancelSource): void {
-    const job = book.find(jobId);
-    if (job === undefined || isFinal(job.state)) return;
-    job.state = JobState.Cancelled;
-    journal.releaseRow(getStateKey(jobId));
-    const ageMs = getWallMs() - row.changedAtMs;
-    logger.info('job_cancelled', {
-      job: jobId,
-      source,
-      ageMs: Math.round(ageMs),
-      stateAgeMs: Math.round(states.getAgeMs()),
-      occupying: countOccupying(job),
-    });
-    metrics.reportTiming('cancels.delay', Math.max(0, ageMs));
-    life.stopJob(job, 'job cancelled');
-    life.releaseJob(job);
-    planSoon();
-  }
-
   /** Reads the stored progress of all groups; false when the owner was stopped meanwhile. */
   async function loadProgress(): Promise<boolean> {
     let after: string | undefined;
@@ -423,7 +382,7 @@
       if (!isLoaded) return;
       // A job is taken on when its own row comes, never for a state: an older state that comes late
       // would bring a job back that has ended.
-      if (row?.state === JobState.Cancelled) cancelJob(jobId, row, CancelSource.Feed);
+      if (row !== undefined) cancels.noteState(jobId, row, CancelSource.Feed);
     },
     getDump: () => ({
       epoch,
