Read the states again before starts that were stored slowly

Callers saw: a task begins up to six seconds after the cancel of its job was acknowledged, while the owner's copy of the states is old.

Cause: the condition on the state holds when the commit takes effect, and the order was sent whenever the owner learned of it. A start whose answer was lost is read back up to seconds later by its progress row alone, and the starts of a plan wait for the last of its commits. A cancel that is stored in between is then met by no write. The window of 2 s of the order comes on top.

Evidence, both failing before: 'start whose commit was read back late is not sent after a cancel' began two tasks 3,440 ms after the cancel, and 'start stored by the first of many slow commits is not sent after a cancel' began one after 6,300 ms (bound 3,000 ms); both pass now.

Change: when storing took more than 0.5 s, the state of each job concerned is read before its starts are sent, and a cancel stops the job. An order is sent, and sent again, only within 2.5 s of the time for which the store showed the state, so a suspension between commit and order is covered as well.

--- a/packages/dispatch/src/journal.ts
+++ b/packages/dispatch/src/journal.ts
@@ -31,6 +31,8 @@
    * knows it; a value of it that stands against this owner is told first.
    */
   write(key: string, value: RowValue, guardKey?: string): void;
+  /** Reads a row; a value of it that stands against this owner is told before this resolves. */
+  checkRow(key: string): Promise<void>;
   /** Resolves with true once all writes planned so far are stored, with false when they never are. */
   flush(): Promise<boolean>;
   countPending(): number;
@@ -195,6 +197,13 @@
     if (row !== undefined) noteForeign(row);
   }
 
+  /** Leaves the known version alone, because a commit of the row may be under way. */
+  async function checkRow(key: string): Promise<void> {
+    if (released.has(key)) return;
+    const row = await readRow(key);
+    if (row !== undefined && !isClosed) noteForeign(row);
+  }
+
   /** Takes note of a value by somebody else; false when this owner may write over it. */
   function noteForeign({ key, version, value }: Row, dropped?: PendingWrite): boolean {
     if (!options.isOverruled(key, value)) return false;
@@ -249,6 +258,7 @@
         void pump();
       });
     },
+    checkRow,
     releaseRow,
     countPending: () => pending.size + inFlight.size,
     close,
--- a/packages/dispatch/src/starter.ts
+++ b/packages/dispatch/src/starter.ts
@@ -2,6 +2,7 @@
 import { JobState, TaskPhase, getLatestRun, isFinal, isOccupying } from '@bergamotreach/scheduling';
 import type { PlacedTask, PlannedStart, Task } from '@bergamotreach/scheduling';
 import type { JobLife } from './joblife.ts';
+import { getStateKey } from './jobrows.ts';
 import { StartFate } from './orders.ts';
 import type { StartResult } from './orders.ts';
 import { getTaskName } from './ownercontext.ts';
@@ -21,6 +22,10 @@
   workerId: string;
 }
 
+/** Starts that took longer to be stored are sent only after their jobs' states were read again. */
+const freshStateMs = 500;
+/** A start is sent for this long after the time for which the store showed its job's state. */
+const maxStateAgeMs = 2500;
 /** How long a worker that refused a start for want of room gets no further one. */
 const refusalPauseMs = 400;
 const unhealthyPauseMs = 2000;
@@ -32,10 +37,24 @@
 
   /** Stores the runs before they are started, so that any later owner knows where to look. */
   async function startAll(starts: readonly PlannedStart[]): Promise<void> {
+    const plannedMs = clock.getNowMs();
     const marked = starts.flatMap((start) => markStart(start));
     const isStored = await journal.flush();
     if (!isStored) return;
-    for (const one of marked) void runContained(logger, 'start', () => startTask(one));
+    const shownMs = await checkStates(starts, plannedMs);
+    for (const one of marked) void runContained(logger, 'start', () => startTask(one, shownMs));
+  }
+
+  /**
+   * A commit may have taken effect long before its answer or before the commits that followed it, and a
+   * cancel may have come in between. Returns the time for which the states are known.
+   */
+  async function checkStates(starts: readonly PlannedStart[], plannedMs: number): Promise<number> {
+    const nowMs = clock.getNowMs();
+    if (nowMs - plannedMs <= freshStateMs) return plannedMs;
+    const jobIds = new Set(starts.map(({ group }) => group.job.id));
+    await Promise.all([...jobIds].map((jobId) => journal.checkRow(getStateKey(jobId))));
+    return nowMs;
   }
 
   function markStart({ group, placements }: PlannedStart): MarkedRun[] {
@@ -57,12 +76,18 @@
     return placements.map(({ task, workerId }) => ({ group, task, run: task.run, workerId }));
   }
 
-  async function startTask({ group, task, run, workerId }: MarkedRun): Promise<void> {
+  async function startTask(
+    { group, task, run, workerId }: MarkedRun,
+    shownMs: number,
+  ): Promise<void> {
     // Given up while it was being stored; a later run has a start of its own.
     if (task.run !== run) return;
     const link = context.fleet.find(workerId);
     const isWanted = (): boolean =>
-      !context.isStopped() && task.run === run && task.phase === TaskPhase.Starting;
+      !context.isStopped() &&
+      task.run === run &&
+      task.phase === TaskPhase.Starting &&
+      clock.getNowMs() - shownMs <= maxStateAgeMs;
     const isCancelled = isFinal(life.findJob(group)?.state ?? JobState.Cancelled);
     if (link === undefined || isCancelled || !isWanted()) {
       if (isOccupying(task)) life.dropRun({ group, task });
