--- a/packages/dispatch/tests/fakeworkers.ts
+++ b/packages/dispatch/tests/fakeworkers.ts
@@ -214,7 +214,12 @@
   ): Promise<Result<WorkerReport, Fault>> {
     const worker = this.workers.get(address.id);
     const endMs = this.process.getNowMs() + request.waitMs;
+    const life = worker?.bornAtMs;
     for (;;) {
+      // The connection ends with the life that took the call.
+      if (worker?.bornAtMs !== life) {
+        return Err(createFault(FaultCode.WorkerUnavailable, 'connection reset'));
+      }
       if (worker === undefined || worker.isCut) {
         await waitFor(this.process, lostAnswerMs);
         return Err(createFault(FaultCode.WorkerUnavailable, 'no answer'));
