Send no start to a worker that began to drain meanwhile

Callers saw: while the store is slow, a task begins on a worker up to eleven seconds after the worker said that it drains, and is lost with it.

Cause: a worker that drains is left out when starts are planned. The order was sent once all starts of the plan were stored, and repeated for 2 s, without a look at the worker's entry, though the owner's copy showed it by then.

Change: the entry is looked at right before each copy of a start. A start that is not sent any more goes back to the plan.

Ruled out: a condition on the worker's row in the commit. It is in another part of the store, which doubles the time of each transaction, and its version changes with heartbeats. An entry that the copy does not show yet is not seen by this change either; nothing bounds the age of the list of workers.

The link that the starter's test fakes gets an entry; assertions unchanged.

--- a/packages/dispatch/src/starter.ts
+++ b/packages/dispatch/src/starter.ts
@@ -87,6 +87,7 @@
       !context.isStopped() &&
       task.run === run &&
       task.phase === TaskPhase.Starting &&
+      link?.getEntry().isDraining === false &&
       clock.getNowMs() - shownMs <= maxStateAgeMs;
     const isCancelled = isFinal(life.findJob(group)?.state ?? JobState.Cancelled);
     if (link === undefined || isCancelled || !isWanted()) {
--- /dev/null
+++ b/packages/dispatch/tests/draining.test.ts
@@ -0,0 +1,57 @@
+import { test } from 'node:test';
+import type { RowValue } from '@bergamotreach/hosting';
+import { expect } from 'earl';
+import { createWorld } from './world.ts';
+import type { World } from './world.ts';
+
+const startUpMs = 1000;
+const settleMs = 20_000;
+/** Bound of the users' deployments on starts after a worker said that it drains. */
+const drainMs = 2500;
+
+/** Runs that began on a worker later than a time. */
+function listBegunAfter(world: World, id: string, afterMs: number): string[] {
+  return world
+    .listBegun()
+    .filter(({ worker, atMs }) => worker === id && atMs > afterMs)
+    .map(({ task, atMs }) => `${task} at ${String(atMs)}`);
+}
+
+/** Writes that a worker drains, as the worker does itself. */
+function setDraining(world: World, id: string): void {
+  const key = `servers/${id}`;
+  const entry = world.store.rows.get(key)?.value as Record<string, RowValue>;
+  const value = { ...entry, isDraining: true, drainRemainingMs: settleMs };
+  world.store.apply({ operationId: 'drain', conditions: [], writes: [{ key, value }] }, id, 0);
+}
+
+// Guards against a start on a worker that began to drain while the starts of its plan were stored.
+test('start is not sent to a worker that drains meanwhile', async () => {
+  const world = createWorld(30);
+  world.addContender('a');
+  await world.clock.advance(startUpMs);
+  for (let job = 0; job < 110; job += 1) world.submit(`j${job}`, [{ taskCount: 1 }]);
+  world.store.latencyMs = 1400;
+  await world.clock.advance(100);
+  const drainedMs = world.clock.getNowMs();
+  setDraining(world, 'w0');
+  await world.clock.advance(settleMs);
+  expect(world.listBegun().length > 0).toEqual(true);
+  expect(listBegunAfter(world, 'w0', drainedMs + drainMs)).toEqual([]);
+});
+
+// Guards against an order without an answer that is repeated after its worker began to drain.
+test('start is not repeated on a worker that drains meanwhile', async () => {
+  const world = createWorld(1);
+  world.addContender('a');
+  await world.clock.advance(startUpMs);
+  const worker = world.workers.get('w0')!;
+  worker.isCut = true;
+  world.submit('j1', [{ taskCount: 2 }]);
+  await world.clock.advance(100);
+  setDraining(world, 'w0');
+  await world.clock.advance(1500);
+  worker.isCut = false;
+  await world.clock.advance(settleMs);
+  expect(listBegunAfter(world, 'w0', startUpMs)).toEqual([]);
+});
--- a/packages/dispatch/tests/starter.test.ts
+++ b/packages/dispatch/tests/starter.test.ts
@@ -23,7 +23,7 @@
   const sent: number[] = [];
   let drops = 0;
   const clock = createManualClock();
-  const link = { id: 'w1', hurry: () => undefined };
+  const link = { id: 'w1', hurry: () => undefined, getEntry: () => ({ isDraining: false }) };
   const result = {
     fate: StartFate.Started,
     reason: RefusalReason.None,
