Number the rows of the tests' store with one counter

The stand-in of the store counted the versions of each row for itself, and its feed gave the number of changes as position. The platform has one counter for all rows, and mirrors compare versions with positions: a mirror that was loaded late took new rows for deleted ones and dropped them. An owner of the tests then missed a cancel and started the job.

Change: each commit has the next number, which its rows carry, and the position of a feed is the number of the last commit that it showed. writeConfig of slowstore.test.ts takes the version of the row as its condition instead of a fixed one, which no longer holds; what the test expects is unchanged.

--- a/packages/dispatch/tests/slowstore.test.ts
+++ b/packages/dispatch/tests/slowstore.test.ts
@@ -103,7 +103,7 @@
   const accounts = [{ name: 'a1', keys, guaranteedAccelerators: 0 }];
   const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
   const config = { version, queues: [{ ...queue, isPublic: false }], accounts, limits };
-  const conditions = [{ key, version: version - 1 }];
+  const conditions = [{ key, version: world.store.rows.get(key)?.version ?? 0 }];
   world.store.apply({ operationId: 'x', conditions, writes: [{ key, value: config }] }, 't', 0);
 }
 
--- a/packages/dispatch/tests/world.ts
+++ b/packages/dispatch/tests/world.ts
@@ -46,8 +46,7 @@
     super();
     state.listeners.push((commit) => {
       for (const { key, value } of commit.writes) {
-        const version = state.rows.get(key)?.version ?? Infinity;
-        this.changes.push({ key, version, value, atMs: commit.atMs });
+        this.changes.push({ key, version: state.version, value, atMs: commit.atMs });
       }
     });
   }
@@ -59,7 +58,7 @@
         return this.createItem(key, row?.version ?? 0, row?.value ?? null);
       }),
       isSnapshot: true,
-      position: this.changes.length,
+      position: this.state.version,
     }));
   }
 
@@ -72,13 +71,13 @@
         this.createItem(key, version, value),
       ),
       isSnapshot: false,
-      position: position + this.listShown(position).length,
+      position: this.listShown(position).at(-1)?.version ?? position,
     }));
   }
 
   private listShown(position: number): Change[] {
     const untilMs = this.process.getNowMs() - this.delayMs;
-    return this.changes.slice(position).filter(({ atMs }) => atMs <= untilMs);
+    return this.changes.filter(({ version, atMs }) => version > position && atMs <= untilMs);
   }
 
   private listNewest(position: number): Change[] {
--- a/packages/ownership/tests/faketable.ts
+++ b/packages/ownership/tests/faketable.ts
@@ -32,6 +32,8 @@
 /** Rows and faults that the tables of all processes share. */
 export class TableState {
   readonly rows = new Map<string, Row>();
+  /** Version of the latest commit. */
+  version = 0;
   readonly accepted: AcceptedCommit[] = [];
   readonly listeners: ((commit: AcceptedCommit) => void)[] = [];
   fault = TableFault.None;
@@ -56,8 +58,10 @@
     if (conflicts.length > 0 && !this.ignoresConditions)
       return { status: CommitStatus.Conflict, conflicts };
     const versions: Record<string, number> = {};
+    // One counter serves all rows, so that a feed's position can be compared with their versions.
+    this.version += 1;
+    const { version } = this;
     for (const { key, value } of commit.writes) {
-      const version = (this.rows.get(key)?.version ?? 0) + 1;
       if (value === null) this.rows.delete(key);
       else {
         const copy = structuredClone(value);
