Test that no task begins of a cancelled or refused job under random faults

No task may begin 3 s after a DELETE of its job was answered (also 410: no job found), nor when all submissions were refused.

--- a/packages/dispatch/tests/wantedstarts.test.ts
+++ b/packages/dispatch/tests/wantedstarts.test.ts
@@ -1,4 +1,5 @@
 import { test } from 'node:test';
+import { FaultCode } from '@bergamotreach/protocol';
 import { JobState, formatGroupName, parseTaskName } from '@bergamotreach/scheduling';
 import { expect } from 'earl';
 import fc from 'fast-check';
@@ -198,6 +199,126 @@
 });
 
 const deadlineMs = 3000;
+const cancelMs = 3000;
+const callerJobs = 3;
+
+enum Call {
+  Submit = 'submit',
+  Cancel = 'cancel',
+  KillInstance = 'kill_instance',
+  KillOwner = 'kill_owner',
+  StoreFault = 'store_fault',
+  SlowStore = 'slow_store',
+}
+
+interface CallerAction {
+  call: Call;
+  /** Picks a job, an instance, an owner or a fault. */
+  target: number;
+  forMs: number;
+  gapMs: number;
+}
+
+const callerActions = fc.array(
+  fc.record({
+    call: fc.constantFrom(...Object.values(Call), Call.Submit, Call.Submit, Call.Cancel),
+    target: fc.nat(11),
+    forMs: fc.integer({ min: 100, max: 3500 }),
+    gapMs: fc.integer({ min: 0, max: 800 }),
+  }),
+  { minLength: 4, maxLength: 16 },
+);
+
+/** Plays calls of callers; resolves with what is wrong with the tasks that began, in words. */
+async function runCalls(list: readonly CallerAction[]): Promise<string[]> {
+  const world = createWorld(3, 3000);
+  let owners = [world.addContender('one'), world.addContender('two')];
+  let services = ['s1', 's2', 's3'].map((id) => addService(world, id));
+  let added = 0;
+  const cancelledMs = new Map<string, number>();
+  /** How the submissions of each job ended; open ones have no end yet. */
+  const ends = new Map<string, string[]>();
+  await world.clock.advance(2500);
+
+  function submitJob(jobs: JobService, id: string): void {
+    const own = ends.get(id) ?? [];
+    ends.set(id, own);
+    const index = own.push('open') - 1;
+    const job = createRequest(id);
+    void jobs.submit(admission, job, deadlineMs).then((result) => {
+      own[index] = result.isOk() ? 'accepted' : result.error.code;
+    });
+  }
+
+  function cancelJob(jobs: JobService, id: string): void {
+    void jobs.cancel(admission, id, deadlineMs).then((result) => {
+      if (result.isOk() && !cancelledMs.has(id)) cancelledMs.set(id, world.clock.getNowMs());
+    });
+  }
+
+  function apply({ call, target, forMs }: CallerAction): void {
+    const id = `j${target % callerJobs}`;
+    const service = services[target % services.length];
+    const owner = owners[target % owners.length];
+    if (service === undefined || owner === undefined) return;
+    const faults = Object.values(TableFault);
+    switch (call) {
+      case Call.Submit:
+        submitJob(service.jobs, id);
+        break;
+      case Call.Cancel:
+        cancelJob(service.jobs, id);
+        break;
+      case Call.KillInstance:
+        service.process.kill();
+        services = services.filter((one) => one !== service);
+        services.push(addService(world, `next${(added += 1)}`));
+        break;
+      case Call.KillOwner:
+        owner.process.kill();
+        owners = owners.filter((one) => one !== owner);
+        owners.push(world.addContender(`next${(added += 1)}`));
+        break;
+      case Call.StoreFault:
+        world.store.fault = faults[target % faults.length] ?? TableFault.None;
+        world.store.lateMs = forMs;
+        world.clock.setTimer(forMs, () => {
+          world.store.fault = TableFault.None;
+        });
+        break;
+      case Call.SlowStore:
+        world.store.latencyMs = target * 60;
+        world.clock.setTimer(forMs, () => {
+          world.store.latencyMs = 0;
+        });
+    }
+  }
+
+  for (const action of list) {
+    apply(action);
+    await world.clock.advance(action.gapMs);
+  }
+  await world.clock.advance(12_000);
+  const faults: string[] = [];
+  for (const { task, atMs } of world.listBegun()) {
+    const id = String(parseTaskName(task)?.jobId);
+    const lateMs = atMs - (cancelledMs.get(id) ?? Infinity);
+    if (lateMs > cancelMs) faults.push(`${task} began ${lateMs} ms after the cancel`);
+    const isRefused = ends.get(id)?.every((end) => end === (FaultCode.StoreUnavailable as string));
+    if (isRefused !== false) faults.push(`${task} began and was not accepted`);
+  }
+  return faults;
+}
+
+// Guards against tasks of a job that was cancelled, by 2xx or 410, or whose submissions were all refused.
+test('no task begins of a cancelled or refused job', async () => {
+  await fc.assert(
+    fc.asyncProperty(callerActions, async (list) => {
+      expect(await runCalls(list)).toEqual([]);
+    }),
+    { seed, numRuns: 30 },
+  );
+});
 
 function createRequest(id: string, payload = 'x'): JobRequest {
   return { id, payload, steps: [createStep()] };
