Count the age of a worker's entry from changes that were seen

Callers saw: a task of a non-idempotent job may run twice at once (TWICE).

Cause: a draining worker whose entry goes within 2.5 heartbeats of its last change is taken for left, so its runs start elsewhere at once. A new owner took its own first look at the list for a change. With a worker that was cut off before the takeover, the entry that expired 1 s after it counted as fresh.

Evidence: 'new owner does not take a silent draining worker for left' ended with 'j1.0.0.0 runs as 1 on w0 and as 2 on w1'; it passes now.

Price: tasks of a worker that leaves right after a takeover, before its next heartbeat was seen, wait for its lease. A gap in the feed can still make an old entry look fresh; not tried, listed as open.

--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -43,6 +43,7 @@
 export function createFleet(options: FleetOptions): Fleet {
   const { clock, logger, runner } = options;
   const links = new Map<string, WorkerLink>();
+  /** Times of changes that were seen to happen; the first look tells nothing of an entry's age. */
   const updatedMs = new Map<string, number>();
   /** Lives of each worker that this owner has seen. */
   const lives = new Map<string, number>();
@@ -137,9 +138,12 @@
         if (link !== undefined) handleGone(link);
         return;
       }
+      if (link === undefined) {
+        openLink(entry);
+        return;
+      }
       updatedMs.set(id, clock.getNowMs());
-      if (link === undefined) openLink(entry);
-      else updateLink(link, entry);
+      updateLink(link, entry);
     },
   });
 
--- a/packages/dispatch/tests/draining.test.ts
+++ b/packages/dispatch/tests/draining.test.ts
@@ -1,7 +1,7 @@
 import { test } from 'node:test';
 import type { RowValue } from '@bergamotreach/hosting';
 import { expect } from 'earl';
-import { createWorld } from './world.ts';
+import { createWorld, findDoubleRun } from './world.ts';
 import type { World } from './world.ts';
 
 const startUpMs = 1000;
@@ -55,3 +55,26 @@
   await world.clock.advance(settleMs);
   expect(listBegunAfter(world, 'w0', startUpMs)).toEqual([]);
 });
+
+// Guards against a second run of a task whose worker is taken for left, because a new owner counts the
+// age of its entry from its own first look at the list.
+test('new owner does not take a silent draining worker for left', async () => {
+  const world = createWorld(2, 60_000);
+  const former = world.addContender('a');
+  await world.clock.advance(startUpMs);
+  world.submit('j1', [{ taskCount: 1 }]);
+  await world.clock.advance(300);
+  const [{ worker: id } = { worker: '' }] = world.listBegun();
+  setDraining(world, id);
+  await world.clock.advance(500);
+  world.workers.get(id)!.isCut = true;
+  former.process.kill();
+  const next = world.addContender('b');
+  while (next.getOwner() === undefined) await world.clock.advance(100);
+  await world.clock.advance(1000);
+  world.unlistWorker(id);
+  for (let step = 0; step < 200; step += 1) {
+    await world.clock.advance(100);
+    expect(findDoubleRun(world)).toEqual(undefined);
+  }
+});
