--- a/packages/dispatch/src/instance.ts
+++ b/packages/dispatch/src/instance.ts
@@ -118,7 +118,7 @@
 const calmWatchMs = 1800;
 /** The list of instances changes rarely, and an old one costs a relayed call one more peer. */
 const instanceWaitMs = 10_000;
-/** A transaction of the users' store holds so many writes and conditions. */
+/** Writes and conditions that one transaction of the users' store takes. */
 const maxCommitEntries = 100;
 /** An owner sees cancels within this time. */
 const ownerPauseMs = 60;
--- a/packages/dispatch/src/joblife.ts
+++ b/packages/dispatch/src/joblife.ts
@@ -20,7 +20,7 @@
   findJob(group: TaskGroup): LiveJob | undefined;
   /** Plans to store the progress of a group. */
   writeGroup(group: TaskGroup): void;
-  /** Plans to store runs that are to be started, unless the job was cancelled meanwhile. */
+  /** Plans to store runs that are to be started, on condition that the job's state is unchanged. */
   writeStarts(group: TaskGroup): void;
   /** Plans to store the state of a job. */
   writeState(job: LiveJob): void;
@@ -51,7 +51,7 @@
     journal.write(getProgressKey(group.key), encodeRow(encodeGroup(group)));
   }
 
-  /** The copy of the states may lag behind a cancel, so the store checks the state it was planned on. */
+  /** The copy of the states may lag behind a cancel, so the store checks the state that a plan was made on. */
   function writeStarts(group: TaskGroup): void {
     const stateKey = getStateKey(group.job.id);
     journal.write(getProgressKey(group.key), encodeRow(encodeGroup(group)), stateKey);
--- a/packages/dispatch/src/journal.ts
+++ b/packages/dispatch/src/journal.ts
@@ -16,9 +16,9 @@
   getEpochCondition: () => RowCondition | undefined;
   /** Called when another owner has taken over. */
   onFenced: () => void;
-  /** Whether the value that somebody else gave a row stands against this owner's writes for good. */
+  /** Whether a stored value overrules this owner: it stays, whatever the owner wanted to write. */
   isOverruled: (key: string, value: RowValue) => boolean;
-  /** Called with such a value when a write met it in the store. */
+  /** Called with such a value when it was found in the store. */
   onOverruled: (key: string, value: RowValue) => void;
 }
 
@@ -27,16 +27,17 @@
   /** Tells the version of a row that was read; rows never mentioned are absent. */
   noteVersion(key: string, version: number): void;
   /**
-   * Plans to write a row. With `guardKey` the write is stored only while that row is as this owner
-   * knows it; a value of it that stands against this owner is told first.
+   * Plans to write a row. With `guardKey` the transaction also requires the version of that other row
+   * which this owner knows, so that nothing is stored on the ground of an old copy of it. A guard that
+   * was overruled is told and no longer required.
    */
   write(key: string, value: RowValue, guardKey?: string): void;
-  /** Reads a row; a value of it that stands against this owner is told before this resolves. */
+  /** Reads a row; if it is overruled, that is told before this resolves. */
   checkRow(key: string): Promise<void>;
   /** Resolves with true once all writes planned so far are stored, with false when they never are. */
   flush(): Promise<boolean>;
   countPending(): number;
-  /** Writes a row no more: the value that somebody else gave it stands. */
+  /** Writes a row no more: it is overruled. */
   releaseRow(key: string): void;
   close(): void;
 }
@@ -52,11 +53,14 @@
   guardKey: string | undefined;
 }
 
-/** A transaction of the store holds 100 entries; the rest is left to writes of the instance itself. */
+/**
+ * Writes and conditions of one batch, beside the condition on the epoch. A transaction of the store takes
+ * 100; the rest is for cancels and acceptances that this instance commits at the same time.
+ */
 const maxBatchEntries = 90;
 const retryMs = 100;
 
-/** The latest value wins; it contains what the older one had to be guarded for. */
+/** The latest value wins. It includes what the older one was guarded for, so the guard stays. */
 function mergeWrites(older: PendingWrite, newer: PendingWrite): PendingWrite {
   const { sequence } = older;
   return { value: newer.value, sequence, guardKey: newer.guardKey ?? older.guardKey };
@@ -66,8 +70,8 @@
 export function createJournal(options: JournalOptions): Journal {
   const { table, committer, clock, logger, metrics } = options;
   const versions = new Map<string, number>();
-  /** Rows whose value by somebody else stands. */
-  const released = new Set<string>();
+  /** Rows that are not written any more. */
+  const overruled = new Set<string>();
   const pending = new Map<string, PendingWrite>();
   let inFlight = new Map<string, PendingWrite>();
   let waiters: Waiter[] = [];
@@ -99,15 +103,15 @@
 
   /** Puts a write back unless a newer value of the row is waiting. */
   function putBack(key: string, write: PendingWrite): void {
-    if (released.has(key)) return;
+    if (overruled.has(key)) return;
     const newer = pending.get(key);
     pending.set(key, newer === undefined ? write : mergeWrites(write, newer));
   }
 
-  /** Rows that guard a batch, beside those that it writes. */
+  /** Rows that guard a batch. Those that it writes have a condition of their own. */
   function listGuards(batch: ReadonlyMap<string, PendingWrite>): string[] {
     const guards = [...batch.values()].flatMap(({ guardKey }) => guardKey ?? []);
-    return [...new Set(guards)].filter((key) => !batch.has(key) && !released.has(key));
+    return [...new Set(guards)].filter((key) => !batch.has(key) && !overruled.has(key));
   }
 
   async function commitBatch(): Promise<void> {
@@ -187,25 +191,25 @@
     if (isClosed) return;
     versions.set(key, row?.version ?? 0);
     if (row !== undefined && JSON.stringify(row.value) === JSON.stringify(write.value)) return;
-    if (row === undefined || !noteForeign(row, write)) putBack(key, write);
+    if (row === undefined || !noteStored(row, write)) putBack(key, write);
   }
 
   async function resolveGuard(key: string): Promise<void> {
     const row = await readRow(key);
     if (isClosed) return;
     versions.set(key, row?.version ?? 0);
-    if (row !== undefined) noteForeign(row);
+    if (row !== undefined) noteStored(row);
   }
 
   /** Leaves the known version alone, because a commit of the row may be under way. */
   async function checkRow(key: string): Promise<void> {
-    if (released.has(key)) return;
+    if (overruled.has(key)) return;
     const row = await readRow(key);
-    if (row !== undefined && !isClosed) noteForeign(row);
+    if (row !== undefined && !isClosed) noteStored(row);
   }
 
-  /** Takes note of a value by somebody else; false when this owner may write over it. */
-  function noteForeign({ key, version, value }: Row, dropped?: PendingWrite): boolean {
+  /** Tells a value that overrules this owner; false when the row may be written over. */
+  function noteStored({ key, version, value }: Row, dropped?: PendingWrite): boolean {
     if (!options.isOverruled(key, value)) return false;
     logger.info('journal_overruled', { key, version, dropped: JSON.stringify(dropped?.value) });
     releaseRow(key);
@@ -214,7 +218,7 @@
   }
 
   function releaseRow(key: string): void {
-    released.add(key);
+    overruled.add(key);
     pending.delete(key);
     settleWaiters();
   }
@@ -244,7 +248,7 @@
       versions.set(key, version);
     },
     write(key, value, guardKey) {
-      if (isClosed || released.has(key)) return;
+      if (isClosed || overruled.has(key)) return;
       sequence += 1;
       const older = pending.get(key);
       const write = { value, sequence, guardKey };
--- a/packages/dispatch/tests/cancels.test.ts
+++ b/packages/dispatch/tests/cancels.test.ts
@@ -5,7 +5,7 @@
 import type { World } from './world.ts';
 
 const startUpMs = 1000;
-/** Bound of the users' deployments on starts after an acknowledged cancel. */
+/** Bound on starts after an acknowledged cancel: that of the users' small deployments, the strictest. */
 const cancelMs = 3000;
 /** Bound on the time that a stop may take. */
 const stopMs = 900;
--- a/packages/dispatch/tests/journal.test.ts
+++ b/packages/dispatch/tests/journal.test.ts
@@ -11,7 +11,7 @@
 const committed: TransactionReply = { status: TransactionStatus.Committed, versions: {} };
 const refused: TransactionReply = { status: TransactionStatus.Unavailable, message: 'busy' };
 
-interface Bench {
+interface Setup {
   journal: Journal;
   sent: Transaction[];
   /** Replies in order; each write is committed as version 1 after the last. */
@@ -19,7 +19,7 @@
   advance: (durationMs: number) => Promise<void>;
 }
 
-function createBench(): Bench {
+function createSetup(): Setup {
   const clock = createManualClock();
   const sent: Transaction[] = [];
   const replies: TransactionReply[] = [];
@@ -43,7 +43,7 @@
 
 // Guards against a batch that the store refuses for its size again and again.
 test('guarded writes are split into transactions that the store takes', async () => {
-  const { journal, sent, advance } = createBench();
+  const { journal, sent, advance } = createSetup();
   for (let job = 0; job < 100; job += 1) journal.write(`progress/${job}`, 'x', `state/${job}`);
   void journal.flush();
   await advance(100);
@@ -54,7 +54,7 @@
 
 // Guards against a start that is stored without its condition after the store refused it once.
 test('a write that is sent again keeps its guard', async () => {
-  const { journal, sent, replies, advance } = createBench();
+  const { journal, sent, replies, advance } = createSetup();
   journal.noteVersion('state/j', 5);
   journal.write('progress/j', 'start', 'state/j');
   replies.push(refused);
--- a/packages/ownership/src/committer.ts
+++ b/packages/ownership/src/committer.ts
@@ -31,7 +31,7 @@
   maxQueued?: number;
   /** Largest number of writes in one table commit. */
   maxWrites?: number;
-  /** Largest number of writes and conditions in one table commit; without a bound when absent. */
+  /** Largest number of writes and conditions together in one table commit; not bounded when absent. */
   maxEntries?: number;
   /** Longest wait in the queue before a transaction is given up. */
   maxQueueMs?: number;
