Restart a worker of the tests right before a start arrives

'start that a new life took is not repeated' failed on (state queued instead of completed). The test restarted the worker and relied on the start being sent before the owner's report call noticed.

The worker now restarts when the start arrives, which is what the test is about; its assertions are unchanged. It fails when no run is held after a restart.

--- a/packages/dispatch/tests/fakeworkers.ts
+++ b/packages/dispatch/tests/fakeworkers.ts
@@ -53,6 +53,8 @@
   lostStops = 0;
   /** So many of the next stops are refused, as by an unhealthy worker. */
   refusedStops = 0;
+  /** Restarts right before the next start arrives. */
+  restartsAtStart = false;
   /** Starts that did not fit. */
   overloads = 0;
   /** How tasks end here. */
@@ -192,6 +194,11 @@
 
   start(address: WorkerAddress, order: StartOrder): Promise<OrderReply> {
     this.starts.push(order);
+    const addressed = this.workers.get(address.id);
+    if (addressed?.restartsAtStart === true) {
+      addressed.restartsAtStart = false;
+      addressed.restart();
+    }
     return this.sendOrder(address, (worker) => worker.start(order));
   }
 
--- a/packages/dispatch/tests/owner.test.ts
+++ b/packages/dispatch/tests/owner.test.ts
@@ -243,7 +243,7 @@
   const world = createWorld(1);
   world.addContender('a');
   await advance(world, startUpMs);
-  getWorker(world, 'w0').restart();
+  getWorker(world, 'w0').restartsAtStart = true;
   world.submit('j1', [{}]);
   await advance(world, 6000);
   expect(world.getState('j1')).toEqual(JobState.Completed);
