Send each start as soon as its own commit is known

Cause: since starts that were stored slowly waited until the state of each of their jobs was read again, all at once. An instance has 16 connections to the store, which its feeds and the renewals of its lease share.

Change: nothing is read. The starts of a group wait for the commit of their own row only, and are sent within 2.5 s of the time at which that commit was sent, when the condition on the job's state was true or later. A start that is too old by then goes back to the plan.

Tests of dispatch, ownership and the log reference: 123 passed, 0 failed.

--- a/packages/dispatch/src/journal.ts
+++ b/packages/dispatch/src/journal.ts
@@ -32,10 +32,13 @@
    * was overruled is told and no longer required.
    */
   write(key: string, value: RowValue, guardKey?: string): void;
-  /** Reads a row; if it is overruled, that is told before this resolves. */
-  checkRow(key: string): Promise<void>;
   /** Resolves with true once all writes planned so far are stored, with false when they never are. */
   flush(): Promise<boolean>;
+  /**
+   * Resolves once the planned write of a row is stored, with the time at which its commit was sent: what
+   * guards it was true then or later. Resolves with `undefined` when it never is.
+   */
+  flushRow(key: string): Promise<number | undefined>;
   countPending(): number;
   /** Writes a row no more: it is overruled. */
   releaseRow(key: string): void;
@@ -43,6 +46,8 @@
 }
 
 interface Waiter {
+  /** Row that is waited for; absent for all rows. */
+  key?: string;
   sequence: number;
   resolve: (isStored: boolean) => void;
 }
@@ -73,6 +78,8 @@
   /** Rows that are not written any more. */
   const overruled = new Set<string>();
   const pending = new Map<string, PendingWrite>();
+  /** Times at which the latest commits of rows were sent. */
+  const sentMs = new Map<string, number>();
   let inFlight = new Map<string, PendingWrite>();
   let waiters: Waiter[] = [];
   let sequence = 0;
@@ -83,8 +90,12 @@
     let oldest = Infinity;
     for (const write of pending.values()) oldest = Math.min(oldest, write.sequence);
     for (const write of inFlight.values()) oldest = Math.min(oldest, write.sequence);
-    const ready = waiters.filter((waiter) => waiter.sequence < oldest);
-    waiters = waiters.filter((waiter) => waiter.sequence >= oldest);
+    const isOpen = ({ key, sequence: last }: Waiter): boolean =>
+      key === undefined
+        ? oldest <= last
+        : [pending, inFlight].some((writes) => (writes.get(key)?.sequence ?? Infinity) <= last);
+    const ready = waiters.filter((waiter) => !isOpen(waiter));
+    waiters = waiters.filter(isOpen);
     for (const waiter of ready) waiter.resolve(true);
   }
 
@@ -124,6 +135,7 @@
     const batch = inFlight;
     const keys = [...batch.keys(), ...listGuards(batch)];
     const startedMs = clock.getNowMs();
+    for (const key of batch.keys()) sentMs.set(key, startedMs);
     const reply = await committer.submit({
       conditions: [epoch, ...keys.map((key) => ({ key, version: versions.get(key) ?? 0 }))],
       writes: [...batch].map(([key, { value }]) => ({ key, value })),
@@ -201,13 +213,6 @@
     if (row !== undefined) noteStored(row);
   }
 
-  /** Leaves the known version alone, because a commit of the row may be under way. */
-  async function checkRow(key: string): Promise<void> {
-    if (overruled.has(key)) return;
-    const row = await readRow(key);
-    if (row !== undefined && !isClosed) noteStored(row);
-  }
-
   /** Tells a value that overrules this owner; false when the row may be written over. */
   function noteStored({ key, version, value }: Row, dropped?: PendingWrite): boolean {
     if (!options.isOverruled(key, value)) return false;
@@ -262,7 +267,17 @@
         void pump();
       });
     },
-    checkRow,
+    flushRow(key) {
+      if (isClosed) return Promise.resolve(undefined);
+      if (!pending.has(key) && !inFlight.has(key)) return Promise.resolve(sentMs.get(key));
+      return new Promise((resolve) => {
+        const settle = (isStored: boolean): void => {
+          resolve(isStored ? sentMs.get(key) : undefined);
+        };
+        waiters.push({ key, sequence, resolve: settle });
+        void pump();
+      });
+    },
     releaseRow,
     countPending: () => pending.size + inFlight.size,
     close,
--- a/packages/dispatch/src/starter.ts
+++ b/packages/dispatch/src/starter.ts
@@ -1,8 +1,8 @@
 import { runContained } from '@bergamotreach/protocol';
 import { JobState, TaskPhase, getLatestRun, isFinal, isOccupying } from '@bergamotreach/scheduling';
-import type { PlacedTask, PlannedStart, Task } from '@bergamotreach/scheduling';
+import type { PlacedTask, PlannedStart, Task, TaskGroup } from '@bergamotreach/scheduling';
 import type { JobLife } from './joblife.ts';
-import { getStateKey } from './jobrows.ts';
+import { getProgressKey } from './jobrows.ts';
 import { StartFate } from './orders.ts';
 import type { StartResult } from './orders.ts';
 import { getTaskName } from './ownercontext.ts';
@@ -22,8 +22,6 @@
   workerId: string;
 }
 
-/** Starts that took longer to be stored are sent only after their jobs' states were read again. */
-const freshStateMs = 1000;
 /** Age of the known state up to which a start is sent; the users bound starts after a cancel at 3 s. */
 const maxStateAgeMs = 2500;
 /** How long a worker that refused a start for want of room gets no further one. */
@@ -37,24 +35,15 @@
 
   /** Stores the runs before they are started, so that any later owner knows where to look. */
   async function startAll(starts: readonly PlannedStart[]): Promise<void> {
-    const plannedMs = clock.getNowMs();
-    const marked = starts.flatMap((start) => markStart(start));
-    const isStored = await journal.flush();
-    if (!isStored) return;
-    const shownMs = await checkStates(starts, plannedMs);
-    for (const one of marked) void runContained(logger, 'start', () => startTask(one, shownMs));
+    const marked = starts.map((start) => ({ group: start.group, runs: markStart(start) }));
+    await Promise.all(marked.map(({ group, runs }) => startStored(group, runs)));
   }
 
-  /**
-   * A commit may have taken effect long before its answer or before the commits that followed it, and a
-   * cancel may have come in between. Returns the time for which the states are known.
-   */
-  async function checkStates(starts: readonly PlannedStart[], plannedMs: number): Promise<number> {
-    const nowMs = clock.getNowMs();
-    if (nowMs - plannedMs <= freshStateMs) return plannedMs;
-    const jobIds = new Set(starts.map(({ group }) => group.job.id));
-    await Promise.all([...jobIds].map((jobId) => journal.checkRow(getStateKey(jobId))));
-    return nowMs;
+  /** Does not wait for the other commits of a plan: a cancel could come meanwhile. */
+  async function startStored(group: TaskGroup, runs: readonly MarkedRun[]): Promise<void> {
+    const shownMs = await journal.flushRow(getProgressKey(group.key));
+    if (shownMs === undefined) return;
+    for (const one of runs) void runContained(logger, 'start', () => startTask(one, shownMs));
   }
 
   function markStart({ group, placements }: PlannedStart): MarkedRun[] {
--- a/packages/dispatch/tests/starter.test.ts
+++ b/packages/dispatch/tests/starter.test.ts
@@ -19,7 +19,7 @@
 // Guards against a start that was given up while the store was away, and goes on afterwards with the
 // run that was planned in its place: the second of the two gave that run up while it worked.
 test('a start that was planned anew is sent once', async () => {
-  const flushes: ((isStored: boolean) => void)[] = [];
+  const flushes: ((sentMs: number) => void)[] = [];
   const sent: number[] = [];
   let drops = 0;
   const clock = createManualClock();
@@ -32,7 +32,7 @@
     hasLostCopy: false,
   };
   const context = {
-    journal: { flush: () => new Promise((resolve) => flushes.push(resolve)) },
+    journal: { flushRow: () => new Promise((resolve) => flushes.push(resolve)) },
     orders: {
       start(_link: unknown, name: RunName) {
         sent.push(name.run);
@@ -68,7 +68,7 @@
   void starter.startAll(starts);
   Object.assign(task, { phase: TaskPhase.Waiting });
   void starter.startAll(starts);
-  for (const resolve of flushes) resolve(true);
+  for (const resolve of flushes) resolve(0);
   await settlePromises();
   expect(sent).toEqual([2]);
   expect(drops).toEqual(0);
