Let the relay test's late peer answer after the refusal, not after 200 ms

Its late peer answered after 200 ms, and the relay gives a peer up after 450 ms, so 250 ms of delay on a busy machine ended it.

The late peer now answers once the refusal was sent. As strict: with a relay that does not wait for calls in progress the test fails.

--- a/packages/dispatch/tests/relay.test.ts
+++ b/packages/dispatch/tests/relay.test.ts
@@ -18,6 +18,7 @@
 const logger = createNullLogger();
 /** Ends a test whose answer does not come. */
 const maxAnswerMs = 5000;
+const refusalTravelMs = 30;
 const call: RelayCallMessage = {
   type: MessageType.RelayCall,
   operation: RelayOperation.Submit,
@@ -44,15 +45,32 @@
   });
 }
 
-/** A peer that accepts every call after a while. */
-async function startSlowPeer(delayMs: number): Promise<Server> {
-  const type = MessageType.RelayAnswer;
-  const answer = { type, faultCode: '', message: '', retryAfterMs: 0, value: 'done' } as const;
-  return startRelayListener({
+/** A peer that refuses every call, and one that accepts it after that refusal was sent. */
+async function startRefusingAndLatePeer(): Promise<{ refusing: Server; late: Server }> {
+  let noteRefusal: () => void = () => undefined;
+  const refused = new Promise<void>((resolve) => {
+    noteRefusal = resolve;
+  });
+  const answer = { type: MessageType.RelayAnswer, message: '', retryAfterMs: 0 } as const;
+  const refusing = await startRelayListener({
+    address: '127.0.0.1:0',
+    logger,
+    handle() {
+      noteRefusal();
+      return Promise.resolve({ ...answer, faultCode: FaultCode.Unauthorized, value: '' });
+    },
+  });
+  const late = await startRelayListener({
     address: '127.0.0.1:0',
     logger,
-    handle: () => wait(delayMs, answer),
+    handle: async () => {
+      await refused;
+      // The refusal arrives first.
+      await wait(refusalTravelMs);
+      return { ...answer, faultCode: '', value: 'done' };
+    },
   });
+  return { refusing, late };
 }
 
 /** A peer that takes calls and never answers. */
@@ -127,8 +145,8 @@
 // Guards against a caller that is told 401 for a job that another peer, with an older configuration,
 // accepts at the same time: the job would run although every attempt was refused.
 test('a refusal waits for the peers that may still accept', async () => {
-  const peers = [await startSlowPeer(200), await startPeer(FaultCode.Unauthorized)];
-  expect((await callPeers(peers))?.faultCode).toEqual('');
+  const { refusing, late } = await startRefusingAndLatePeer();
+  expect((await callPeers([late, refusing]))?.faultCode).toEqual('');
 });
 
 // Guards against a refusal that hides a call whose answer was lost.
