Show that an end on the way is lost when its worker leaves

The new test plays a report with an end that is on the way while the worker's entry goes: the owner closes the link, drops the answer and starts the task again.

--- a/packages/dispatch/tests/fakeworkers.ts
+++ b/packages/dispatch/tests/fakeworkers.ts
@@ -29,7 +29,7 @@
 const stopMs = 300;
 const lostAnswerMs = 350;
 /** A report takes time: an owner that is loading asks again at once while ends wait for it. */
-const reportMs = 4;
+const usualReportMs = 4;
 const none = RefusalReason.None;
 
 /** A worker: runs tasks, keeps its ends until they are acknowledged, kills all when its lease ends. */
@@ -53,6 +53,8 @@
   lostStops = 0;
   /** So many of the next stops are refused, as by an unhealthy worker. */
   refusedStops = 0;
+  /** Time that a report takes there and back. */
+  reportMs = usualReportMs;
   /** Restarts right before the next start arrives. */
   restartsAtStart = false;
   /** Starts that did not fit. */
@@ -233,7 +235,7 @@
         await waitFor(this.process, lostAnswerMs);
         return Err(createFault(FaultCode.WorkerUnavailable, 'no answer'));
       }
-      const report = await this.process.call(() => worker.report(request), reportMs);
+      const report = await this.process.call(() => worker.report(request), worker.reportMs);
       const isDue = this.process.getNowMs() >= endMs;
       if (report.isErr() || report.value.ends.length > 0 || isDue) return report;
       await waitFor(this.process, 50);
--- /dev/null
+++ b/packages/dispatch/tests/leaving.test.ts
@@ -0,0 +1,37 @@
+import { test } from 'node:test';
+import type { RowValue } from '@bergamotreach/hosting';
+import { expect } from 'earl';
+import { createWorld } from './world.ts';
+
+const startUpMs = 1000;
+const settleMs = 10_000;
+const slowReportMs = 300;
+
+// Guards against a task that is run again because its worker left the list while the report with its end
+// was on the way.
+test('end that is on the way when its worker leaves counts', async () => {
+  const world = createWorld(2);
+  world.addContender('a');
+  await world.clock.advance(startUpMs);
+  world.submit('j1', [{ taskCount: 1 }]);
+  await world.clock.advance(300);
+  const [{ worker: id } = { worker: '' }] = world.listBegun();
+  const worker = world.workers.get(id)!;
+  const key = `servers/${id}`;
+  const entry = world.store.rows.get(key)?.value as Record<string, RowValue>;
+  const value = { ...entry, isDraining: true, drainRemainingMs: settleMs };
+  world.store.apply({ operationId: 'drain', conditions: [], writes: [{ key, value }] }, id, 0);
+  worker.reportMs = slowReportMs;
+  const report = worker.report.bind(worker);
+  worker.report = (request) => {
+    const answer = report(request);
+    if (answer.isOk() && answer.value.ends.length > 0 && !worker.isCut) {
+      worker.isCut = true;
+      world.unlistWorker(id);
+    }
+    return answer;
+  };
+  await world.clock.advance(settleMs);
+  expect(worker.isCut).toEqual(true);
+  expect(world.listBegun().length).toEqual(1);
+});
