--- a/packages/dispatch/src/journal.ts
+++ b/packages/dispatch/src/journal.ts
@@ -60,7 +60,7 @@
 
 /**
  * Writes and conditions of one batch, beside the condition on the epoch. A transaction of the store takes
- * 100; the rest is for cancels and acceptances that this instance commits at the same time.
+ * 100; the rest is for cancels that this instance commits at the same time.
  */
 const maxBatchEntries = 90;
 const retryMs = 100;
