Keep the ends of a report in flight when a worker leaves

Cause: a draining worker that removed its entry lapsed at once.

Change: the link of a worker that has left lapses once the call in flight has ended, after the ends of its report have been applied. A worker that is listed again does not lapse.

--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -128,7 +128,7 @@
       link.getEntry().isDraining && sinceMs < maxWithdrawalHeartbeats * options.heartbeatMs;
     logger.info('worker_unlisted', { worker: link.id, hasLeft, sinceMs: Math.round(sinceMs) });
     link.setListed(false);
-    if (hasLeft) link.markLapsed(LapseCause.Left);
+    if (hasLeft) link.markLeft();
     else if (link.getState() === LinkState.Lapsed) closeLink(link);
   }
 
--- a/packages/dispatch/src/workerlink.ts
+++ b/packages/dispatch/src/workerlink.ts
@@ -1,5 +1,6 @@
 import { FaultCode, runContained, waitFor } from '@bergamotreach/protocol';
-import type { Clock, Logger, Metrics } from '@bergamotreach/protocol';
+import type { Clock, Fault, Logger, Metrics } from '@bergamotreach/protocol';
+import type { Result } from 'ts-results-es';
 import type { TaskRunner, WorkerReport } from './taskrunner.ts';
 import { createWorkerClock } from './workerclock.ts';
 import type { WorkerClock } from './workerclock.ts';
@@ -66,6 +67,11 @@
   getFencingToken(): number;
   /** Marks this incarnation as unable to run anything any more. */
   markLapsed(cause: LapseCause): void;
+  /**
+   * Marks the worker as gone. A report in flight may still deliver ends, so the incarnation lapses only
+   * once that call has ended.
+   */
+  markLeft(): void;
   /** Makes the next call return at once instead of waiting for a run to end. */
   requestReport(): void;
   start(): void;
@@ -109,6 +115,8 @@
   let confirmedSequence = 0;
   let answeredMs = clock.getNowMs();
   let isReportRequested = false;
+  let isCalling = false;
+  let hasLeft = false;
 
   function setState(next: LinkState, reason: string): void {
     if (state === next) return;
@@ -191,13 +199,29 @@
     const waitMs = canRenewLease && !isReportRequested && !isProbe ? reportWaitMs : 0;
     isReportRequested = false;
     if (leaseUntilMs !== undefined) workerClock.recordLease(leaseUntilMs);
-    const reply = await runner.report(entry, {
-      fencingToken,
-      ackedSequence,
-      waitMs,
-      ...(leaseUntilMs === undefined ? {} : { leaseUntilMs }),
-    });
+    isCalling = true;
+    const reply = await runner
+      .report(entry, {
+        fencingToken,
+        ackedSequence,
+        waitMs,
+        ...(leaseUntilMs === undefined ? {} : { leaseUntilMs }),
+      })
+      .finally(() => {
+        isCalling = false;
+      });
     if (!isRunning) return;
+    const handled = handleReply(reply, ackedSequence, isProbe);
+    // The ends of the report have been applied by now; only storing them may take longer.
+    if (hasLeft) markLapsed(LapseCause.Left);
+    await handled;
+  }
+
+  async function handleReply(
+    reply: Result<WorkerReport, Fault>,
+    ackedSequence: number,
+    isProbe: boolean,
+  ): Promise<void> {
     if (reply.isOk()) {
       confirmedSequence = Math.max(confirmedSequence, ackedSequence);
       if (checkIncarnation(reply.value) && !isProbe) await handleReport(reply.value);
@@ -238,11 +262,16 @@
     isListed: () => isListed,
     setListed(value) {
       isListed = value;
+      if (value) hasLeft = false;
     },
     getSilenceMs: () => clock.getNowMs() - answeredMs,
     getClock: () => workerClock,
     getFencingToken: () => fencingToken,
     markLapsed,
+    markLeft() {
+      hasLeft = true;
+      if (!isCalling) markLapsed(LapseCause.Left);
+    },
     requestReport() {
       isReportRequested = true;
     },
