Do not acknowledge ends of jobs that are not adopted yet

Cause: after a takeover, an end of a job that the owner's feed of jobs did not show yet was counted as handled and acknowledged, though nothing was stored. The job was then adopted with the run as started, its worker no longer listed it, and the task ran again. Ends that were reported before the jobs were loaded were dropped if their worker had left by then.

Change: an end of a job that has a state which is not final and that is not adopted stays unacknowledged, with a log line, for at most 15 s after the takeover. Deferred ends are applied also if the worker has lapsed.

--- a/packages/dispatch/src/runreports.ts
+++ b/packages/dispatch/src/runreports.ts
@@ -4,11 +4,13 @@
   TaskPhase,
   addResources,
   getCoreEquivalent,
+  isFinal,
   setCheckpoint,
   recordEnd,
   parseTaskName,
 } from '@bergamotreach/scheduling';
 import type { PlacedTask, Resources, TaskGroup } from '@bergamotreach/scheduling';
+import { waitFor } from '@bergamotreach/protocol';
 import type { HeldRuns } from './heldruns.ts';
 import type { JobLifecycle } from './joblifecycle.ts';
 import { getTaskName } from './ownercontext.ts';
@@ -27,6 +29,12 @@
 
 /** A run that this many consecutive reports do not list is gone. */
 const maxMissedReports = 2;
+/**
+ * How long after a takeover an end of a job that is not adopted stays unacknowledged: longer than the
+ * feed of jobs lags. Later, the row of such a job is unreadable.
+ */
+const maxUnknownJobMs = 15_000;
+const unknownJobRetryMs = 250;
 const msPerSecond = 1000;
 
 /** Creates the part of an owner that handles worker reports. */
@@ -40,27 +48,57 @@
 
   /** The latest report of each worker that arrived before the jobs were loaded. */
   const deferredReports = new Map<WorkerLink, WorkerReport>();
+  const createdMs = clock.getNowMs();
 
   async function handleReport(link: WorkerLink, report: WorkerReport): Promise<number> {
     if (!context.isLoaded()) {
       deferredReports.set(link, report);
       return 0;
     }
-    let lastSequence = 0;
-    let hasEnds = false;
-    for (const ended of [...report.ends].sort((a, b) => a.sequence - b.sequence)) {
-      lastSequence = Math.max(lastSequence, ended.sequence);
-      hasEnds = true;
-      handleEnd(link, ended);
-    }
+    const lastSequence = handleEnds(link, report);
     heldRuns.handleReport(link, report);
     checkRuns(link, report);
-    if (!hasEnds) return 0;
+    if (report.ends.length === 0) return 0;
     context.requestPlan();
     const isStored = await journal.flush();
+    // The worker lists ends that are not acknowledged again at once.
+    if (lastSequence === 0) await waitFor(clock, unknownJobRetryMs);
     return isStored ? lastSequence : 0;
   }
 
+  /** Applies the ends of a report; returns the number of the last one that may be acknowledged. */
+  function handleEnds(link: WorkerLink, { ends }: WorkerReport): number {
+    let lastSequence = 0;
+    let isComplete = true;
+    for (const ended of [...ends].sort((a, b) => a.sequence - b.sequence)) {
+      if (isOfUnknownJob(ended)) {
+        logger.warn('end_of_unknown_job', {
+          task: ended.task,
+          run: ended.run,
+          worker: link.id,
+          sequence: ended.sequence,
+        });
+        isComplete = false;
+        continue;
+      }
+      handleEnd(link, ended);
+      if (isComplete) lastSequence = ended.sequence;
+    }
+    return lastSequence;
+  }
+
+  /**
+   * Whether the job of an ended run has not ended and is not adopted yet. Acknowledging such an end
+   * would lose it, and the task would run again once the job is adopted.
+   */
+  function isOfUnknownJob({ task }: EndedRun): boolean {
+    const jobId = parseTaskName(task)?.jobId;
+    if (jobId === undefined || activeJobs.find(jobId) !== undefined) return false;
+    if (clock.getNowMs() - createdMs > maxUnknownJobMs) return false;
+    const state = context.options.states.find(jobId)?.state;
+    return state !== undefined && !isFinal(state);
+  }
+
   /**
    * Work lost with a run, in core-seconds; `undefined` if its run time is unknown or nothing is
    * lost.
@@ -185,6 +223,8 @@
       // Ended runs in these reports were not acknowledged, so the workers will report them again.
       for (const [link, report] of deferredReports) {
         if (link.getState() !== LinkState.Lapsed) void handleReport(link, report);
+        // Nothing runs there any more, but what had ended before the worker left stays ended.
+        else handleEnds(link, report);
       }
       deferredReports.clear();
     },
--- a/packages/dispatch/tests/world.ts
+++ b/packages/dispatch/tests/world.ts
@@ -17,6 +17,7 @@
 import type { Result } from 'ts-results-es';
 import { FakeProcess } from '../../ownership/tests/fakeprocess.ts';
 import { FakeTable, TableFault, TableState } from '../../ownership/tests/faketable.ts';
+import type { AcceptedCommit } from '../../ownership/tests/faketable.ts';
 import { createStep } from '../../scheduling/tests/samples.ts';
 import { createTableReplica, createStateRow } from '../src/index.ts';
 import type { JobRow, ServiceConfig, StateRow, WorkerEntry } from '../src/index.ts';
@@ -42,23 +43,30 @@
     private readonly prefix: string,
     /** How long changes take to show. */
     private readonly delayMs = 0,
+    /** Whether a snapshot, too, lacks rows that were added within `delayMs`. */
+    private readonly isSnapshotDelayed = false,
   ) {
     super();
+    for (const [index, commit] of state.accepted.entries()) this.addChanges(commit, index + 1);
     state.listeners.push((commit) => {
-      for (const { key, value } of commit.writes) {
-        this.changes.push({ key, version: state.version, value, atMs: commit.atMs });
-      }
+      this.addChanges(commit, state.version);
     });
   }
 
+  private addChanges({ writes, atMs }: AcceptedCommit, version: number): void {
+    for (const { key, value } of writes) this.changes.push({ key, version, value, atMs });
+  }
+
   load(): Promise<Result<FeedPage<T>, Fault>> {
     return this.answer(() => ({
-      items: this.state.listKeys(this.prefix).map((key) => {
+      items: this.listSnapshotKeys().map((key) => {
         const row = this.state.rows.get(key);
         return this.createItem(key, row?.version ?? 0, row?.value ?? null);
       }),
       isSnapshot: true,
-      position: this.state.version,
+      position: this.isSnapshotDelayed
+        ? (this.listShown(-1).at(-1)?.version ?? 0)
+        : this.state.version,
     }));
   }
 
@@ -75,6 +83,13 @@
     }));
   }
 
+  private listSnapshotKeys(): string[] {
+    const keys = this.state.listKeys(this.prefix);
+    if (!this.isSnapshotDelayed) return keys;
+    const shown = new Set(this.listShown(-1).map(({ key }) => key));
+    return keys.filter((key) => shown.has(key));
+  }
+
   private listShown(position: number): Change[] {
     const untilMs = this.process.getNowMs() - this.delayMs;
     return this.changes.filter(({ version, atMs }) => version > position && atMs <= untilMs);
@@ -115,10 +130,15 @@
   store: TableState;
   workers: Map<string, FakeWorker>;
   advisor: FakeAdvisor;
-  /** Adds a candidate; changes reach its replica of the job states `stateDelayMs` late. */
-  addCandidate: (id: string, stateDelayMs?: number) => Candidate;
+  /**
+   * Adds a candidate; changes reach its replica of the job states `stateDelayMs` late and its owner's
+   * replica of the jobs `jobDelayMs` late.
+   */
+  addCandidate: (id: string, stateDelayMs?: number, jobDelayMs?: number) => Candidate;
   submit: (id: string, steps: Partial<StepSpec>[], changes?: Partial<JobSubmission>) => void;
   cancel: (id: string) => void;
+  /** Lists a worker as draining. */
+  drainWorker: (id: string) => void;
   /** Removes a worker from the list. */
   unlistWorker: (id: string) => void;
   /** Puts a worker back on the list. */
@@ -170,7 +190,7 @@
     apply(`servers/${id}`, createEntry(id) as unknown as RowValue);
   }
 
-  function addCandidate(id: string, stateDelayMs = 0): Candidate {
+  function addCandidate(id: string, stateDelayMs = 0, jobDelayMs = 0): Candidate {
     const process = new FakeProcess(id, clock);
     const table = new FakeTable(store, process);
     const committer = createGroupCommitter({
@@ -211,7 +231,7 @@
           epoch,
           table,
           committer,
-          jobFeed: new FakeFeed<JobRow>(store, process, 'job/'),
+          jobFeed: new FakeFeed<JobRow>(store, process, 'job/', jobDelayMs, jobDelayMs > 0),
           workerFeed: new FakeFeed<WorkerEntry>(store, process, 'servers/'),
           states,
           runner,
@@ -277,6 +297,11 @@
       const row = createStateRow(job.submission, JobState.Cancelled, clock.getNowMs());
       apply(`state/${id}`, row as unknown as RowValue);
     },
+    drainWorker(id) {
+      const entry = { ...createEntry(id), bornAtMs: workers.get(id)?.bornAtMs ?? 1 };
+      const draining = { ...entry, isDraining: true, drainRemainingMs: maxLeaseMs };
+      apply(`servers/${id}`, draining as unknown as RowValue);
+    },
     unlistWorker(id) {
       const key = `servers/${id}`;
       const operationId = `test/${operations++}`;
