--- a/packages/bench/src/placement/deployment.ts
+++ b/packages/bench/src/placement/deployment.ts
@@ -62,6 +62,7 @@
     accounts,
     weights,
     lossReserve: Object.fromEntries(dataCentres.map((id) => [id, 1])),
+    evacuated: [],
     reservationAfterMs: 1_800_000,
     reclaimMs: 60_000,
     urgentReclaimMs: 300,
--- a/packages/cli/src/commands/instance.ts
+++ b/packages/cli/src/commands/instance.ts
@@ -15,7 +15,7 @@
 const workerColumns: Column<JsonRecord>[] = [
   ...createColumns(['id', 'region', 'dataCentre', 'rack', 'state']),
   { heading: 'ACCELERATORS', getCell: ({ capacity }) => getAccelerators(capacity) },
-  ...createColumns(['isQuarantined']),
+  ...createColumns(['isQuarantined', 'isEvacuated']),
 ];
 const instanceColumns = createColumns(['id', 'kind', 'region', 'dataCentre', 'address', 'state']);
 
--- a/packages/cli/src/configchange.ts
+++ b/packages/cli/src/configchange.ts
@@ -66,6 +66,31 @@
   });
 }
 
+/**
+ * Evacuates a data centre, or takes it back, by a file of its own that sets `isEvacuated`. Faults: those
+ * of a change, `not_found` if the active configuration has no such data centre.
+ */
+export async function evacuateDataCentre(
+  io: CliIo,
+  flags: ServerFlags,
+  dataCentre: string,
+  isEnding: boolean,
+): Promise<Result<CommandOutput, Fault>> {
+  const { isObject, mergeFolder } = await import('@bergamotreach/config');
+  const name = `evacuation-${dataCentre}.json`;
+  const content = JSON.stringify({ dataCentres: { [dataCentre]: { isEvacuated: true } } });
+  return runChange(io, flags, false, ({ revision, files }) => {
+    const isActive = Object.hasOwn(files, name);
+    if (isEnding) return Ok({ put: {}, remove: isActive ? [name] : [] });
+    const { dataCentres } = mergeFolder(files).merged;
+    if (!isObject(dataCentres) || !Object.hasOwn(dataCentres, dataCentre)) {
+      const message = `data centre ${dataCentre} is not in revision ${revision}`;
+      return Err(createFault(FaultCode.NotFound, message));
+    }
+    return Ok({ put: files[name] === content ? {} : { [name]: content }, remove: [] });
+  });
+}
+
 async function runChange(
   io: CliIo,
   flags: ServerFlags,
--- a/packages/cli/src/root.ts
+++ b/packages/cli/src/root.ts
@@ -34,6 +34,7 @@
     subCommands: {
       serve: async () => (await import('./commands/serve.ts')).createServeCommand(),
       config: async () => (await import('./commands/config.ts')).createConfigCommand(io),
+      evacuate: async () => (await import('./commands/evacuate.ts')).createEvacuateCommand(io),
       account: async () => (await import('./commands/account.ts')).createAccountCommand(io),
       job: async () => (await import('./commands/job.ts')).createJobCommand(io),
       worker: async () => (await import('./commands/instance.ts')).createWorkerCommand(io),
--- a/packages/cli/tests/config.test.ts
+++ b/packages/cli/tests/config.test.ts
@@ -182,3 +182,31 @@
     'REVISION  AUTHOR  PUT     REMOVED\n       4  ann     a.json  a b c d and 1 more\n',
   );
 });
+
+// Guards against an evacuation that replaces the operators' files, names a data centre that does not exist,
+// or cannot be taken back.
+test('evacuate adds a file of its own, and its end removes it', async (context) => {
+  const site = JSON.stringify({ dataCentres: { d1: { region: 'r1' } } });
+  const evacuation = JSON.stringify({ dataCentres: { d1: { isEvacuated: true } } });
+  let files: Record<string, string> = { 'a.json': site };
+  const requests: unknown[] = [];
+  const fake = await startFakeDaemon(context, (request) => {
+    if (request.method === 'GET') {
+      return { status: 200, body: { revision: 4, manifest: 'm', files } };
+    }
+    requests.push(request.body);
+    return acceptChange();
+  });
+  const run = (...args: string[]) => runCommandLine(['evacuate', ...args, '--server', fake.url]);
+  expect((await run('d1')).out).toEqual('put     evacuation-d1.json\naccepted as revision 5\n');
+  expect(requests).toEqual([
+    expect.subset({ put: { 'evacuation-d1.json': evacuation }, remove: [] }),
+  ]);
+  expect((await run('d2')).exitCode).toEqual(ExitCode.NotFound);
+  expect((await run('d1', '--end')).out).toEqual('no change from active revision 4\n');
+  files = { ...files, 'evacuation-d1.json': evacuation };
+  expect((await run('d1')).out).toEqual('no change from active revision 4\n');
+  expect((await run('d1', '--end')).out).toEqual(
+    'remove  evacuation-d1.json\naccepted as revision 5\n',
+  );
+});
--- a/packages/config/src/effective.ts
+++ b/packages/config/src/effective.ts
@@ -60,6 +60,8 @@
   region: string;
   /** Number of workers that can be lost while all guarantees can still be satisfied. */
   lossReserve: number;
+  /** Whether operators want nothing more to start here. */
+  isEvacuated: boolean;
   racks: Record<string, RackConfig>;
 }
 
@@ -95,7 +97,7 @@
   limits: LimitsConfig;
 }
 
-type PlacementFields = Omit<PlacementConfig, 'accounts' | 'lossReserve'>;
+type PlacementFields = Omit<PlacementConfig, 'accounts' | 'lossReserve' | 'evacuated'>;
 type ConfigWithDefaults = Omit<EffectiveConfig, 'placement'> & { placement: PlacementFields };
 
 /** Fills the defaults into a checked merged configuration. Does not load the schema library. */
@@ -130,7 +132,10 @@
   const lossReserve = Object.entries(config.dataCentres).map(
     ([name, dataCentre]) => [name, dataCentre.lossReserve] as const,
   );
-  return { ...config.placement, accounts, lossReserve: Object.fromEntries(lossReserve) };
+  const evacuated = Object.entries(config.dataCentres)
+    .filter(([, dataCentre]) => dataCentre.isEvacuated)
+    .map(([name]) => name);
+  return { ...config.placement, accounts, lossReserve: Object.fromEntries(lossReserve), evacuated };
 }
 
 /** Lists the expected workers, with ids of the form `<dataCentre>/<rack>/<index>`. */
--- a/packages/config/src/keys.ts
+++ b/packages/config/src/keys.ts
@@ -80,6 +80,7 @@
 const dataCentre = createGroup({
   region: createName('region'),
   lossReserve: createInteger('workers', 0, 1024, 0),
+  isEvacuated: { kind: FieldKind.Flag, default: false },
   racks: createMap('rack', hardware, 1024),
 });
 
--- a/packages/daemon/src/components.ts
+++ b/packages/daemon/src/components.ts
@@ -46,6 +46,7 @@
   accounts: [],
   weights: { completion: 1, fragmentation: 1 },
   lossReserve: {},
+  evacuated: [],
   reservationAfterMs: 60_000,
   reclaimMs: 10_000,
   urgentReclaimMs: 300,
--- a/packages/daemon/src/operatorroutes.ts
+++ b/packages/daemon/src/operatorroutes.ts
@@ -44,10 +44,15 @@
   });
   app.get('/v1/workers', async () => {
     const { quarantined } = await options.reports.loadReports();
+    const evacuated = options.getConfig()?.placement.evacuated ?? [];
     const workers = options
       .getInstances()
       .filter((instance) => instance.kind === InstanceKind.Worker)
-      .map((worker) => ({ ...worker, isQuarantined: quarantined.includes(worker.id) }));
+      .map((worker) => ({
+        ...worker,
+        isQuarantined: quarantined.includes(worker.id),
+        isEvacuated: evacuated.includes(worker.dataCentre),
+      }));
     return createJsonResponse({ workers });
   });
   app.get('/v1/instances', () => createJsonResponse({ instances: options.getInstances() }));
--- a/packages/execution/tests/world.ts
+++ b/packages/execution/tests/world.ts
@@ -22,6 +22,7 @@
   accounts: [],
   weights: { completion: 1, fragmentation: 1 },
   lossReserve: {},
+  evacuated: [],
   reservationAfterMs: 60_000,
   reclaimMs: 1_000,
   urgentReclaimMs: 300,
--- a/packages/placement/src/account.ts
+++ b/packages/placement/src/account.ts
@@ -1,7 +1,7 @@
 import { demoteGang, dropClaim } from './allocation.ts';
 import { removeBinding } from './binding.ts';
 import { createPolicy } from './policy.ts';
-import { getSite } from './site.ts';
+import { applyEvacuations, getSite } from './site.ts';
 import type { AccountSpec, GuaranteeSpec, PlacementConfig } from './spec.ts';
 import type { Account, Binding, Claim, CoreState, Gang, Guarantee } from './state.ts';
 
@@ -72,6 +72,7 @@
 /** Applies a configuration. Work beyond a reduced guarantee becomes lent work. */
 export function applyConfig(state: CoreState, config: PlacementConfig): void {
   state.config = config;
+  applyEvacuations(state);
   state.policy = { ...createPolicy(config.weights), ...state.policyOverrides };
   const previous = new Map(state.accounts);
   state.accounts.clear();
--- a/packages/placement/src/site.ts
+++ b/packages/placement/src/site.ts
@@ -12,6 +12,7 @@
     forest: buildForest([]),
     gangs: new Set(),
     freeSlots: 0,
+    isEvacuated: state.config.evacuated.includes(id),
     version: 0,
     freeCellLevels: undefined,
   };
@@ -19,6 +20,16 @@
   return site;
 }
 
+/** Applies the evacuations of the configuration to the known sites. */
+export function applyEvacuations(state: CoreState): void {
+  for (const site of state.sites.values()) {
+    const isEvacuated = state.config.evacuated.includes(site.id);
+    if (isEvacuated === site.isEvacuated) continue;
+    site.isEvacuated = isEvacuated;
+    site.version += 1;
+  }
+}
+
 function createWorker(spec: WorkerSpec, site: Site): Worker {
   const worker: Worker = {
     spec,
--- a/packages/placement/src/spec.ts
+++ b/packages/placement/src/spec.ts
@@ -45,6 +45,8 @@
   weights: PolicyWeights;
   /** Number of workers by data centre whose loss the guarantees must survive. */
   lossReserve: Record<string, number>;
+  /** Data centres in which no gang starts. Running gangs are left to end. */
+  evacuated: string[];
   /** Wait after which cells are reserved for a gang. */
   reservationAfterMs: number;
   /** Grace period for lent work to checkpoint before it is stopped. */
--- a/packages/placement/src/state.ts
+++ b/packages/placement/src/state.ts
@@ -44,6 +44,8 @@
   /** Gangs that use accelerators of the site. */
   gangs: Set<Gang>;
   freeSlots: number;
+  /** Whether no gang may start here. */
+  isEvacuated: boolean;
   /** Incremented whenever the free slots or the usable workers change. */
   version: number;
   /** Cache of the level of the largest free cell that contains each free slot. */
@@ -193,7 +195,7 @@
 
 /** Whether the worker can take new work. */
 export function isUsable(worker: Worker): boolean {
-  return !worker.isLost && !worker.isQuarantined;
+  return !worker.isLost && !worker.isQuarantined && !worker.site.isEvacuated;
 }
 
 /** Sets or clears the gang or claim of a slot and updates the free counts. */
--- a/packages/placement/tests/samples.ts
+++ b/packages/placement/tests/samples.ts
@@ -33,6 +33,7 @@
     accounts,
     weights: { completion: 1, fragmentation: 1 },
     lossReserve: {},
+    evacuated: [],
     reservationAfterMs: 60_000,
     reclaimMs: 10_000,
     urgentReclaimMs: 300,
--- a/packages/placement/tests/scenario.test.ts
+++ b/packages/placement/tests/scenario.test.ts
@@ -53,6 +53,33 @@
   expect(formatActions(scheduler.decide(1320))).toEqual([`start own ${CapacityClass.Guaranteed}`]);
 });
 
+// Guards against starting gangs in an evacuated data centre, stopping those that run there, and waiting on
+// after it was taken back.
+test('an evacuated data centre keeps its gangs and gets no new ones', () => {
+  const accounts = [createAccount('a', [[8, 1]]), createAccount('b')];
+  const config = createConfig(accounts);
+  const scheduler = createScheduler(config, createWorkers(2, 8));
+  const change = (evacuated: string[]): PlacementEvent => ({
+    kind: EventKind.ConfigChanged,
+    config: { ...config, evacuated },
+  });
+  scheduler.applyEvents([createArrival(createJob('j1', 'b', { accelerators: 8 }))], 0);
+  expect(formatActions(scheduler.decide(0))).toEqual([`start j1 ${CapacityClass.Lent}`]);
+  const own = createJob('own', 'a', { accelerators: 8 });
+  const arrivals = [createArrival(createJob('j2', 'b')), createArrival(own)];
+  scheduler.applyEvents([change(['a']), ...arrivals], 100);
+  const actions = formatActions(scheduler.decide(100));
+  expect(actions.filter((action) => !action.startsWith('report'))).toEqual([]);
+  scheduler.applyEvents([createEnd('j1', 1, GangEnd.Done)], 200);
+  expect(formatActions(scheduler.decide(200)).filter((one) => one.startsWith('start'))).toEqual([]);
+  scheduler.applyEvents([change([])], 300);
+  const starts = formatActions(scheduler.decide(300)).filter((one) => one.startsWith('start'));
+  expect(starts.sort()).toEqual([
+    `start j2 ${CapacityClass.Lent}`,
+    `start own ${CapacityClass.Guaranteed}`,
+  ]);
+});
+
 // Guards against splitting guaranteed work over workers or placing it in another account's cell.
 test('guaranteed work is placed in whole cells of its account', () => {
   const config = createConfig([createAccount('a', [[4, 2]]), createAccount('b', [[8, 1]])]);
