Give the tests of starts and of slow stores the operators' rows

Cause: two tests built their parts without the replica of the operators' table and failed since evacuations are kept.

Change: their parts have it.

--- a/packages/dispatch/tests/slowstore.test.ts
+++ b/packages/dispatch/tests/slowstore.test.ts
@@ -4,6 +4,7 @@
 import { JobState, RunEnd } from '@bergamotreach/scheduling';
 import { expect } from 'earl';
 import { createStep } from '../../scheduling/tests/samples.ts';
+import { OperatorRowKind } from '../src/index.ts';
 import type { JobService } from '../src/index.ts';
 import { addService, admission, queue } from './services.ts';
 import { createWorld, runMs } from './world.ts';
@@ -100,12 +101,13 @@
 });
 
 function writeConfig(world: World, version: number, keys: string[]): void {
-  const key = 'config/main';
+  const key = 'op/config';
   const accounts = [{ name: 'a1', keys, guaranteedAccelerators: 0 }];
   const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
   const config = { version, queues: [{ ...queue, isPublic: false }], accounts, limits };
   const conditions = [{ key, version: world.store.rows.get(key)?.version ?? 0 }];
-  world.store.apply({ operationId: 'x', conditions, writes: [{ key, value: config }] }, 't', 0);
+  const value = { kind: OperatorRowKind.Configuration, config };
+  world.store.apply({ operationId: 'x', conditions, writes: [{ key, value }] }, 't', 0);
 }
 
 // Guards against a resumed process that accepts a key which was revoked while it was suspended.
--- a/packages/dispatch/tests/starter.test.ts
+++ b/packages/dispatch/tests/starter.test.ts
@@ -55,6 +55,7 @@
       logger: createNullLogger(),
       metrics: createNullMetrics(),
       states: { getAgeMs: () => 0 },
+      operatorRows: { getEvacuations: () => ({ dataCentres: new Set(), ageMs: 0 }) },
     },
   } as unknown as OwnerContext;
   const lifecycle = {
