--- a/packages/dispatch/src/owner.ts
+++ b/packages/dispatch/src/owner.ts
@@ -390,6 +390,7 @@
         jobs: activeJobs.list().length,
         tookMs: Math.round(clock.getNowMs() - startedMs),
       });
+      reportEvacuated();
       cancelChecks = runEvery(clock, planIntervalMs, runChecks);
       requestPlan();
     },
@@ -410,8 +411,7 @@
       if (row !== undefined) cancels.handleState(jobId, row, CancelSource.Feed);
     },
     handleEvacuations() {
-      for (const evacuated of listEvacuated())
-        logger.info('data_centre_evacuated', { ...evacuated });
+      reportEvacuated();
       requestPlan();
     },
     getDump: () => ({
@@ -439,6 +439,10 @@
     });
   }
 
+  function reportEvacuated(): void {
+    for (const evacuated of listEvacuated()) logger.info('data_centre_evacuated', { ...evacuated });
+  }
+
   function countTasks(phase: TaskPhase): number {
     let count = 0;
     for (const job of activeJobs.list()) {
