Read a late commit back instead of sending it again at once

Cause: a commit without an answer after 0.3 to 1.2 s was given up, read back and written again.

Change: the committer reads a late commit back while its reply may still arrive. It sends the commit again only if the commit has taken eight times as long as that read, so a quick store that lost it is noticed as soon as before.

--- a/packages/dispatch/src/instance.ts
+++ b/packages/dispatch/src/instance.ts
@@ -46,6 +46,8 @@
   /** Address published in the lease row. */
   address: string;
   table: Table;
+  /** Time within which the store is expected to answer a call now, in milliseconds. */
+  getStoreTimeoutMs: () => number;
   /** Name of this instance, kept across restarts. */
   name: string;
   dataCentre: string;
@@ -168,6 +170,7 @@
     createOperationId: () => `${options.processId}/${String((nextOperation += 1))}`,
     commitsPerSecond: limits.commitsPerSecond,
     maxEntries: maxCommitEntries,
+    getReplyTimeoutMs: options.getStoreTimeoutMs,
   });
   const states = createTableReplica<StateRow>({
     feed: options.stateFeed,
--- a/packages/hosting/src/httpclient.ts
+++ b/packages/hosting/src/httpclient.ts
@@ -52,6 +52,8 @@
     body?: string,
     options?: SendOptions,
   ): Promise<Exchange>;
+  /** Time within which the service is expected to answer, in milliseconds; see `minTimeoutMs`. */
+  getTimeoutMs(): number;
   /** Closes the connections after the exchanges in flight. */
   close(): Promise<void>;
   /** Closes the connections at once; exchanges in flight end as `Lost`. */
@@ -159,5 +161,10 @@
     }
   }
 
-  return { send, close: () => pool.close(), abort: () => pool.destroy() };
+  return {
+    send,
+    getTimeoutMs: () => adaptiveTimeout.getTimeoutMs(),
+    close: () => pool.close(),
+    abort: () => pool.destroy(),
+  };
 }
--- a/packages/ownership/src/committer.ts
+++ b/packages/ownership/src/committer.ts
@@ -1,5 +1,5 @@
 import { CommitStatus, maxCommitWrites } from '@bergamotreach/hosting';
-import type { Table } from '@bergamotreach/hosting';
+import type { CommitReply, Table } from '@bergamotreach/hosting';
 import { waitFor } from '@bergamotreach/protocol';
 import type { CancelTimer, Clock, Logger, Metrics } from '@bergamotreach/protocol';
 import { match } from 'ts-pattern';
@@ -41,6 +41,12 @@
   readBackTimeoutMs?: number;
   /** Wait between two read-backs, and before a commit with a lost reply is sent again. */
   readBackRetryMs?: number;
+  /**
+   * Time after which the reply to a commit counts as late. A late commit is read back while its reply may
+   * still arrive, and is sent again only once the store has shown to be quick enough to have answered it.
+   * Default: no reply counts as late before the table gives it up.
+   */
+  getReplyTimeoutMs?: () => number;
 }
 
 /** State of a committer for the dump. */
@@ -66,7 +72,14 @@
   close(): void;
 }
 
+/**
+ * A late commit counts as lost once it has taken this many times as long as a read: with a slow store, it
+ * waits for the commits before it in its partition, and a second copy would wait there too.
+ */
+const lostAfterReads = 8;
+
 const defaults = {
+  getReplyTimeoutMs: (): number => Infinity,
   commitsPerSecond: 40,
   burst: 10,
   maxQueued: 2000,
@@ -78,6 +91,13 @@
   readBackRetryMs: 200,
 };
 
+/** A commit whose reply has not arrived in time. */
+interface LateCommit {
+  operationId: string;
+  sentMs: number;
+  attempt: Promise<CommitReply>;
+}
+
 function failPending(entry: PendingTransaction, message: string): void {
   const isAmbiguous = entry.ambiguousIds.length > 0;
   const status = isAmbiguous ? TransactionStatus.Unknown : TransactionStatus.Unavailable;
@@ -163,8 +183,35 @@
     totals.writes += writes.length;
     metrics.count('store.commits');
     metrics.count('store.writes', writes.length);
-    const conditions = group.listConditions();
-    const reply = await table.commit({ operationId, conditions, writes });
+    const sentMs = clock.getNowMs();
+    const attempt = table.commit({ operationId, conditions: group.listConditions(), writes });
+    const reply = await waitForReply(attempt, settings.getReplyTimeoutMs());
+    if (reply === undefined) await watchLateCommit(group, { operationId, sentMs, attempt });
+    else await handleReply(group, operationId, reply);
+  }
+
+  /** Resolves with `undefined` if the reply takes longer than `timeoutMs`. */
+  function waitForReply(
+    attempt: Promise<CommitReply>,
+    timeoutMs: number,
+  ): Promise<CommitReply | undefined> {
+    if (timeoutMs === Infinity) return attempt;
+    return new Promise((resolve) => {
+      const cancelTimer = clock.setTimer(timeoutMs, () => {
+        resolve(undefined);
+      });
+      void attempt.then((reply) => {
+        cancelTimer();
+        resolve(reply);
+      });
+    });
+  }
+
+  async function handleReply(
+    group: TransactionGroup,
+    operationId: string,
+    reply: CommitReply,
+  ): Promise<void> {
     await match(reply)
       .with({ status: CommitStatus.Committed }, ({ versions }) => {
         handleCommitted(group, versions);
@@ -179,6 +226,73 @@
       .exhaustive();
   }
 
+  /**
+   * Reads back a commit whose reply is late until it is decided, its reply arrives, or it counts as lost;
+   * then it is sent again.
+   */
+  async function watchLateCommit(
+    group: TransactionGroup,
+    { operationId, sentMs, attempt }: LateCommit,
+  ): Promise<void> {
+    metrics.count('store.late_replies');
+    for (const { ambiguousIds } of group.pending) ambiguousIds.push(operationId);
+    let undecided = group.pending;
+    for (;;) {
+      const readMs = clock.getNowMs();
+      totals.readBacks += 1;
+      metrics.count('store.read_backs');
+      const reading = readBack(table, undecided).then((results) => ({ results }));
+      const first = await Promise.race([attempt, reading]);
+      if ('status' in first) {
+        await handleLateReply(group, undecided, operationId, first);
+        return;
+      }
+      const { results } = first;
+      if (results !== undefined) undecided = resolveDecided(undecided, results);
+      if (undecided.length === 0) return;
+      const nowMs = clock.getNowMs();
+      const lostAtMs = sentMs + lostAfterReads * (nowMs - readMs);
+      const isLost = results !== undefined && nowMs >= lostAtMs;
+      if (isLost || isClosed) break;
+      const waitMs = results === undefined ? settings.readBackRetryMs : lostAtMs - nowMs;
+      const reply = await waitForReply(attempt, waitMs);
+      if (reply !== undefined) {
+        await handleLateReply(group, undecided, operationId, reply);
+        return;
+      }
+    }
+    logger.warn('store_reply_lost', { operation: operationId, transactions: undecided.length });
+    requeue(undecided);
+  }
+
+  /** Replies to the transactions that a read-back has decided; returns the others. */
+  function resolveDecided(
+    pending: readonly PendingTransaction[],
+    results: readonly ReadBackResult[],
+  ): PendingTransaction[] {
+    return pending.filter((entry, index) => {
+      const result = results[index];
+      if (result?.isDecided === true) entry.sendReply(result.reply);
+      return result?.isDecided !== true;
+    });
+  }
+
+  /** Handles a late reply for the transactions that are still undecided. */
+  async function handleLateReply(
+    group: TransactionGroup,
+    undecided: PendingTransaction[],
+    operationId: string,
+    reply: CommitReply,
+  ): Promise<void> {
+    // The reply decides this attempt, so only earlier attempts are still ambiguous.
+    if (reply.status !== CommitStatus.Ambiguous) {
+      for (const entry of undecided) entry.ambiguousIds.pop();
+    }
+    group.pending.splice(0, group.pending.length, ...undecided);
+    if (reply.status === CommitStatus.Ambiguous) await handleAmbiguous(undecided, operationId);
+    else await handleReply(group, operationId, reply);
+  }
+
   function handleCommitted(group: TransactionGroup, versions: Record<string, number>): void {
     for (const { transaction, sendReply } of group.pending) {
       const own = transaction.writes.map(({ key }) => [key, versions[key] ?? 0] as const);
@@ -233,7 +347,7 @@
   }
 
   async function handleAmbiguous(pending: PendingTransaction[], id: string): Promise<void> {
-    for (const entry of pending) entry.ambiguousIds.push(id);
+    for (const { ambiguousIds } of pending) if (!ambiguousIds.includes(id)) ambiguousIds.push(id);
     logger.warn('store_reply_lost', { operation: id, transactions: pending.length });
     const results = await readBackUntilDecided(pending);
     for (const [index, entry] of pending.entries()) {
--- a/packages/ownership/tests/committer.test.ts
+++ b/packages/ownership/tests/committer.test.ts
@@ -116,3 +116,72 @@
   await clock.advance(10);
   expect((await reply).status).toEqual(TransactionStatus.Unavailable);
 });
+
+/** As for a store that answers in a few milliseconds. */
+const replyTimeoutMs = 300;
+
+// Guards against copies of a commit that wait behind the original in a slow partition: each made every other
+// commit wait longer.
+test('a commit of a slow store is not sent again', async () => {
+  const { clock, state } = createState();
+  state.latencyMs = 900;
+  const { committer } = createNode(state, 'd1', { getReplyTimeoutMs: () => replyTimeoutMs });
+  const reply = committer.submit(createInsert('a'));
+  await clock.advance(2000);
+  expect(await reply).toEqual({ status: TransactionStatus.Committed, versions: { a: 1 } });
+  expect([state.commits, state.accepted.length]).toEqual([1, 1]);
+});
+
+// Guards against waiting for a reply that is lost although the store answers reads quickly.
+test('a commit whose reply is late is read back', async () => {
+  const { clock, state } = createState();
+  const { committer, table } = createNode(state, 'd1', { getReplyTimeoutMs: () => replyTimeoutMs });
+  const commit = table.commit.bind(table);
+  table.commit = async (one) => {
+    const reply = await commit(one);
+    return state.commits > 1 ? reply : new Promise(() => undefined);
+  };
+  const reply = committer.submit(createInsert('a'));
+  await clock.advance(replyTimeoutMs + 50);
+  expect(await reply).toEqual({ status: TransactionStatus.Committed, versions: { a: 1 } });
+  expect(state.accepted.length).toEqual(1);
+});
+
+// Guards against waiting for a request that never reached a quick store, and against a second effect when
+// it arrives after all.
+test('a commit that is lost on the way is sent again once', async () => {
+  const { clock, state } = createState();
+  const { committer, table } = createNode(state, 'd1', { getReplyTimeoutMs: () => replyTimeoutMs });
+  const commit = table.commit.bind(table);
+  let sent = 0;
+  table.commit = async (one) => {
+    sent += 1;
+    if (sent > 1) return commit(one);
+    clock.setTimer(5000, () => void commit(one));
+    return new Promise(() => undefined);
+  };
+  const reply = committer.submit(createInsert('a'));
+  await clock.advance(replyTimeoutMs + 100);
+  expect(await reply).toEqual({ status: TransactionStatus.Committed, versions: { a: 1 } });
+  await clock.advance(6000);
+  expect([sent, state.accepted.length]).toEqual([2, 1]);
+});
+
+// Guards against telling a caller of a slow store that its write may have been applied when the late reply
+// says that it was not.
+test('a late conflict or refusal is final', async () => {
+  for (const fault of [TableFault.None, TableFault.Down]) {
+    const { clock, state } = createState();
+    state.apply({ operationId: 'x', conditions: [], writes: [{ key: 'a', value: 1 }] }, 'x', 0);
+    state.latencyMs = 700;
+    const options = { getReplyTimeoutMs: () => replyTimeoutMs };
+    const { committer, table } = createNode(state, 'd1', options);
+    table.getRow = () => new Promise(() => undefined);
+    state.fault = fault;
+    const reply = committer.submit(createInsert('a'));
+    await clock.advance(5000);
+    const isRefused = fault === TableFault.Down;
+    const { Unavailable, Conflict } = TransactionStatus;
+    expect((await reply).status).toEqual(isRefused ? Unavailable : Conflict);
+  }
+});
