Wait for a slow store instead of sending callers and peers to it again

Cause: a submission that took 450 ms was also tried through a peer, and one that took 900 ms was answered 504, so that its caller repeated it elsewhere. With a store that is 89 times slower, a job needed 4 tries in the median and 11 for a tenth, each a transaction of its own in the slow part.

Change: both times follow the time in which the store is expected to answer (1.5 and 3 times as long, within the caller's deadline); with a quick store they stay as they were.

--- a/packages/dispatch/src/instance.ts
+++ b/packages/dispatch/src/instance.ts
@@ -230,7 +230,7 @@
         .filter(([name]) => name !== options.name)
         .map(([name, row]) => ({ name, ...row })),
   });
-  const jobs = createRelayedJobs({ jobs: localJobs, relay, clock });
+  const jobs = createRelayedJobs({ ...options, jobs: localJobs, relay });
 
   /** Whether a much larger instance exists: a small owner would fall behind with a large fleet. */
   function hasLargerPeer(): boolean {
--- a/packages/dispatch/src/jobservice.ts
+++ b/packages/dispatch/src/jobservice.ts
@@ -30,6 +30,8 @@
   committer: GroupCommitter;
   states: TableReplica<StateRow>;
   configs: ConfigReplica;
+  /** Time within which the store is expected to answer a call now, in milliseconds. */
+  getStoreTimeoutMs: () => number;
   clock: Clock;
   /** Unix time in milliseconds. */
   getWallMs: () => number;
@@ -88,7 +90,12 @@
  * A store call that is undecided after this time is answered with `unknown_outcome`, so that the
  * caller, who repeats with the same id, can still reach another instance before its deadline.
  */
-const unknownAfterMs = 900;
+const minUnknownAfterMs = 900;
+/**
+ * With a slow store, a repeated call only adds to the work of the store, so the call is left undecided for
+ * this many times as long as the store takes to answer.
+ */
+const unknownAfterTimeouts = 3;
 const retryAfterMs = 1000;
 /**
  * A refusal by a configuration replica confirmed this recently needs no check against the store.
@@ -152,6 +159,8 @@
 
   /** Limits how long the caller waits; the work itself continues. */
   async function limitTime<T>(work: Promise<T>, deadlineMs: number): Promise<T | undefined> {
+    const slowStoreMs = unknownAfterTimeouts * options.getStoreTimeoutMs();
+    const unknownAfterMs = Math.max(minUnknownAfterMs, slowStoreMs);
     const limitMs = Math.min(deadlineMs - answerMarginMs, unknownAfterMs);
     const timeout = waitFor(clock, Math.max(0, limitMs));
     return Promise.race([work, timeout.then(() => undefined)]);
--- a/packages/dispatch/src/relayedjobs.ts
+++ b/packages/dispatch/src/relayedjobs.ts
@@ -16,7 +16,12 @@
 import type { Relay } from './relay.ts';
 
 /** A store call that takes longer than this is also tried through a peer. */
-const hedgeAfterMs = 450;
+const minHedgeAfterMs = 450;
+/**
+ * A peer does not reach a slow store sooner either, so a call is tried there only after this many times as
+ * long as the store takes to answer.
+ */
+const hedgeAfterTimeouts = 1.5;
 const noJob = 'none';
 const done = 'done';
 
@@ -24,6 +29,8 @@
 export interface RelayedJobsOptions {
   jobs: JobService;
   relay: Relay;
+  /** Time within which the store is expected to answer a call now, in milliseconds. */
+  getStoreTimeoutMs: () => number;
   clock: Clock;
 }
 
@@ -74,6 +81,8 @@
     local: Promise<Result<T, Fault>>,
     callRelay: () => Promise<Result<T, Fault> | undefined>,
   ): Promise<Result<T, Fault>> {
+    const slowStoreMs = hedgeAfterTimeouts * options.getStoreTimeoutMs();
+    const hedgeAfterMs = Math.max(minHedgeAfterMs, slowStoreMs);
     const early = await Promise.race([local, waitFor(clock, hedgeAfterMs).then(() => undefined)]);
     if (early !== undefined && (early.isOk() || !isStoreFault(early.error))) return early;
     const relayed = callRelay();
--- a/packages/dispatch/tests/relayedjobs.test.ts
+++ b/packages/dispatch/tests/relayedjobs.test.ts
@@ -47,7 +47,12 @@
     value: '',
   };
   const relay = { call: () => Promise.resolve(peer === undefined ? undefined : answer) };
-  const service = createRelayedJobs({ jobs, relay, clock: createSystemClock() });
+  const service = createRelayedJobs({
+    jobs,
+    relay,
+    getStoreTimeoutMs: () => 300,
+    clock: createSystemClock(),
+  });
   const result = await service.submit(admission, request, 3000);
   return result.isErr() ? result.error.code : undefined;
 }
--- a/packages/dispatch/tests/services.ts
+++ b/packages/dispatch/tests/services.ts
@@ -7,6 +7,8 @@
 import { FakeFeed } from './world.ts';
 import type { World } from './world.ts';
 
+/** Time within which a quick store is expected to answer. */
+const quickStoreTimeoutMs = 300;
 const logger = createNullLogger();
 const metrics = createNullMetrics();
 const rules = { priority: 1, maxAttempts: 2, stretch: 3, targetMs: 1000 };
@@ -18,8 +20,12 @@
   call: { host: 'h', path: '/', key: undefined },
 };
 
-/** Adds another instance's job service to a world. */
-export function addService(world: World, id: string): { jobs: JobService; process: FakeProcess } {
+/** Adds another instance's job service to a world; it expects the store to answer in `storeTimeoutMs`. */
+export function addService(
+  world: World,
+  id: string,
+  storeTimeoutMs = quickStoreTimeoutMs,
+): { jobs: JobService; process: FakeProcess } {
   const process = new FakeProcess(id, world.clock);
   const table = new FakeTable(world.store, process);
   let operations = 0;
@@ -44,6 +50,14 @@
   states.start();
   configs.start();
   const getWallMs = (): number => world.clock.getNowMs();
-  const jobs = createJobService({ ...common, table, committer, states, configs, getWallMs });
+  const jobs = createJobService({
+    ...common,
+    table,
+    committer,
+    states,
+    configs,
+    getWallMs,
+    getStoreTimeoutMs: () => storeTimeoutMs,
+  });
   return { jobs, process };
 }
--- a/packages/dispatch/tests/slowstore.test.ts
+++ b/packages/dispatch/tests/slowstore.test.ts
@@ -13,6 +13,8 @@
 /** A store that takes 50 times as long: 250 ms for a transaction instead of 5. */
 const slowTransactionMs = 250;
 const callerDeadlineMs = 3000;
+/** Time within which a store that is 90 times slower is expected to answer. */
+const slowStoreTimeoutMs = 800;
 const step = createStep({ demand: { cpuMillis: 1, memoryMb: 1, accelerators: 0 } });
 
 /** Partition of a row: job rows are spread, all other rows share the owner's partition. */
@@ -126,3 +128,41 @@
   await world.clock.advance(500);
   expect((await early).unwrapErr().code).toEqual(FaultCode.Unauthorized);
 });
+
+// Guards against callers who are told to repeat a job that a slow store is about to store: each repetition
+// is one more transaction in the partition that is the bottleneck.
+test('callers of a slow store are answered by their first try', async () => {
+  const world = createWorld();
+  world.store.getPartition = getPartition;
+  const services = ['s1', 's2'].map((id) => addService(world, id, slowStoreTimeoutMs).jobs);
+  await world.clock.advance(500);
+  world.store.latencyMs = 1500;
+  const tries: boolean[] = [];
+  for (let index = 0; index < 8; index += 1) {
+    const request = { id: index.toString(16).padStart(16, '0'), payload: '', steps: [step] };
+    const jobs = services[index % services.length]!;
+    void jobs.submit(admission, request, callerDeadlineMs).then((result) => {
+      tries.push(result.isOk());
+    });
+    await world.clock.advance(300);
+  }
+  await world.clock.advance(callerDeadlineMs);
+  expect(tries).toEqual(Array.from({ length: 8 }, () => true));
+  expect(world.store.commits).toEqual(8);
+});
+
+// Guards against holding a caller of a slow store beyond its deadline.
+test('a slow store holds no caller beyond its deadline', async () => {
+  const world = createWorld();
+  const { jobs } = addService(world, 's1', slowStoreTimeoutMs);
+  await world.clock.advance(500);
+  world.store.latencyMs = 5000;
+  let answeredAtMs = Infinity;
+  const startedAtMs = world.clock.getNowMs();
+  void jobs.submit(admission, { id: 'a', payload: '', steps: [step] }, 2000).then((result) => {
+    expect(result.unwrapErr().code).toEqual(FaultCode.UnknownOutcome);
+    answeredAtMs = world.clock.getNowMs();
+  });
+  await world.clock.advance(2000);
+  expect(answeredAtMs - startedAtMs <= 2000).toEqual(true);
+});
