Let the lease grow to 4 s while its renewals are slow

Cause: the longest lease was 2 s, close to what two renewals take in the part of a store that is 89 times slower. The owner was suspended six times, 2.4 of 5.5 s, though nobody else took the lease.

Change: the tuner has a longest duration of its own, 4 s, besides the initial terms. A lease grows to it as soon as one renewal was slow; the row carries its duration, so contenders wait as long.

A takeover from an owner that dies while the store is slow comes up to 2 s later.

--- a/packages/dispatch/src/instance.ts
+++ b/packages/dispatch/src/instance.ts
@@ -118,6 +118,10 @@
  * sooner.
  */
 const shortestLeaseMs = 1100;
+/**
+ * Lease duration while renewals are slow: a store that is 90 times slower takes up to 0.9 s for a renewal.
+ */
+const longestLeaseMs = 4000;
 const renewMs = 450;
 /** An instance with this many times the power of another is preferred as owner. */
 const largerPowerFactor = 1.5;
@@ -208,6 +212,7 @@
     marginMs: leaseMarginMs,
     renewMs,
     shortestLeaseMs,
+    longestLeaseMs,
     onChange: handleLease,
   });
   const instances = createTableReplica<InstanceRow>({
--- a/packages/ownership/src/lease.ts
+++ b/packages/ownership/src/lease.ts
@@ -43,6 +43,8 @@
    * duration, so that contenders know it. Default: `leaseMs`.
    */
   shortestLeaseMs?: number;
+  /** Longest lease that the holder writes while its renewals are slow. Default: `leaseMs`. */
+  longestLeaseMs?: number;
   /**
    * Tells whether a holder is an earlier process of this instance, which is known to have ended:
    * its lease is then taken over at once. Default: no holder is.
@@ -149,7 +151,8 @@
   const { leaseMs, marginMs, renewMs } = { ...defaults, ...options };
   const deadlineClock = options.deadlineClock ?? clock;
   const tuner = createLeaseTuner({
-    longest: { leaseMs, renewMs },
+    initial: { leaseMs, renewMs },
+    longestMs: options.longestLeaseMs ?? leaseMs,
     shortestMs: options.shortestLeaseMs ?? leaseMs,
     marginMs,
   });
--- a/packages/ownership/src/leaseterms.ts
+++ b/packages/ownership/src/leaseterms.ts
@@ -6,8 +6,10 @@
 
 /** Bounds of the lease terms. */
 export interface LeaseTermsOptions {
-  /** Terms until enough renewals are recorded, and while renewals are slow. */
-  longest: LeaseTerms;
+  /** Terms until enough renewals are recorded; the renewal interval follows the duration. */
+  initial: LeaseTerms;
+  /** Longest duration, while renewals are slow. */
+  longestMs: number;
   /** Lease duration while renewals are fast; the renewal interval shrinks in proportion. */
   shortestMs: number;
   /** Safety margin: the holder stops acting this long before its lease ends. */
@@ -17,12 +19,12 @@
 /**
  * Adapts the terms of a lease to the latency of its recent renewals. A short lease shortens the
  * failover time after a crash. While the store or the process is slow, a short lease would expire
- * under a healthy holder, so the lease grows up to the longest terms.
+ * under a healthy holder, so the lease grows up to its longest duration.
  */
 export interface LeaseTuner {
   /** Records the time from the moment at which a renewal was due to its reply. */
   recordRenewal(latencyMs: number): void;
-  /** Discards the recorded renewals, so that the next lease has the longest terms. */
+  /** Discards the recorded renewals, so that the next lease has the initial terms. */
   reset(): void;
   getTerms(): LeaseTerms;
 }
@@ -36,17 +38,18 @@
 /** Allowance for a pause of the process or a lost connection. */
 const pauseAllowanceMs = 300;
 
-/** Creates a tuner that starts with the longest terms. */
+/** Creates a tuner that starts with the initial terms. */
 export function createLeaseTuner(options: LeaseTermsOptions): LeaseTuner {
-  const { longest, shortestMs, marginMs } = options;
+  const { initial, longestMs, shortestMs, marginMs } = options;
+  const renewShare = initial.renewMs / initial.leaseMs;
   let latenciesMs: number[] = [];
 
   function chooseLeaseMs(): number {
-    if (latenciesMs.length < minSamples) return longest.leaseMs;
-    const slowestMs = Math.max(...latenciesMs);
-    const renewMs = (shortestMs * longest.renewMs) / longest.leaseMs;
+    const minMs = latenciesMs.length < minSamples ? initial.leaseMs : shortestMs;
+    const slowestMs = Math.max(0, ...latenciesMs);
+    const renewMs = shortestMs * renewShare;
     const neededMs = renewMs + latencyFactor * slowestMs + pauseAllowanceMs + marginMs;
-    return Math.min(longest.leaseMs, Math.max(shortestMs, Math.ceil(neededMs)));
+    return Math.min(longestMs, Math.max(minMs, Math.ceil(neededMs)));
   }
 
   return {
@@ -58,7 +61,7 @@
     },
     getTerms() {
       const leaseMs = chooseLeaseMs();
-      return { leaseMs, renewMs: Math.round((leaseMs * longest.renewMs) / longest.leaseMs) };
+      return { leaseMs, renewMs: Math.round(leaseMs * renewShare) };
     },
   };
 }
--- a/packages/ownership/tests/leaseterms.test.ts
+++ b/packages/ownership/tests/leaseterms.test.ts
@@ -118,3 +118,18 @@
     { seed, numRuns: 150 },
   );
 });
+
+// Guards against a holder that cannot act although the store answers each of its calls, however slowly.
+test('a lease outlasts the renewals of a slow store', async () => {
+  const world = createState();
+  const slowTerms = { ...terms, longestLeaseMs: 4_000 };
+  const [first] = await startContenders(world, slowTerms);
+  await world.clock.advance(3_000);
+  world.state.latencyMs = 1_300;
+  // The first slow renewal shows how slow the store is.
+  await world.clock.advance(4_000);
+  for (let passedMs = 0; passedMs < 10_000; passedMs += stepMs) {
+    await world.clock.advance(stepMs);
+    expect(first!.lease.getState()).toEqual(LeaseState.Holding);
+  }
+});
