Play gangs of many whole workers in bench decisions

Cause: the loads of bench decisions have gangs of up to 30 tasks on 32 workers, while one user's jobs now take up to 78 tasks of a whole worker each, on a fleet of 246.

Change: the scenario wide-gangs, with 120 workers and bursts of urgent and study jobs.

--- a/packages/bench/src/decisions/scenarios.ts
+++ b/packages/bench/src/decisions/scenarios.ts
@@ -1,4 +1,4 @@
-import type { LoadProfile } from './load.ts';
+import type { LoadProfile, QueueProfile } from './load.ts';
 import type { FleetSpec } from './simulation.ts';
 
 /** A load and the fleet on which it runs. */
@@ -94,6 +94,37 @@
   return { ...load, queues };
 }
 
+const largeFleet: FleetSpec = {
+  ...fleet,
+  racks: 6,
+  workersPerRack: 20,
+  guarantees: new Map([
+    ['a1', 120],
+    ['a2', 120],
+    ['a3', 90],
+    ['a4', 90],
+  ]),
+  reclaimMs: 3400,
+};
+
+/** Jobs per second and tasks per job of a deployment whose gangs take many whole workers. */
+const wideQueues: Readonly<Record<string, Pick<QueueProfile, 'jobsPerSecond' | 'tasks'>>> = {
+  urgent: { jobsPerSecond: 2.95, tasks: { mean: 5.4, spread: 0.8, max: 32 } },
+  study: { jobsPerSecond: 0.4, tasks: { mean: 13, spread: 0.8, max: 78 } },
+  batch: { jobsPerSecond: 0.49, tasks: { mean: 39, spread: 0.8, max: 230 } },
+};
+
+const wideGangs: LoadProfile = {
+  ...calm,
+  queues: calm.queues.map((queue) => ({ ...queue, ...wideQueues[queue.queue] })),
+  durationMs: 34_000,
+  bursts: [
+    { queue: 'urgent', fromMs: 6000, durationMs: 6000, factor: 2.1 },
+    { queue: 'study', fromMs: 15_000, durationMs: 4000, factor: 2.6 },
+    { queue: 'urgent', fromMs: 20_000, durationMs: 3000, factor: 2 },
+  ],
+};
+
 /** The scenarios on which policies are compared. */
 export const scenarios: readonly Scenario[] = [
   { name: 'calm', load: calm, fleet },
@@ -127,4 +158,5 @@
       failing: [{ fromMs: 30_000, durationMs: 7000, workers: [3, 12, 20] }],
     },
   },
+  { name: 'wide-gangs', load: wideGangs, fleet: largeFleet },
 ];
