Call reservations, preemption and unhealthy workers by these names in settings and logs

Cause: the words gatherings, clearing, ending and trust stood beside reservation, preempting and suspect, and the effect of an ended run was called settled in logs and superseded in code.

No decision changes.

Result: tests of scheduling, log reports and settings pass.

--- a/packages/bench/src/decisions/policies.ts
+++ b/packages/bench/src/decisions/policies.ts
@@ -16,7 +16,7 @@
     { name: 'default', policy: createPlanPolicy() },
     { name: 'no-reserve', policy: createPlanPolicy({ urgentReserveShare: 0 }) },
     { name: 'half-reserve', policy: createPlanPolicy({ urgentReserveShare: 0.5 }) },
-    { name: 'no-gathering', policy: createPlanPolicy({ maxGatherings: 0 }) },
+    { name: 'no-reservations', policy: createPlanPolicy({ maxReservations: 0 }) },
     { name: 'no-loss-limit', policy: createPlanPolicy({ maxLossFactor: Infinity }) },
     { name: 'equal-worth', policy: createPlanPolicy({ value: { priorityWeights: [1] } }) },
     { name: 'arrival-order', policy: createPlanPolicy({ order: createArrivalOrder() }) },
--- a/packages/bench/tests/decisions.test.ts
+++ b/packages/bench/tests/decisions.test.ts
@@ -95,12 +95,12 @@
     const { submission } = job;
     return { ...job, submission: { ...submission, rules: { ...submission.rules, priority: 2 } } };
   });
-  const runOnce = (maxGatherings: number): JobOutcome =>
+  const runOnce = (maxReservations: number): JobOutcome =>
     findOutcome(
       runSimulation(
         [...stream, wide],
         oneRack,
-        createPlanPolicy({ maxGatherings, value: { priorityWeights: [9, 9, 1] } }),
+        createPlanPolicy({ maxReservations, value: { priorityWeights: [9, 9, 1] } }),
       ),
       'wide',
     );
--- a/packages/dispatch/tests/waitlog.test.ts
+++ b/packages/dispatch/tests/waitlog.test.ts
@@ -41,7 +41,7 @@
   expect(lines.map(({ fields }) => fields?.reason)).toEqual(['no_room']);
   await clock.advance(1000);
   reportWait(9000, true);
-  expect(lines.map(({ fields }) => fields?.reason)).toEqual(['no_room', 'clearing']);
+  expect(lines.map(({ fields }) => fields?.reason)).toEqual(['no_room', 'preempting']);
 });
 
 // Guards against log lines for jobs that only wait until their order is sent.
--- a/packages/scheduling/src/group.ts
+++ b/packages/scheduling/src/group.ts
@@ -128,7 +128,7 @@
   Stale = 'stale',
   Done = 'done',
   /** An earlier run succeeded; the current one is no longer needed and can be stopped. */
-  Superseded = 'settled',
+  Superseded = 'superseded',
   /** The task waits for its next run. */
   Retry = 'retry',
   /** The attempts are used up. */
--- a/packages/scheduling/src/planner.ts
+++ b/packages/scheduling/src/planner.ts
@@ -209,7 +209,7 @@
   }
 
   function reserveForGang({ group, ageMs }: ReadyGroup, spread: Spread): void {
-    if (ageMs < reserveAfterMs || reservations.size >= input.policy.maxGatherings) return;
+    if (ageMs < reserveAfterMs || reservations.size >= input.policy.maxReservations) return;
     const afterStops = placeGang(group, input.workers, spread, getFreeAfterStops);
     if (afterStops !== undefined) {
       reservePlacements(group, afterStops);
--- a/packages/scheduling/src/policy.ts
+++ b/packages/scheduling/src/policy.ts
@@ -17,7 +17,7 @@
    */
   urgentReserveShare: number;
   /** Maximum number of waiting gangs with a reservation at the same time; 0 turns reservations off. */
-  maxGatherings: number;
+  maxReservations: number;
 }
 
 /** Each priority weighs twice the next one; a third of the value of a job does not depend on its size. */
@@ -25,7 +25,7 @@
 
 const defaultMaxLossFactor = 30;
 const defaultUrgentReserveShare = 1.5;
-const defaultMaxGatherings = 2;
+const defaultMaxReservations = 2;
 
 /** Creates a policy with defaults for the fields that are not given. */
 export function createPlanPolicy(
@@ -36,7 +36,7 @@
     order: createValueOrder({ ...defaultValuePolicy, ...valuePolicy }),
     maxLossFactor: defaultMaxLossFactor,
     urgentReserveShare: defaultUrgentReserveShare,
-    maxGatherings: defaultMaxGatherings,
+    maxReservations: defaultMaxReservations,
     ...rest,
   };
 }
--- a/packages/scheduling/src/waiting.ts
+++ b/packages/scheduling/src/waiting.ts
@@ -18,13 +18,13 @@
   /** The compatible workers could not hold it even if all of them were empty. */
   TooLarge = 'too_large',
   /** Members of its previous run have not ended yet. */
-  Ending = 'ending',
+  PreviousRun = 'previous_run',
   /** Other work is being preempted for it. */
-  Preempting = 'clearing',
+  Preempting = 'preempting',
   /** There is room, but not in one rack or not in its preferred rack. */
   Rack = 'rack',
   /** There is room only on workers that are suspect or paused after failures. */
-  Unhealthy = 'trust',
+  Unhealthy = 'unhealthy',
   /** There is room only on workers that are reserved for urgent work. */
   Reserved = 'reserved',
   /** The free resources do not suffice. */
@@ -53,7 +53,7 @@
   { group, isPreempting }: Wait,
   workers: readonly WorkerView[],
 ): WaitReason {
-  if (group.spec.isGang && group.tasks.some(isOccupying)) return WaitReason.Ending;
+  if (group.spec.isGang && group.tasks.some(isOccupying)) return WaitReason.PreviousRun;
   const compatible = workers.filter((worker) => isCompatible(group, worker));
   if (compatible.length === 0) return WaitReason.NoWorker;
   const needed = group.spec.isGang ? listWaitingTasks(group).length : 1;
--- a/packages/scheduling/tests/waiting.test.ts
+++ b/packages/scheduling/tests/waiting.test.ts
@@ -52,5 +52,5 @@
   expect(findReason(gang, [worker], true)).toEqual(WaitReason.Preempting);
   const [task] = gang.tasks;
   if (task !== undefined) task.phase = TaskPhase.Stopping;
-  expect(findReason(gang, [worker])).toEqual(WaitReason.Ending);
+  expect(findReason(gang, [worker])).toEqual(WaitReason.PreviousRun);
 });
