--- a/packages/dispatch/tests/evacuation.test.ts
+++ b/packages/dispatch/tests/evacuation.test.ts
@@ -11,6 +11,8 @@
 /** The rule on evacuations: nothing starts later than this after an evacuation was stored. */
 const evacuateMs = 5000;
 const taskMs = 4000;
+/** Time within which a job covered by a guarantee must start; as in the owner's options. */
+const reclaimMs = 2900;
 const urgent = { priority: 0, maxAttempts: 2, stretch: 3, targetMs: 1000 };
 
 /** A world whose worker `w0` is in `d1` and `w1` in `d2`. */
@@ -134,6 +136,24 @@
   expect(own.every(({ sentAtMs }) => sentAtMs <= evacuatedAtMs + 2000)).toEqual(true);
 });
 
+// Guards against a guarantee that is not made good while a data centre is away.
+test('a guaranteed job reclaims its accelerators in the other data centres', async () => {
+  const world = createWorld(3, 3 * taskMs, 3);
+  world.guarantees.set('a1', 8);
+  world.addCandidate('a');
+  world.evacuate('d1');
+  await world.clock.advance(startUpMs);
+  world.submit('j1', [{ taskCount: 8 }], { account: 'a2' });
+  await world.clock.advance(300);
+  const submittedAtMs = world.clock.getNowMs();
+  world.submit('u1', [{ taskCount: 8, isGang: true }], { rules: urgent });
+  await world.clock.advance(reclaimMs);
+  const own = world.listStartedRuns().filter(({ task }) => task.startsWith('u1'));
+  expect(own.length).toEqual(8);
+  expect(own.every(({ atMs }) => atMs >= submittedAtMs)).toEqual(true);
+  expect(countStarts(world, 'w0')).toEqual(0);
+});
+
 // Guards against a run that is ended by an evacuation, which only stops new starts.
 test('work that runs in an evacuated data centre is left to end', async () => {
   const world = createTwoDataCentres();
--- a/packages/dispatch/tests/world.ts
+++ b/packages/dispatch/tests/world.ts
@@ -144,6 +144,8 @@
   store: TableState;
   workers: Map<string, FakeWorker>;
   advisor: FakeAdvisor;
+  /** Guaranteed accelerators by account. */
+  guarantees: Map<string, number>;
   /**
    * Adds a candidate; changes reach its replica of the job states `stateDelayMs` late and its owner's
    * replica of the jobs `jobDelayMs` late.
@@ -198,6 +200,7 @@
   const store = new TableState(clock);
   const workers = new Map<string, FakeWorker>();
   const advisor = new FakeAdvisor(clock);
+  const guarantees = new Map<string, number>();
   let operations = 0;
 
   function apply(key: string, value: RowValue): void {
@@ -291,12 +294,18 @@
   }
 
   function getConfig(): ServiceConfig | undefined {
-    if (advisor.admitted === undefined) return undefined;
+    if (advisor.admitted === undefined && guarantees.size === 0) return undefined;
     const rules = { priority: 1, maxAttempts: 2, stretch: 3, targetMs: 1000 };
     const queue = { name: 'q1', host: 'h', prefix: '/', pool: 'p1', rules, isPublic: true };
     const advice = { decisionMs: 10, perWorkerMs: 1 };
     const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
-    return { version: 1, queues: [{ ...queue, advice }], accounts: [], limits };
+    const queues = advisor.admitted === undefined ? [] : [{ ...queue, advice }];
+    const accounts = [...guarantees].map(([name, guaranteedAccelerators]) => ({
+      name,
+      keys: [],
+      guaranteedAccelerators,
+    }));
+    return { version: 1, queues, accounts, limits };
   }
 
   function getRow(id: string): StateRow | undefined {
@@ -308,6 +317,7 @@
     store,
     workers,
     advisor,
+    guarantees,
     addCandidate,
     submit(id, steps, changes = {}) {
       const submission: JobSubmission = {
