Do not take a store that is away for a slow one

Cause: the time in which the store is expected to answer grew with each call without an answer, like the timeout of a call.

Change: the expected time comes from measured responses alone; timeouts of calls back off as before.

--- a/packages/daemon/src/platformclients.ts
+++ b/packages/daemon/src/platformclients.ts
@@ -21,7 +21,7 @@
 const storeConnections = 4;
 // Shorter than the lease minus its safety margin, so that a hung store call fails before the lease
 // expires.
-const storeTimeoutMs = 2000;
+const expectedStoreMs = 2000;
 const workerTimeoutMs = 1000;
 
 /** Wraps the store clients to count and time their calls. */
@@ -41,7 +41,7 @@
   const client = createHttpClient({
     origin,
     connections: storeConnections,
-    timeoutMs: storeTimeoutMs,
+    timeoutMs: expectedStoreMs,
   });
   return {
     table: createHttpTable(client),
--- a/packages/dispatch/src/instance.ts
+++ b/packages/dispatch/src/instance.ts
@@ -47,7 +47,7 @@
   address: string;
   table: Table;
   /** Time within which the store is expected to answer a call now, in milliseconds. */
-  getStoreTimeoutMs: () => number;
+  getExpectedStoreMs: () => number;
   /** Name of this instance, kept across restarts. */
   name: string;
   dataCentre: string;
@@ -174,7 +174,7 @@
     createOperationId: () => `${options.processId}/${String((nextOperation += 1))}`,
     commitsPerSecond: limits.commitsPerSecond,
     maxEntries: maxCommitEntries,
-    getReplyTimeoutMs: options.getStoreTimeoutMs,
+    getReplyTimeoutMs: options.getExpectedStoreMs,
   });
   const states = createTableReplica<StateRow>({
     feed: options.stateFeed,
--- a/packages/dispatch/src/jobservice.ts
+++ b/packages/dispatch/src/jobservice.ts
@@ -31,7 +31,7 @@
   states: TableReplica<StateRow>;
   configs: ConfigReplica;
   /** Time within which the store is expected to answer a call now, in milliseconds. */
-  getStoreTimeoutMs: () => number;
+  getExpectedStoreMs: () => number;
   clock: Clock;
   /** Unix time in milliseconds. */
   getWallMs: () => number;
@@ -95,7 +95,7 @@
  * With a slow store, a repeated call only adds to the work of the store, so the call is left undecided for
  * this many times as long as the store takes to answer.
  */
-const unknownAfterTimeouts = 3;
+const unknownAfterFactor = 3;
 const retryAfterMs = 1000;
 /**
  * A refusal by a configuration replica confirmed this recently needs no check against the store.
@@ -159,7 +159,7 @@
 
   /** Limits how long the caller waits; the work itself continues. */
   async function limitTime<T>(work: Promise<T>, deadlineMs: number): Promise<T | undefined> {
-    const slowStoreMs = unknownAfterTimeouts * options.getStoreTimeoutMs();
+    const slowStoreMs = unknownAfterFactor * options.getExpectedStoreMs();
     const unknownAfterMs = Math.max(minUnknownAfterMs, slowStoreMs);
     const limitMs = Math.min(deadlineMs - answerMarginMs, unknownAfterMs);
     const timeout = waitFor(clock, Math.max(0, limitMs));
--- a/packages/dispatch/src/relayedjobs.ts
+++ b/packages/dispatch/src/relayedjobs.ts
@@ -21,7 +21,7 @@
  * A peer does not reach a slow store sooner either, so a call is tried there only after this many times as
  * long as the store takes to answer.
  */
-const hedgeAfterTimeouts = 1.5;
+const hedgeAfterFactor = 1.5;
 const noJob = 'none';
 const done = 'done';
 
@@ -30,7 +30,7 @@
   jobs: JobService;
   relay: Relay;
   /** Time within which the store is expected to answer a call now, in milliseconds. */
-  getStoreTimeoutMs: () => number;
+  getExpectedStoreMs: () => number;
   clock: Clock;
 }
 
@@ -81,7 +81,7 @@
     local: Promise<Result<T, Fault>>,
     callRelay: () => Promise<Result<T, Fault> | undefined>,
   ): Promise<Result<T, Fault>> {
-    const slowStoreMs = hedgeAfterTimeouts * options.getStoreTimeoutMs();
+    const slowStoreMs = hedgeAfterFactor * options.getExpectedStoreMs();
     const hedgeAfterMs = Math.max(minHedgeAfterMs, slowStoreMs);
     const early = await Promise.race([local, waitFor(clock, hedgeAfterMs).then(() => undefined)]);
     if (early !== undefined && (early.isOk() || !isStoreFault(early.error))) return early;
--- a/packages/dispatch/tests/relayedjobs.test.ts
+++ b/packages/dispatch/tests/relayedjobs.test.ts
@@ -50,7 +50,7 @@
   const service = createRelayedJobs({
     jobs,
     relay,
-    getStoreTimeoutMs: () => 300,
+    getExpectedStoreMs: () => 300,
     clock: createSystemClock(),
   });
   const result = await service.submit(admission, request, 3000);
--- a/packages/dispatch/tests/services.ts
+++ b/packages/dispatch/tests/services.ts
@@ -8,7 +8,7 @@
 import type { World } from './world.ts';
 
 /** Time within which a quick store is expected to answer. */
-const quickStoreTimeoutMs = 300;
+const quickStoreMs = 300;
 const logger = createNullLogger();
 const metrics = createNullMetrics();
 const rules = { priority: 1, maxAttempts: 2, stretch: 3, targetMs: 1000 };
@@ -20,11 +20,11 @@
   call: { host: 'h', path: '/', key: undefined },
 };
 
-/** Adds another instance's job service to a world; it expects the store to answer in `storeTimeoutMs`. */
+/** Adds another instance's job service to a world; it expects the store to answer in `expectedStoreMs`. */
 export function addService(
   world: World,
   id: string,
-  storeTimeoutMs = quickStoreTimeoutMs,
+  expectedStoreMs = quickStoreMs,
 ): { jobs: JobService; process: FakeProcess } {
   const process = new FakeProcess(id, world.clock);
   const table = new FakeTable(world.store, process);
@@ -57,7 +57,7 @@
     states,
     configs,
     getWallMs,
-    getStoreTimeoutMs: () => storeTimeoutMs,
+    getExpectedStoreMs: () => expectedStoreMs,
   });
   return { jobs, process };
 }
--- a/packages/dispatch/tests/slowstore.test.ts
+++ b/packages/dispatch/tests/slowstore.test.ts
@@ -14,7 +14,7 @@
 const slowTransactionMs = 250;
 const callerDeadlineMs = 3000;
 /** Time within which a store that is 90 times slower is expected to answer. */
-const slowStoreTimeoutMs = 800;
+const slowStoreMs = 800;
 const step = createStep({ demand: { cpuMillis: 1, memoryMb: 1, accelerators: 0 } });
 
 /** Partition of a row: job rows are spread, all other rows share the owner's partition. */
@@ -134,7 +134,7 @@
 test('callers of a slow store are answered by their first try', async () => {
   const world = createWorld();
   world.store.getPartition = getPartition;
-  const services = ['s1', 's2'].map((id) => addService(world, id, slowStoreTimeoutMs).jobs);
+  const services = ['s1', 's2'].map((id) => addService(world, id, slowStoreMs).jobs);
   await world.clock.advance(500);
   world.store.latencyMs = 1500;
   const tries: boolean[] = [];
@@ -154,7 +154,7 @@
 // Guards against holding a caller of a slow store beyond its deadline.
 test('a slow store holds no caller beyond its deadline', async () => {
   const world = createWorld();
-  const { jobs } = addService(world, 's1', slowStoreTimeoutMs);
+  const { jobs } = addService(world, 's1', slowStoreMs);
   await world.clock.advance(500);
   world.store.latencyMs = 5000;
   let answeredAtMs = Infinity;
--- a/packages/hosting/src/adaptivetimeout.ts
+++ b/packages/hosting/src/adaptivetimeout.ts
@@ -18,6 +18,11 @@
   recordTimeout(): void;
   /** Returns the timeout for the next call. */
   getTimeoutMs(): number;
+  /**
+   * Returns the time within which a working service answers, by its measured responses alone. Unlike the
+   * timeout, it does not grow while calls get no answer: such a service is away rather than slow.
+   */
+  getExpectedMs(): number;
 }
 
 // Weights of the moving averages of TCP's retransmission timeout (RFC 6298).
@@ -31,6 +36,12 @@
   let meanMs: number | undefined;
   let deviationMs = 0;
   let backoff = 1;
+
+  function getExpectedMs(): number {
+    if (meanMs === undefined) return minMs;
+    return Math.min(maxMs, Math.max(minMs, meanMs + deviationFactor * deviationMs));
+  }
+
   return {
     recordResponse(responseMs) {
       backoff = 1;
@@ -46,9 +57,8 @@
       backoff *= backoffFactor;
     },
     getTimeoutMs() {
-      if (meanMs === undefined) return maxMs;
-      const expectedMs = Math.max(minMs, meanMs + deviationFactor * deviationMs);
-      return Math.min(maxMs, expectedMs * backoff);
+      return meanMs === undefined ? maxMs : Math.min(maxMs, getExpectedMs() * backoff);
     },
+    getExpectedMs,
   };
 }
--- a/packages/hosting/src/httpclient.ts
+++ b/packages/hosting/src/httpclient.ts
@@ -52,8 +52,8 @@
     body?: string,
     options?: SendOptions,
   ): Promise<Exchange>;
-  /** Time within which the service is expected to answer, in milliseconds; see `minTimeoutMs`. */
-  getTimeoutMs(): number;
+  /** Time within which the service answers while it works, in milliseconds; at least `minTimeoutMs`. */
+  getExpectedMs(): number;
   /** Closes the connections after the exchanges in flight. */
   close(): Promise<void>;
   /** Closes the connections at once; exchanges in flight end as `Lost`. */
@@ -163,7 +163,7 @@
 
   return {
     send,
-    getTimeoutMs: () => adaptiveTimeout.getTimeoutMs(),
+    getExpectedMs: () => adaptiveTimeout.getExpectedMs(),
     close: () => pool.close(),
     abort: () => pool.destroy(),
   };
--- a/packages/hosting/tests/adaptivetimeout.test.ts
+++ b/packages/hosting/tests/adaptivetimeout.test.ts
@@ -35,3 +35,14 @@
   for (let call = 0; call < 60; call += 1) timeout.recordResponse(20);
   expect(timeout.getTimeoutMs()).toEqual(300);
 });
+
+// Guards against callers who are held until their deadline because a store that is away counts as slow.
+test('a service without answers is not expected to be slow', () => {
+  const timeout = createAdaptiveTimeout({ minMs: 300, maxMs: 1200 });
+  expect(timeout.getExpectedMs()).toEqual(300);
+  for (let index = 0; index < 20; index += 1) timeout.recordResponse(5);
+  for (let index = 0; index < 5; index += 1) timeout.recordTimeout();
+  expect([timeout.getTimeoutMs(), timeout.getExpectedMs()]).toEqual([1200, 300]);
+  for (let index = 0; index < 20; index += 1) timeout.recordResponse(700);
+  expect(timeout.getExpectedMs() >= 700).toEqual(true);
+});
