--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -13,5 +13,5 @@
 export * from './taskname.ts';
 export * from './urgentreserve.ts';
 export * from './waiting.ts';
-export type * from './worker.ts';
+export * from './worker.ts';
 export * from './workerhealth.ts';
--- a/packages/scheduling/src/packing.ts
+++ b/packages/scheduling/src/packing.ts
@@ -3,7 +3,7 @@
 import { addResources, countFitting, getDominantShare } from './resources.ts';
 import type { Resources } from './resources.ts';
 import { urgentPriority } from './submission.ts';
-import { UrgentReserve } from './urgentreserve.ts';
+import { UrgentReserve } from './worker.ts';
 import type { WorkerView } from './worker.ts';
 
 /** Attempts that a group must have left before it may run on a suspect worker. */
--- a/packages/scheduling/src/urgentreserve.ts
+++ b/packages/scheduling/src/urgentreserve.ts
@@ -1,14 +1,6 @@
+import { UrgentReserve } from './worker.ts';
 import type { WorkerView } from './worker.ts';
 
-/** Whether a worker is reserved for urgent work. */
-export enum UrgentReserve {
-  None = 0,
-  /** Open to work that checkpoints too, as little is lost when it is preempted. */
-  CheckpointingOnly = 1,
-  /** Kept free for urgent work; no other work may start. */
-  UrgentOnly = 2,
-}
-
 /** Smoothed estimate of the accelerators that urgent work needs. */
 export interface UrgentDemand {
   /** Records the accelerators that urgent work holds or waits for now. */
--- a/packages/scheduling/src/worker.ts
+++ b/packages/scheduling/src/worker.ts
@@ -1,6 +1,14 @@
 import type { TaskGroup, Task } from './group.ts';
 import type { Resources } from './resources.ts';
-import type { UrgentReserve } from './urgentreserve.ts';
+
+/** Whether a worker is reserved for urgent work. */
+export enum UrgentReserve {
+  None = 0,
+  /** Open to work that checkpoints too, as little is lost when it is preempted. */
+  CheckpointingOnly = 1,
+  /** Kept free for urgent work; no other work may start. */
+  UrgentOnly = 2,
+}
 
 /** A task that holds resources on a worker. */
 export interface PlacedTask {
