--- a/packages/cli/tests/line.test.ts
+++ b/packages/cli/tests/line.test.ts
@@ -97,12 +97,13 @@
     state: 'live',
     capacity: { accelerators: 8 },
     isQuarantined: false,
+    isEvacuated: true,
   };
   const fake = await startFakeDaemon(context, () => ({ status: 200, body: { workers: [worker] } }));
   const line = ['worker', 'ls', '--server', fake.url];
   expect((await runCommandLine(line)).out).toEqual(
-    'ID          REGION  DATA CENTRE  RACK        STATE  ACCELERATORS  IS QUARANTINED\n' +
-      'noord-1-w0  noord   noord-1      noord-1-r0  live              8  false\n',
+    'ID          REGION  DATA CENTRE  RACK        STATE  ACCELERATORS  IS QUARANTINED  IS EVACUATED\n' +
+      'noord-1-w0  noord   noord-1      noord-1-r0  live              8  false           true\n',
   );
   const json = await runCommandLine([...line, '--json']);
   expect(JSON.parse(json.out)).toEqual({ workers: [worker] });
--- a/packages/dispatch/src/owner.ts
+++ b/packages/dispatch/src/owner.ts
@@ -440,7 +440,9 @@
   }
 
   function reportEvacuated(): void {
-    for (const evacuated of listEvacuated()) logger.info('data_centre_evacuated', { ...evacuated });
+    for (const { dataCentre, workers, runningTasks } of listEvacuated()) {
+      logger.info('data_centre_evacuated', { dataCentre, workers, runningTasks });
+    }
   }
 
   function countTasks(phase: TaskPhase): number {
