Log each run that is lost with its worker

Cause: worker_lapsed gave only a number of runs, so the log could not tell which task was on every worker that crashed, nor for how long.

Change: run_lost names each run, how long it had run before the worker fell silent and how many jobs had runs there; worker_lapsed adds the silence, rack and address; runs.lost counts by cause. No decision changes.

--- a/packages/dispatch/src/owner.ts
+++ b/packages/dispatch/src/owner.ts
@@ -25,6 +25,7 @@
 import { createTableReplica } from './tablereplica.ts';
 import { createOrderSender } from './orders.ts';
 import type { OwnerContext, OwnerOptions } from './ownercontext.ts';
+import { createRunLosses } from './runlosses.ts';
 import { createRunReports } from './runreports.ts';
 import { createRunStops } from './runstops.ts';
 import { createStarter } from './starter.ts';
@@ -186,6 +187,7 @@
   const cancels = createJobCancels(context, lifecycle);
   const heldRuns = createHeldRuns(context, lifecycle);
   const reports = createRunReports(context, lifecycle, heldRuns);
+  const losses = createRunLosses(context);
   const starter = createStarter(context, lifecycle);
 
   /** Reads the stored progress of all groups; false if the owner was stopped meanwhile. */
@@ -277,7 +279,7 @@
 
   function handleLapse(link: WorkerLink, cause: LapseCause): void {
     const lost = activeJobs.listOnWorker(link.id);
-    logger.info('worker_lapsed', { worker: link.id, reason: cause, runs: lost.length });
+    losses.recordLapse(link, cause, lost);
     context.orphanUsage.delete(link.id);
     for (const placed of lost) {
       if (heldRuns.canRunInNextIncarnation(placed.task, cause)) heldRuns.holdRun(placed);
@@ -294,7 +296,7 @@
       if (fleet.find(workerId) !== undefined) continue;
       const lost = placed.filter(({ task }) => !heldRuns.isHeld(task));
       if (lost.length === 0) continue;
-      logger.info('worker_lapsed', { worker: workerId, reason: 'unlisted', runs: lost.length });
+      losses.recordUnlisted(workerId, lost);
       for (const placedTask of lost) lifecycle.dropRun(placedTask);
     }
   }
--- a/packages/dispatch/src/workerlink.ts
+++ b/packages/dispatch/src/workerlink.ts
@@ -62,6 +62,11 @@
   setListed(isListed: boolean): void;
   /** Time since the last answer of the worker, in milliseconds. */
   getSilenceMs(): number;
+  /**
+   * Monotonic time of the first call without an answer since the last one with an answer; `undefined`
+   * while the worker answers.
+   */
+  getSilentSinceMs(): number | undefined;
   getClock(): WorkerClock;
   /** Fencing token for orders to this incarnation of the worker. */
   getFencingToken(): number;
@@ -114,6 +119,7 @@
   /** Highest acknowledgement that the worker has answered. */
   let confirmedSequence = 0;
   let answeredMs = clock.getNowMs();
+  let silentSinceMs: number | undefined;
   let isReportRequested = false;
   let isCalling = false;
   let hasLeft = false;
@@ -153,6 +159,7 @@
 
   function handleFailure(message: string): void {
     failures += 1;
+    silentSinceMs ??= clock.getNowMs();
     metrics.count('worker.call_failures');
     if (failures >= silentAfterFailures && state === LinkState.Live)
       setState(LinkState.Silent, message);
@@ -169,6 +176,7 @@
     }
     failures = 0;
     answeredMs = clock.getNowMs();
+    silentSinceMs = undefined;
     workerClock.recordReading(report.clockMs, answeredMs);
     return true;
   }
@@ -265,6 +273,7 @@
       if (value) hasLeft = false;
     },
     getSilenceMs: () => clock.getNowMs() - answeredMs,
+    getSilentSinceMs: () => silentSinceMs,
     getClock: () => workerClock,
     getFencingToken: () => fencingToken,
     markLapsed,
