--- a/packages/dispatch/tests/fakeworkers.ts
+++ b/packages/dispatch/tests/fakeworkers.ts
@@ -52,6 +52,12 @@
   ackedSequence = 0;
   /** Calls get no answer and have no effect. */
   isUnreachable = false;
+  /** The process has crashed: connections are refused. */
+  isDown = false;
+  /** A worker with another id has taken over the address. */
+  isReplaced = false;
+  /** Called when a run begins. */
+  onStart: (task: string) => void = () => undefined;
   /** Orders get no answer and take effect after this delay; 0 turns this off. */
   orderDelayMs = 0;
   /** Number of next stops that get no answer and have no effect. */
@@ -80,8 +86,15 @@
     return this.clock.getNowMs() - this.startedAtMs;
   }
 
+  /** Ends the process: all runs are gone, and nothing answers until `restart`. */
+  crash(): void {
+    this.isDown = true;
+    this.active.clear();
+  }
+
   /** Starts a new incarnation without any memory of the previous one. */
   restart(): void {
+    this.isDown = false;
     this.startedAtMs = this.clock.getNowMs();
     this.active.clear();
     this.ended.length = 0;
@@ -145,6 +158,7 @@
     const { run, fencingToken } = order;
     this.active.set(order.task, { run, beganAtMs: clockMs, endsAtMs, fencingToken });
     this.startedRuns.push({ task: order.task, run: order.run, atMs: clockMs });
+    this.onStart(order.task);
     return { status: OrderStatus.Accepted, reason: none, clockMs };
   }
 
@@ -242,7 +256,11 @@
     const incarnation = worker?.bornAtMs;
     for (;;) {
       // The connection ends with the incarnation that took the call.
-      if (worker?.bornAtMs !== incarnation) {
+      if (worker?.isReplaced === true) {
+        return this.process.call(() => Err(createFault(FaultCode.NotFound, 'another worker')));
+      }
+      if (worker?.bornAtMs !== incarnation || worker?.isDown === true) {
+        await waitFor(this.process, usualReportMs);
         return Err(createFault(FaultCode.WorkerUnavailable, 'connection reset'));
       }
       if (worker === undefined || worker.isUnreachable) {
@@ -266,6 +284,10 @@
   ): Promise<OrderReply> {
     const worker = this.workers.get(address.id);
     const lost: OrderReply = { status: OrderStatus.Unknown, reason: none };
+    if (worker?.isReplaced === true) {
+      return this.process.call(() => ({ status: OrderStatus.OtherIncarnation, reason: none }));
+    }
+    if (worker?.isDown === true) return this.process.call(() => lost);
     if (worker !== undefined && !worker.isUnreachable && worker.orderDelayMs === 0) {
       return this.process.call(() => execute(worker));
     }
--- a/packages/dispatch/tests/world.ts
+++ b/packages/dispatch/tests/world.ts
@@ -163,6 +163,13 @@
   unlistWorker: (id: string) => void;
   /** Puts a worker back on the list. */
   listWorker: (id: string) => void;
+  /**
+   * Crashes a worker. After `downMs` it is back under the same id, or as another worker at the same
+   * address.
+   */
+  crashWorker: (id: string, downMs: number, comesBack?: ComeBack) => void;
+  /** Crashes each worker that begins this task, `afterMs` after the start. */
+  crashOnStart: (task: string, afterMs?: number, comesBack?: ComeBack) => void;
   /** Restarts a worker under the same id and lists it with some changes. */
   restartWorker: (id: string, changes?: Partial<WorkerEntry>) => void;
   getState: (id: string) => JobState | undefined;
@@ -170,13 +177,22 @@
   listStartedRuns: () => { task: string; run: number; atMs: number; worker: string }[];
 }
 
+/** How a worker comes back after a crash. */
+export enum ComeBack {
+  SameId = 'same_id',
+  NewId = 'new_id',
+}
+
 export const runMs = 1000;
 const maxLeaseMs = 10_000;
+/** How long a worker is down after a crash, and how long its entry outlives it. */
+const crashDownMs = 3000;
+const entryExpiryMs = 4500;
 const logger = createNullLogger();
 const metrics = createNullMetrics();
 
 function createEntry(id: string, dataCentreCount: number): WorkerEntry {
-  const index = Number(id.slice(1));
+  const index = Number.parseInt(id.slice(1), 10);
   return {
     id,
     bornAtMs: 1,
@@ -202,6 +218,8 @@
   const advisor = new FakeAdvisor(clock);
   const guarantees = new Map<string, number>();
   let operations = 0;
+  /** Tasks that crash their workers. */
+  const crashing = new Map<string, { afterMs: number; comesBack: ComeBack }>();
 
   function apply(key: string, value: RowValue): void {
     const version = store.rows.get(key)?.version ?? 0;
@@ -209,9 +227,53 @@
     store.apply({ operationId, conditions: [{ key, version }], writes: [{ key, value }] }, 't', 0);
   }
 
+  function addWorker(id: string): FakeWorker {
+    const worker = new FakeWorker(id, clock, taskMs);
+    worker.onStart = (task) => {
+      const crash = crashing.get(task);
+      if (crash === undefined) return;
+      const { bornAtMs } = worker;
+      clock.setTimer(crash.afterMs, () => {
+        const isRunning = worker.active.has(task) && worker.bornAtMs === bornAtMs;
+        if (isRunning) crashWorker(id, crashDownMs, crash.comesBack);
+      });
+    };
+    workers.set(id, worker);
+    return worker;
+  }
+
+  function crashWorker(id: string, downMs: number, comesBack = ComeBack.NewId): void {
+    const worker = workers.get(id);
+    if (worker === undefined || worker.isDown || worker.isReplaced) return;
+    worker.crash();
+    clock.setTimer(downMs, () => {
+      const known = store.rows.get(`servers/${id}`)?.value as unknown as WorkerEntry | undefined;
+      const entry = known ?? createEntry(id, dataCentreCount);
+      if (comesBack === ComeBack.SameId) {
+        worker.restart();
+        apply(`servers/${id}`, { ...entry, bornAtMs: worker.bornAtMs } as unknown as RowValue);
+        return;
+      }
+      worker.isReplaced = true;
+      const nextId = `${id}'`;
+      addWorker(nextId);
+      apply(`servers/${nextId}`, { ...entry, id: nextId } as unknown as RowValue);
+    });
+    if (comesBack === ComeBack.NewId)
+      clock.setTimer(entryExpiryMs, () => {
+        removeEntry(id);
+      });
+  }
+
+  function removeEntry(id: string): void {
+    const operationId = `test/${operations++}`;
+    const writes = [{ key: `servers/${id}`, value: null }];
+    store.apply({ operationId, conditions: [], writes }, 't', 0);
+  }
+
   for (let index = 0; index < workerCount; index += 1) {
     const id = `w${index}`;
-    workers.set(id, new FakeWorker(id, clock, taskMs));
+    addWorker(id);
     apply(`servers/${id}`, createEntry(id, dataCentreCount) as unknown as RowValue);
   }
 
@@ -354,10 +416,10 @@
       const draining = { ...entry, isDraining: true, drainRemainingMs: maxLeaseMs };
       apply(`servers/${id}`, draining as unknown as RowValue);
     },
-    unlistWorker(id) {
-      const key = `servers/${id}`;
-      const operationId = `test/${operations++}`;
-      store.apply({ operationId, conditions: [], writes: [{ key, value: null }] }, 't', 0);
+    unlistWorker: removeEntry,
+    crashWorker,
+    crashOnStart(task, afterMs = 5, comesBack = ComeBack.NewId) {
+      crashing.set(task, { afterMs, comesBack });
     },
     listWorker(id) {
       const bornAtMs = workers.get(id)?.bornAtMs ?? 1;
