Give up tasks that crash the workers that start them

It is a missing feedback: the scheduler retried without recording what the retry did.

Change: a crash is attributed by elimination. A worker that comes back as another incarnation, was not draining and was not lost together with unrelated workers has crashed; the tasks on it become suspects. A suspect starts only where no other job has a run, until it ends or has outlived its longest run before a crash. Crashes while its job was alone count by the probability that the worker would have crashed anyway in that time, from the recent crashes in the fleet and of the machine; below 1e-4, and after two of them, the job is failed. Suspects take at most an eighth of a pool, the least suspected first, and pause longer after each crash. A run is counted once, by its number.

Ruled out: blaming all runs on a crashed worker (fails innocent jobs), and blaming the latest start only (tasks that crash after seconds).

--- a/packages/bench/src/decisions/simulation.ts
+++ b/packages/bench/src/decisions/simulation.ts
@@ -160,6 +160,7 @@
         maxStarts: workerHealth.countStarts(id, placed.length, nowMs),
         isSuspect: workerHealth.isSuspect(id, nowMs),
         urgentReserve: UrgentReserve.None,
+        hasOrphans: false,
       };
     });
   }
@@ -171,6 +172,7 @@
       nowMs,
       workers: buildViews(),
       ready: activeJobs.listReady(nowMs),
+      suspectsDown: new Map(),
       guaranteed: activeJobs.listGuaranteed(fleet.guarantees),
       preemptUrgentAfterMs: Math.max(0, fleet.reclaimMs - fleet.stopMs - reclaimMarginMs),
       urgentDemand: urgentDemand.getLevel(),
--- a/packages/bench/src/planning/planning.ts
+++ b/packages/bench/src/planning/planning.ts
@@ -70,6 +70,7 @@
     maxStarts: Infinity,
     isSuspect: false,
     urgentReserve: UrgentReserve.None,
+    hasOrphans: false,
   };
 }
 
@@ -114,6 +115,7 @@
     nowMs,
     workers,
     ready,
+    suspectsDown: new Map(),
     guaranteed,
     urgentDemand: workerCount,
     preemptUrgentAfterMs: 1500,
--- a/packages/dispatch/src/fleetview.ts
+++ b/packages/dispatch/src/fleetview.ts
@@ -1,4 +1,11 @@
-import { UrgentReserve, TaskPhase, addResources, canStartIn } from '@bergamotreach/scheduling';
+import {
+  UrgentReserve,
+  TaskPhase,
+  addResources,
+  canStartIn,
+  getCoreEquivalent,
+  isCrashSuspect,
+} from '@bergamotreach/scheduling';
 import type { Evacuations, PlacedTask, Resources, WorkerView } from '@bergamotreach/scheduling';
 import type { OwnerContext } from './ownercontext.ts';
 import { LinkState } from './workerlink.ts';
@@ -14,6 +21,21 @@
     .map((link) => buildWorkerView(context, link, byWorker.get(link.id) ?? [], nowMs));
 }
 
+/** Counts, by pool, the silent workers with runs that may have crashed them. */
+export function countSuspectsDown(context: OwnerContext, nowMs: number): Map<string, number> {
+  const counts = new Map<string, number>();
+  const silent = context.fleet.list().filter((link) => link.getState() !== LinkState.Live);
+  if (silent.length === 0) return counts;
+  const byWorker = context.activeJobs.groupByWorker();
+  for (const link of silent) {
+    const placed = byWorker.get(link.id) ?? [];
+    if (!placed.some(({ task }) => isCrashSuspect(task, nowMs))) continue;
+    const { pool } = link.getEntry();
+    counts.set(pool, (counts.get(pool) ?? 0) + 1);
+  }
+  return counts;
+}
+
 function isUsable(context: OwnerContext, link: WorkerLink, evacuations: Evacuations): boolean {
   const entry = link.getEntry();
   if (!canStartIn(entry.dataCentre, evacuations)) return false;
@@ -52,5 +74,6 @@
     maxStarts,
     isSuspect: workerHealth.isSuspect(id, nowMs),
     urgentReserve: UrgentReserve.None,
+    hasOrphans: usedByOrphans !== undefined && getCoreEquivalent(usedByOrphans) > 0,
   };
 }
--- a/packages/dispatch/src/joblifecycle.ts
+++ b/packages/dispatch/src/joblifecycle.ts
@@ -4,6 +4,7 @@
   RunEnd,
   TaskPhase,
   encodeGroup,
+  isCulprit,
   isFinal,
   recordEnd,
 } from '@bergamotreach/scheduling';
@@ -38,6 +39,9 @@
   recordRunning(task: Task, confirmedClockMs: number): void;
 }
 
+/** Why a job is given up whose task crashed several workers. */
+export const crashReason = 'a task crashes its workers';
+
 /** Creates the part of an owner that changes the state of jobs. */
 export function createJobLifecycle(context: OwnerContext): JobLifecycle {
   const { activeJobs, journal, stops, observedRuns } = context;
@@ -136,12 +140,21 @@
 
   function dropRun(placed: PlacedTask): void {
     const { group, task } = placed;
+    // Stored before the progress, which lets the task start again.
+    context.losses.countCrash(placed);
     observedRuns.delete(task);
     const effect = recordEnd(group, task, task.run, RunEnd.LeaseExpired, '');
     if (effect !== EndEffect.Stale) applyEnd(placed, effect);
+    if (task.phase === TaskPhase.Waiting && isCulprit(task)) endCulpritJob(group);
     context.requestPlan();
   }
 
+  function endCulpritJob(group: TaskGroup): void {
+    const job = findJob(group);
+    if (job === undefined || isFinal(job.state)) return;
+    finishJob(job, JobState.Failed, crashReason);
+  }
+
   function recordRunning(task: Task, confirmedClockMs: number): void {
     observedRuns.set(task, createObservedRun(task.run, { confirmedClockMs }));
   }
--- a/packages/dispatch/src/jobrows.ts
+++ b/packages/dispatch/src/jobrows.ts
@@ -2,7 +2,12 @@
 import { createCheck } from '@bergamotreach/protocol/check';
 import type { Check } from '@bergamotreach/protocol/check';
 import { JobState } from '@bergamotreach/scheduling';
-import type { GroupRecord, JobSubmission } from '@bergamotreach/scheduling';
+import type {
+  CrashRow,
+  GroupRecord,
+  JobSubmission,
+  StoredCrashRecord,
+} from '@bergamotreach/scheduling';
 import * as z from 'zod/mini';
 import { recurrenceSchema, stepSchema } from './jobrequest.ts';
 
@@ -66,15 +71,33 @@
   lastFailedRun: z.number(),
 });
 
+const ordinal = z.int().check(z.gte(0));
+/** Index, run, crashes, sole crashes, log chance, longest run; later versions may append fields. */
+const crashRecordSchema = z.pipe(
+  z.tuple(
+    [ordinal, ordinal, ordinal, ordinal, z.number().check(z.lte(0)), z.number().check(z.gte(0))],
+    z.unknown(),
+  ),
+  z.transform((record): StoredCrashRecord => {
+    const [index, run, crashes, soleCrashes, logChance, longestMs] = record;
+    return [index, run, crashes, soleCrashes, logChance, longestMs];
+  }),
+);
+const crashRowSchema = z.object({ records: z.array(crashRecordSchema) });
+
 /** Checks rows of the store, which other versions of this software may have written. */
 export const checkJobRow: Check<JobRow> = createCheck(jobRowSchema);
 export const checkStateRow: Check<StateRow> = createCheck(stateRowSchema);
 export const checkGroupRecord: Check<GroupRecord> = createCheck(groupRecordSchema);
 
+export const checkCrashRow: Check<CrashRow> = createCheck(crashRowSchema);
+
 /** Tables of jobs; the name is the first part of each row key. */
 export const jobTable = 'job';
 export const stateTable = 'state';
 export const progressTable = 'progress';
+/** Versions without crash records neither read nor write this table, so the counts outlive them. */
+export const crashTable = 'crash';
 
 /** Key of the row with an accepted job. */
 export function getJobKey(id: string): string {
@@ -91,6 +114,11 @@
   return `${progressTable}/${groupKey}`;
 }
 
+/** Key of the row with the crash records of a group of tasks. */
+export function getCrashKey(groupKey: string): string {
+  return `${crashTable}/${groupKey}`;
+}
+
 /** Creates the row of a job state that changes at the Unix time `wallMs`. */
 export function createStateRow(
   { queue, account, recurrence }: JobSubmission,
@@ -102,6 +130,6 @@
 }
 
 /** Encodes a row for the store. Rows are plain JSON values by construction. */
-export function encodeRow(row: JobRow | StateRow | GroupRecord): RowValue {
+export function encodeRow(row: JobRow | StateRow | GroupRecord | CrashRow): RowValue {
   return row as unknown as RowValue;
 }
--- a/packages/dispatch/src/observedrun.ts
+++ b/packages/dispatch/src/observedrun.ts
@@ -12,6 +12,8 @@
    * 0.
    */
   windowEndMs: number;
+  /** Monotonic time at which the first start was sent; absent before. */
+  sentAtMs?: number;
   /** Whether a report has listed the run, which proves that the reporting incarnation has it. */
   isListed: boolean;
 }
--- a/packages/dispatch/src/owner.ts
+++ b/packages/dispatch/src/owner.ts
@@ -6,26 +6,34 @@
   TaskPhase,
   createUrgentDemand,
   createWorkerHealth,
+  getCoreEquivalent,
+  hasCulprit,
   isExhausted,
   isFinal,
   parseTaskName,
   planStarts,
 } from '@bergamotreach/scheduling';
-import type { GroupRecord } from '@bergamotreach/scheduling';
+import type { CrashRow, GroupRecord, Resources } from '@bergamotreach/scheduling';
 import { CancelSource, createJobCancels, isCancel } from './cancels.ts';
 import { createFleet } from './fleet.ts';
-import { buildWorkerViews } from './fleetview.ts';
+import { buildWorkerViews, countSuspectsDown } from './fleetview.ts';
 import { createHeldRuns } from './heldruns.ts';
 import { createActiveJobs } from './activejobs.ts';
 import type { ActiveJob } from './activejobs.ts';
-import { createJobLifecycle } from './joblifecycle.ts';
-import { checkGroupRecord, getStateKey, progressTable } from './jobrows.ts';
+import { crashReason, createJobLifecycle } from './joblifecycle.ts';
+import {
+  checkCrashRow,
+  checkGroupRecord,
+  crashTable,
+  getStateKey,
+  progressTable,
+} from './jobrows.ts';
 import type { JobRow, StateRow } from './jobrows.ts';
 import { createJournal } from './journal.ts';
 import { createTableReplica } from './tablereplica.ts';
 import { createOrderSender } from './orders.ts';
 import type { OwnerContext, OwnerOptions } from './ownercontext.ts';
-import { createRunLosses } from './runlosses.ts';
+import { createRunLosses, applyCrashRow } from './runlosses.ts';
 import { createRunReports } from './runreports.ts';
 import { createRunStops } from './runstops.ts';
 import { createStarter } from './starter.ts';
@@ -84,6 +92,7 @@
 const slowestClockRate = 0.98;
 const progressPageRows = 500;
 const loadRetryMs = 20;
+const noResources: Resources = { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
 
 /** Creates an owner for one epoch; `start` loads the jobs and begins to schedule. */
 export function createOwner(options: OwnerOptions): Owner {
@@ -95,6 +104,8 @@
   const records = new Map<string, GroupRecord>();
   /** Jobs with stored progress that cannot be read. */
   const unreadableJobs = new Set<string>();
+  /** Stored crash records by group key. */
+  const crashRows = new Map<string, CrashRow>();
   let cancelPlan: CancelTimer | undefined;
   let cancelChecks: CancelTimer | undefined;
   let isLoaded = false;
@@ -171,7 +182,12 @@
     stops: createRunStops({ activeJobs, orders, logger, isStopped: () => isStopped }),
     tickets,
     fleet,
+    get losses() {
+      return losses;
+    },
     orphanUsage: new Map(),
+    hasOrphans: (workerId) =>
+      getCoreEquivalent(context.orphanUsage.get(workerId) ?? noResources) > 0,
     findDemand(taskName) {
       const name = parseTaskName(taskName);
       const row = name === undefined ? undefined : jobRows.find(name.jobId);
@@ -190,19 +206,22 @@
   const losses = createRunLosses(context);
   const starter = createStarter(context, lifecycle);
 
-  /** Reads the stored progress of all groups; false if the owner was stopped meanwhile. */
-  async function loadProgress(): Promise<boolean> {
+  /** Reads all rows of a table of group records; false if the owner was stopped meanwhile. */
+  async function loadRows(
+    name: string,
+    addRow: (row: Row) => void,
+    refuseRow: (key: string, reason: string) => void,
+  ): Promise<boolean> {
     let after: string | undefined;
     while (!isStopped) {
-      const page = await table.listRows(`${progressTable}/`, after, progressPageRows);
+      const page = await table.listRows(`${name}/`, after, progressPageRows);
       if (page.isErr()) {
-        logger.warn('progress_not_read', { reason: page.error.message });
+        logger.warn('progress_not_read', { table: name, reason: page.error.message });
         await waitFor(clock, loadRetryMs);
         continue;
       }
-      for (const row of page.value.rows) addProgress(row);
-      for (const key of page.value.unreadableKeys ?? [])
-        markUnreadable(key, 'value cannot be decoded');
+      for (const row of page.value.rows) addRow(row);
+      for (const key of page.value.unreadableKeys ?? []) refuseRow(key, 'value cannot be decoded');
       after = page.value.next;
       if (after === undefined) return true;
     }
@@ -219,6 +238,18 @@
     records.set(key.slice(progressTable.length + 1), record.value);
   }
 
+  function addCrashes({ key, version, value }: Row): void {
+    journal.setVersion(key, version);
+    const row = checkCrashRow(value);
+    if (row.isErr()) refuseCrashes(key, row.error);
+    else crashRows.set(key.slice(crashTable.length + 1), row.value);
+  }
+
+  /** The job is scheduled as if no worker had crashed under it. */
+  function refuseCrashes(key: string, reason: string): void {
+    logger.warn('crash_row_refused', { row: key, reason });
+  }
+
   /** Excludes a job from scheduling: without its progress it might run twice. */
   function markUnreadable(key: string, reason: string): void {
     const name = parseTaskName(`${key.slice(progressTable.length + 1)}.0`);
@@ -254,6 +285,7 @@
     const version = states.findVersion(jobId) ?? 0;
     journal.setVersion(getStateKey(jobId), version);
     const job = activeJobs.add(row, state, (groupKey) => records.get(groupKey));
+    for (const group of job.groups.values()) applyCrashRow(group, crashRows.get(group.key));
     const { submission } = row;
     logger.info('job_adopted', {
       job: jobId,
@@ -274,6 +306,8 @@
     if (activeJobs.isComplete(job)) lifecycle.finishJob(job, JobState.Completed, 'all tasks done');
     else if ([...job.groups.values()].some(isExhausted)) {
       lifecycle.finishJob(job, JobState.Failed, 'no attempts left');
+    } else if ([...job.groups.values()].some(hasCulprit)) {
+      lifecycle.finishJob(job, JobState.Failed, crashReason);
     }
   }
 
@@ -345,6 +379,7 @@
       policy: options.policy,
       workers,
       ready,
+      suspectsDown: countSuspectsDown(context, startedAtMs),
       guaranteed: activeJobs.listGuaranteed(guarantees),
     });
     metrics.reportTiming('plan.duration', clock.getNowMs() - startedAtMs);
@@ -373,6 +408,7 @@
       heldRuns.releaseExpired();
       dropUnlistedRuns();
       stopDrainingRuns();
+      losses.dropExonerated();
     });
     tryPlan();
   }
@@ -382,7 +418,11 @@
       startedMs = clock.getNowMs();
       jobRows.start();
       fleet.start();
-      const isRead = (await loadProgress()) && (await loadJobs());
+      const areRowsRead = await Promise.all([
+        loadRows(progressTable, addProgress, markUnreadable),
+        loadRows(crashTable, addCrashes, refuseCrashes),
+      ]);
+      const isRead = areRowsRead.every(Boolean) && (await loadJobs());
       if (!isRead) return;
       isLoaded = true;
       for (const [jobId] of jobRows.list()) addJob(jobId);
--- a/packages/dispatch/src/ownercontext.ts
+++ b/packages/dispatch/src/ownercontext.ts
@@ -18,6 +18,7 @@
 import type { OperatorRows } from './operatorrows.ts';
 import type { TableReplica } from './tablereplica.ts';
 import type { OrderSender } from './orders.ts';
+import type { RunLosses } from './runlosses.ts';
 import type { RunStops } from './runstops.ts';
 import type { UnansweredStarts, ObservedRuns } from './observedrun.ts';
 import type { TaskRunner } from './taskrunner.ts';
@@ -69,8 +70,11 @@
   stops: RunStops;
   tickets: TicketCache;
   readonly fleet: Fleet;
+  readonly losses: RunLosses;
   /** Resources that orphaned runs still occupy, by worker; only workers that have sent a report. */
   orphanUsage: Map<string, Resources>;
+  /** Whether runs that no job wants occupy a worker, as far as it has reported. */
+  hasOrphans: (workerId: string) => boolean;
   /** Resources of a task of any stored job, including jobs that have ended. */
   findDemand: (taskName: string) => Resources | undefined;
   /** Monotonic time until which a worker that refused a start gets no new one, by worker id. */
--- a/packages/dispatch/src/runlosses.ts
+++ b/packages/dispatch/src/runlosses.ts
@@ -1,58 +1,246 @@
-import type { PlacedTask } from '@bergamotreach/scheduling';
+import {
+  JobState,
+  TaskPhase,
+  createCrashHistory,
+  decodeCrashes,
+  encodeCrashes,
+  getCrashRetryMs,
+  isCrashSuspect,
+  isExonerated,
+  isFinal,
+  isSharedLoss,
+  recordCrash,
+} from '@bergamotreach/scheduling';
+import type {
+  Crash,
+  CrashRow,
+  LostWorker,
+  PlacedTask,
+  Task,
+  TaskGroup,
+} from '@bergamotreach/scheduling';
+import { encodeRow, getCrashKey } from './jobrows.ts';
 import { getTaskName } from './ownercontext.ts';
 import type { OwnerContext } from './ownercontext.ts';
-import type { LapseCause, WorkerLink } from './workerlink.ts';
+import { LapseCause, LinkState } from './workerlink.ts';
+import type { WorkerLink } from './workerlink.ts';
 
-/** Accounts for runs that were lost because nothing runs on their worker any more. */
+/**
+ * Accounts for runs that were lost because nothing runs on their worker any more, and for what that says
+ * about their tasks. A crash counts against a task only if the worker came back as another incarnation,
+ * was not draining, and was not lost together with unrelated workers.
+ */
 export interface RunLosses {
   /** Records the loss of a worker and of the runs that occupied it. */
   recordLapse(link: WorkerLink, cause: LapseCause, lost: readonly PlacedTask[]): void;
   /** Records the loss of the runs of a worker that has not been listed for a whole lease. */
   recordUnlisted(workerId: string, lost: readonly PlacedTask[]): void;
+  /** Counts the crash that ended a run, if its worker crashed; called when the run is given up. */
+  countCrash(placed: PlacedTask): void;
+  /** Forgets the crash of a run that turned out to go on. */
+  cancelCrash(task: Task): void;
+  /** Records that a start of the task got no answer from the worker until now. */
+  recordUnansweredStart(placed: PlacedTask, workerId: string, expiresAtMs: number): void;
+  /** Drops the crash records of tasks that have run for long since. */
+  dropExonerated(): void;
+}
+
+/** A crash that is counted once its run is given up. */
+interface PendingCrash extends Crash {
+  workerId: string;
+}
+
+interface UnansweredStart {
+  task: Task;
+  jobId: string;
+  expiresAtMs: number;
 }
 
 const unlistedReason = 'unlisted';
 
+/** Whether a lapse shows that the worker itself has ended unexpectedly. */
+function hasCrashed(link: WorkerLink, cause: LapseCause): boolean {
+  if (link.getEntry().isDraining) return false;
+  return cause === LapseCause.Restarted || cause === LapseCause.OtherWorker;
+}
+
 /** Creates the part of an owner that accounts for lost runs. */
 export function createRunLosses(context: OwnerContext): RunLosses {
+  const { activeJobs, journal, observedRuns } = context;
   const { clock, logger, metrics } = context.options;
+  const history = createCrashHistory(clock.getNowMs());
+  const pending = new Map<Task, PendingCrash>();
+  /** Starts without an answer by worker; each may take effect late. */
+  const unansweredStarts = new Map<string, UnansweredStart[]>();
 
-  function reportLapse(
-    worker: string,
-    reason: string,
-    silentSinceMs: number,
-    lost: readonly PlacedTask[],
-  ): void {
-    const jobs = new Set(lost.map(({ group }) => group.job.id)).size;
-    const entry = context.fleet.find(worker)?.getEntry();
+  function reportLapse(lost: LostWorker, reason: string, runs: readonly PlacedTask[]): void {
+    const jobs = lost.jobs.size;
     logger.info('worker_lapsed', {
-      worker,
+      worker: lost.id,
       reason,
-      runs: lost.length,
+      runs: runs.length,
       jobs,
-      silentMs: Math.round(clock.getNowMs() - silentSinceMs),
-      rack: entry?.rack,
-      address: entry?.address,
+      silentMs: Math.round(clock.getNowMs() - lost.atMs),
+      rack: context.fleet.find(lost.id)?.getEntry().rack,
+      address: lost.address,
     });
-    metrics.count('runs.lost', lost.length, { reason });
-    for (const { group, task } of lost) {
+    metrics.count('runs.lost', runs.length, { reason });
+    for (const { group, task } of runs) {
       logger.info('run_lost', {
         task: getTaskName(group, task),
         run: task.run,
-        worker,
+        worker: lost.id,
         phase: task.phase,
-        ranMs: task.startedAtMs > 0 ? Math.round(silentSinceMs - task.startedAtMs) : undefined,
+        ranMs: task.startedAtMs > 0 ? Math.round(lost.atMs - task.startedAtMs) : undefined,
         jobs,
       });
     }
   }
 
+  function createLostWorker(
+    id: string,
+    address: string,
+    atMs: number,
+    runs: readonly PlacedTask[],
+    isCrash = false,
+  ): LostWorker {
+    return {
+      id,
+      address,
+      atMs,
+      isCrash,
+      jobs: new Set(runs.map(({ group }) => group.job.id)),
+      queues: new Set(runs.map(({ group }) => group.job.queue)),
+      hasSuspect: runs.some(({ task }) => isCrashSuspect(task, atMs)),
+      latestStartMs: Math.max(-Infinity, ...runs.map(({ task }) => getStartMs(task) ?? atMs)),
+    };
+  }
+
+  /** Monotonic time at which the latest run began or was sent; `undefined` if a previous owner sent it. */
+  function getStartMs(task: Task): number | undefined {
+    return task.startedAtMs > 0 ? task.startedAtMs : observedRuns.get(task)?.sentAtMs;
+  }
+
+  /** Whether the start of a run may have reached its worker. */
+  function isSent(task: Task): boolean {
+    return observedRuns.get(task) === undefined || getStartMs(task) !== undefined;
+  }
+
+  /** Workers that are silent now or were lost lately. */
+  function listSilent(): LostWorker[] {
+    const byWorker = activeJobs.groupByWorker();
+    const silent = context.fleet.list().flatMap((link) => {
+      const atMs = link.getSilentSinceMs();
+      // What ran on a lapsed worker is in the history.
+      if (atMs === undefined || link.getState() === LinkState.Lapsed) return [];
+      return [
+        createLostWorker(link.id, link.getEntry().address, atMs, byWorker.get(link.id) ?? []),
+      ];
+    });
+    return [...silent, ...history.list()];
+  }
+
+  function hasUnansweredStartOfOther(workerId: string, jobId: string): boolean {
+    const nowMs = clock.getNowMs();
+    return (unansweredStarts.get(workerId) ?? []).some(
+      (start) => start.jobId !== jobId && start.expiresAtMs > nowMs,
+    );
+  }
+
+  function queueCrashes(lost: LostWorker, runs: readonly PlacedTask[], isEvidence: boolean): void {
+    const silent = listSilent();
+    const fleetSize = context.fleet.list().length;
+    for (const { group, task } of runs) {
+      const jobId = group.job.id;
+      if (isSharedLoss(lost, { jobId, queue: group.job.queue }, silent)) continue;
+      const isAlone = lost.jobs.size === 1 && !context.hasOrphans(lost.id);
+      const ranMs = Math.max(
+        0,
+        lost.atMs - (getStartMs(task) ?? lost.atMs - group.spec.estimatedMs),
+      );
+      pending.set(task, {
+        run: task.run,
+        workerId: lost.id,
+        ranMs,
+        isSole: isEvidence && isAlone && !hasUnansweredStartOfOther(lost.id, jobId),
+        chance: history.getChance(lost, jobId, ranMs, fleetSize),
+      });
+    }
+  }
+
+  function writeCrashes(group: TaskGroup): void {
+    journal.write(getCrashKey(group.key), encodeRow(encodeCrashes(group)));
+  }
+
   return {
-    recordLapse(link, cause, lost) {
-      reportLapse(link.id, cause, link.getSilentSinceMs() ?? clock.getNowMs(), lost);
+    recordLapse(link, cause, runs) {
+      const atMs = link.getSilentSinceMs() ?? clock.getNowMs();
+      const sent = runs.filter(({ task }) => isSent(task));
+      const isCrash = hasCrashed(link, cause);
+      const lost = createLostWorker(link.id, link.getEntry().address, atMs, sent, isCrash);
+      reportLapse(lost, cause, runs);
+      if (isCrash) queueCrashes(lost, sent, true);
+      history.record(lost);
+      unansweredStarts.delete(link.id);
     },
-    recordUnlisted(workerId, lost) {
-      reportLapse(workerId, unlistedReason, clock.getNowMs(), lost);
+    recordUnlisted(workerId, runs) {
+      const lost = createLostWorker(workerId, '', clock.getNowMs(), runs);
+      reportLapse(lost, unlistedReason, runs);
+      // A worker that left while nobody owned the jobs looks the same, so this is no evidence.
+      queueCrashes(lost, runs, false);
+    },
+    countCrash({ group, task }) {
+      const crash = pending.get(task);
+      pending.delete(task);
+      const state = activeJobs.find(group.job.id)?.state ?? JobState.Cancelled;
+      if (crash?.run !== task.run || isFinal(state) || !recordCrash(task, crash)) return;
+      const record = task.crashRecord;
+      task.retryAtMs = clock.getNowMs() + getCrashRetryMs(task);
+      logger.info('crash_counted', {
+        task: getTaskName(group, task),
+        run: task.run,
+        worker: crash.workerId,
+        ranMs: Math.round(crash.ranMs),
+        isSole: crash.isSole,
+        chance: Number(crash.chance.toPrecision(2)),
+        crashes: record?.crashes,
+        soleCrashes: record?.soleCrashes,
+      });
+      metrics.count('crashes.counted', 1, { isSole: String(crash.isSole) });
+      writeCrashes(group);
+    },
+    cancelCrash(task) {
+      pending.delete(task);
+    },
+    recordUnansweredStart({ group, task }, workerId, expiresAtMs) {
+      const nowMs = clock.getNowMs();
+      const open = (unansweredStarts.get(workerId) ?? []).filter(
+        (start) => start.expiresAtMs > nowMs && start.task !== task,
+      );
+      unansweredStarts.set(workerId, [...open, { task, jobId: group.job.id, expiresAtMs }]);
+    },
+    dropExonerated() {
+      const nowMs = clock.getNowMs();
+      for (const job of activeJobs.list()) {
+        for (const group of job.groups.values()) {
+          const cleared = group.tasks.filter((task) => isExonerated(task, nowMs));
+          if (cleared.length === 0) continue;
+          for (const task of cleared) {
+            logger.info('crashes_dropped', { task: getTaskName(group, task), run: task.run });
+            delete task.crashRecord;
+          }
+          writeCrashes(group);
+        }
+      }
     },
   };
 }
+
+/** Restores the stored crash records of a group. */
+export function applyCrashRow(group: TaskGroup, row: CrashRow | undefined): void {
+  if (row === undefined) return;
+  decodeCrashes(group, row);
+  for (const task of group.tasks) {
+    if (task.phase === TaskPhase.Done) delete task.crashRecord;
+  }
+}
--- a/packages/dispatch/src/starter.ts
+++ b/packages/dispatch/src/starter.ts
@@ -7,9 +7,9 @@
   isFinal,
   isOccupying,
 } from '@bergamotreach/scheduling';
-import type { PlacedTask, PlannedStart, Task, TaskGroup } from '@bergamotreach/scheduling';
+import type { PlacedTask, PlannedStart, TaskGroup } from '@bergamotreach/scheduling';
 import type { JobLifecycle } from './joblifecycle.ts';
-import { getProgressKey } from './jobrows.ts';
+import { getCrashKey, getProgressKey } from './jobrows.ts';
 import { StartOutcome } from './orders.ts';
 import type { StartResult } from './orders.ts';
 import { getTaskName } from './ownercontext.ts';
@@ -53,6 +53,10 @@
 
   /** Does not wait for the other commits of a plan, since the job could be cancelled meanwhile. */
   async function startWhenStored(group: TaskGroup, runs: readonly PendingRun[]): Promise<void> {
+    // The crash record of an earlier run is stored first, so that it outlives this owner.
+    if (group.tasks.some(({ crashRecord }) => crashRecord !== undefined)) {
+      await journal.flushRow(getCrashKey(group.key));
+    }
     const commitSentMs = await journal.flushRow(getProgressKey(group.key));
     if (commitSentMs === undefined) return;
     for (const pendingRun of runs)
@@ -107,9 +111,11 @@
     }
     const { payload } = group.job;
     const { checkpoint } = task;
+    const observed = observedRuns.get(task);
+    if (observed?.run === run) observed.sentAtMs = sentMs;
     const input = { payload, checkpoint, isWanted, ...(ticket === undefined ? {} : { ticket }) };
     const result = await orders.start(link, name, input);
-    if (result.hasUnansweredAttempt) recordUnansweredStart(task, workerId);
+    if (result.hasUnansweredAttempt) recordUnansweredStart({ group, task }, workerId);
     if (result.reason === RefusalReason.BadTicket) context.tickets.dropTicket(group, workerId);
     metrics.reportTiming('orders.start', clock.getNowMs() - sentMs);
     logger.info('start_sent', {
@@ -130,7 +136,13 @@
     if (task.phase !== TaskPhase.Starting && task.phase !== TaskPhase.Stopping) return;
     if (result.outcome === StartOutcome.Undecided) {
       const { windowEndMs } = result;
-      observedRuns.set(task, createObservedRun(task.run, { confirmedClockMs: 0, windowEndMs }));
+      const sentAtMs = observedRuns.get(task)?.sentAtMs;
+      const known = {
+        confirmedClockMs: 0,
+        windowEndMs,
+        ...(sentAtMs === undefined ? {} : { sentAtMs }),
+      };
+      observedRuns.set(task, createObservedRun(task.run, known));
       link.requestReport();
       return;
     }
@@ -154,10 +166,13 @@
    * Records that a start attempt got no answer. The record outlives the run, since an older attempt
    * may also take effect in the worker's next incarnation.
    */
-  function recordUnansweredStart(task: Task, workerId: string): void {
+  function recordUnansweredStart(placed: PlacedTask, workerId: string): void {
+    const { task } = placed;
+    const expiresAtMs = clock.getNowMs() + maxOrderDelayMs;
     const expiries = context.unansweredStarts.get(task) ?? new Map<string, number>();
-    expiries.set(workerId, clock.getNowMs() + maxOrderDelayMs);
+    expiries.set(workerId, expiresAtMs);
     context.unansweredStarts.set(task, expiries);
+    context.losses.recordUnansweredStart(placed, workerId, expiresAtMs);
   }
 
   function handleRefusal(link: WorkerLink, reason: RefusalReason): void {
--- a/packages/dispatch/src/waitlog.ts
+++ b/packages/dispatch/src/waitlog.ts
@@ -27,11 +27,16 @@
 export function createWaitLog(clock: Clock, logger: Logger): WaitLog {
   const checked = new WeakMap<TaskGroup, Checked>();
 
+  /** A part of a group is created anew by each plan. */
+  function getKey(group: TaskGroup): TaskGroup {
+    return group.source ?? group;
+  }
+
   function checkWait(wait: Wait, workers: readonly WorkerView[]): void {
     const { group, ageMs, ahead } = wait;
     const reason = findWaitReason(wait, workers);
-    const known = checked.get(group);
-    checked.set(group, { atMs: clock.getNowMs(), reason });
+    const known = checked.get(getKey(group));
+    checked.set(getKey(group), { atMs: clock.getNowMs(), reason });
     if (known?.reason === reason) return;
     const { job, spec } = group;
     logger.info('job_waits', {
@@ -52,7 +57,7 @@
     reportWaits(waits, workers) {
       const nowMs = clock.getNowMs();
       const due = waits.filter(({ group, ageMs }) => {
-        const lastMs = checked.get(group)?.atMs ?? -Infinity;
+        const lastMs = checked.get(getKey(group))?.atMs ?? -Infinity;
         return ageMs >= minWaitMs && nowMs - lastMs >= checkEveryMs;
       });
       for (const wait of due.slice(0, maxChecks)) checkWait(wait, workers);
--- /dev/null
+++ b/packages/scheduling/src/crashes.ts
@@ -0,0 +1,120 @@
+import { TaskPhase } from './group.ts';
+import type { Task, TaskGroup } from './group.ts';
+
+/** What the crashes of workers under one task say about it. */
+export interface CrashRecord {
+  /** Latest run whose worker crashed. */
+  run: number;
+  /** Workers that crashed with a run of the task on them. */
+  crashes: number;
+  /** Those of them on which no other job had a run. */
+  soleCrashes: number;
+  /** Natural logarithm of the probability that these would have crashed without the task; at most 0. */
+  logChance: number;
+  /** Longest time from a start to the crash, in milliseconds. */
+  longestMs: number;
+}
+
+/** One crash of a worker, as seen from one of the runs on it. */
+export interface Crash {
+  run: number;
+  /** Time from the start of the run to the crash, in milliseconds. */
+  ranMs: number;
+  /** No other job had a run on the worker. */
+  isSole: boolean;
+  /** Probability that the worker would have crashed in that time without the run, 0 to 1. */
+  chance: number;
+}
+
+/** A task is given up after at least this many crashes that no other job can have caused. */
+const minSoleCrashes = 2;
+/** Probability of coincidence below which the crashes are attributed to the task. */
+const maxChance = 1e-4;
+/** A task that outlives its longest run before a crash by this factor, and this minimum, may have company. */
+const clearanceFactor = 1.5;
+const minClearanceMs = 2000;
+/** A run of this length shows that the task does not crash its worker; its record is dropped. */
+const forgetAfterMs = 60_000;
+/** Pause before the next start after the second crash; doubles with each further crash. */
+const firstRetryMs = 500;
+const maxRetryMs = 16_000;
+
+/** Records a crash for a task. A crash of a run that was counted before has no effect. */
+export function recordCrash(task: Task, crash: Crash): boolean {
+  const known = task.crashRecord;
+  if (known !== undefined && crash.run <= known.run) return false;
+  task.crashRecord = {
+    run: crash.run,
+    crashes: (known?.crashes ?? 0) + 1,
+    soleCrashes: (known?.soleCrashes ?? 0) + (crash.isSole ? 1 : 0),
+    logChance: (known?.logChance ?? 0) + (crash.isSole ? Math.min(0, Math.log(crash.chance)) : 0),
+    longestMs: Math.max(known?.longestMs ?? 0, crash.ranMs),
+  };
+  return true;
+}
+
+/**
+ * Whether the crashes are attributed to the task: it was alone with the workers, and they are unlikely
+ * to have crashed by themselves.
+ */
+export function isCulprit({ crashRecord }: Task): boolean {
+  if (crashRecord === undefined) return false;
+  const { soleCrashes, logChance } = crashRecord;
+  return soleCrashes >= minSoleCrashes && logChance <= Math.log(maxChance);
+}
+
+/** Whether a task of the group crashes its workers, so that its job is given up. */
+export function hasCulprit(group: TaskGroup): boolean {
+  return group.tasks.some(isCulprit);
+}
+
+/**
+ * Whether a task may crash its worker, so that no other job should have a run there: a worker has crashed
+ * under it, and its present run has not lasted for clearly longer than the one before the crash.
+ */
+export function isCrashSuspect(task: Task, nowMs: number): boolean {
+  const { crashRecord, phase, startedAtMs } = task;
+  if (crashRecord === undefined || phase === TaskPhase.Done) return false;
+  if (startedAtMs <= 0 || phase === TaskPhase.Waiting || phase === TaskPhase.Starting) return true;
+  const clearanceMs = Math.max(minClearanceMs, crashRecord.longestMs * clearanceFactor);
+  return nowMs - startedAtMs < clearanceMs;
+}
+
+/** Whether the present run of a task shows that the crashes before had another cause. */
+export function isExonerated({ crashRecord, phase, startedAtMs }: Task, nowMs: number): boolean {
+  if (crashRecord === undefined || phase !== TaskPhase.Running || startedAtMs <= 0) return false;
+  return nowMs - startedAtMs >= Math.max(forgetAfterMs, crashRecord.longestMs * clearanceFactor);
+}
+
+/** Pause between the loss of a run and the next start of its task, in milliseconds. */
+export function getCrashRetryMs({ crashRecord }: Task): number {
+  if (crashRecord === undefined || crashRecord.crashes < minSoleCrashes) return 0;
+  return Math.min(maxRetryMs, firstRetryMs * 2 ** (crashRecord.crashes - minSoleCrashes));
+}
+
+/** Stored crash record: `[index, run, crashes, soleCrashes, logChance, longestMs]`. */
+export type StoredCrashRecord = [number, number, number, number, number, number];
+
+/** Crash records of the tasks of a group as they are stored. */
+export interface CrashRow {
+  records: StoredCrashRecord[];
+}
+
+/** Encodes the crash records of a group for the store. */
+export function encodeCrashes(group: TaskGroup): CrashRow {
+  return {
+    records: group.tasks.flatMap(({ index, crashRecord }) => {
+      if (crashRecord === undefined) return [];
+      const { run, crashes, soleCrashes, logChance, longestMs } = crashRecord;
+      return [[index, run, crashes, soleCrashes, logChance, Math.round(longestMs)]];
+    }),
+  };
+}
+
+/** Restores the crash records of a group; records of tasks that it does not have are ignored. */
+export function decodeCrashes(group: TaskGroup, row: CrashRow): void {
+  for (const [index, run, crashes, soleCrashes, logChance, longestMs] of row.records) {
+    const task = group.tasks[index];
+    if (task !== undefined) task.crashRecord = { run, crashes, soleCrashes, logChance, longestMs };
+  }
+}
--- a/packages/scheduling/src/group.ts
+++ b/packages/scheduling/src/group.ts
@@ -1,3 +1,4 @@
+import type { CrashRecord } from './crashes.ts';
 import type { JobSubmission, StepSpec } from './submission.ts';
 import { formatGroupName } from './taskname.ts';
 
@@ -44,6 +45,10 @@
   lastFailedWorkerId: string;
   /** An earlier run succeeded while the current one was in flight. */
   isDoneByEarlierRun: boolean;
+  /** Crashes of workers under the task; absent if there were none. */
+  crashRecord?: CrashRecord;
+  /** Monotonic time before which the task does not start again after a crash; 0 if there was none. */
+  retryAtMs: number;
 }
 
 /** One step of one occurrence of a job, with the state of its tasks. */
@@ -60,6 +65,10 @@
   lastFailedRun: number;
   /** Workers that the policy of the queue admits now; `undefined` admits all. */
   allowedWorkers?: ReadonlySet<string> | undefined;
+  /** In a part of a group that a plan splits: the whole group. */
+  source?: TaskGroup;
+  /** Its waiting tasks may crash their workers, so they start only where no other job has a run. */
+  isIsolated?: boolean;
 }
 
 /** Creates a group whose tasks have not run yet. Throws if the job has no such step. */
@@ -89,6 +98,7 @@
     startedAtMs: 0,
     lastFailedWorkerId: '',
     isDoneByEarlierRun: false,
+    retryAtMs: 0,
   };
 }
 
--- a/packages/scheduling/src/packing.ts
+++ b/packages/scheduling/src/packing.ts
@@ -36,9 +36,19 @@
   return requiredLabel === '' || worker.labels.has(requiredLabel);
 }
 
+/**
+ * Whether the tasks of a group and those on a worker may share it: tasks that may crash their worker run
+ * only beside tasks of their own job.
+ */
+export function canShare(group: TaskGroup, worker: WorkerView): boolean {
+  if (group.isIsolated !== true) return worker.isolatedFor === undefined;
+  if (worker.isolatedFor !== group.job.id || worker.hasOrphans) return false;
+  return worker.placed.every((placed) => placed.group.job.id === group.job.id);
+}
+
 /** Whether tasks of a group may start on a worker now, regardless of free resources. */
 export function isEligible(group: TaskGroup, worker: WorkerView): boolean {
-  return worker.maxStarts > 0 && isCompatible(group, worker);
+  return worker.maxStarts > 0 && isCompatible(group, worker) && canShare(group, worker);
 }
 
 /** Number of tasks of a group that may start on a worker with `room` as its free resources. */
--- a/packages/scheduling/src/planner.ts
+++ b/packages/scheduling/src/planner.ts
@@ -1,5 +1,6 @@
 import { TaskPhase, isOccupying } from './group.ts';
 import type { Task, TaskGroup } from './group.ts';
+import { claimWorkers, markIsolated, splitSuspects } from './isolation.ts';
 import {
   Spread,
   getFreeAfterStops,
@@ -37,9 +38,14 @@
 export interface PlanInput {
   /** Monotonic time in milliseconds. */
   nowMs: number;
-  /** Workers; planning changes their `free`, `releasing`, `placed`, `maxStarts` and `urgentReserve`. */
+  /**
+   * Workers; planning changes their `free`, `releasing`, `placed`, `maxStarts`, `urgentReserve` and
+   * `isolatedFor`.
+   */
   workers: WorkerView[];
   ready: readonly ReadyGroup[];
+  /** By pool, workers that do not answer and had tasks that may crash their workers. */
+  suspectsDown: ReadonlyMap<string, number>;
   /** Ids of the urgent jobs that are within the guarantee of their account. */
   guaranteed: ReadonlySet<string>;
   /** Recent accelerator demand of urgent work; see `UrgentDemand`. */
@@ -114,6 +120,13 @@
   return isUrgent && ageMs >= urgentLocalWaitMs ? Spread.Anywhere : Spread.Local;
 }
 
+/** Replaces groups with tasks that may crash their workers by their parts. */
+function splitReady({ ready, nowMs }: PlanInput): ReadyGroup[] {
+  return ready.flatMap((one) =>
+    splitSuspects(one.group, nowMs).map((group) => ({ ...one, group })),
+  );
+}
+
 /** Plans starts and stops. It changes only `input.workers`; tasks keep their phases. */
 export function planStarts(input: PlanInput): Plan {
   const plan: Plan = { starts: [], stops: [], waits: [] };
@@ -125,13 +138,23 @@
     input.workers,
     isFleetIdle ? 0 : input.urgentDemand * input.policy.urgentReserveShare,
   );
-  const order = input.policy.order.rank(input.ready, input);
+  const order = input.policy.order.rank(splitReady(input), input);
+  /** Number of tasks placed, by group or part of a group. */
+  const placedCounts = new Map<TaskGroup, number>();
+  markIsolated(input.workers, input.nowMs);
+  claimWorkers(
+    order.map(({ group }) => group),
+    input.workers,
+    input.suspectsDown,
+    input.nowMs,
+  );
 
   function addStart(group: TaskGroup, placements: Placement[]): void {
     if (placements.length === 0) return;
     reservePlacements(group, placements);
+    placedCounts.set(group, placements.length);
     plan.starts.push({
-      group,
+      group: group.source ?? group,
       placements: placements.map(({ task, worker }) => ({ task, workerId: worker.id })),
     });
   }
@@ -247,13 +270,15 @@
     const { group } = ready;
     const spread = chooseSpread(ready, input, isFleetIdle);
     addStart(group, placeTasks(group, input.workers, spread));
-    const placed = plan.starts.find((start) => start.group === group)?.placements.length ?? 0;
+    const placed = placedCounts.get(group) ?? 0;
     const isUrgent = group.job.rules.priority === urgentPriority;
     if (isUrgent && placed < listWaitingTasks(group).length) preemptFor(ready, Spread.Anywhere);
   }
 
   function addWait({ group, ageMs }: ReadyGroup, ahead: number): void {
-    const placed = plan.starts.find((start) => start.group === group)?.placements.length ?? 0;
+    const placed = placedCounts.get(group) ?? 0;
+    // The isolated part of a split group tells why the group waits.
+    if (group.source !== undefined && group.isIsolated !== true) return;
     if (placed >= listWaitingTasks(group).length) return;
     plan.waits.push({ group, ageMs, isPreempting: preempting.has(group), ahead });
   }
--- a/packages/scheduling/src/waiting.ts
+++ b/packages/scheduling/src/waiting.ts
@@ -17,6 +17,8 @@
   NoWorker = 'no_worker',
   /** The compatible workers could not hold it even if all of them were empty. */
   TooLarge = 'too_large',
+  /** It may crash its worker, and no worker is free of other jobs for it yet. */
+  Isolated = 'isolated',
   /** Members of its previous run have not ended yet. */
   PreviousRun = 'previous_run',
   /** Other work is being preempted for it. */
@@ -54,6 +56,7 @@
   workers: readonly WorkerView[],
 ): WaitReason {
   if (group.spec.isGang && group.tasks.some(isOccupying)) return WaitReason.PreviousRun;
+  if (group.isIsolated === true) return WaitReason.Isolated;
   const compatible = workers.filter((worker) => isCompatible(group, worker));
   if (compatible.length === 0) return WaitReason.NoWorker;
   const needed = group.spec.isGang ? listWaitingTasks(group).length : 1;
--- a/packages/scheduling/src/worker.ts
+++ b/packages/scheduling/src/worker.ts
@@ -35,4 +35,8 @@
   isSuspect: boolean;
   /** Whether the worker is reserved for urgent work, and how strictly. */
   urgentReserve: UrgentReserve;
+  /** Whether runs that no job wants occupy it. */
+  hasOrphans: boolean;
+  /** Job whose tasks alone may start here, since they may crash the worker; set by the planner. */
+  isolatedFor?: string | undefined;
 }
--- a/packages/scheduling/tests/samples.ts
+++ b/packages/scheduling/tests/samples.ts
@@ -66,6 +66,7 @@
     maxStarts: Infinity,
     isSuspect: false,
     urgentReserve: UrgentReserve.None,
+    hasOrphans: false,
   };
 }
 
@@ -94,6 +95,7 @@
     nowMs: 10_000,
     workers,
     ready,
+    suspectsDown: new Map(),
     guaranteed: new Set(),
     urgentDemand: 0,
     preemptUrgentAfterMs: 1500,
