Play tasks that crash their workers beside all other faults

Cause: the fixed cases of crashes.test.ts do not combine crashes with lost orders, takeovers, store outages and workers that crash by themselves.

--- a/packages/dispatch/tests/faults.test.ts
+++ b/packages/dispatch/tests/faults.test.ts
@@ -18,6 +18,9 @@
   SubmitJob = 'submit_job',
   SubmitGang = 'submit_gang',
   Evacuate = 'evacuate',
+  CrashWorker = 'crash_worker',
+  PowerLoss = 'power_loss',
+  SubmitDeadly = 'submit_deadly',
 }
 
 interface Action {
@@ -30,7 +33,14 @@
   gapMs: number;
 }
 
-const faultSteps = Object.values(Step).filter((step) => step !== Step.Evacuate);
+const crashSteps = [Step.CrashWorker, Step.PowerLoss, Step.SubmitDeadly];
+const faultSteps = Object.values(Step).filter(
+  (step) => step !== Step.Evacuate && !crashSteps.includes(step),
+);
+/** Runs of the crash property; each takes longer than those of the others. */
+const crashRuns = 12;
+/** A deadly task may pause for 16 s after a crash, and each crash takes a worker for 3 s. */
+const crashSettleMs = 90_000;
 const seed = 20261204;
 const numRuns = 40;
 const stepMs = 100;
@@ -104,9 +114,13 @@
   return undefined;
 }
 
-async function runScenario(list: readonly Action[]): Promise<void> {
-  const world = createWorld(3, runMs, dataCentreCount);
-  const workers = [...world.workers.values()];
+async function runScenario(
+  list: readonly Action[],
+  workerCount = 3,
+  endMs = settleMs,
+): Promise<void> {
+  const world = createWorld(workerCount, runMs, dataCentreCount);
+  const deadly: string[] = [];
   let candidates: Candidate[] = [world.addCandidate('a'), world.addCandidate('b')];
   const allCandidates = [...candidates];
   const evacuations: Evacuation[] = [];
@@ -117,7 +131,7 @@
   function evacuate(worker: string, forMs: number): void {
     const nowMs = world.clock.getNowMs();
     if (evacuations.some((one) => one.worker === worker && one.endedAtMs > nowMs)) return;
-    const dataCentre = `d${workers.findIndex(({ id }) => id === worker) + 1}`;
+    const dataCentre = `d${(Number.parseInt(worker.slice(1), 10) % dataCentreCount) + 1}`;
     world.evacuate(dataCentre);
     evacuations.push({ worker, beganAtMs: nowMs, endedAtMs: nowMs + forMs });
     world.clock.setTimer(forMs, () => {
@@ -126,6 +140,7 @@
   }
 
   function apply({ step, target, forMs }: Action): void {
+    const workers = [...world.workers.values()].filter(({ isReplaced }) => !isReplaced);
     const worker = workers[target % workers.length];
     const candidate = candidates[target % candidates.length];
     if (worker === undefined || candidate === undefined) return;
@@ -179,6 +194,20 @@
           worker.end = RunEnd.Done;
         });
         break;
+      case Step.CrashWorker:
+        world.crashWorker(worker.id, forMs / 2);
+        break;
+      case Step.PowerLoss:
+        for (const { id } of workers) world.crashWorker(id, forMs / 2);
+        break;
+      case Step.SubmitDeadly: {
+        const id = `deadly${deadly.length}`;
+        deadly.push(id);
+        world.crashOnStart(`${id}.0.0.0`, target * 200);
+        const rules = { priority: target % 3, maxAttempts: 50, stretch: 3, targetMs: 1000 };
+        world.submit(id, [{ taskCount: 1 + (target % 2) }], { rules, queue: `q${target % 2}` });
+        break;
+      }
       case Step.SubmitJob:
       case Step.SubmitGang: {
         const id = `j${jobs.length}`;
@@ -201,10 +230,11 @@
     apply(action);
     await advance(world, action.gapMs);
   }
-  await advance(world, settleMs);
+  await advance(world, endMs);
   expect(findRerun(world)).toEqual(undefined);
   expect(findEvacuatedStart(allCandidates, evacuations)).toEqual(undefined);
   expect(jobs.map((id) => world.getState(id))).toEqual(jobs.map(() => JobState.Completed));
+  expect(deadly.map((id) => world.getState(id))).toEqual(deadly.map(() => JobState.Failed));
 }
 
 // Guards against concurrent runs of a task, runs after its completion, and unfinished jobs under
@@ -219,9 +249,19 @@
 // Guards against a start in an evacuated data centre, whatever fails meanwhile, and against jobs that an
 // evacuation leaves unfinished.
 test('nothing starts in an evacuated data centre under random faults', async () => {
-  const evacuationSteps = [...Object.values(Step), Step.Evacuate, Step.Evacuate];
+  const evacuationSteps = [...faultSteps, Step.Evacuate, Step.Evacuate, Step.Evacuate];
   await fc.assert(
     fc.asyncProperty(buildActions(evacuationSteps), (list) => runScenario(list)),
     { seed, numRuns },
   );
 });
+
+// Guards against jobs that are blamed for crashes beside them, and tasks that crash their workers for ever,
+// while workers also crash by themselves and everything else fails.
+test('under random faults only the jobs that crash their workers are given up', async () => {
+  const steps = [...faultSteps, ...crashSteps, Step.SubmitDeadly, Step.SubmitJob, Step.SubmitJob];
+  await fc.assert(
+    fc.asyncProperty(buildActions(steps), (list) => runScenario(list, 6, crashSettleMs)),
+    { seed, numRuns: crashRuns },
+  );
+});
--- /dev/null
+++ b/packages/scheduling/tests/isolation.test.ts
@@ -0,0 +1,150 @@
+import { test } from 'node:test';
+import { expect } from 'earl';
+import { TaskPhase, planStarts, recordCrash, splitSuspects } from '../src/index.ts';
+import type { TaskGroup } from '../src/index.ts';
+import {
+  createInput,
+  createReady,
+  createSingle,
+  createWorker,
+  listWorkers,
+  runOn,
+} from './samples.ts';
+
+const nowMs = 10_000;
+
+/** Creates a group of tasks under which a worker has crashed beside other jobs. */
+function createSuspect(
+  id: string,
+  priority = 1,
+  changes: Parameters<typeof createSingle>[2] = {},
+): TaskGroup {
+  const group = createSingle(id, priority, changes);
+  for (const task of group.tasks) {
+    task.run = 1;
+    recordCrash(task, { run: 1, ranMs: 10, isSole: false, chance: 1 });
+  }
+  return group;
+}
+
+// Guards against a suspect that takes the runs of other jobs with it.
+test('a suspect starts on a worker without other jobs', () => {
+  const [busy, idle] = [createWorker('busy'), createWorker('idle')];
+  runOn(busy, createSingle('other', 1));
+  const plan = planStarts(createInput([busy, idle], [createReady(createSuspect('s'))]));
+  expect(listWorkers(plan, 's')).toEqual(['idle']);
+});
+
+// Guards against work that starts beside a suspect in the same plan or in a later one.
+test('nothing starts beside a suspect', () => {
+  const workers = [createWorker('a'), createWorker('b')];
+  const suspect = createSuspect('s');
+  const other = createSingle('other', 1, { taskCount: 16 });
+  const plan = planStarts(createInput(workers, [createReady(suspect), createReady(other)]));
+  const [own] = listWorkers(plan, 's');
+  expect(listWorkers(plan, 'other').includes(own ?? '')).toEqual(false);
+  const later = [createWorker('a'), createWorker('b')];
+  const [first] = later;
+  if (first === undefined) throw new Error('no worker');
+  runOn(first, suspect, nowMs - 1000);
+  const next = planStarts(
+    createInput(later, [createReady(createSingle('next', 0, { taskCount: 16 }))]),
+  );
+  expect(new Set(listWorkers(next, 'next'))).toEqual(new Set(['b']));
+});
+
+// Guards against keeping a worker for a task that has shown that it does not crash it.
+test('a suspect that has run for long enough has company again', () => {
+  const worker = createWorker('a');
+  runOn(worker, createSuspect('s'), nowMs - 2100);
+  const plan = planStarts(createInput([worker], [createReady(createSingle('next', 1))]));
+  expect(listWorkers(plan, 'next')).toEqual(['a']);
+});
+
+// Guards against a suspect that never finds an empty worker on a busy fleet.
+test('a busy worker is kept for a suspect until it is empty', () => {
+  const workers = [createWorker('a'), createWorker('b')];
+  for (const [index, worker] of workers.entries()) {
+    runOn(
+      worker,
+      createSingle(`old${index}`, 1, { estimatedMs: 4000 }),
+      nowMs - 2000 - 1000 * index,
+    );
+  }
+  const ready = [
+    createReady(createSuspect('s')),
+    createReady(createSingle('new', 0, { taskCount: 14 })),
+  ];
+  const plan = planStarts(createInput(workers, ready));
+  expect(listWorkers(plan, 's')).toEqual([]);
+  expect(new Set(listWorkers(plan, 'new'))).toEqual(new Set(['a']));
+  expect(plan.waits.some(({ group }) => group.job.id === 's')).toEqual(true);
+});
+
+// Guards against a queue of suspects that takes all workers from the others.
+test('suspects take a bounded share of the workers, those down under them included', () => {
+  const createFleet = () => Array.from({ length: 32 }, (_, index) => createWorker(`w${index}`));
+  const suspects = Array.from({ length: 20 }, (_, index) =>
+    createReady(createSuspect(`s${index}`, 0)),
+  );
+  const plan = planStarts(createInput(createFleet(), suspects));
+  expect(plan.starts.length).toEqual(4);
+  const suspectsDown = new Map([['p1', 3]]);
+  const next = planStarts(createInput(createFleet(), suspects, { suspectsDown }));
+  expect(next.starts.length).toEqual(2);
+});
+
+// Guards against a neighbour of the culprit that waits behind tasks with more crashes of their own.
+test('the least suspected tasks are tried first', () => {
+  const worse = createSuspect('worse', 0);
+  for (const task of worse.tasks)
+    recordCrash(task, { run: 2, ranMs: 5, isSole: true, chance: 0.1 });
+  const ready = [createReady(worse, 5000), createReady(createSuspect('s'))];
+  const plan = planStarts(createInput([createWorker('a'), createWorker('b')], ready));
+  expect([listWorkers(plan, 's').length, listWorkers(plan, 'worse').length]).toEqual([1, 0]);
+});
+
+// Guards against holding back the tasks of a job that no worker has crashed under.
+test('only the suspects of a group are kept apart', () => {
+  const group = createSingle('j', 1, { taskCount: 4 });
+  const [first] = group.tasks;
+  if (first === undefined) throw new Error('no task');
+  recordCrash(first, { run: 1, ranMs: 10, isSole: false, chance: 1 });
+  const busy = createWorker('busy');
+  runOn(busy, createSingle('other', 1));
+  const plan = planStarts(createInput([busy, createWorker('idle')], [createReady(group)]));
+  const byTask = new Map(
+    plan.starts.flatMap(({ placements }) =>
+      placements.map(({ task, workerId }) => [task.index, workerId] as const),
+    ),
+  );
+  expect([byTask.size, byTask.get(0)]).toEqual([4, 'idle']);
+  expect([1, 2, 3].every((index) => byTask.get(index) === 'busy')).toEqual(true);
+  expect(plan.starts.every((start) => start.group === group)).toEqual(true);
+});
+
+// Guards against a gang that is split, or whose other members share a worker with another job.
+test('a gang with a suspect is kept apart as a whole', () => {
+  const gang = createSingle('g', 1, { taskCount: 12, isGang: true });
+  const [first] = gang.tasks;
+  if (first === undefined) throw new Error('no task');
+  recordCrash(first, { run: 1, ranMs: 10, isSole: false, chance: 1 });
+  const workers = [createWorker('a'), createWorker('b'), createWorker('busy')];
+  const [, , busy] = workers;
+  if (busy !== undefined) runOn(busy, createSingle('other', 1));
+  const plan = planStarts(createInput(workers, [createReady(gang)]));
+  expect(new Set(listWorkers(plan, 'g'))).toEqual(new Set(['a', 'b']));
+});
+
+// Guards against a task that starts during its pause after a crash.
+test('a task that pauses after a crash is in no part of its group', () => {
+  const group = createSuspect('s', 1, { taskCount: 2 });
+  const [first] = group.tasks;
+  if (first === undefined) throw new Error('no task');
+  first.retryAtMs = nowMs + 500;
+  const waiting = splitSuspects(group, nowMs).flatMap(({ tasks }) =>
+    tasks.filter(({ phase }) => phase === TaskPhase.Waiting).map(({ index }) => index),
+  );
+  expect(waiting).toEqual([1]);
+  expect(splitSuspects(group, nowMs + 500).flatMap(({ tasks }) => tasks).length).toEqual(2);
+});
