Do not start work beyond a capacity that shrank after the plan

Users' rule: a start must not bring a worker that does not guard its capacity over it, also when the capacity shrinks while it runs.

Cause: the capacity was read once, when the plan was made, and only from the list of workers. A start that waited for its commit was sent into room that was gone; a report that told the new capacity was not read.

Change: the owner keeps the lesser of the listed and the reported capacity, and compares it with the plan's right before each attempt of a start. If it has shrunk, the start goes out only if all that is placed there fits.

--- a/packages/dispatch/src/fleetview.ts
+++ b/packages/dispatch/src/fleetview.ts
@@ -5,6 +5,8 @@
   canStartIn,
   getCoreEquivalent,
   isCrashSuspect,
+  isFitting,
+  noResources,
 } from '@bergamotreach/scheduling';
 import type { Evacuations, PlacedTask, Resources, WorkerView } from '@bergamotreach/scheduling';
 import type { OwnerContext } from './ownercontext.ts';
@@ -21,6 +23,20 @@
     .map((link) => buildWorkerView(context, link, byWorker.get(link.id) ?? [], nowMs));
 }
 
+/**
+ * Whether the tasks on a worker, planned ones included, exceed its capacity, which may shrink between the
+ * plan and the start.
+ */
+export function isOverCapacity(context: OwnerContext, link: WorkerLink): boolean {
+  const free = { ...link.getEntry().capacity };
+  for (const { group } of context.activeJobs.listOnWorker(link.id)) {
+    addResources(free, group.spec.demand, -1);
+  }
+  const orphans = context.orphanUsage.get(link.id);
+  if (orphans !== undefined) addResources(free, orphans, -1);
+  return !isFitting(noResources, free);
+}
+
 /** Counts, by pool, the silent workers with runs that may have crashed them. */
 export function countSuspectsDown(context: OwnerContext, nowMs: number): Map<string, number> {
   const counts = new Map<string, number>();
@@ -53,7 +69,7 @@
   const { workerHealth, orphanUsage, startBackoffs } = context;
   const { id, pool, rack, labels, capacity } = link.getEntry();
   const free = { ...capacity };
-  const releasing: Resources = { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
+  const releasing: Resources = { ...noResources };
   for (const { group, task } of placed) {
     addResources(free, group.spec.demand, -1);
     if (task.phase === TaskPhase.Stopping) addResources(releasing, group.spec.demand);
--- a/packages/dispatch/src/owner.ts
+++ b/packages/dispatch/src/owner.ts
@@ -10,10 +10,11 @@
   hasCulprit,
   isExhausted,
   isFinal,
+  noResources,
   parseTaskName,
   planStarts,
 } from '@bergamotreach/scheduling';
-import type { CrashRow, GroupRecord, Resources } from '@bergamotreach/scheduling';
+import type { CrashRow, GroupRecord } from '@bergamotreach/scheduling';
 import { CancelSource, createJobCancels, isCancel } from './cancels.ts';
 import { createFleet } from './fleet.ts';
 import { buildWorkerViews, countSuspectsDown } from './fleetview.ts';
@@ -92,7 +93,6 @@
 const slowestClockRate = 0.98;
 const progressPageRows = 500;
 const loadRetryMs = 20;
-const noResources: Resources = { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
 
 /** Creates an owner for one epoch; `start` loads the jobs and begins to schedule. */
 export function createOwner(options: OwnerOptions): Owner {
--- a/packages/dispatch/src/starter.ts
+++ b/packages/dispatch/src/starter.ts
@@ -4,12 +4,14 @@
   TaskPhase,
   canStartIn,
   getLatestRun,
+  isFitting,
   isFinal,
   isOccupying,
 } from '@bergamotreach/scheduling';
-import type { PlacedTask, PlannedStart, TaskGroup } from '@bergamotreach/scheduling';
+import type { PlacedTask, PlannedStart, Resources, TaskGroup } from '@bergamotreach/scheduling';
 import type { JobLifecycle } from './joblifecycle.ts';
 import { getCrashKey, getProgressKey } from './jobrows.ts';
+import { isOverCapacity } from './fleetview.ts';
 import { StartOutcome } from './orders.ts';
 import type { StartResult } from './orders.ts';
 import { getTaskName } from './ownercontext.ts';
@@ -27,6 +29,8 @@
 interface PendingRun extends PlacedTask {
   run: number;
   workerId: string;
+  /** Capacity of the worker as the plan saw it; absent if the worker is gone. */
+  plannedCapacity: Resources | undefined;
 }
 
 /**
@@ -79,18 +83,27 @@
       job.state = JobState.Running;
       lifecycle.writeState(job);
     }
-    return placements.map(({ task, workerId }) => ({ group, task, run: task.run, workerId }));
+    return placements.map(({ task, workerId }) => {
+      const plannedCapacity = context.fleet.find(workerId)?.getEntry().capacity;
+      return { group, task, run: task.run, workerId, plannedCapacity };
+    });
   }
 
   async function startTask(
-    { group, task, run, workerId }: PendingRun,
+    { group, task, run, workerId, plannedCapacity }: PendingRun,
     commitSentMs: number,
   ): Promise<void> {
     // The run was given up while it was being stored; a later run has its own start.
     if (task.run !== run) return;
     const link = context.fleet.find(workerId);
+    const hasRoom = (): boolean => {
+      if (link === undefined || plannedCapacity === undefined) return true;
+      const hasShrunk = !isFitting(plannedCapacity, link.getEntry().capacity);
+      return !hasShrunk || !isOverCapacity(context, link);
+    };
     const isWanted = (): boolean =>
       !context.isStopped() &&
+      hasRoom() &&
       task.run === run &&
       task.phase === TaskPhase.Starting &&
       link?.getEntry().isDraining === false &&
--- a/packages/dispatch/src/taskrunner.ts
+++ b/packages/dispatch/src/taskrunner.ts
@@ -1,5 +1,5 @@
 import type { Fault } from '@bergamotreach/protocol';
-import type { RunEnd } from '@bergamotreach/scheduling';
+import type { Resources, RunEnd } from '@bergamotreach/scheduling';
 import type { Result } from 'ts-results-es';
 
 /** Address of a worker. */
@@ -110,6 +110,8 @@
    * Start time that identifies the incarnation which answers; absent if the worker does not say.
    */
   bornAtMs?: number;
+  /** What the worker can hold now; absent if the report does not tell. */
+  capacity?: Resources;
   runs: readonly RunStatus[];
   ends: readonly EndedRun[];
 }
--- a/packages/dispatch/src/workerlink.ts
+++ b/packages/dispatch/src/workerlink.ts
@@ -1,5 +1,7 @@
 import { FaultCode, runContained, waitFor } from '@bergamotreach/protocol';
 import type { Clock, Fault, Logger, Metrics } from '@bergamotreach/protocol';
+import { getLeastResources } from '@bergamotreach/scheduling';
+import type { Resources } from '@bergamotreach/scheduling';
 import type { Result } from 'ts-results-es';
 import type { TaskRunner, WorkerReport } from './taskrunner.ts';
 import { createWorkerClock } from './workerclock.ts';
@@ -54,6 +56,10 @@
 /** An owner's connection to one incarnation of a worker. */
 export interface WorkerLink {
   readonly id: string;
+  /**
+   * The latest entry. Its capacity is the lesser of the entry's and the latest report's, since either may
+   * be the older one.
+   */
   getEntry(): WorkerEntry;
   updateEntry(entry: WorkerEntry): void;
   getState(): LinkState;
@@ -106,6 +112,7 @@
 /** Creates a link; `start` begins to call the worker. */
 export function createWorkerLink(options: WorkerLinkOptions): WorkerLink {
   const { runner, fencingToken, clock, logger, metrics, maxLeaseMs, isHolding } = options;
+  let listedEntry = options.entry;
   let entry = options.entry;
   const { id, bornAtMs } = entry;
   const workerClock = createWorkerClock();
@@ -120,6 +127,7 @@
   let confirmedSequence = 0;
   let answeredMs = clock.getNowMs();
   let silentSinceMs: number | undefined;
+  let reportedCapacity: Resources | undefined;
   let isReportRequested = false;
   let isCalling = false;
   let hasLeft = false;
@@ -166,6 +174,14 @@
     if (hasLeaseExpired()) markLapsed(LapseCause.LeaseExpired);
   }
 
+  function updateCapacity(): void {
+    const { capacity } = listedEntry;
+    entry =
+      reportedCapacity === undefined
+        ? listedEntry
+        : { ...listedEntry, capacity: getLeastResources(capacity, reportedCapacity) };
+  }
+
   /** Records an answer; false if it comes from another incarnation of the worker. */
   function checkIncarnation(report: WorkerReport): boolean {
     if (report.bornAtMs !== undefined && report.bornAtMs !== bornAtMs) {
@@ -177,6 +193,10 @@
     failures = 0;
     answeredMs = clock.getNowMs();
     silentSinceMs = undefined;
+    if (report.capacity !== undefined) {
+      reportedCapacity = report.capacity;
+      updateCapacity();
+    }
     workerClock.recordReading(report.clockMs, answeredMs);
     return true;
   }
@@ -264,7 +284,8 @@
     id,
     getEntry: () => entry,
     updateEntry(next) {
-      entry = next;
+      listedEntry = next;
+      updateCapacity();
     },
     getState: () => state,
     isListed: () => isListed,
--- a/packages/dispatch/tests/fakeworkers.ts
+++ b/packages/dispatch/tests/fakeworkers.ts
@@ -1,6 +1,7 @@
 import { FaultCode, createFault, waitFor } from '@bergamotreach/protocol';
 import type { Fault, ManualClock } from '@bergamotreach/protocol';
 import { RunEnd } from '@bergamotreach/scheduling';
+import type { Resources } from '@bergamotreach/scheduling';
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
 import type { FakeProcess } from '../../ownership/tests/fakeprocess.ts';
@@ -70,6 +71,12 @@
   restartsAtStart = false;
   /** Number of starts that did not fit. */
   overloads = 0;
+  /** Number of tasks that fit. */
+  slots = workerSlots;
+  /** Whether starts that do not fit are refused. */
+  isGuarded = true;
+  /** What reports say of the capacity; absent if they do not. */
+  reportedCapacity: Resources | undefined;
   /** How runs end on this worker. */
   end = RunEnd.Done;
   /** Time between two checkpoints of a run; 0 means no checkpoints. */
@@ -148,9 +155,9 @@
     }
     if ((this.highestRuns.get(order.task) ?? 0) >= order.run) return refuse(RefusalReason.OldRun);
     if (order.leaseUntilMs <= clockMs) return refuse(RefusalReason.TooLate);
-    if (this.active.size >= workerSlots) {
+    if (this.active.size >= this.slots) {
       this.overloads += 1;
-      return refuse(RefusalReason.NoRoom);
+      if (this.isGuarded) return refuse(RefusalReason.NoRoom);
     }
     this.highestRuns.set(order.task, order.run);
     this.renewLease(order.leaseUntilMs);
@@ -194,7 +201,9 @@
       percent: 50,
     }));
     const ends = this.ended.filter(({ sequence }) => sequence > this.ackedSequence);
-    return Ok({ clockMs: this.getClockMs(), bornAtMs: this.bornAtMs, runs, ends });
+    const capacity = this.reportedCapacity;
+    const known = { clockMs: this.getClockMs(), bornAtMs: this.bornAtMs, runs, ends };
+    return Ok(capacity === undefined ? known : { ...known, capacity });
   }
 
   private renewLease(untilMs: number): void {
--- a/packages/dispatch/tests/world.ts
+++ b/packages/dispatch/tests/world.ts
@@ -161,6 +161,8 @@
   drainWorker: (id: string) => void;
   /** Removes a worker from the list. */
   unlistWorker: (id: string) => void;
+  /** Lists a worker with room for this many tasks of one accelerator. */
+  resizeWorker: (id: string, slots: number) => void;
   /** Puts a worker back on the list. */
   listWorker: (id: string) => void;
   /**
@@ -421,6 +423,13 @@
     crashOnStart(task, afterMs = 5, comesBack = ComeBack.NewId) {
       crashing.set(task, { afterMs, comesBack });
     },
+    resizeWorker(id, slots) {
+      const worker = workers.get(id);
+      if (worker !== undefined) worker.slots = slots;
+      const entry = { ...createEntry(id, dataCentreCount), bornAtMs: worker?.bornAtMs ?? 1 };
+      const capacity = { ...entry.capacity, accelerators: slots };
+      apply(`servers/${id}`, { ...entry, capacity } as unknown as RowValue);
+    },
     listWorker(id) {
       const bornAtMs = workers.get(id)?.bornAtMs ?? 1;
       const entry = { ...createEntry(id, dataCentreCount), bornAtMs };
--- a/packages/scheduling/src/resources.ts
+++ b/packages/scheduling/src/resources.ts
@@ -6,6 +6,9 @@
   accelerators: number;
 }
 
+/** No resources at all. */
+export const noResources: Readonly<Resources> = { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
+
 // Cores that one accelerator counts as, from the platform's price of lost work.
 const coresPerAccelerator = 8;
 const millisPerCore = 1000;
@@ -19,6 +22,15 @@
   );
 }
 
+/** The lesser of two amounts in each dimension. */
+export function getLeastResources(a: Resources, b: Resources): Resources {
+  return {
+    cpuMillis: Math.min(a.cpuMillis, b.cpuMillis),
+    memoryMb: Math.min(a.memoryMb, b.memoryMb),
+    accelerators: Math.min(a.accelerators, b.accelerators),
+  };
+}
+
 /** Adds `amount` times `demand` to `total` in place. */
 export function addResources(total: Resources, demand: Resources, amount = 1): void {
   total.cpuMillis += demand.cpuMillis * amount;
