--- a/packages/dispatch/src/jobrequest.ts
+++ b/packages/dispatch/src/jobrequest.ts
@@ -1,39 +1,48 @@
+import { amountSchema, nameSchema, ordinalSchema } from '@bergamotreach/protocol/bounds';
 import { createCheck } from '@bergamotreach/protocol/check';
 import type { Check } from '@bergamotreach/protocol/check';
 import type { Recurrence, StepSpec } from '@bergamotreach/scheduling';
-import { Err } from 'ts-results-es';
+import { Err, Ok } from 'ts-results-es';
+import type { Result } from 'ts-results-es';
 import * as z from 'zod/mini';
 
 /** Largest payload of a job, as documented by the platform. */
-const maxPayloadBytes = 4000;
+export const maxPayloadBytes = 4000;
 /** Bounds the memory that one job takes; the largest gang to be supported has 128 tasks. */
 export const maxTasksPerStep = 4096;
 export const maxOccurrences = 10_000;
-
-const count = z.int().check(z.gte(0));
-const amount = z.number().check(z.gte(0));
+export const maxStepsPerJob = 1000;
+/** An owner keeps the state of every task of every occurrence in memory. */
+const maxTasksPerJob = 100_000;
 
 /** Schema of a step. */
 export const stepSchema = z.object({
   taskCount: z.int().check(z.gte(1), z.lte(maxTasksPerStep)),
-  demand: z.object({ cpuMillis: amount, memoryMb: amount, accelerators: amount }),
-  estimatedMs: amount,
-  dependsOn: z.array(count),
+  demand: z.object({
+    cpuMillis: amountSchema,
+    memoryMb: amountSchema,
+    accelerators: amountSchema,
+  }),
+  estimatedMs: amountSchema,
+  dependsOn: z.array(ordinalSchema).check(z.maxLength(maxStepsPerJob)),
   isGang: z.boolean(),
   isRackBound: z.boolean(),
-  requiredLabel: z.string(),
-  preferredRack: z.string(),
-  maxPerWorker: count,
+  requiredLabel: nameSchema,
+  preferredRack: nameSchema,
+  maxPerWorker: ordinalSchema,
   isCheckpointing: z.boolean(),
   isLongRunning: z.boolean(),
-  image: z.string(),
+  image: nameSchema,
 });
 
+/** Schema of the steps of a job. */
+export const stepsSchema = z.array(stepSchema).check(z.minLength(1), z.maxLength(maxStepsPerJob));
+
 /** Schema of the occurrences of a timed job. */
 export const recurrenceSchema = z.object({
   count: z.int().check(z.gte(1), z.lte(maxOccurrences)),
   firstAtMs: z.number(),
-  intervalMs: amount,
+  intervalMs: amountSchema,
 });
 
 /** A job as a caller submits it. */
@@ -44,10 +53,13 @@
   recurrence?: Recurrence;
 }
 
+/** The work of a job, from a caller or from a row. */
+type JobWork = Pick<JobRequest, 'payload' | 'steps' | 'recurrence'>;
+
 const requestSchema = z.object({
-  id: z.string().check(z.minLength(1)),
+  id: nameSchema.check(z.minLength(1)),
   payload: z.string(),
-  steps: z.array(stepSchema).check(z.minLength(1)),
+  steps: stepsSchema,
   recurrence: z.exactOptional(recurrenceSchema),
 });
 
@@ -56,13 +68,18 @@
 /** Checks a job submitted by a caller, directly or through a peer. */
 export const checkJobRequest: Check<JobRequest> = (value) => {
   const checked = checkShape(value);
-  if (checked.isErr()) return checked;
-  const { payload, steps } = checked.value;
+  return checked.andThen((request) => checkWork(request).map(() => request));
+};
+
+/** Checks what a schema of the fields cannot: the size of a job as a whole and the order of its steps. */
+export function checkWork({ payload, steps, recurrence }: JobWork): Result<undefined, string> {
   if (Buffer.byteLength(payload) > maxPayloadBytes) {
     return Err(`payload exceeds ${maxPayloadBytes} bytes`);
   }
+  const tasks = steps.reduce((sum, { taskCount }) => sum + taskCount, 0) * (recurrence?.count ?? 1);
+  if (tasks > maxTasksPerJob) return Err(`${tasks} tasks exceed ${maxTasksPerJob}`);
   const isBackward = steps.every(({ dependsOn }, index) =>
     dependsOn.every((other) => other < index),
   );
-  return isBackward ? checked : Err('a step may depend on earlier steps only');
-};
+  return isBackward ? Ok(undefined) : Err('a step may depend on earlier steps only');
+}
--- a/packages/dispatch/src/jobrows.ts
+++ b/packages/dispatch/src/jobrows.ts
@@ -1,4 +1,11 @@
 import type { RowValue } from '@bergamotreach/hosting';
+import {
+  amountSchema,
+  idSchema,
+  nameSchema,
+  ordinalSchema,
+  unixMsSchema,
+} from '@bergamotreach/protocol/bounds';
 import { createCheck } from '@bergamotreach/protocol/check';
 import type { Check } from '@bergamotreach/protocol/check';
 import { JobState } from '@bergamotreach/scheduling';
@@ -9,7 +16,7 @@
   StoredCrashRecord,
 } from '@bergamotreach/scheduling';
 import * as z from 'zod/mini';
-import { recurrenceSchema, stepSchema } from './jobrequest.ts';
+import { checkWork, maxTasksPerStep, recurrenceSchema, stepsSchema } from './jobrequest.ts';
 
 /** Row `job/<id>`: an accepted job; never changed. Without a state row the job is queued. */
 export interface JobRow {
@@ -39,43 +46,67 @@
 
 const jobRowSchema = z.object({
   submission: z.object({
-    id: z.string(),
-    account: z.string(),
-    queue: z.string(),
-    pool: z.string(),
+    id: nameSchema,
+    account: nameSchema,
+    queue: nameSchema,
+    pool: nameSchema,
     rules: z.object({
-      priority: z.number(),
-      maxAttempts: z.number(),
-      stretch: z.number(),
-      targetMs: z.number(),
+      priority: ordinalSchema,
+      maxAttempts: ordinalSchema,
+      stretch: amountSchema,
+      targetMs: amountSchema,
     }),
     payload: z.string(),
-    steps: z.array(stepSchema),
+    steps: stepsSchema,
     recurrence: z.exactOptional(recurrenceSchema),
   }),
-  acceptedAtMs: z.number(),
+  acceptedAtMs: unixMsSchema,
 });
 
 const stateRowSchema = z.object({
   state: z.enum(JobState),
-  queue: z.string(),
-  account: z.string(),
+  queue: nameSchema,
+  account: nameSchema,
   isTimed: z.boolean(),
-  changedAtMs: z.number(),
+  changedAtMs: unixMsSchema,
   isWithdrawn: z.exactOptional(z.boolean()),
 });
 
+/** Longest checkpoint, which a worker chooses; a row of a group holds one for each task. */
+const maxCheckpointChars = 16_384;
+/** Checkpoint of a run. */
+export const checkpointSchema = z.string().check(z.maxLength(maxCheckpointChars));
+/** Highest stored phase of a task. */
+const maxStoredPhase = 2;
+
 const groupRecordSchema = z.object({
-  tasks: z.array(z.tuple([z.number(), z.number(), z.string(), z.number(), z.string()])),
-  gangFailures: z.number(),
-  lastFailedRun: z.number(),
+  // Versions back to 02ed38f read exactly five fields.
+  tasks: z
+    .array(
+      z.tuple([
+        ordinalSchema.check(z.lte(maxStoredPhase)),
+        ordinalSchema,
+        idSchema,
+        ordinalSchema,
+        checkpointSchema,
+      ]),
+    )
+    .check(z.maxLength(maxTasksPerStep)),
+  gangFailures: ordinalSchema,
+  lastFailedRun: ordinalSchema,
 });
 
-const ordinal = z.int().check(z.gte(0));
 /** Index, run, crashes, sole crashes, log chance, longest run; later versions may append fields. */
 const crashRecordSchema = z.pipe(
   z.tuple(
-    [ordinal, ordinal, ordinal, ordinal, z.number().check(z.lte(0)), z.number().check(z.gte(0))],
+    [
+      ordinalSchema.check(z.lt(maxTasksPerStep)),
+      ordinalSchema,
+      ordinalSchema,
+      ordinalSchema,
+      z.number().check(z.lte(0)),
+      z.number().check(z.gte(0)),
+    ],
     z.unknown(),
   ),
   z.transform((record): StoredCrashRecord => {
@@ -83,10 +114,24 @@
     return [index, run, crashes, soleCrashes, logChance, longestMs];
   }),
 );
-const crashRowSchema = z.object({ records: z.array(crashRecordSchema) });
+const crashRowSchema = z.object({
+  records: z
+    .array(
+      crashRecordSchema.check(
+        z.refine(
+          ([, , crashes, soleCrashes]) => soleCrashes <= crashes,
+          'more sole crashes than crashes',
+        ),
+      ),
+    )
+    .check(z.maxLength(maxTasksPerStep)),
+});
+
+const checkJobShape: Check<JobRow> = createCheck(jobRowSchema);
 
 /** Checks rows of the store, which other versions of this software may have written. */
-export const checkJobRow: Check<JobRow> = createCheck(jobRowSchema);
+export const checkJobRow: Check<JobRow> = (value) =>
+  checkJobShape(value).andThen((row) => checkWork(row.submission).map(() => row));
 export const checkStateRow: Check<StateRow> = createCheck(stateRowSchema);
 export const checkGroupRecord: Check<GroupRecord> = createCheck(groupRecordSchema);
 
--- a/packages/dispatch/src/orders.ts
+++ b/packages/dispatch/src/orders.ts
@@ -68,7 +68,7 @@
  * A run begins within this time or never. Covers two lost answers and is shorter than the time that
  * the members of a gang wait for each other.
  */
-const startWindowMs = 2000;
+export const startWindowMs = 2000;
 const retryMs = 60;
 /** A stop takes a worker up to a second; after this time it counts as lost. */
 const stopRetryMs = 1200;
--- a/packages/dispatch/src/relaycheck.ts
+++ b/packages/dispatch/src/relaycheck.ts
@@ -1,11 +1,17 @@
 import { MessageType, RelayOperation } from '@bergamotreach/protocol';
 import type { RelayAnswerMessage, RelayCallMessage } from '@bergamotreach/protocol';
+import { addressSchema, amountSchema, nameSchema } from '@bergamotreach/protocol/bounds';
 import { createCheck } from '@bergamotreach/protocol/check';
 import type { Check } from '@bergamotreach/protocol/check';
 import * as z from 'zod/mini';
 
-/** `ip:port`. */
-const addressSchema = z.string().check(z.regex(/^\d+\.\d+\.\d+\.\d+:\d{1,5}$/u));
+/** A more powerful instance is preferred as owner, so a row must not claim any power. */
+const maxPower = 10_000;
+/** Longer deadlines count as this; a timer takes at most 24 days. */
+const maxDeadlineMs = 3_600_000;
+/** Headers that a caller may send, in characters. */
+const maxHeaderChars = 65_536;
+const headerSchema = z.string().check(z.maxLength(maxHeaderChars));
 
 /** Row `instance/<name>`: where an instance accepts relayed calls. */
 export interface InstanceRow {
@@ -23,8 +29,8 @@
 export const checkInstanceRow: Check<InstanceRow> = createCheck(
   z.object({
     relayAddress: addressSchema,
-    dataCentre: z.string(),
-    power: z.exactOptional(z.number()),
+    dataCentre: nameSchema,
+    power: z.exactOptional(z.number().check(z.gte(0), z.lte(maxPower))),
   }),
 );
 
@@ -33,12 +39,15 @@
   z.object({
     type: z.literal(MessageType.RelayCall),
     operation: z.enum(RelayOperation),
-    host: z.string(),
-    path: z.string(),
-    key: z.string(),
-    jobId: z.string().check(z.minLength(1)),
+    host: headerSchema,
+    path: headerSchema,
+    key: headerSchema,
+    jobId: nameSchema.check(z.minLength(1)),
     job: z.string(),
-    deadlineMs: z.number().check(z.gte(0)),
+    deadlineMs: z.pipe(
+      z.number().check(z.gte(0)),
+      z.transform((deadlineMs) => Math.min(deadlineMs, maxDeadlineMs)),
+    ),
   }),
 );
 
@@ -48,7 +57,7 @@
     type: z.literal(MessageType.RelayAnswer),
     faultCode: z.string(),
     message: z.string(),
-    retryAfterMs: z.number(),
+    retryAfterMs: amountSchema,
     value: z.string(),
   }),
 );
--- a/packages/dispatch/src/runreports.ts
+++ b/packages/dispatch/src/runreports.ts
@@ -36,6 +36,8 @@
 const maxUnknownJobMs = 15_000;
 const unknownJobRetryMs = 250;
 const msPerSecond = 1000;
+/** Entries of one worker that cannot be read and are logged. */
+const maxReportedEntries = 20;
 
 /** Creates the part of an owner that handles worker reports. */
 export function createRunReports(
@@ -49,6 +51,8 @@
   /** The latest report of each worker that arrived before the jobs were loaded. */
   const deferredReports = new Map<WorkerLink, WorkerReport>();
   const createdMs = clock.getNowMs();
+  /** Entries that were logged, by worker. */
+  const reportedEntries = new WeakMap<WorkerLink, Set<string>>();
 
   async function handleReport(link: WorkerLink, report: WorkerReport): Promise<number> {
     if (!context.isLoaded()) {
@@ -146,20 +150,39 @@
   }
 
   function checkRuns(link: WorkerLink, report: WorkerReport): void {
+    reportSkipped(link, report);
     const running = new Map(report.runs.map((run) => [`${run.task}/${run.run}`, run]));
     const orphanResources: Resources = { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
     for (const { group, task } of activeJobs.listOnWorker(link.id)) {
       const key = `${getTaskName(group, task)}/${task.run}`;
       const status = running.get(key);
       running.delete(key);
-      if (status === undefined) handleAbsent(link, { group, task }, report.clockMs);
-      else handlePresent(link, { group, task }, status, report.clockMs);
+      if (status !== undefined) handlePresent(link, { group, task }, status, report.clockMs);
+      else if (!isUnclear(report, getTaskName(group, task))) {
+        handleAbsent(link, { group, task }, report.clockMs);
+      }
     }
     stops.setOrphans(link, [...running.values()]);
     for (const run of running.values()) stopOrphan(link, run, orphanResources);
     orphanUsage.set(link.id, orphanResources);
   }
 
+  /** Whether an entry that cannot be read may be that of a task; the task must not start again then. */
+  function isUnclear({ skippedEntries = [] }: WorkerReport, name: string): boolean {
+    return skippedEntries.some(({ isRun, task = name }) => isRun && task === name);
+  }
+
+  /** Logs the parts of a report that cannot be read, once each. */
+  function reportSkipped(link: WorkerLink, { skippedEntries = [] }: WorkerReport): void {
+    const reported = reportedEntries.get(link) ?? new Set<string>();
+    for (const { reason, task } of skippedEntries) {
+      const key = `${task ?? ''} ${reason}`;
+      if (reported.has(key) || reported.size >= maxReportedEntries) continue;
+      reportedEntries.set(link, reported.add(key));
+      logger.warn('report_entry_skipped', { worker: link.id, task, reason });
+    }
+  }
+
   function handlePresent(
     link: WorkerLink,
     { group, task }: PlacedTask,
--- a/packages/dispatch/src/starter.ts
+++ b/packages/dispatch/src/starter.ts
@@ -12,7 +12,7 @@
 import type { JobLifecycle } from './joblifecycle.ts';
 import { getCrashKey, getProgressKey } from './jobrows.ts';
 import { isOverCapacity } from './fleetview.ts';
-import { StartOutcome } from './orders.ts';
+import { StartOutcome, startWindowMs } from './orders.ts';
 import type { StartResult } from './orders.ts';
 import { getTaskName } from './ownercontext.ts';
 import type { OwnerContext } from './ownercontext.ts';
@@ -63,8 +63,25 @@
     }
     const commitSentMs = await journal.flushRow(getProgressKey(group.key));
     if (commitSentMs === undefined) return;
-    for (const pendingRun of runs)
-      void runContained(logger, 'start', () => startTask(pendingRun, commitSentMs));
+    for (const pendingRun of runs) void startContained(pendingRun, commitSentMs);
+  }
+
+  /** After an unexpected error, the start may or may not have been sent: the worker's reports decide. */
+  async function startContained(pendingRun: PendingRun, commitSentMs: number): Promise<void> {
+    const { group, task, run, workerId } = pendingRun;
+    const isDone = await runContained(logger, 'start', () => startTask(pendingRun, commitSentMs));
+    if (isDone || task.run !== run) return;
+    const link = context.fleet.find(workerId);
+    const clockMs = link?.getClock().estimate(clock.getNowMs());
+    if (link === undefined || clockMs === undefined) return;
+    recordUnansweredStart({ group, task }, workerId);
+    applyStart({ group, task }, link, {
+      outcome: StartOutcome.Undecided,
+      reason: RefusalReason.None,
+      clockMs: 0,
+      windowEndMs: Math.floor(clockMs + startWindowMs),
+      hasUnansweredAttempt: true,
+    });
   }
 
   function reserveRuns({ group, placements }: PlannedStart): PendingRun[] {
--- a/packages/dispatch/src/taskrunner.ts
+++ b/packages/dispatch/src/taskrunner.ts
@@ -103,6 +103,15 @@
   checkpoint: string;
 }
 
+/** A part of a report that cannot be read. */
+export interface SkippedEntry {
+  reason: string;
+  /** Whether it may tell that a run is active or has ended. */
+  isRun: boolean;
+  /** Name of the task that it is about, if that can be read. */
+  task?: string;
+}
+
 /** Report of a worker about its runs. */
 export interface WorkerReport {
   clockMs: number;
@@ -114,6 +123,8 @@
   capacity?: Resources;
   runs: readonly RunStatus[];
   ends: readonly EndedRun[];
+  /** Parts that cannot be read. */
+  skippedEntries?: readonly SkippedEntry[];
 }
 
 /** Sends orders to workers. */
--- a/packages/dispatch/tests/malformed.test.ts
+++ b/packages/dispatch/tests/malformed.test.ts
@@ -327,6 +327,48 @@
   ]);
 });
 
+// Guards against a task that waits for ever because its start threw.
+test('a task whose start threw is started again', async () => {
+  const world = createWorld(1);
+  const { runner } = world.addCandidate('one');
+  const start = runner.start.bind(runner);
+  let hasFailed = false;
+  runner.start = async (worker, order) => {
+    if (hasFailed) return start(worker, order);
+    hasFailed = true;
+    throw new TypeError('Invalid URL');
+  };
+  world.submit('a', [{ taskCount: 1 }]);
+  await world.clock.advance(12_000);
+  expect([hasFailed, world.getState('a')]).toEqual([true, JobState.Completed]);
+});
+
+for (const task of ['a.0.0.0', undefined]) {
+  // Guards against starting a run a second time because its entry in a report cannot be read.
+  test(`a run hidden by an odd entry that names ${task ?? 'no task'} is not repeated`, async () => {
+    const world = createWorld(2, 6000);
+    world.addCandidate('one');
+    world.submit('a', [{ taskCount: 1 }]);
+    await world.clock.advance(2000);
+    const [started] = world.listStartedRuns();
+    const worker = world.workers.get(started?.worker ?? '');
+    if (worker === undefined) throw new Error('no run');
+    const report = worker.report.bind(worker);
+    let isOdd = true;
+    worker.report = (request) =>
+      report(request).map((known) => {
+        if (!isOdd) return known;
+        const entry = { reason: 'odd', isRun: true, ...(task === undefined ? {} : { task }) };
+        return { ...known, runs: [], skippedEntries: [entry] };
+      });
+    await world.clock.advance(4000);
+    isOdd = false;
+    await world.clock.advance(8000);
+    expect(world.listStartedRuns().length).toEqual(1);
+    expect(world.getState('a')).toEqual(JobState.Completed);
+  });
+}
+
 // Guards against an unexpected error that ends the process at once while it still holds its lease.
 test('an unexpected error shuts the process down in order, once', () => {
   const source = new EventEmitter();
--- a/packages/hosting/src/httpclient.ts
+++ b/packages/hosting/src/httpclient.ts
@@ -60,6 +60,8 @@
   abort(): Promise<void>;
 }
 
+/** A response beyond this is not read to its end; a page of the store's rows takes 2 MB at most. */
+const maxResponseBytes = 16 * 1024 * 1024;
 /** Minimum time between two replacements of the connection pool. */
 const minReplaceIntervalMs = 1000;
 
@@ -92,6 +94,7 @@
     return new Pool(options.origin, {
       connections: options.connections,
       pipelining: 1,
+      maxResponseSize: maxResponseBytes,
       connectTimeout: options.timeoutMs,
       // Disabled, since each exchange has its own abort signal. These timers have a resolution of one
       // second and would also end exchanges whose timeout is longer than the client's.
--- a/packages/ownership/src/lease.ts
+++ b/packages/ownership/src/lease.ts
@@ -126,23 +126,26 @@
   firstReadMs: number;
 }
 
+/** A row with a longer lease is not one of this program's. */
+const maxLeaseMs = 600_000;
+
 function isLeaseRecord(value: unknown): value is LeaseRecord {
   const record = value as Partial<Record<keyof LeaseRecord, unknown>> | null;
   const leaseMs = record?.leaseMs;
-  const hasDuration = typeof leaseMs === 'number' && Number.isFinite(leaseMs) && leaseMs > 0;
+  const hasDuration = typeof leaseMs === 'number' && leaseMs > 0 && leaseMs <= maxLeaseMs;
   return (
     typeof record === 'object' &&
     typeof record?.holder === 'string' &&
     typeof record.address === 'string' &&
-    typeof record.epoch === 'number' &&
-    typeof record.renewal === 'number' &&
+    Number.isSafeInteger(record.epoch) &&
+    Number.isSafeInteger(record.renewal) &&
     (leaseMs === undefined || hasDuration)
   );
 }
 
 function isEpochValue(value: unknown): value is { epoch: number } {
   const record = value as { epoch?: unknown } | null;
-  return typeof record === 'object' && typeof record?.epoch === 'number';
+  return typeof record === 'object' && Number.isSafeInteger(record?.epoch);
 }
 
 /** Creates the lease of a region; call `start` to contend for it. */
--- a/packages/scheduling/src/ranking.ts
+++ b/packages/scheduling/src/ranking.ts
@@ -58,15 +58,30 @@
   return (getCoreEquivalent(spec.demand) * getTaskMs(spec)) / msPerSecond;
 }
 
+const criticalPaths = new WeakMap<JobSubmission, readonly number[]>();
+
+/**
+ * Computes the critical path from each step on. A step depends on earlier ones only, so one walk from the
+ * last step suffices; following each path would take exponential time in a job of dense steps.
+ */
+function computeCriticalPaths({ steps }: JobSubmission): number[] {
+  const longestAfter = steps.map(() => 0);
+  const paths = steps.map(() => 0);
+  for (const [step, spec] of [...steps.entries()].reverse()) {
+    const pathMs = getTaskMs(spec) + (longestAfter[step] ?? 0);
+    paths[step] = pathMs;
+    for (const earlier of spec.dependsOn) {
+      longestAfter[earlier] = Math.max(longestAfter[earlier] ?? 0, pathMs);
+    }
+  }
+  return paths;
+}
+
 /** Critical path from `step` on: the longest chain of declared run times, in milliseconds. */
 export function getCriticalPathMs(job: JobSubmission, step = 0): number {
-  const own = job.steps[step];
-  if (own === undefined) return 0;
-  let longest = 0;
-  for (const [index, spec] of job.steps.entries()) {
-    if (spec.dependsOn.includes(step)) longest = Math.max(longest, getCriticalPathMs(job, index));
-  }
-  return getTaskMs(own) + longest;
+  const paths = criticalPaths.get(job) ?? computeCriticalPaths(job);
+  criticalPaths.set(job, paths);
+  return paths[step] ?? 0;
 }
 
 /** Completion objective of a job: time from its acceptance, in milliseconds. */
