Count crashes against a task only on different machines

Cause: a machine that crashes by itself is back soon and empty, so a suspect, which needs an empty worker, was sent to it again, and each of its crashes counted against the task. Workers that had drained and left counted as lost beside a crash, which could excuse a culprit.

Change: the record names the machine of the latest crash; a further crash of the same machine is no evidence, and a suspect is kept for another machine first. Drained workers are not recorded as lost.

--- a/packages/bench/src/decisions/simulation.ts
+++ b/packages/bench/src/decisions/simulation.ts
@@ -160,6 +160,7 @@
         maxStarts: workerHealth.countStarts(id, placed.length, nowMs),
         isSuspect: workerHealth.isSuspect(id, nowMs),
         urgentReserve: UrgentReserve.None,
+        machine: '',
         hasOrphans: false,
       };
     });
--- a/packages/bench/src/planning/planning.ts
+++ b/packages/bench/src/planning/planning.ts
@@ -70,6 +70,7 @@
     maxStarts: Infinity,
     isSuspect: false,
     urgentReserve: UrgentReserve.None,
+    machine: '',
     hasOrphans: false,
   };
 }
--- a/packages/dispatch/src/fleetview.ts
+++ b/packages/dispatch/src/fleetview.ts
@@ -67,7 +67,7 @@
   nowMs: number,
 ): WorkerView {
   const { workerHealth, orphanUsage, startBackoffs } = context;
-  const { id, pool, rack, labels, capacity } = link.getEntry();
+  const { id, address, pool, rack, labels, capacity } = link.getEntry();
   const free = { ...capacity };
   const releasing: Resources = { ...noResources };
   for (const { group, task } of placed) {
@@ -80,6 +80,7 @@
   const maxStarts = isBackedOff ? 0 : workerHealth.countStarts(id, placed.length, nowMs);
   return {
     id,
+    machine: address,
     pool,
     rack,
     labels: new Set(labels),
--- a/packages/dispatch/src/jobrows.ts
+++ b/packages/dispatch/src/jobrows.ts
@@ -96,7 +96,7 @@
   lastFailedRun: ordinalSchema,
 });
 
-/** Index, run, crashes, sole crashes, log chance, longest run; later versions may append fields. */
+/** Index, run, crashes, sole crashes, log chance, longest run, machine; later versions may append fields. */
 const crashRecordSchema = z.pipe(
   z.tuple(
     [
@@ -106,12 +106,13 @@
       ordinalSchema,
       z.number().check(z.lte(0)),
       z.number().check(z.gte(0)),
+      nameSchema,
     ],
     z.unknown(),
   ),
   z.transform((record): StoredCrashRecord => {
-    const [index, run, crashes, soleCrashes, logChance, longestMs] = record;
-    return [index, run, crashes, soleCrashes, logChance, longestMs];
+    const [index, run, crashes, soleCrashes, logChance, longestMs, machine] = record;
+    return [index, run, crashes, soleCrashes, logChance, longestMs, machine];
   }),
 );
 const crashRowSchema = z.object({
--- a/packages/dispatch/src/runlosses.ts
+++ b/packages/dispatch/src/runlosses.ts
@@ -161,6 +161,7 @@
       pending.set(task, {
         run: task.run,
         workerId: lost.id,
+        machine: lost.address,
         ranMs,
         isSole: isEvidence && isAlone && !hasUnansweredStartOfOther(lost.id, jobId),
         chance: history.getChance(lost, jobId, ranMs, fleetSize),
@@ -180,7 +181,7 @@
       const lost = createLostWorker(link.id, link.getEntry().address, atMs, sent, isCrash);
       reportLapse(lost, cause, runs);
       if (isCrash) queueCrashes(lost, sent, true);
-      history.record(lost);
+      if (!link.getEntry().isDraining) history.record(lost);
       unansweredStarts.delete(link.id);
     },
     recordUnlisted(workerId, runs) {
--- a/packages/dispatch/tests/crashes.test.ts
+++ b/packages/dispatch/tests/crashes.test.ts
@@ -205,6 +205,23 @@
   expect(listStates(world, ids)).toEqual(ids.map(() => JobState.Completed));
 });
 
+// Guards against blaming the tasks that run on a machine which crashes by itself whenever it is back.
+test('jobs on a machine that crashes again and again are not blamed', async () => {
+  const world = createWorld(3, taskMs);
+  world.addCandidate('a');
+  await world.clock.advance(startUpMs);
+  const ids = ['j0', 'j1', 'j2', 'j3'];
+  for (const id of ids) world.submit(id, [{ taskCount: 3 }], { queue: id });
+  for (let turn = 0; turn < 20; turn += 1) {
+    await world.clock.advance(1200);
+    const id = [...world.workers.keys()].filter((name) => name.startsWith('w0')).at(-1) ?? '';
+    world.crashWorker(id, 1000);
+    await world.clock.advance(1300);
+  }
+  await world.clock.advance(settleMs);
+  expect(listStates(world, ids)).toEqual(ids.map(() => JobState.Completed));
+});
+
 // Guards against counting a worker that left after it drained, or that was cut off for longer than its
 // lease, as one that crashed.
 test('a worker that leaves or is cut off is not counted as crashed', async () => {
--- a/packages/scheduling/src/crashes.ts
+++ b/packages/scheduling/src/crashes.ts
@@ -7,12 +7,14 @@
   run: number;
   /** Workers that crashed with a run of the task on them. */
   crashes: number;
-  /** Those of them on which no other job had a run. */
+  /** Those of them on which no other job had a run, each on another machine than the crash before. */
   soleCrashes: number;
   /** Natural logarithm of the probability that these would have crashed without the task; at most 0. */
   logChance: number;
   /** Longest time from a start to the crash, in milliseconds. */
   longestMs: number;
+  /** Machine of the latest crash. */
+  machine: string;
 }
 
 /** One crash of a worker, as seen from one of the runs on it. */
@@ -20,6 +22,7 @@
   run: number;
   /** Time from the start of the run to the crash, in milliseconds. */
   ranMs: number;
+  machine: string;
   /** No other job had a run on the worker. */
   isSole: boolean;
   /** Probability that the worker would have crashed in that time without the run, 0 to 1. */
@@ -43,12 +46,15 @@
 export function recordCrash(task: Task, crash: Crash): boolean {
   const known = task.crashRecord;
   if (known !== undefined && crash.run <= known.run) return false;
+  // The same machine again may be a faulty one.
+  const isEvidence = crash.isSole && (known === undefined || known.machine !== crash.machine);
   task.crashRecord = {
     run: crash.run,
     crashes: (known?.crashes ?? 0) + 1,
-    soleCrashes: (known?.soleCrashes ?? 0) + (crash.isSole ? 1 : 0),
-    logChance: (known?.logChance ?? 0) + (crash.isSole ? Math.min(0, Math.log(crash.chance)) : 0),
+    soleCrashes: (known?.soleCrashes ?? 0) + (isEvidence ? 1 : 0),
+    logChance: (known?.logChance ?? 0) + (isEvidence ? Math.min(0, Math.log(crash.chance)) : 0),
     longestMs: Math.max(known?.longestMs ?? 0, crash.ranMs),
+    machine: crash.machine,
   };
   return true;
 }
@@ -92,8 +98,8 @@
   return Math.min(maxRetryMs, firstRetryMs * 2 ** (crashRecord.crashes - minSoleCrashes));
 }
 
-/** Stored crash record: `[index, run, crashes, soleCrashes, logChance, longestMs]`. */
-export type StoredCrashRecord = [number, number, number, number, number, number];
+/** Stored crash record: `[index, run, crashes, soleCrashes, logChance, longestMs, machine]`. */
+export type StoredCrashRecord = [number, number, number, number, number, number, string];
 
 /** Crash records of the tasks of a group as they are stored. */
 export interface CrashRow {
@@ -105,16 +111,17 @@
   return {
     records: group.tasks.flatMap(({ index, crashRecord }) => {
       if (crashRecord === undefined) return [];
-      const { run, crashes, soleCrashes, logChance, longestMs } = crashRecord;
-      return [[index, run, crashes, soleCrashes, logChance, Math.round(longestMs)]];
+      const { run, crashes, soleCrashes, logChance, longestMs, machine } = crashRecord;
+      return [[index, run, crashes, soleCrashes, logChance, Math.round(longestMs), machine]];
     }),
   };
 }
 
 /** Restores the crash records of a group; records of tasks that it does not have are ignored. */
 export function decodeCrashes(group: TaskGroup, row: CrashRow): void {
-  for (const [index, run, crashes, soleCrashes, logChance, longestMs] of row.records) {
+  for (const [index, run, crashes, soleCrashes, logChance, longestMs, machine] of row.records) {
     const task = group.tasks[index];
-    if (task !== undefined) task.crashRecord = { run, crashes, soleCrashes, logChance, longestMs };
+    if (task === undefined) continue;
+    task.crashRecord = { run, crashes, soleCrashes, logChance, longestMs, machine };
   }
 }
--- a/packages/scheduling/src/isolation.ts
+++ b/packages/scheduling/src/isolation.ts
@@ -61,13 +61,19 @@
   nowMs: number,
 ): WorkerView[] | undefined {
   const needed = group.spec.isGang ? listWaitingTasks(group).length : 1;
+  const crashedMachines = new Set(group.tasks.map(({ crashRecord }) => crashRecord?.machine));
   const chosen: WorkerView[] = [];
   let slots = 0;
   const order = set
     .filter((worker) => isCompatible(group, worker) && isAdmitted(group, worker))
-    .map((worker) => ({ worker, emptyInMs: getEmptyInMs(worker, nowMs) }))
+    .map((worker) => ({
+      worker,
+      emptyInMs: getEmptyInMs(worker, nowMs),
+      // A faulty machine is back soon after each crash, and is empty then.
+      hasCrashed: crashedMachines.has(worker.machine),
+    }))
     .filter(({ worker, emptyInMs }) => worker.maxStarts > 0 && emptyInMs < Infinity)
-    .sort((a, b) => a.emptyInMs - b.emptyInMs);
+    .sort((a, b) => Number(a.hasCrashed) - Number(b.hasCrashed) || a.emptyInMs - b.emptyInMs);
   for (const { worker } of order) {
     if (slots >= needed) break;
     const { maxPerWorker, demand } = group.spec;
--- a/packages/scheduling/src/worker.ts
+++ b/packages/scheduling/src/worker.ts
@@ -19,6 +19,8 @@
 /** A worker as the planner sees it. */
 export interface WorkerView {
   id: string;
+  /** Machine of the worker; the next worker there has the same. */
+  machine: string;
   pool: string;
   rack: string;
   labels: ReadonlySet<string>;
--- a/packages/scheduling/tests/crashes.test.ts
+++ b/packages/scheduling/tests/crashes.test.ts
@@ -24,7 +24,7 @@
 }
 
 function createCrash(run: number, changes: Partial<Crash> = {}): Crash {
-  return { run, ranMs: 10, isSole: true, chance: 1e-3, ...changes };
+  return { run, machine: `m${run}`, ranMs: 10, isSole: true, chance: 1e-3, ...changes };
 }
 
 function createLost(id: string, changes: Partial<LostWorker> = {}): LostWorker {
@@ -64,6 +64,13 @@
   expect(isCulprit(task)).toEqual(false);
 });
 
+// Guards against giving up a task for a machine that crashes again and again.
+test('crashes of one machine never make a culprit', () => {
+  const task = createTask();
+  for (let run = 1; run <= 9; run += 1) recordCrash(task, createCrash(run, { machine: 'm' }));
+  expect([isCulprit(task), task.crashRecord?.soleCrashes]).toEqual([false, 1]);
+});
+
 // Guards against counting a crash again after a takeover whose predecessor had stored it.
 test('a crash is counted once for each run', () => {
   const task = createTask();
@@ -111,6 +118,7 @@
     soleCrashes: integer,
     logChance: fc.double({ min: -1e6, max: 0, noNaN: true }),
     longestMs: integer,
+    machine: fc.string(),
   });
   fc.assert(
     fc.property(fc.option(record), fc.option(record), (first, second) => {
@@ -130,7 +138,7 @@
 // Guards against records of tasks that the group does not have, as another writer may leave them.
 test('records of unknown tasks are ignored', () => {
   const group = createGroup(createJob('j', 1, [createStep()]), 0, 0);
-  decodeCrashes(group, { records: [[7, 1, 1, 1, -3, 5]] });
+  decodeCrashes(group, { records: [[7, 1, 1, 1, -3, 5, 'm']] });
   expect(group.tasks.map(({ crashRecord }) => crashRecord)).toEqual([undefined]);
 });
 
--- a/packages/scheduling/tests/isolation.test.ts
+++ b/packages/scheduling/tests/isolation.test.ts
@@ -22,7 +22,7 @@
   const group = createSingle(id, priority, changes);
   for (const task of group.tasks) {
     task.run = 1;
-    recordCrash(task, { run: 1, ranMs: 10, isSole: false, chance: 1 });
+    recordCrash(task, { run: 1, machine: 'gone', ranMs: 10, isSole: false, chance: 1 });
   }
   return group;
 }
@@ -98,7 +98,7 @@
 test('the least suspected tasks are tried first', () => {
   const worse = createSuspect('worse', 0);
   for (const task of worse.tasks)
-    recordCrash(task, { run: 2, ranMs: 5, isSole: true, chance: 0.1 });
+    recordCrash(task, { run: 2, machine: 'gone too', ranMs: 5, isSole: true, chance: 0.1 });
   const ready = [createReady(worse, 5000), createReady(createSuspect('s'))];
   const plan = planStarts(createInput([createWorker('a'), createWorker('b')], ready));
   expect([listWorkers(plan, 's').length, listWorkers(plan, 'worse').length]).toEqual([1, 0]);
@@ -109,7 +109,7 @@
   const group = createSingle('j', 1, { taskCount: 4 });
   const [first] = group.tasks;
   if (first === undefined) throw new Error('no task');
-  recordCrash(first, { run: 1, ranMs: 10, isSole: false, chance: 1 });
+  recordCrash(first, { run: 1, machine: 'gone', ranMs: 10, isSole: false, chance: 1 });
   const busy = createWorker('busy');
   runOn(busy, createSingle('other', 1));
   const plan = planStarts(createInput([busy, createWorker('idle')], [createReady(group)]));
@@ -123,12 +123,23 @@
   expect(plan.starts.every((start) => start.group === group)).toEqual(true);
 });
 
+// Guards against a suspect that goes back to a faulty machine because that is always empty.
+test('a suspect avoids the machine that crashed under it', () => {
+  const group = createSuspect('s');
+  const [busy, back] = [createWorker('busy'), createWorker('gone')];
+  runOn(busy, createSingle('other', 1));
+  const plan = planStarts(createInput([busy, back], [createReady(group)]));
+  expect([listWorkers(plan, 's'), busy.isolatedFor]).toEqual([[], 's']);
+  const alone = planStarts(createInput([createWorker('gone')], [createReady(group)]));
+  expect(listWorkers(alone, 's')).toEqual(['gone']);
+});
+
 // Guards against a gang that is split, or whose other members share a worker with another job.
 test('a gang with a suspect is kept apart as a whole', () => {
   const gang = createSingle('g', 1, { taskCount: 12, isGang: true });
   const [first] = gang.tasks;
   if (first === undefined) throw new Error('no task');
-  recordCrash(first, { run: 1, ranMs: 10, isSole: false, chance: 1 });
+  recordCrash(first, { run: 1, machine: 'gone', ranMs: 10, isSole: false, chance: 1 });
   const workers = [createWorker('a'), createWorker('b'), createWorker('busy')];
   const [, , busy] = workers;
   if (busy !== undefined) runOn(busy, createSingle('other', 1));
--- a/packages/scheduling/tests/samples.ts
+++ b/packages/scheduling/tests/samples.ts
@@ -56,6 +56,7 @@
   const capacity = { cpuMillis: 32_000, memoryMb: 64_000, accelerators: 8 };
   return {
     id,
+    machine: id,
     pool: 'p1',
     rack,
     labels: new Set(['a', rack]),
