--- a/packages/scheduling/src/crashes.ts
+++ b/packages/scheduling/src/crashes.ts
@@ -47,7 +47,7 @@
   const known = task.crashRecord;
   if (known !== undefined && crash.run <= known.run) return false;
   // The same machine again may be a faulty one.
-  const isEvidence = crash.isSole && (known === undefined || known.machine !== crash.machine);
+  const isEvidence = crash.isSole && known?.machine !== crash.machine;
   task.crashRecord = {
     run: crash.run,
     crashes: (known?.crashes ?? 0) + 1,
