Estimate the rate of crashes from workers that crash alone

Cause: eight workers lost power together, and each counted as a crash of the background, so that every later crash looked likely for a minute.

Change: workers that are lost together are not counted in the rate; they were excluded as evidence against tasks already.

--- a/packages/dispatch/src/runlosses.ts
+++ b/packages/dispatch/src/runlosses.ts
@@ -14,6 +14,7 @@
 import type {
   Crash,
   CrashRow,
+  LostJob,
   LostWorker,
   PlacedTask,
   Task,
@@ -57,6 +58,8 @@
 }
 
 const unlistedReason = 'unlisted';
+/** Job with which no lost worker has anything in common. */
+const anyJob: LostJob = { jobId: '', queue: '' };
 
 /** Whether a lapse shows that the worker itself has ended unexpectedly. */
 function hasCrashed(link: WorkerLink, cause: LapseCause): boolean {
@@ -147,8 +150,12 @@
     );
   }
 
-  function queueCrashes(lost: LostWorker, runs: readonly PlacedTask[], isEvidence: boolean): void {
-    const silent = listSilent();
+  function queueCrashes(
+    lost: LostWorker,
+    runs: readonly PlacedTask[],
+    silent: readonly LostWorker[],
+    isEvidence: boolean,
+  ): void {
     const fleetSize = context.fleet.list().length;
     for (const { group, task } of runs) {
       const jobId = group.job.id;
@@ -180,15 +187,18 @@
       const isCrash = hasCrashed(link, cause);
       const lost = createLostWorker(link.id, link.getEntry().address, atMs, sent, isCrash);
       reportLapse(lost, cause, runs);
-      if (isCrash) queueCrashes(lost, sent, true);
-      if (!link.getEntry().isDraining) history.record(lost);
+      const silent = listSilent();
+      if (isCrash) queueCrashes(lost, sent, silent, true);
+      // Workers lost together say nothing about how often one crashes by itself.
+      const isLone = !isSharedLoss(lost, anyJob, silent);
+      if (!link.getEntry().isDraining) history.record({ ...lost, isCrash: isCrash && isLone });
       unansweredStarts.delete(link.id);
     },
     recordUnlisted(workerId, runs) {
       const lost = createLostWorker(workerId, '', clock.getNowMs(), runs);
       reportLapse(lost, unlistedReason, runs);
       // A worker that left while nobody owned the jobs looks the same, so this is no evidence.
-      queueCrashes(lost, runs, false);
+      queueCrashes(lost, runs, listSilent(), false);
     },
     countCrash({ group, task }) {
       const crash = pending.get(task);
--- a/packages/dispatch/tests/crashes.test.ts
+++ b/packages/dispatch/tests/crashes.test.ts
@@ -205,6 +205,25 @@
   expect(listStates(world, ids)).toEqual(ids.map(() => JobState.Completed));
 });
 
+// Guards against a loss of power that makes every later crash look likely, so that its cause is not found.
+test('a task that crashes its workers is given up after a loss of power', async () => {
+  const world = createWorld(6, taskMs);
+  world.addCandidate('a');
+  await world.clock.advance(startUpMs);
+  const others = submitNeighbours(world, 4);
+  for (let loss = 0; loss < 3; loss += 1) {
+    await world.clock.advance(500);
+    for (const id of world.workers.keys()) world.crashWorker(id, 1000);
+    await world.clock.advance(2500);
+  }
+  world.crashOnStart(deadly, 2500);
+  world.submit('bad', [{ taskCount: 1 }]);
+  await world.clock.advance(2 * settleMs);
+  expect(countStarts(world, deadly) <= maxStarts).toEqual(true);
+  expect(world.getState('bad')).toEqual(JobState.Failed);
+  expect(listStates(world, others)).toEqual(others.map(() => JobState.Completed));
+});
+
 // Guards against blaming the tasks that run on a machine which crashes by itself whenever it is back.
 test('jobs on a machine that crashes again and again are not blamed', async () => {
   const world = createWorld(3, taskMs);
--- a/packages/scheduling/src/crashhistory.ts
+++ b/packages/scheduling/src/crashhistory.ts
@@ -10,7 +10,7 @@
   queues: ReadonlySet<string>;
   /** A worker had crashed before under one of the runs. */
   hasSuspect: boolean;
-  /** The worker itself ended, rather than its lease. */
+  /** The worker itself ended, rather than its lease, and was not lost together with others. */
   isCrash: boolean;
   /** When the latest of the runs began; `-Infinity` if nothing ran there. */
   latestStartMs: number;
