Keep tasks apart that an owner of an older version started again and again

Change: the epoch row names the version of the rows that its holder keeps. After a holder that did not name one, tasks with three runs more than failures are suspects for their next start.

--- a/packages/dispatch/src/instance.ts
+++ b/packages/dispatch/src/instance.ts
@@ -11,6 +11,7 @@
 import type { CancelTimer, Clock, Logger, Metrics } from '@bergamotreach/protocol';
 import type { Advisor } from './advisor.ts';
 import type { ServiceConfig } from './configuration.ts';
+import { rowVersion } from './jobrows.ts';
 import type { JobRow, StateRow } from './jobrows.ts';
 import { createJobService } from './jobservice.ts';
 import type { JobService } from './jobservice.ts';
@@ -201,6 +202,7 @@
     logger,
     metrics,
     region: leaseRegion,
+    rowVersion,
     holder: options.processId,
     // The address belongs to one machine, which runs one process at a time.
     isPreviousProcess: (holder) =>
@@ -269,6 +271,7 @@
       epoch,
       table,
       committer,
+      previousRowVersion: lease.getPreviousRowVersion(),
       jobFeed: options.jobFeed,
       workerFeed: options.workerFeed,
       states,
--- a/packages/dispatch/src/jobrows.ts
+++ b/packages/dispatch/src/jobrows.ts
@@ -142,6 +142,8 @@
 export const jobTable = 'job';
 export const stateTable = 'state';
 export const progressTable = 'progress';
+/** Version of the rows that an owner keeps: 2 with crash records. */
+export const rowVersion = 2;
 /** Versions without crash records neither read nor write this table, so the counts outlive them. */
 export const crashTable = 'crash';
 
--- a/packages/dispatch/src/owner.ts
+++ b/packages/dispatch/src/owner.ts
@@ -8,6 +8,7 @@
   createWorkerHealth,
   getCoreEquivalent,
   hasCulprit,
+  markUncounted,
   isExhausted,
   isFinal,
   noResources,
@@ -28,6 +29,7 @@
   crashTable,
   getStateKey,
   progressTable,
+  rowVersion,
 } from './jobrows.ts';
 import type { JobRow, StateRow } from './jobrows.ts';
 import { createJournal } from './journal.ts';
@@ -285,7 +287,11 @@
     const version = states.findVersion(jobId) ?? 0;
     journal.setVersion(getStateKey(jobId), version);
     const job = activeJobs.add(row, state, (groupKey) => records.get(groupKey));
-    for (const group of job.groups.values()) applyCrashRow(group, crashRows.get(group.key));
+    for (const group of job.groups.values()) {
+      applyCrashRow(group, crashRows.get(group.key));
+      // That owner started tasks again after crashes without a record of them.
+      if (options.previousRowVersion < rowVersion) markUncounted(group);
+    }
     const { submission } = row;
     logger.info('job_adopted', {
       job: jobId,
--- a/packages/dispatch/src/ownercontext.ts
+++ b/packages/dispatch/src/ownercontext.ts
@@ -30,6 +30,8 @@
   epoch: number;
   table: Table;
   committer: GroupCommitter;
+  /** Version of the rows that the owner before this one kept. */
+  previousRowVersion: number;
   jobFeed: Feed<JobRow>;
   workerFeed: Feed<WorkerEntry>;
   /** Replica of all job states, kept by the instance. */
--- a/packages/dispatch/tests/crashes.test.ts
+++ b/packages/dispatch/tests/crashes.test.ts
@@ -151,6 +151,32 @@
   expect(world.getState('bad')).toEqual(JobState.Failed);
 });
 
+// Guards against three more starts after crashes under an owner of the previous version, which counts none.
+test('a task that crashed workers under the previous version is started twice at most', async () => {
+  const world = createWorld(6, taskMs);
+  world.crashOnStart(deadly);
+  world.submit('bad', [{ taskCount: 1 }]);
+  const ids = submitNeighbours(world, 4);
+  // What that version leaves: an epoch without the version of the rows, and a task that waits for run 5.
+  const writes = [
+    { key: 'epoch/main', value: { epoch: 7, holder: 'old' } },
+    {
+      key: 'progress/bad.0.0',
+      value: { tasks: [[0, 4, '', 0, '']], gangFailures: 0, lastFailedRun: 0 },
+    },
+    {
+      key: 'state/bad',
+      value: { state: 'running', queue: 'q1', account: 'a1', isTimed: false, changedAtMs: 0 },
+    },
+  ];
+  world.store.apply({ operationId: 'old', conditions: [], writes }, 'old', 0);
+  world.addCandidate('a');
+  await world.clock.advance(settleMs);
+  expect(countStarts(world, deadly)).toEqual(2);
+  expect(world.getState('bad')).toEqual(JobState.Failed);
+  expect(listStates(world, ids)).toEqual(ids.map(() => JobState.Completed));
+});
+
 // Guards against a count that is lost because the store is away when the worker crashes.
 test('crashes during an outage of the store are counted', async () => {
   const world = createWorld(6, taskMs);
--- a/packages/ownership/src/lease.ts
+++ b/packages/ownership/src/lease.ts
@@ -50,6 +50,8 @@
    * its lease is then taken over at once. Default: no holder is.
    */
   isPreviousProcess?: (holder: string) => boolean;
+  /** Version of the rows that this process keeps while it holds the lease; 1 if absent. */
+  rowVersion?: number;
   /**
    * How long a free lease must have been free before this process takes it over, so that processes
    * better suited to hold it can do so first. Default: 0.
@@ -101,6 +103,11 @@
   getEpoch(): number;
   /** Fencing condition of each owner write; undefined when this daemon does not hold the lease. */
   getEpochCondition(): RowCondition | undefined;
+  /**
+   * Version of the rows that the holder before this one kept; 1 if it did not tell, `rowVersion` if there
+   * was none.
+   */
+  getPreviousRowVersion(): number;
   /** The lease row as last read or written; undefined before the first read or without a row. */
   getOwner(): LeaseRecord | undefined;
   /** Milliseconds since the store last confirmed a read or write of the lease row. */
@@ -143,6 +150,9 @@
   );
 }
 
+/** Version of the rows of holders that do not tell it. */
+const firstRowVersion = 1;
+
 function isEpochValue(value: unknown): value is { epoch: number } {
   const record = value as { epoch?: unknown } | null;
   return typeof record === 'object' && Number.isSafeInteger(record?.epoch);
@@ -164,6 +174,8 @@
   let held: HeldLease | undefined;
   let observed: ObservedLease | undefined;
   let lastEpoch = 0;
+  const ownRowVersion = options.rowVersion ?? firstRowVersion;
+  let previousRowVersion = ownRowVersion;
   let reportedState = LeaseState.Waiting;
   let lastReplyMs = clock.getNowMs();
   let cancelStepTimer: CancelTimer | undefined;
@@ -319,7 +331,7 @@
       ],
       [
         { key: ownerKey, value: encodeRecord(epoch, 0, leaseMs) },
-        { key: epochKey, value: { epoch, holder } },
+        { key: epochKey, value: encodeEpoch(epoch) },
       ],
     );
     // After an ambiguous commit the row may name this daemon; it is polled like any other's.
@@ -332,10 +344,23 @@
     held = { epoch, epochVersion, rowVersion, renewal: 0, deadlineMs };
     tuner.reset();
     lastEpoch = epoch;
+    previousRowVersion = readRowVersion(epochRow.value);
     scheduleDeadline();
     reportState();
   }
 
+  function encodeEpoch(epoch: number): RowValue {
+    return ownRowVersion === firstRowVersion
+      ? { epoch, holder }
+      : { epoch, holder, rowVersion: ownRowVersion };
+  }
+
+  function readRowVersion(row: Row | undefined): number {
+    if (row === undefined) return ownRowVersion;
+    const { rowVersion: version } = row.value as { rowVersion?: unknown };
+    return typeof version === 'number' ? version : firstRowVersion;
+  }
+
   function readEpoch(row: Row | undefined): Result<number, Fault> {
     if (row === undefined) return Ok(0);
     return isEpochValue(row.value) ? Ok(row.value.epoch) : refuseRow(row);
@@ -417,6 +442,7 @@
     isHolding: (epoch) => held?.epoch === epoch && getState() === LeaseState.Holding,
     getState,
     getEpoch: () => lastEpoch,
+    getPreviousRowVersion: () => previousRowVersion,
     getEpochCondition: () =>
       held === undefined ? undefined : { key: epochKey, version: held.epochVersion },
     getOwner: () =>
--- a/packages/scheduling/src/crashes.ts
+++ b/packages/scheduling/src/crashes.ts
@@ -92,6 +92,24 @@
   return nowMs - startedAtMs >= Math.max(forgetAfterMs, crashRecord.longestMs * clearanceFactor);
 }
 
+/** Runs of a task without a failure, after which an owner without crash records may have met crashes. */
+const minUncountedRuns = 3;
+
+/**
+ * Makes tasks suspects that were started again and again without a failure by an owner that kept no crash
+ * records. Preemption looks the same, so this is no evidence; it only keeps them apart on their next start.
+ */
+export function markUncounted(group: TaskGroup): void {
+  for (const task of group.tasks) {
+    const { phase, run, failures, crashRecord } = task;
+    if (crashRecord !== undefined || phase === TaskPhase.Done) continue;
+    if (run - failures < minUncountedRuns) continue;
+    task.crashRecord = {
+      ...{ run: run - 1, crashes: 0, soleCrashes: 0, logChance: 0, longestMs: 0, machine: '' },
+    };
+  }
+}
+
 /** Pause between the loss of a run and the next start of its task, in milliseconds. */
 export function getCrashRetryMs({ crashRecord }: Task): number {
   if (crashRecord === undefined || crashRecord.crashes < minSoleCrashes) return 0;
