--- a/review/standin/deployment.mjs
+++ b/review/standin/deployment.mjs
@@ -34,17 +34,27 @@
     .replace(/\{\{([\w.-]+)\}\}/gu, (_all, path) => String(getField(fields, path) ?? ''));
 }
 
+// Below the ports of outgoing connections, one of which could take a port while its process is down.
+const firstPort = 12_000;
+const portCount = 18_000;
+const usedPorts = new Set();
+
+function isFree(port) {
+  return new Promise((resolve) => {
+    const server = createServer();
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
+  });
+}
+
 async function findFreePorts(count) {
-  const servers = await Promise.all(
-    Array.from({ length: count }, () => {
-      const server = createServer();
-      return new Promise((resolve) => {
-        server.listen(0, '127.0.0.1', () => resolve(server));
-      });
-    }),
-  );
-  const ports = servers.map((server) => server.address().port);
-  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
+  const ports = [];
+  while (ports.length < count) {
+    const port = firstPort + Math.floor(Math.random() * portCount);
+    if (usedPorts.has(port) || !(await isFree(port))) continue;
+    usedPorts.add(port);
+    ports.push(port);
+  }
   return ports;
 }
 
@@ -80,8 +90,20 @@
   });
 }
 
-/** Starts the deployment. `workload` gives the work and the accelerators of a task. */
-export async function startDeployment({ instanceCount, workerCount, config, workload }) {
+/**
+ * Starts the deployment. `workload` gives the work and the accelerators of a task, `placeWorker` the service and
+ * the rack of a worker.
+ */
+export async function startDeployment({
+  instanceCount,
+  workerCount,
+  config,
+  workload,
+  placeWorker = (index) => ({
+    service: config.services[0].name,
+    rack: `r1-${Math.floor(index / 8)}`,
+  }),
+}) {
   const directory = mkdtempSync(join(tmpdir(), 'review-'));
   const startedAt = performance.now();
   const lines = [];
@@ -96,8 +118,7 @@
     workers.push(
       await startWorker({
         id: `i-${String(index).padStart(4, '0')}`,
-        service: config.services[0].name,
-        rack: `r1-${Math.floor(index / 8)}`,
+        ...placeWorker(index),
         zone: 'zone-a',
         store,
         runs,
@@ -113,6 +134,7 @@
   const command = /^run = "(.*)"$/mu.exec(deploy)[1].split(' ');
   const template = readFileSync(/^template = "(.*)"$/mu.exec(deploy)[1], 'utf8');
   const instances = [];
+  let isClosing = false;
 
   async function startInstance(index) {
     const [frontend, readiness, metrics, relay] = await findFreePorts(4);
@@ -148,6 +170,13 @@
       });
       instance.child = child;
     };
+    /** Kills the process; the platform starts it again after a short delay. */
+    instance.killAndRestart = async (delayMs) => {
+      instance.child.kill('SIGKILL');
+      await instance.child.exited;
+      await wait(delayMs);
+      if (!isClosing) instance.start();
+    };
     instance.start();
     instances.push(instance);
   }
@@ -187,6 +216,7 @@
     formatTime: (at) => `${((at - startedAt) / 1000).toFixed(3)} s`,
     /** Ends everything that was started and writes the record. */
     async close(recordPath) {
+      isClosing = true;
       for (const { child, proxy } of instances) {
         child.kill('SIGKILL');
         await child.exited;
--- a/review/standin/worker.mjs
+++ b/review/standin/worker.mjs
@@ -152,6 +152,8 @@
 
   return {
     id,
+    service,
+    rack,
     listTasks: () => [...active.keys()],
     /** Reports `draining` at once and then with each heartbeat; `minimumMs` is the time that is left at least. */
     drain(minimumMs) {
@@ -161,6 +163,17 @@
       beat();
       drainHeart = setInterval(beat, heartbeatMs);
     },
+    /** Leaves: everything that runs ends, the entry is removed and nothing answers any more. */
+    leave() {
+      for (const task of [...active.keys()]) endRun(task, 'worker left');
+      onEvent(`${id}: left`);
+      isGone = true;
+      clearInterval(drainHeart);
+      store.removeEntry(id);
+      server.closeAllConnections();
+      server.close();
+    },
+    isGone: () => isGone,
     /** Whether the path between the worker and the store is cut; instances still reach the worker. */
     setCutFromStore(isCut) {
       isCutFromStore = isCut;
