--- a/review/standin/deployment.mjs
+++ b/review/standin/deployment.mjs
@@ -117,7 +117,7 @@
   for (let index = 0; index < workerCount; index += 1) {
     workers.push(
       await startWorker({
-        id: `i-${String(index).padStart(4, '0')}`,
+        id: `i-${(0x7f3a91c0 + index).toString(16)}`,
         ...placeWorker(index),
         zone: 'zone-a',
         store,
--- a/review/standin/store.mjs
+++ b/review/standin/store.mjs
@@ -10,6 +10,8 @@
 const answerMs = 4;
 const transactionMs = 5;
 const maxPageRows = 500;
+/** Limit of a row's value, `row-bytes` of the settings. */
+const maxRowBytes = 65_536;
 
 function formatKey({ table, part = '', key }) {
   return `${table}/${part}/${key}`;
@@ -65,7 +67,10 @@
     const transaction = await json(request);
     const entries = ['expected-rev', 'puts', 'remove'].flatMap((name) => transaction[name] ?? []);
     const parts = new Set(entries.map(({ part = '' }) => part));
-    if (parts.size > 1 || entries.length > 100) return reply(response, 400, {});
+    const isTooLarge = (transaction.puts ?? []).some(
+      ({ value }) => Buffer.byteLength(value, 'base64') > maxRowBytes,
+    );
+    if (parts.size > 1 || entries.length > 100 || isTooLarge) return reply(response, 400, {});
     const [part = ''] = parts;
     const now = performance.now();
     const freeAt = Math.max(now, partFreeAt.get(part) ?? 0) + transactionMs;
--- a/review/standin/worker.mjs
+++ b/review/standin/worker.mjs
@@ -15,6 +15,7 @@
  */
 export async function startWorker(options) {
   const { id, service, rack, zone, store, runs, maxHoldMs, getWorkMs, getGpus, onEvent } = options;
+  const { kind = 'a', getFailAfterMs = () => Infinity } = options;
   const born = Date.now();
   const startedAt = performance.now();
   const active = new Map();
@@ -68,7 +69,12 @@
     const record = { task, run, worker: id, startedAt: now, spec: body.spec };
     record.token = body['fencing-token'];
     runs.push(record);
-    active.set(task, { record, doneAt: now + getWorkMs(task), stopAt: Infinity });
+    active.set(task, {
+      record,
+      doneAt: now + getWorkMs(task),
+      failsAt: now + getFailAfterMs(task, run),
+      stopAt: Infinity,
+    });
     onEvent(`${id}: run ${run} of ${task} started, fencing token ${record.token}`);
     return [200, {}];
   }
@@ -101,7 +107,7 @@
 
   function describe() {
     const capacity = { cpu: 32_000, 'mem-mb': 65_536, gpus };
-    return { born, capacity, labels: ['a', rack] };
+    return { born, capacity, labels: [kind, rack] };
   }
 
   async function handle(request, response) {
@@ -143,6 +149,7 @@
     for (const [task, run] of [...active]) {
       if (getClock() >= leaseUntil) endRun(task, 'lapsed');
       else if (run.stopAt <= now) endRun(task, 'stopped');
+      else if (run.failsAt <= now) endRun(task, 'failed');
       else if (run.doneAt <= now) endRun(task, 'done');
     }
   }, tickMs);
@@ -154,6 +161,7 @@
     id,
     service,
     rack,
+    kind,
     listTasks: () => [...active.keys()],
     /** Reports `draining` at once and then with each heartbeat; `minimumMs` is the time that is left at least. */
     drain(minimumMs) {
