--- a/review/standin/deployment.mjs
+++ b/review/standin/deployment.mjs
@@ -18,6 +18,8 @@
   'grace-s': 6,
 };
 const readyTimeoutMs = 15_000;
+/** The platform starts a process that has ended again after a short delay. */
+const restartDelayMs = 500;
 
 function getField(fields, path) {
   return path.split('.').reduce((value, name) => value?.[name], fields);
@@ -58,6 +60,20 @@
   return ports;
 }
 
+/** Processes that were started and have not ended. */
+const children = new Set();
+
+function abort(reason) {
+  for (const child of children) child.kill('SIGKILL');
+  process.stderr.write(`the case could not run: ${String(reason)}\n`);
+  process.exit(2);
+}
+
+process.on('SIGTERM', abort);
+process.on('SIGINT', abort);
+process.on('uncaughtException', (error) => abort(error.stack));
+process.on('unhandledRejection', (error) => abort(error?.stack ?? error));
+
 /** Sends one request; resolves with its status and JSON body, with status 0 if there is no whole answer. */
 export function send(address, method, path, { host, headers = {}, body, timeoutMs = 3000 } = {}) {
   return new Promise((resolve) => {
@@ -165,16 +181,27 @@
       });
       child.stdout.pipe(log, { end: false });
       child.stderr.pipe(log, { end: false });
+      children.add(child);
       child.exited = new Promise((resolve) => {
-        child.once('exit', (code, signal) => resolve(signal ?? code));
+        child.once('exit', (code, signal) => {
+          children.delete(child);
+          resolve(signal ?? code);
+          if (isClosing || instance.isRestarting) return;
+          record(`${name} ended by itself, ${String(signal ?? code)}; it is started again`);
+          setTimeout(() => {
+            if (!isClosing) instance.start();
+          }, restartDelayMs);
+        });
       });
       instance.child = child;
     };
     /** Kills the process; the platform starts it again after a short delay. */
     instance.killAndRestart = async (delayMs) => {
+      instance.isRestarting = true;
       instance.child.kill('SIGKILL');
       await instance.child.exited;
       await wait(delayMs);
+      instance.isRestarting = false;
       if (!isClosing) instance.start();
     };
     instance.start();
--- a/review/standin/worker.mjs
+++ b/review/standin/worker.mjs
@@ -7,6 +7,9 @@
 
 const tickMs = 5;
 const stopMs = 200;
+/** A deadly task crashes its worker this long after its start, and the worker is back after `downMs`, which varies. */
+const deadlyMs = 20;
+const downMs = { least: 2300, spread: 400 };
 const gpus = 8;
 
 /**
@@ -15,11 +18,11 @@
  */
 export async function startWorker(options) {
   const { id, service, rack, zone, store, runs, maxHoldMs, getWorkMs, getGpus, onEvent } = options;
-  const { kind = 'a', getFailAfterMs = () => Infinity } = options;
-  const born = Date.now();
-  const startedAt = performance.now();
-  const active = new Map();
-  const latestRuns = new Map();
+  const { kind = 'a', getFailAfterMs = () => Infinity, isDeadly = () => false } = options;
+  let born = Date.now();
+  let startedAt = performance.now();
+  let active = new Map();
+  let latestRuns = new Map();
   let ends = [];
   let sequence = 0;
   let beats = 0;
@@ -29,6 +32,7 @@
   let leavesAt = Infinity;
   let isCutFromStore = false;
   let isGone = false;
+  let isDown = false;
 
   const getClock = () => Math.floor(performance.now() - startedAt) + 1000;
 
@@ -76,9 +80,36 @@
       stopAt: Infinity,
     });
     onEvent(`${id}: run ${run} of ${task} started, fencing token ${record.token}`);
+    if (isDeadly(task)) setTimeout(() => crash(task, record), deadlyMs);
     return [200, {}];
   }
 
+  /** Ends everything that runs, without a list of it, and starts again under the same id. */
+  function crash(task, cause) {
+    if (isGone || isDown || active.get(task)?.record !== cause) return;
+    onEvent(`${id}: crashed under ${task}`);
+    cause.hasCrashed = true;
+    for (const { record } of active.values()) {
+      record.endedAt = performance.now();
+      record.how ??= 'worker crashed';
+    }
+    isDown = true;
+    server.closeAllConnections();
+    setTimeout(
+      () => {
+        active = new Map();
+        latestRuns = new Map();
+        ends = [];
+        [sequence, beats, highestToken, leaseUntil] = [0, 0, 0, 0];
+        [born, startedAt] = [Date.now(), performance.now()];
+        isDown = false;
+        onEvent(`${id}: back after the crash`);
+        beat();
+      },
+      downMs.least + Math.random() * downMs.spread,
+    );
+  }
+
   function stop(body) {
     const { task, run } = body;
     if (isFenced(body)) return [409, { reason: 'fence' }];
@@ -116,7 +147,7 @@
       response.writeHead(code, { 'content-type': 'application/json' });
       response.end(JSON.stringify({ 'clock-ms': getClock(), ...content }));
     };
-    if (isGone) return response.destroy();
+    if (isGone || isDown) return response.destroy();
     if (![undefined, id].includes(request.headers['x-expect-instance'])) return reply(421, {});
     if (request.url === '/run-start') return reply(...start(body));
     if (request.url === '/run-stop') return reply(...stop(body));
@@ -132,7 +163,7 @@
   });
 
   function beat() {
-    if (isGone || isCutFromStore) return;
+    if (isGone || isDown || isCutFromStore) return;
     beats += 1;
     const address = `127.0.0.1:${server.address().port}`;
     const entry = { service, address, zone, version: 'v1', slots: 8, state };
@@ -144,7 +175,7 @@
   }
 
   const ticker = setInterval(() => {
-    if (isGone) return;
+    if (isGone || isDown) return;
     const now = performance.now();
     for (const [task, run] of [...active]) {
       if (getClock() >= leaseUntil) endRun(task, 'lapsed');
