--- a/review/1/scenario.mjs
+++ b/review/1/scenario.mjs
@@ -9,7 +9,7 @@
 const cutMs = 5000;
 const host = 'trek.example';
 const prefix = '/survey/';
-const jobId = '5c0e7a21d94b36f8';
+const jobId = '5c0e7a21d94b36fb';
 const key = 'd4a3hwrr6x73d3zji9n7';
 const taskCount = 6;
 
--- a/review/2/scenario.mjs
+++ b/review/2/scenario.mjs
@@ -13,12 +13,12 @@
 const host = 'trek.example';
 const key = 'd4a3hwrr6x73d3zji9n7';
 const queues = ['survey', 'match', 'quote'];
-const jobIds = queues.map((_, index) => (0x5c0e7a21d94b3600n + BigInt(index)).toString(16));
+const jobIds = queues.map((_, index) => (0x5c0e7a21d94b360an + 16n * BigInt(index)).toString(16));
 /** Sound jobs of each queue: one job in ten is deadly. */
 const soundCount = 9;
 const soundIds = queues.flatMap((queue, index) =>
   Array.from({ length: soundCount }, (_, number) => ({
-    id: (0x7be1094c2af05d00n + BigInt(index * soundCount + number)).toString(16),
+    id: (0x7be1094c2af0500an + 16n * BigInt(index * soundCount + number)).toString(16),
     index,
   })),
 );
--- a/review/3/scenario.mjs
+++ b/review/3/scenario.mjs
@@ -21,7 +21,7 @@
 const prefix = '/survey/';
 const key = 'd4a3hwrr6x73d3zji9n7';
 const jobIds = Array.from({ length: leavingCount * gpusPerWorker }, (_, index) =>
-  (0x5c0e7a21d94b3600n + BigInt(index)).toString(16),
+  (0x5c0e7a21d94b360an + 16n * BigInt(index)).toString(16),
 );
 
 const config = {
--- a/review/standin/deployment.mjs
+++ b/review/standin/deployment.mjs
@@ -38,8 +38,10 @@
 
 // Below the ports of outgoing connections, one of which could take a port while its process is down.
 const firstPort = 12_000;
-const portCount = 18_000;
-const usedPorts = new Set();
+/** Each process that runs a case searches a range of its own, so that several cases can run at once. */
+const rangeCount = 180;
+const portsPerRange = 100;
+let nextPort = firstPort + (process.pid % rangeCount) * portsPerRange;
 
 function isFree(port) {
   return new Promise((resolve) => {
@@ -52,10 +54,9 @@
 async function findFreePorts(count) {
   const ports = [];
   while (ports.length < count) {
-    const port = firstPort + Math.floor(Math.random() * portCount);
-    if (usedPorts.has(port) || !(await isFree(port))) continue;
-    usedPorts.add(port);
-    ports.push(port);
+    const port = nextPort;
+    nextPort += 1;
+    if (await isFree(port)) ports.push(port);
   }
   return ports;
 }
