Keep the runs of a draining worker until it has provably left

The first was draining, had lost its path to the store and answered the owner all the while.

Cause: the owner took an entry that had expired for one that its worker had removed, since it measured the age of the entry from when it read the last change, and the feed was 1.3 s late (worker_unlisted sinceMs=3178, against 4,501 ms at the store). It then gave up the run of a link that had just listed it.

Change: the replica of a table dates each change by the last complete read before it, on a clock that includes suspension; an entry that can have expired is not taken for removed. A worker that removed its entry has left only if a call to it fails as well; an answer to a later call refutes it. An answer that is no report counts as an answer.

--- a/packages/dispatch/src/fleet.ts
+++ b/packages/dispatch/src/fleet.ts
@@ -1,4 +1,5 @@
 import type { Feed } from '@bergamotreach/hosting';
+import { createSuspendAwareClock } from '@bergamotreach/protocol';
 import type { Clock, Logger, Metrics } from '@bergamotreach/protocol';
 import { computeFencingToken } from './fencingtoken.ts';
 import { createTableReplica } from './tablereplica.ts';
@@ -13,6 +14,8 @@
   runner: TaskRunner;
   epoch: number;
   clock: Clock;
+  /** Unix time in milliseconds. */
+  getWallMs: () => number;
   logger: Logger;
   metrics: Metrics;
   maxLeaseMs: number;
@@ -37,8 +40,8 @@
 // Batches changes of the worker list, since every heartbeat changes an entry.
 const listPauseMs = 150;
 /**
- * A draining worker whose entry disappears within this many heartbeats of its last update has
- * removed the entry itself, so it has left. Otherwise the entry has expired.
+ * An entry that disappears within this many heartbeats of its last update was removed by its worker,
+ * since it expires only after three.
  */
 const maxWithdrawalHeartbeats = 2.5;
 
@@ -46,11 +49,13 @@
 export function createFleet(options: FleetOptions): Fleet {
   const { clock, logger, runner } = options;
   const links = new Map<string, WorkerLink>();
+  /** An entry must not look younger because this process was suspended. */
+  const ageClock = createSuspendAwareClock(clock, options.getWallMs);
   /**
-   * When the last change of each entry was seen. The first read of the list does not count, since
-   * it does not tell the age of an entry.
+   * Time before which the latest entry of each worker was not stored. The time at which it was read
+   * does not tell its age, since the feed may be late.
    */
-  const lastUpdateMs = new Map<string, number>();
+  const entryNotBeforeMs = new Map<string, number>();
   /** Number of incarnations of each worker that this owner has seen. */
   const incarnations = new Map<string, number>();
   let isRunning = false;
@@ -123,34 +128,37 @@
   }
 
   function handleUnlisted(link: WorkerLink): void {
-    const sinceMs = clock.getNowMs() - (lastUpdateMs.get(link.id) ?? -Infinity);
-    const hasLeft =
-      link.getEntry().isDraining && sinceMs < maxWithdrawalHeartbeats * options.heartbeatMs;
-    logger.info('worker_unlisted', { worker: link.id, hasLeft, sinceMs: Math.round(sinceMs) });
+    const maxAgeMs = ageClock.getNowMs() - (entryNotBeforeMs.get(link.id) ?? -Infinity);
+    const isWithdrawn =
+      link.getEntry().isDraining && maxAgeMs < maxWithdrawalHeartbeats * options.heartbeatMs;
+    logger.info('worker_unlisted', {
+      worker: link.id,
+      isWithdrawn,
+      maxAgeMs: Math.round(maxAgeMs),
+      silentMs: Math.round(link.getSilenceMs()),
+    });
+    entryNotBeforeMs.delete(link.id);
     link.setListed(false);
-    if (hasLeft) link.markLeft();
-    else if (link.getState() === LinkState.Lapsed) closeLink(link);
+    if (link.getState() === LinkState.Lapsed) closeLink(link);
+    else if (isWithdrawn) link.markWithdrawn();
   }
 
   const replica = createTableReplica<WorkerEntry>({
     feed: options.feed,
     name: 'workers',
-    clock,
+    clock: ageClock,
     logger,
     metrics: options.metrics,
     getPauseMs: () => listPauseMs,
-    onChange(id, entry) {
+    onChange(id, entry, _version, notBeforeMs) {
       const link = links.get(id);
       if (entry === undefined) {
         if (link !== undefined) handleUnlisted(link);
         return;
       }
-      if (link === undefined) {
-        openLink(entry);
-        return;
-      }
-      lastUpdateMs.set(id, clock.getNowMs());
-      updateLink(link, entry);
+      entryNotBeforeMs.set(id, notBeforeMs);
+      if (link === undefined) openLink(entry);
+      else updateLink(link, entry);
     },
   });
 
--- a/packages/dispatch/src/owner.ts
+++ b/packages/dispatch/src/owner.ts
@@ -140,6 +140,7 @@
     runner: options.runner,
     epoch,
     clock,
+    getWallMs,
     logger,
     metrics,
     maxLeaseMs: options.maxLeaseMs,
--- a/packages/dispatch/src/tablereplica.ts
+++ b/packages/dispatch/src/tablereplica.ts
@@ -10,8 +10,11 @@
   clock: Clock;
   logger: Logger;
   metrics: Metrics;
-  /** Called for each change; `value` is `undefined` if the row was deleted. */
-  onChange?: (key: string, value: T | undefined, version: number) => void;
+  /**
+   * Called for each change; `value` is `undefined` if the row was deleted. The change was not stored
+   * before `notBeforeMs`, a time of `clock` at which the store still lacked it; `-Infinity` if unknown.
+   */
+  onChange?: (key: string, value: T | undefined, version: number, notBeforeMs: number) => void;
   /** How long a read waits for changes; 1000 if absent. */
   waitMs?: number;
   /** Pause between two reads, which batches changes; none if absent. */
@@ -60,6 +63,8 @@
   // Latest version of each row, including deleted rows, so that a late page cannot restore them.
   const versions = new Map<string, number>();
   let position: number | undefined;
+  /** Time until which the replica is known to have all changes: when the read of `position` was sent. */
+  let completeUntilMs = -Infinity;
   /** Position of the latest snapshot. */
   let snapshotPosition = -Infinity;
   let confirmedMs = -Infinity;
@@ -67,6 +72,10 @@
   let failingSinceMs: number | undefined;
   let endPause: () => void = () => undefined;
 
+  function getNotBeforeMs(version: number): number {
+    return position !== undefined && version > position ? completeUntilMs : -Infinity;
+  }
+
   function applyItem({ key, value, version }: FeedItem<T>): void {
     // A row missing from a snapshot had been deleted by then, so older versions of it are stale.
     const isStale = version <= snapshotPosition && !entries.has(key);
@@ -81,7 +90,7 @@
   /** Contains errors of the receiver, which must not hide later changes. */
   function reportChange(key: string, value: T | undefined, version: number): void {
     runContainedSync(logger, `change of ${name}/${key}`, () => {
-      options.onChange?.(key, value, version);
+      options.onChange?.(key, value, version, getNotBeforeMs(version));
     });
   }
 
@@ -95,9 +104,12 @@
     snapshotPosition = Math.max(snapshotPosition, page.position);
   }
 
-  function applyPage(page: FeedPage<T>): void {
+  function applyPage(page: FeedPage<T>, sentMs: number): void {
     for (const item of page.items) applyItem(item);
     if (page.isSnapshot) removeMissing(page);
+    const isComplete = page.isSnapshot || page.items.length < fullPageItems;
+    if (isComplete && page.position >= (position ?? 0))
+      completeUntilMs = Math.max(completeUntilMs, sentMs);
     position = Math.max(position ?? 0, page.position);
     confirmedMs = clock.getNowMs();
     if (failingSinceMs !== undefined) {
@@ -116,13 +128,14 @@
 
   /** Reads one page; resolves with its number of changes, or with `undefined` if the read fails. */
   async function readPage(waitMs: number): Promise<number | undefined> {
+    const sentMs = clock.getNowMs();
     const reply = position === undefined ? await feed.load() : await feed.wait(position, waitMs);
     if (reply.isErr()) {
       recordFailure(reply.error.message);
       return undefined;
     }
     metrics.count('feed.reads', 1, { table: name });
-    applyPage(reply.value);
+    applyPage(reply.value, sentMs);
     return reply.value.items.length;
   }
 
--- a/packages/dispatch/src/taskrunner.ts
+++ b/packages/dispatch/src/taskrunner.ts
@@ -133,7 +133,8 @@
   abstract stop(worker: WorkerAddress, order: StopOrder): Promise<OrderReply>;
   /**
    * Faults: `stale_epoch` (the worker has seen a newer owner), `not_found` (another incarnation
-   * answered) and `worker_unavailable` (no answer; the lease may have been renewed).
+   * answered), `protocol` (the answer is no report) and `worker_unavailable` (no answer; the lease may
+   * have been renewed).
    */
   abstract report(
     worker: WorkerAddress,
--- a/packages/dispatch/src/workerlink.ts
+++ b/packages/dispatch/src/workerlink.ts
@@ -79,10 +79,10 @@
   /** Marks this incarnation as unable to run anything any more. */
   markLapsed(cause: LapseCause): void;
   /**
-   * Marks the worker as gone. A report in flight may still deliver ends, so the incarnation lapses only
-   * once that call has ended.
+   * Records that the worker removed its entry. This incarnation lapses once a call gets no answer as
+   * well; an answer to a later call shows that the worker has not left.
    */
-  markLeft(): void;
+  markWithdrawn(): void;
   /** Makes the next call return at once instead of waiting for a run to end. */
   requestReport(): void;
   start(): void;
@@ -130,7 +130,8 @@
   let reportedCapacity: Resources | undefined;
   let isReportRequested = false;
   let isCalling = false;
-  let hasLeft = false;
+  /** When the worker removed its entry; `undefined` while it is not known to have left. */
+  let withdrawnAtMs: number | undefined;
 
   function setState(next: LinkState, reason: string): void {
     if (state === next) return;
@@ -239,10 +240,19 @@
         isCalling = false;
       });
     if (!isRunning) return;
-    const handled = handleReply(reply, ackedSequence, isProbe);
-    // The ends of the report have been applied by now; only storing them may take longer.
-    if (hasLeft) markLapsed(LapseCause.Left);
-    await handled;
+    checkWithdrawal(reply, nowMs);
+    await handleReply(reply, ackedSequence, isProbe);
+  }
+
+  /** Decides whether a worker that has removed its entry has left, by its reply to a call. */
+  function checkWithdrawal(reply: Result<WorkerReport, Fault>, calledAtMs: number): void {
+    if (withdrawnAtMs === undefined) return;
+    if (reply.isErr() && reply.error.code === FaultCode.WorkerUnavailable) {
+      markLapsed(LapseCause.Left);
+    } else if (calledAtMs >= withdrawnAtMs) {
+      logger.info('unlisted_worker_answered', { worker: id, life: bornAtMs });
+      withdrawnAtMs = undefined;
+    }
   }
 
   async function handleReply(
@@ -291,16 +301,16 @@
     isListed: () => isListed,
     setListed(value) {
       isListed = value;
-      if (value) hasLeft = false;
+      if (value) withdrawnAtMs = undefined;
     },
     getSilenceMs: () => clock.getNowMs() - answeredMs,
     getSilentSinceMs: () => silentSinceMs,
     getClock: () => workerClock,
     getFencingToken: () => fencingToken,
     markLapsed,
-    markLeft() {
-      hasLeft = true;
-      if (!isCalling) markLapsed(LapseCause.Left);
+    markWithdrawn() {
+      withdrawnAtMs = clock.getNowMs();
+      if (!isCalling && failures > 0) markLapsed(LapseCause.Left);
     },
     requestReport() {
       isReportRequested = true;
--- a/packages/dispatch/tests/tablereplica.test.ts
+++ b/packages/dispatch/tests/tablereplica.test.ts
@@ -37,3 +37,38 @@
   expect(replica.find('j')).toEqual('cancelled');
   replica.stop();
 });
+
+// Guards against taking the time at which a change was read for the time at which it was stored: a
+// worker's entry then looked too young to have expired.
+test('a change that is read late is dated by the read before', async () => {
+  const clock = createManualClock();
+  const state = new TableState(clock);
+  const process = new FakeProcess('a', clock);
+  const feed = new FakeFeed<string>(state, process, 'servers/');
+  const notBefore: number[] = [];
+  const replica = createTableReplica<string>({
+    feed,
+    name: 'workers',
+    clock: process,
+    logger: createNullLogger(),
+    metrics: createNullMetrics(),
+    onChange: (_key, _value, _version, notBeforeMs) => notBefore.push(notBeforeMs),
+  });
+  const putEntry = (operationId: string): void => {
+    const writes = [{ key: 'servers/w', value: operationId }];
+    state.apply({ operationId, conditions: [], writes }, 't', 0);
+  };
+  putEntry('first');
+  replica.start();
+  await clock.advance(100);
+  feed.isCut = true;
+  const storedMs = clock.getNowMs();
+  putEntry('second');
+  await clock.advance(5000);
+  feed.isCut = false;
+  await clock.advance(2000);
+  replica.stop();
+  expect(notBefore.length).toEqual(2);
+  expect(notBefore[0]).toEqual(-Infinity);
+  expect((notBefore[1] ?? Infinity) <= storedMs).toEqual(true);
+});
--- a/packages/dispatch/tests/world.ts
+++ b/packages/dispatch/tests/world.ts
@@ -135,6 +135,8 @@
   /** The runner that all its owners use. */
   runner: FakeRunner;
   operatorFeed: FakeFeed<OperatorRow>;
+  /** The worker list as all its owners read it. */
+  workerFeed: FakeFeed<WorkerEntry>;
   getOwner: () => Owner | undefined;
 }
 
@@ -301,6 +303,7 @@
       onChange: (jobId, row, version) => owner?.handleState(jobId, row, version),
     });
     const operatorFeed = new FakeFeed<OperatorRow>(store, process, 'op/');
+    const workerFeed = new FakeFeed<WorkerEntry>(store, process, 'servers/');
     const operatorRows = createOperatorRows({
       feed: operatorFeed,
       clock: process,
@@ -331,7 +334,7 @@
           committer,
           previousRowVersion: lease.getPreviousRowVersion(),
           jobFeed: new FakeFeed<JobRow>(store, process, 'job/', jobDelayMs, jobDelayMs > 0),
-          workerFeed: new FakeFeed<WorkerEntry>(store, process, 'servers/'),
+          workerFeed,
           states,
           runner,
           advisor,
@@ -356,7 +359,7 @@
     states.start();
     operatorRows.start();
     lease.start();
-    return { process, lease, runner, operatorFeed, getOwner: () => owner };
+    return { process, lease, runner, operatorFeed, workerFeed, getOwner: () => owner };
   }
 
   function getConfig(): ServiceConfig | undefined {
