--- a/packages/dispatch/src/runlosses.ts
+++ b/packages/dispatch/src/runlosses.ts
@@ -159,7 +159,15 @@
     const fleetSize = context.fleet.list().length;
     for (const { group, task } of runs) {
       const jobId = group.job.id;
-      if (isSharedLoss(lost, { jobId, queue: group.job.queue }, silent)) continue;
+      if (isSharedLoss(lost, { jobId, queue: group.job.queue }, silent)) {
+        logger.info('crash_excused', {
+          task: getTaskName(group, task),
+          run: task.run,
+          worker: lost.id,
+          ranMs: Math.round(lost.atMs - (getStartMs(task) ?? lost.atMs)),
+        });
+        continue;
+      }
       const isAlone = lost.jobs.size === 1 && !context.hasOrphans(lost.id);
       const ranMs = Math.max(
         0,
