Start tasks again without delay whose workers left while nobody owned them

Cause: a run on a worker that is missing after a takeover was counted as a crash of that worker, though nothing tells whether it crashed or left. Each task became a suspect that waits for a worker of its own (crash_counted crashes=1 isSole=false, job_waits reason=isolated).

Change: such a loss marks the task as exposed, in a field that is appended to its crash record. An exposed task starts like any other; the mark is kept as a memory for later losses.

Result: takeovers.test.ts, tasks of workers that left without an owner: 4 of 8 running after 3 s before, all now.

--- a/packages/dispatch/src/heldruns.ts
+++ b/packages/dispatch/src/heldruns.ts
@@ -46,7 +46,7 @@
 
   /** Resumes a run that a delayed attempt began before the report delivered the new token. */
   function resumeRun({ group, task }: PlacedTask, clockMs: number): void {
-    context.losses.cancelCrash(task);
+    context.losses.cancelLoss(task);
     task.phase = TaskPhase.Running;
     task.startedAtMs = clock.getNowMs();
     lifecycle.recordRunning(task, clockMs);
--- a/packages/dispatch/src/joblifecycle.ts
+++ b/packages/dispatch/src/joblifecycle.ts
@@ -141,7 +141,7 @@
   function dropRun(placed: PlacedTask): void {
     const { group, task } = placed;
     // Stored before the progress, which lets the task start again.
-    context.losses.countCrash(placed);
+    context.losses.countLoss(placed);
     observedRuns.delete(task);
     const effect = recordEnd(group, task, task.run, RunEnd.LeaseExpired, '');
     if (effect !== EndEffect.Stale) applyEnd(placed, effect);
--- a/packages/dispatch/src/jobrows.ts
+++ b/packages/dispatch/src/jobrows.ts
@@ -96,7 +96,10 @@
   lastFailedRun: ordinalSchema,
 });
 
-/** Index, run, crashes, sole crashes, log chance, longest run, machine; later versions may append fields. */
+/**
+ * Index, run, crashes, sole crashes, log chance, longest run, machine, and 1 if the task is only exposed.
+ * Earlier versions lack the last field, and later ones may append more.
+ */
 const crashRecordSchema = z.pipe(
   z.tuple(
     [
@@ -111,8 +114,9 @@
     z.unknown(),
   ),
   z.transform((record): StoredCrashRecord => {
-    const [index, run, crashes, soleCrashes, logChance, longestMs, machine] = record;
-    return [index, run, crashes, soleCrashes, logChance, longestMs, machine];
+    const [index, run, crashes, soleCrashes, logChance, longestMs, machine, exposed] = record;
+    const isExposed = exposed === 1 && crashes === 0;
+    return [index, run, crashes, soleCrashes, logChance, longestMs, machine, Number(isExposed)];
   }),
 );
 const crashRowSchema = z.object({
--- a/packages/dispatch/src/runlosses.ts
+++ b/packages/dispatch/src/runlosses.ts
@@ -10,10 +10,12 @@
   isFinal,
   isSharedLoss,
   recordCrash,
+  recordExposure,
 } from '@bergamotreach/scheduling';
 import type {
   Crash,
   CrashRow,
+  Exposure,
   LostJob,
   LostWorker,
   PlacedTask,
@@ -36,19 +38,22 @@
   recordLapse(link: WorkerLink, cause: LapseCause, lost: readonly PlacedTask[]): void;
   /** Records the loss of the runs of a worker that has not been listed for a whole lease. */
   recordUnlisted(workerId: string, lost: readonly PlacedTask[]): void;
-  /** Counts the crash that ended a run, if its worker crashed; called when the run is given up. */
-  countCrash(placed: PlacedTask): void;
-  /** Forgets the crash of a run that turned out to go on. */
-  cancelCrash(task: Task): void;
+  /** Stores what the loss of a run says about its task; called when the run is given up. */
+  countLoss(placed: PlacedTask): void;
+  /** Forgets the loss of a run that turned out to go on. */
+  cancelLoss(task: Task): void;
   /** Records that a start of the task got no answer from the worker until now. */
   recordUnansweredStart(placed: PlacedTask, workerId: string, expiresAtMs: number): void;
   /** Drops the crash records of tasks that have run for long since. */
   dropExonerated(): void;
 }
 
-/** A crash that is counted once its run is given up. */
-interface PendingCrash extends Crash {
+/** A loss that is counted once its run is given up. */
+interface PendingLoss {
   workerId: string;
+  exposure: Exposure;
+  /** Absent if the loss need not have to do with the task. */
+  crash?: Crash;
 }
 
 interface UnansweredStart {
@@ -72,7 +77,7 @@
   const { activeJobs, journal, observedRuns } = context;
   const { clock, logger, metrics } = context.options;
   const history = createCrashHistory(clock.getNowMs());
-  const pending = new Map<Task, PendingCrash>();
+  const pending = new Map<Task, PendingLoss>();
   /** Starts without an answer by worker; each may take effect late. */
   const unansweredStarts = new Map<string, UnansweredStart[]>();
 
@@ -150,40 +155,56 @@
     );
   }
 
+  function getRanMs({ group, task }: PlacedTask, atMs: number): number {
+    return Math.max(0, atMs - (getStartMs(task) ?? atMs - group.spec.estimatedMs));
+  }
+
   function queueCrashes(
     lost: LostWorker,
     runs: readonly PlacedTask[],
     silent: readonly LostWorker[],
-    isEvidence: boolean,
   ): void {
     const fleetSize = context.fleet.list().length;
-    for (const { group, task } of runs) {
+    for (const placed of runs) {
+      const { group, task } = placed;
+      const { run } = task;
       const jobId = group.job.id;
+      const ranMs = getRanMs(placed, lost.atMs);
       if (isSharedLoss(lost, { jobId, queue: group.job.queue }, silent)) {
         logger.info('crash_excused', {
           task: getTaskName(group, task),
-          run: task.run,
+          run,
           worker: lost.id,
-          ranMs: Math.round(lost.atMs - (getStartMs(task) ?? lost.atMs)),
+          ranMs: Math.round(ranMs),
         });
         continue;
       }
       const isAlone = lost.jobs.size === 1 && !context.hasOrphans(lost.id);
-      const ranMs = Math.max(
-        0,
-        lost.atMs - (getStartMs(task) ?? lost.atMs - group.spec.estimatedMs),
-      );
-      pending.set(task, {
-        run: task.run,
-        workerId: lost.id,
+      const exposure = { run, ranMs };
+      const crash = {
+        ...exposure,
         machine: lost.address,
-        ranMs,
-        isSole: isEvidence && isAlone && !hasUnansweredStartOfOther(lost.id, jobId),
+        isSole: isAlone && !hasUnansweredStartOfOther(lost.id, jobId),
         chance: history.getChance(lost, jobId, ranMs, fleetSize),
-      });
+      };
+      pending.set(task, { workerId: lost.id, exposure, crash });
     }
   }
 
+  function reportCrash({ group, task }: PlacedTask, workerId: string, crash: Crash): void {
+    logger.info('crash_counted', {
+      task: getTaskName(group, task),
+      run: task.run,
+      worker: workerId,
+      ranMs: Math.round(crash.ranMs),
+      isSole: crash.isSole,
+      chance: Number(crash.chance.toPrecision(2)),
+      crashes: task.crashRecord?.crashes,
+      soleCrashes: task.crashRecord?.soleCrashes,
+    });
+    metrics.count('crashes.counted', 1, { isSole: String(crash.isSole) });
+  }
+
   function writeCrashes(group: TaskGroup): void {
     journal.write(getCrashKey(group.key), encodeRow(encodeCrashes(group)));
   }
@@ -196,7 +217,7 @@
       const lost = createLostWorker(link.id, link.getEntry().address, atMs, sent, isCrash);
       reportLapse(lost, cause, runs);
       const silent = listSilent();
-      if (isCrash) queueCrashes(lost, sent, silent, true);
+      if (isCrash) queueCrashes(lost, sent, silent);
       // Workers lost together say nothing about how often one crashes by itself.
       const isLone = !isSharedLoss(lost, anyJob, silent);
       if (!link.getEntry().isDraining) history.record({ ...lost, isCrash: isCrash && isLone });
@@ -205,30 +226,34 @@
     recordUnlisted(workerId, runs) {
       const lost = createLostWorker(workerId, '', clock.getNowMs(), runs);
       reportLapse(lost, unlistedReason, runs);
-      // A worker that left while nobody owned the jobs looks the same, so this is no evidence.
-      queueCrashes(lost, runs, listSilent(), false);
+      // It may have crashed, or have left while nobody owned the jobs.
+      for (const placed of runs) {
+        const exposure = { run: placed.task.run, ranMs: getRanMs(placed, lost.atMs) };
+        pending.set(placed.task, { workerId, exposure });
+      }
     },
-    countCrash({ group, task }) {
-      const crash = pending.get(task);
+    countLoss(placed) {
+      const { group, task } = placed;
+      const loss = pending.get(task);
       pending.delete(task);
       const state = activeJobs.find(group.job.id)?.state ?? JobState.Cancelled;
-      if (crash?.run !== task.run || isFinal(state) || !recordCrash(task, crash)) return;
-      const record = task.crashRecord;
-      task.retryAtMs = clock.getNowMs() + getCrashRetryMs(task);
-      logger.info('crash_counted', {
-        task: getTaskName(group, task),
-        run: task.run,
-        worker: crash.workerId,
-        ranMs: Math.round(crash.ranMs),
-        isSole: crash.isSole,
-        chance: Number(crash.chance.toPrecision(2)),
-        crashes: record?.crashes,
-        soleCrashes: record?.soleCrashes,
-      });
-      metrics.count('crashes.counted', 1, { isSole: String(crash.isSole) });
+      if (loss?.exposure.run !== task.run || isFinal(state)) return;
+      const { workerId, exposure, crash } = loss;
+      const isNew = crash === undefined ? recordExposure(task, exposure) : recordCrash(task, crash);
+      if (!isNew) return;
+      if (crash === undefined) {
+        logger.info('task_exposed', {
+          task: getTaskName(group, task),
+          run: task.run,
+          worker: workerId,
+        });
+      } else {
+        task.retryAtMs = clock.getNowMs() + getCrashRetryMs(task);
+        reportCrash(placed, workerId, crash);
+      }
       writeCrashes(group);
     },
-    cancelCrash(task) {
+    cancelLoss(task) {
       pending.delete(task);
     },
     recordUnansweredStart({ group, task }, workerId, expiresAtMs) {
--- /dev/null
+++ b/packages/dispatch/tests/takeovers.test.ts
@@ -0,0 +1,89 @@
+import { test } from 'node:test';
+import { JobState, createGroup, decodeCrashes, encodeCrashes } from '@bergamotreach/scheduling';
+import { expect } from 'earl';
+import { checkCrashRow } from '../src/jobrows.ts';
+import { createWorld } from './world.ts';
+import type { World } from './world.ts';
+import { createJob, createStep } from '../../scheduling/tests/samples.ts';
+
+const startUpMs = 1000;
+const taskMs = 8000;
+/** Time for a takeover, a whole lease at 98 % of its rate, and the margin beyond it. */
+const leaseWaitMs = 14_500;
+/** A job with room for it may wait this long. */
+const maxWaitMs = 3000;
+
+function listBusyWorkers(world: World): string[] {
+  return [...world.workers.values()].filter(({ active }) => active.size > 0).map(({ id }) => id);
+}
+
+/** Lets draining workers leave right after their owner was killed; another process takes over. */
+async function replaceOwnerWhileLeaving(world: World, ids: readonly string[]): Promise<void> {
+  world.candidates[0]?.process.kill();
+  for (const id of ids) {
+    world.workers.get(id)?.crash();
+    world.unlistWorker(id);
+  }
+  world.addCandidate('b');
+  await world.clock.advance(leaseWaitMs);
+}
+
+function countRunning(world: World): number {
+  return [...world.workers.values()].reduce((sum, { active }) => sum + active.size, 0);
+}
+
+// Guards against taking the tasks of workers that left while nobody owned the jobs for tasks that crash
+// their workers: they waited for workers of their own on an idle fleet.
+test('tasks of workers that left without an owner start again together', async () => {
+  const world = createWorld(14, taskMs);
+  world.addCandidate('a');
+  await world.clock.advance(startUpMs);
+  const ids = Array.from({ length: 8 }, (_, index) => `j${index}`);
+  for (const id of ids) world.submit(id, [{ taskCount: 1 }]);
+  await world.clock.advance(1000);
+  const busy = listBusyWorkers(world);
+  for (const id of busy) world.drainWorker(id);
+  await world.clock.advance(2000);
+  await replaceOwnerWhileLeaving(world, busy);
+  await world.clock.advance(maxWaitMs);
+  expect(countRunning(world)).toEqual(ids.length);
+  await world.clock.advance(2 * taskMs);
+  expect(ids.map((id) => world.getState(id))).toEqual(ids.map(() => JobState.Completed));
+});
+
+// Guards against a gang that waits for workers of its own because one of its workers left unowned.
+test('a gang with members on a worker that left without an owner starts again at once', async () => {
+  const world = createWorld(6, taskMs);
+  world.addCandidate('a');
+  await world.clock.advance(startUpMs);
+  world.submit('filler', [{ taskCount: 7 }]);
+  world.submit('gang', [{ taskCount: 10, isGang: true }]);
+  await world.clock.advance(1000);
+  const [first = ''] = listBusyWorkers(world);
+  world.drainWorker(first);
+  await world.clock.advance(1000);
+  await replaceOwnerWhileLeaving(world, [first]);
+  await world.clock.advance(maxWaitMs + 3 * taskMs);
+  expect(['filler', 'gang'].map((id) => world.getState(id))).toEqual([
+    JobState.Completed,
+    JobState.Completed,
+  ]);
+});
+
+// Guards against a crash row that one version writes and the version before or after it cannot read.
+test('crash rows with and without the mark of an exposure are readable', () => {
+  const group = createGroup(createJob('j', 1, [createStep()]), 0, 0);
+  const counts = [0, 4, 0, 0, 0, 5, ''];
+  for (const [record, isExposed] of [
+    [counts, false],
+    [[...counts, 1], true],
+    [[0, 4, 2, 1, -3, 5, 'm', 1], false],
+    [[...counts, 'later', {}], false],
+  ] as const) {
+    decodeCrashes(group, checkCrashRow({ records: [record] }).unwrap());
+    expect(group.tasks[0]?.crashRecord?.isExposed).toEqual(isExposed);
+  }
+  // The version before reads the first seven fields and ignores the others.
+  const [stored] = encodeCrashes(group).records;
+  expect(stored?.slice(0, 7)).toEqual(counts);
+});
--- a/packages/dispatch/tests/world.ts
+++ b/packages/dispatch/tests/world.ts
@@ -145,6 +145,8 @@
   clock: ManualClock;
   store: TableState;
   workers: Map<string, FakeWorker>;
+  /** The candidates in the order in which they were added. */
+  candidates: Candidate[];
   advisor: FakeAdvisor;
   /** Guaranteed accelerators by account. */
   guarantees: Map<string, number>;
@@ -219,6 +221,7 @@
   const clock = createManualClock();
   const store = new TableState(clock);
   const workers = new Map<string, FakeWorker>();
+  const candidates: Candidate[] = [];
   const advisor = new FakeAdvisor(clock);
   const guarantees = new Map<string, number>();
   let operations = 0;
@@ -359,7 +362,12 @@
     states.start();
     operatorRows.start();
     lease.start();
-    return { process, lease, runner, operatorFeed, workerFeed, getOwner: () => owner };
+    const candidate: Candidate = {
+      ...{ process, lease, runner, operatorFeed, workerFeed },
+      getOwner: () => owner,
+    };
+    candidates.push(candidate);
+    return candidate;
   }
 
   function getConfig(): ServiceConfig | undefined {
@@ -385,6 +393,7 @@
     clock,
     store,
     workers,
+    candidates,
     advisor,
     guarantees,
     addCandidate,
--- a/packages/scheduling/src/crashes.ts
+++ b/packages/scheduling/src/crashes.ts
@@ -1,9 +1,9 @@
 import { TaskPhase } from './group.ts';
 import type { Task, TaskGroup } from './group.ts';
 
-/** What the crashes of workers under one task say about it. */
+/** What the losses of workers under one task say about it. */
 export interface CrashRecord {
-  /** Latest run whose worker crashed. */
+  /** Latest run whose worker was lost. */
   run: number;
   /** Workers that crashed with a run of the task on them. */
   crashes: number;
@@ -11,17 +11,23 @@
   soleCrashes: number;
   /** Natural logarithm of the probability that these would have crashed without the task; at most 0. */
   logChance: number;
-  /** Longest time from a start to the crash, in milliseconds. */
+  /** Longest time from a start to the loss, in milliseconds. */
   longestMs: number;
   /** Machine of the latest crash. */
   machine: string;
+  /** Workers were lost under the task, but only for reasons that need not have to do with it. */
+  isExposed: boolean;
 }
 
-/** One crash of a worker, as seen from one of the runs on it. */
-export interface Crash {
+/** One lost run, as far as it says anything about its task. */
+export interface Exposure {
   run: number;
-  /** Time from the start of the run to the crash, in milliseconds. */
+  /** Time from the start of the run to the loss, in milliseconds. */
   ranMs: number;
+}
+
+/** One crash of a worker, as seen from one of the runs on it. */
+export interface Crash extends Exposure {
   machine: string;
   /** No other job had a run on the worker. */
   isSole: boolean;
@@ -55,10 +61,24 @@
     logChance: (known?.logChance ?? 0) + (isEvidence ? Math.min(0, Math.log(crash.chance)) : 0),
     longestMs: Math.max(known?.longestMs ?? 0, crash.ranMs),
     machine: crash.machine,
+    isExposed: false,
   };
   return true;
 }
 
+/**
+ * Records for a task that the worker of a run was lost for a reason that need not have to do with it. The
+ * task is no suspect, unless it was one before.
+ */
+export function recordExposure(task: Task, { run, ranMs }: Exposure): boolean {
+  const known = task.crashRecord;
+  if (known !== undefined && run <= known.run) return false;
+  const none = { crashes: 0, soleCrashes: 0, logChance: 0, longestMs: 0, machine: '' };
+  const record = known ?? { ...none, isExposed: true };
+  task.crashRecord = { ...record, run, longestMs: Math.max(record.longestMs, ranMs) };
+  return true;
+}
+
 /**
  * Whether the crashes are attributed to the task: it was alone with the workers, and they are unlikely
  * to have crashed by themselves.
@@ -80,7 +100,7 @@
  */
 export function isCrashSuspect(task: Task, nowMs: number): boolean {
   const { crashRecord, phase, startedAtMs } = task;
-  if (crashRecord === undefined || phase === TaskPhase.Done) return false;
+  if (crashRecord === undefined || crashRecord.isExposed || phase === TaskPhase.Done) return false;
   if (startedAtMs <= 0 || phase === TaskPhase.Waiting || phase === TaskPhase.Starting) return true;
   const clearanceMs = Math.max(minClearanceMs, crashRecord.longestMs * clearanceFactor);
   return nowMs - startedAtMs < clearanceMs;
@@ -106,6 +126,7 @@
     if (run - failures < minUncountedRuns) continue;
     task.crashRecord = {
       ...{ run: run - 1, crashes: 0, soleCrashes: 0, logChance: 0, longestMs: 0, machine: '' },
+      isExposed: false,
     };
   }
 }
@@ -116,8 +137,11 @@
   return Math.min(maxRetryMs, firstRetryMs * 2 ** (crashRecord.crashes - minSoleCrashes));
 }
 
-/** Stored crash record: `[index, run, crashes, soleCrashes, logChance, longestMs, machine]`. */
-export type StoredCrashRecord = [number, number, number, number, number, number, string];
+/**
+ * Stored crash record: `[index, run, crashes, soleCrashes, logChance, longestMs, machine, isExposed]`. The
+ * last field is 1 or 0; versions that do not know it treat an exposed task as a suspect.
+ */
+export type StoredCrashRecord = [number, number, number, number, number, number, string, number];
 
 /** Crash records of the tasks of a group as they are stored. */
 export interface CrashRow {
@@ -129,17 +153,20 @@
   return {
     records: group.tasks.flatMap(({ index, crashRecord }) => {
       if (crashRecord === undefined) return [];
-      const { run, crashes, soleCrashes, logChance, longestMs, machine } = crashRecord;
-      return [[index, run, crashes, soleCrashes, logChance, Math.round(longestMs), machine]];
+      const { run, crashes, soleCrashes, logChance, longestMs, machine, isExposed } = crashRecord;
+      const counts = [index, run, crashes, soleCrashes] as const;
+      return [[...counts, logChance, Math.round(longestMs), machine, Number(isExposed)]];
     }),
   };
 }
 
 /** Restores the crash records of a group; records of tasks that it does not have are ignored. */
 export function decodeCrashes(group: TaskGroup, row: CrashRow): void {
-  for (const [index, run, crashes, soleCrashes, logChance, longestMs, machine] of row.records) {
+  for (const [index, run, crashes, soleCrashes, logChance, ...rest] of row.records) {
+    const [longestMs, machine, exposed] = rest;
     const task = group.tasks[index];
     if (task === undefined) continue;
-    task.crashRecord = { run, crashes, soleCrashes, logChance, longestMs, machine };
+    const isExposed = exposed === 1;
+    task.crashRecord = { run, crashes, soleCrashes, logChance, longestMs, machine, isExposed };
   }
 }
--- a/packages/scheduling/tests/crashes.test.ts
+++ b/packages/scheduling/tests/crashes.test.ts
@@ -13,6 +13,7 @@
   isExonerated,
   isSharedLoss,
   recordCrash,
+  recordExposure,
 } from '../src/index.ts';
 import type { Crash, LostWorker, Task } from '../src/index.ts';
 import { createJob, createStep } from './samples.ts';
@@ -109,6 +110,20 @@
   expect(pauses).toEqual([0, 500, 1000, 2000, 4000, 8000, 16_000, 16_000, 16_000]);
 });
 
+// Guards against keeping a task apart whose worker only went missing or was lost beside others, and
+// against forgetting the suspicion of one that was a suspect before.
+test('an exposure makes no suspect and clears none', () => {
+  const task = createTask();
+  expect(recordExposure(task, { run: 1, ranMs: 3000 })).toEqual(true);
+  expect(recordExposure(task, { run: 1, ranMs: 9000 })).toEqual(false);
+  expect([isCrashSuspect(task, 1000), isCulprit(task)]).toEqual([false, false]);
+  expect([task.crashRecord?.longestMs, task.crashRecord?.crashes]).toEqual([3000, 0]);
+  recordCrash(task, createCrash(2));
+  expect(isCrashSuspect(task, 1000)).toEqual(true);
+  recordExposure(task, { run: 3, ranMs: 10 });
+  expect([isCrashSuspect(task, 1000), task.crashRecord?.soleCrashes]).toEqual([true, 1]);
+});
+
 // Guards against records that change on their way through the store.
 test('crash records survive the store', () => {
   const integer = fc.nat(1_000_000);
@@ -119,6 +134,7 @@
     logChance: fc.double({ min: -1e6, max: 0, noNaN: true }),
     longestMs: integer,
     machine: fc.string(),
+    isExposed: fc.boolean(),
   });
   fc.assert(
     fc.property(fc.option(record), fc.option(record), (first, second) => {
@@ -138,7 +154,7 @@
 // Guards against records of tasks that the group does not have, as another writer may leave them.
 test('records of unknown tasks are ignored', () => {
   const group = createGroup(createJob('j', 1, [createStep()]), 0, 0);
-  decodeCrashes(group, { records: [[7, 1, 1, 1, -3, 5, 'm']] });
+  decodeCrashes(group, { records: [[7, 1, 1, 1, -3, 5, 'm', 0]] });
   expect(group.tasks.map(({ crashRecord }) => crashRecord)).toEqual([undefined]);
 });
 
