Let suspects without evidence take empty workers that nothing else needs

What callers saw: jobs that only ran beside a task that crashed its worker waited in turn for two workers of an idle fleet, for as long as their tasks take.

Cause: the bound on workers for suspects was a share of the pool, whether others needed the workers or not.

Change: a suspect that has crashed no worker alone may have any empty worker that the other waiting tasks don't need, as long as an eighth of the pool stays empty. With evidence of its own, the bound holds as before.

--- a/packages/dispatch/tests/takeovers.test.ts
+++ b/packages/dispatch/tests/takeovers.test.ts
@@ -70,6 +70,24 @@
   ]);
 });
 
+// Guards against sound neighbours of a crash that wait in turn for a few workers on an idle fleet.
+test('the neighbours of crashed workers start again at once while the fleet is idle', async () => {
+  const world = createWorld(14, taskMs);
+  world.addCandidate('a');
+  await world.clock.advance(startUpMs);
+  const ids = Array.from({ length: 8 }, (_, index) => `j${index}`);
+  for (const id of ids) world.submit(id, [{ taskCount: 1 }]);
+  await world.clock.advance(4000);
+  for (const id of listBusyWorkers(world)) {
+    world.crashWorker(id, 1000);
+    await world.clock.advance(1500);
+  }
+  await world.clock.advance(maxWaitMs);
+  expect(countRunning(world)).toEqual(ids.length);
+  await world.clock.advance(2 * taskMs);
+  expect(ids.map((id) => world.getState(id))).toEqual(ids.map(() => JobState.Completed));
+});
+
 // Guards against a crash row that one version writes and the version before or after it cannot read.
 test('crash rows with and without the mark of an exposure are readable', () => {
   const group = createGroup(createJob('j', 1, [createStep()]), 0, 0);
--- a/packages/scheduling/src/isolation.ts
+++ b/packages/scheduling/src/isolation.ts
@@ -6,7 +6,10 @@
 import { countFitting } from './resources.ts';
 import type { WorkerView } from './worker.ts';
 
-/** Share of the workers of a pool that may be kept for suspects, or be down under them, at a time. */
+/**
+ * Share of the workers of a pool that may be kept for suspects, or be down under them, while others need
+ * them; as many empty ones stay free of suspects for work to come.
+ */
 const maxIsolatedShare = 0.125;
 /** Workers that may be so in a small pool, up to half of it. */
 const minIsolated = 2;
@@ -114,11 +117,34 @@
   );
 }
 
+/** Number of workers that the waiting tasks of a group fill if nothing else runs there. */
+function countWorkersNeeded(group: TaskGroup, pool: readonly WorkerView[]): number {
+  const worker = pool.find((one) => isCompatible(group, one));
+  if (worker === undefined) return 0;
+  const fitting = countFitting(group.spec.demand, worker.capacity);
+  return fitting === 0 ? 0 : listWaitingTasks(group).length / fitting;
+}
+
+function isSpare({ isolatedFor, placed, hasOrphans }: WorkerView): boolean {
+  return isolatedFor === undefined && placed.length === 0 && !hasOrphans;
+}
+
+/** Number of empty workers that neither the other groups nor work to come needs. */
+function countSpare(groups: readonly TaskGroup[], pool: readonly WorkerView[]): number {
+  const needed = groups
+    .filter(({ isIsolated }) => isIsolated !== true)
+    .reduce((sum, group) => sum + countWorkersNeeded(group, pool), 0);
+  const kept = Math.ceil(pool.length * maxIsolatedShare);
+  return pool.filter(isSpare).length - Math.ceil(needed) - kept;
+}
+
 /**
  * Keeps workers for isolated groups, in their order: those that are empty soonest. Nothing else starts
  * there, so that a suspect finds a worker of its own on a busy fleet too. The bound on their number keeps
  * a queue whose tasks crash their workers from taking the workers of the others; `downByPool` are the
- * workers that are down with suspects on them.
+ * workers that are down with suspects on them. Most suspects only ran beside a task that crashed their
+ * worker: until one has crashed a worker alone, it may have an empty worker beyond the bound that nothing
+ * else needs.
  */
 export function claimWorkers(
   groups: readonly TaskGroup[],
@@ -137,7 +163,12 @@
     const claim = chooseClaim(group, pool, nowMs);
     const added = claim.filter((worker) => worker.isolatedFor === undefined);
     // A gang may need more workers than the limit; it then has to be the only one.
-    if (isolated > 0 && isolated + added.length > limit) continue;
+    const isWithinLimit = isolated === 0 || isolated + added.length <= limit;
+    const canTakeSpare = (): boolean =>
+      countSoleCrashes(group) === 0 &&
+      added.every(isSpare) &&
+      added.length <= countSpare(groups, pool);
+    if (!isWithinLimit && !canTakeSpare()) continue;
     for (const worker of added) worker.isolatedFor = group.job.id;
   }
 }
