Count crashes of workers that tasks of several queues cause together

Change: a companion excuses a crash only if it had no recent start and no task under which a worker was lost before; a whole rack or data centre that is lost alone excuses it as well. An excused crash marks the task as exposed. A crash that counts beside others has at least the probability that a common cause hits only workers with such tasks.

Result: crashes.test.ts, three new cases fail before and pass now (5 ms, 3 s, and shared workers); two on power lost at each start passed before and pass now.

--- a/packages/dispatch/src/runlosses.ts
+++ b/packages/dispatch/src/runlosses.ts
@@ -4,11 +4,15 @@
   createCrashHistory,
   decodeCrashes,
   encodeCrashes,
+  getCoincidence,
   getCrashRetryMs,
-  isCrashSuspect,
   isExonerated,
   isFinal,
+  isFreshStart,
+  isPlaceLost,
   isSharedLoss,
+  isUncleared,
+  listCompanions,
   recordCrash,
   recordExposure,
 } from '@bergamotreach/scheduling';
@@ -31,7 +35,7 @@
 /**
  * Accounts for runs that were lost because nothing runs on their worker any more, and for what that says
  * about their tasks. A crash counts against a task only if the worker came back as another incarnation,
- * was not draining, and was not lost together with unrelated workers.
+ * was not draining, and was not lost together with workers that its tasks cannot have crashed.
  */
 export interface RunLosses {
   /** Records the loss of a worker and of the runs that occupied it. */
@@ -119,7 +123,7 @@
       isCrash,
       jobs: new Set(runs.map(({ group }) => group.job.id)),
       queues: new Set(runs.map(({ group }) => group.job.queue)),
-      hasSuspect: runs.some(({ task }) => isCrashSuspect(task, atMs)),
+      hasUncleared: runs.some(({ task }) => isUncleared(task, atMs)),
       latestStartMs: Math.max(-Infinity, ...runs.map(({ task }) => getStartMs(task) ?? atMs)),
     };
   }
@@ -159,6 +163,38 @@
     return Math.max(0, atMs - (getStartMs(task) ?? atMs - group.spec.estimatedMs));
   }
 
+  function hasCommonCause(lost: LostWorker, job: LostJob, silent: readonly LostWorker[]): boolean {
+    if (isSharedLoss(lost, job, silent)) return true;
+    const places = context.fleet.list().map((link) => link.getEntry());
+    return isPlaceLost(lost, silent, places);
+  }
+
+  /** Whether a run that occupied its worker at a past time may have crashed it then. */
+  function isMarked(task: Task, atMs: number): boolean {
+    const startMs = getStartMs(task);
+    if (startMs === undefined) return task.crashRecord !== undefined;
+    if (startMs > atMs) return false;
+    return isFreshStart(startMs, atMs) || isUncleared(task, atMs);
+  }
+
+  /**
+   * Probability that workers lost together for another reason are only such as may have been crashed by
+   * a task; 0 for a worker that was lost alone.
+   */
+  function getSharedChance(lost: LostWorker, jobId: string, silent: readonly LostWorker[]): number {
+    const companions = listCompanions(lost, jobId, silent);
+    const gone = new Set([lost, ...companions].map(({ address }) => address));
+    if (gone.size === 1) return 0;
+    const byWorker = activeJobs.groupByWorker();
+    const links = context.fleet.list();
+    const marked = links.filter(({ id }) =>
+      (byWorker.get(id) ?? []).some(({ task }) => isMarked(task, lost.atMs)),
+    );
+    const getAddress = (link: WorkerLink): string => link.getEntry().address;
+    const total = new Set([...gone, ...links.map(getAddress)]).size;
+    return getCoincidence(gone.size, new Set([...gone, ...marked.map(getAddress)]).size, total);
+  }
+
   function queueCrashes(
     lost: LostWorker,
     runs: readonly PlacedTask[],
@@ -167,25 +203,27 @@
     const fleetSize = context.fleet.list().length;
     for (const placed of runs) {
       const { group, task } = placed;
-      const { run } = task;
       const jobId = group.job.id;
-      const ranMs = getRanMs(placed, lost.atMs);
-      if (isSharedLoss(lost, { jobId, queue: group.job.queue }, silent)) {
+      const exposure = { run: task.run, ranMs: getRanMs(placed, lost.atMs) };
+      if (hasCommonCause(lost, { jobId, queue: group.job.queue }, silent)) {
         logger.info('crash_excused', {
           task: getTaskName(group, task),
-          run,
+          run: task.run,
           worker: lost.id,
-          ranMs: Math.round(ranMs),
+          ranMs: Math.round(exposure.ranMs),
         });
+        pending.set(task, { workerId: lost.id, exposure });
         continue;
       }
       const isAlone = lost.jobs.size === 1 && !context.hasOrphans(lost.id);
-      const exposure = { run, ranMs };
       const crash = {
         ...exposure,
         machine: lost.address,
         isSole: isAlone && !hasUnansweredStartOfOther(lost.id, jobId),
-        chance: history.getChance(lost, jobId, ranMs, fleetSize),
+        chance: Math.max(
+          history.getChance(lost, jobId, exposure.ranMs, fleetSize),
+          getSharedChance(lost, jobId, silent),
+        ),
       };
       pending.set(task, { workerId: lost.id, exposure, crash });
     }
@@ -219,7 +257,7 @@
       const silent = listSilent();
       if (isCrash) queueCrashes(lost, sent, silent);
       // Workers lost together say nothing about how often one crashes by itself.
-      const isLone = !isSharedLoss(lost, anyJob, silent);
+      const isLone = !hasCommonCause(lost, anyJob, silent);
       if (!link.getEntry().isDraining) history.record({ ...lost, isCrash: isCrash && isLone });
       unansweredStarts.delete(link.id);
     },
--- a/packages/dispatch/tests/crashes.test.ts
+++ b/packages/dispatch/tests/crashes.test.ts
@@ -306,3 +306,66 @@
     expect(world.getState(`bad${index}`)).toEqual(JobState.Failed);
   }
 });
+
+for (const afterMs of [5, 3000]) {
+  // Guards against tasks of several queues that crash their workers at the same time, time and again, and
+  // so look like a loss with a common cause.
+  test(`tasks that crash their workers together after ${afterMs} ms are given up`, async () => {
+    const world = createWorld(16, taskMs);
+    world.addCandidate('a');
+    await world.clock.advance(startUpMs);
+    const ids = ['bad0', 'bad1', 'bad2'];
+    for (const [index, id] of ids.entries()) {
+      world.crashOnStart(`${id}.0.0.0`, afterMs, ComeBack.SameId);
+      const demand = { cpuMillis: 1000, memoryMb: 1000, accelerators: 4 };
+      world.submit(id, [{ taskCount: 1, demand }], { queue: `queue${index}` });
+    }
+    const others = submitNeighbours(world, 4);
+    await world.clock.advance(2 * settleMs);
+    for (const id of ids) expect(countStarts(world, `${id}.0.0.0`) <= maxStarts).toEqual(true);
+    expect(listStates(world, ids)).toEqual(ids.map(() => JobState.Failed));
+    expect(listStates(world, others)).toEqual(others.map(() => JobState.Completed));
+  });
+}
+
+// Guards against the same beside sound tasks on the same workers.
+test('tasks that crash shared workers together are given up, and the others complete', async () => {
+  const world = createWorld(16, taskMs);
+  world.addCandidate('a');
+  await world.clock.advance(startUpMs);
+  const ids = Array.from({ length: 6 }, (_, index) => `bad${index}`);
+  const others = Array.from({ length: 18 }, (_, index) => `good${index}`);
+  for (const [index, id] of ids.entries()) {
+    world.crashOnStart(`${id}.0.0.0`, 20, ComeBack.SameId);
+    world.submit(id, [{ taskCount: 1 }], { queue: `queue${index % 3}` });
+    for (const other of others.slice(3 * index, 3 * index + 3)) {
+      world.submit(other, [{ taskCount: 1 }], { queue: `queue${index % 3}` });
+    }
+  }
+  await world.clock.advance(2 * settleMs);
+  for (const id of ids) expect(countStarts(world, `${id}.0.0.0`) <= maxStarts).toEqual(true);
+  expect(listStates(world, ids)).toEqual(ids.map(() => JobState.Failed));
+  expect(listStates(world, others)).toEqual(others.map(() => JobState.Completed));
+});
+
+for (const dataCentres of [1, 2]) {
+  // Guards against blaming tasks for a loss of power right after they have started, time and again.
+  test(`jobs are not blamed for losses of power at each start, ${dataCentres} data centres`, async () => {
+    const world = createWorld(6, taskMs, dataCentres);
+    world.addCandidate('a');
+    await world.clock.advance(startUpMs);
+    const ids = Array.from({ length: 12 }, (_, index) => `j${index}`);
+    for (const id of ids) world.submit(id, [{ taskCount: 2 }], { queue: id });
+    for (let loss = 0; loss < 5; loss += 1) {
+      await world.clock.advance(300);
+      // The workers take turns in the data centres; the first one loses power.
+      for (const id of [...world.workers.keys()]) {
+        const index = Number.parseInt(id.slice(1), 10);
+        if (index % dataCentres === 0) world.crashWorker(id, 2000);
+      }
+      await world.clock.advance(2600);
+    }
+    await world.clock.advance(2 * settleMs);
+    expect(listStates(world, ids)).toEqual(ids.map(() => JobState.Completed));
+  });
+}
--- a/packages/scheduling/src/crashes.ts
+++ b/packages/scheduling/src/crashes.ts
@@ -95,17 +95,22 @@
 }
 
 /**
- * Whether a task may crash its worker, so that no other job should have a run there: a worker has crashed
- * under it, and its present run has not lasted for clearly longer than the one before the crash.
+ * Whether a worker was lost under a task, and its present run has not lasted for clearly longer than the
+ * one before the loss.
  */
-export function isCrashSuspect(task: Task, nowMs: number): boolean {
+export function isUncleared(task: Task, nowMs: number): boolean {
   const { crashRecord, phase, startedAtMs } = task;
-  if (crashRecord === undefined || crashRecord.isExposed || phase === TaskPhase.Done) return false;
+  if (crashRecord === undefined || phase === TaskPhase.Done) return false;
   if (startedAtMs <= 0 || phase === TaskPhase.Waiting || phase === TaskPhase.Starting) return true;
   const clearanceMs = Math.max(minClearanceMs, crashRecord.longestMs * clearanceFactor);
   return nowMs - startedAtMs < clearanceMs;
 }
 
+/** Whether a task may crash its worker, so that no other job should have a run there. */
+export function isCrashSuspect(task: Task, nowMs: number): boolean {
+  return task.crashRecord?.isExposed === false && isUncleared(task, nowMs);
+}
+
 /** Whether the present run of a task shows that the crashes before had another cause. */
 export function isExonerated({ crashRecord, phase, startedAtMs }: Task, nowMs: number): boolean {
   if (crashRecord === undefined || phase !== TaskPhase.Running || startedAtMs <= 0) return false;
--- a/packages/scheduling/src/crashhistory.ts
+++ b/packages/scheduling/src/crashhistory.ts
@@ -8,8 +8,8 @@
   /** Jobs and queues with runs on the worker. */
   jobs: ReadonlySet<string>;
   queues: ReadonlySet<string>;
-  /** A worker had crashed before under one of the runs. */
-  hasSuspect: boolean;
+  /** A worker had been lost before under one of the runs, which has not outlived that. */
+  hasUncleared: boolean;
   /** The worker itself ended, rather than its lease, and was not lost together with others. */
   isCrash: boolean;
   /** When the latest of the runs began; `-Infinity` if nothing ran there. */
@@ -78,32 +78,81 @@
 
 /** Workers count as lost together if they fell silent within this time of each other. */
 const togetherMs = 1000;
+/** Workers of one place may be seen to fall silent this much apart, by the calls in flight to them. */
+const placeTogetherMs = 2000;
 /** A start may have caused a loss within this time. */
 const freshStartMs = 1000;
 const minUnrelated = 2;
 const minOthers = 3;
 
+/** Whether a start at `startedAtMs` may have caused a loss at `atMs`. */
+export function isFreshStart(startedAtMs: number, atMs: number): boolean {
+  return startedAtMs <= atMs && atMs - startedAtMs <= freshStartMs;
+}
+
+/** Workers that fell silent together with a lost one and had no run of the job. */
+export function listCompanions(
+  lost: LostWorker,
+  jobId: string,
+  silent: readonly LostWorker[],
+): LostWorker[] {
+  return silent.filter(
+    (one) =>
+      one.id !== lost.id && Math.abs(one.atMs - lost.atMs) <= togetherMs && !one.jobs.has(jobId),
+  );
+}
+
 /**
  * Whether a worker was lost together with others for a reason that its runs cannot be, such as a rack
- * without power or a cut link. Workers lost at the same time count if they had no run of the same queue
- * and no suspect; more of them are needed if they only lack the same job and a recent start, since
- * several tasks of one queue may crash their workers at the same time.
+ * without power or a cut link. Workers lost at the same time count if nothing on them can be the reason:
+ * no recent start, and no task under which a worker was lost before. More of them are needed if they had
+ * runs of the same queue, since several tasks of one queue may crash their workers at the same time.
  */
 export function isSharedLoss(
   lost: LostWorker,
   { jobId, queue }: LostJob,
   silent: readonly LostWorker[],
 ): boolean {
-  const together = silent.filter(
-    (one) =>
-      one.id !== lost.id &&
-      Math.abs(one.atMs - lost.atMs) <= togetherMs &&
-      !one.jobs.has(jobId) &&
-      !one.hasSuspect,
+  const unexplained = listCompanions(lost, jobId, silent).filter(
+    ({ atMs, latestStartMs, hasUncleared }) => !hasUncleared && !isFreshStart(latestStartMs, atMs),
   );
-  const unrelated = together.filter(({ queues }) => !queues.has(queue)).length;
-  const withoutStart = together.filter(
-    ({ atMs, latestStartMs }) => atMs - latestStartMs > freshStartMs,
-  ).length;
-  return unrelated >= minUnrelated || withoutStart >= minOthers;
+  const unrelated = unexplained.filter(({ queues }) => !queues.has(queue)).length;
+  return unrelated >= minUnrelated || unexplained.length >= minOthers;
+}
+
+/** Where a worker of the fleet is. */
+export interface WorkerPlace {
+  address: string;
+  rack: string;
+  dataCentre: string;
+}
+
+/** Whether a loss took all workers of one rack or one data centre, two at least, and no other worker. */
+export function isPlaceLost(
+  lost: LostWorker,
+  silent: readonly LostWorker[],
+  fleet: readonly WorkerPlace[],
+): boolean {
+  const together = silent.filter(({ atMs }) => Math.abs(atMs - lost.atMs) <= placeTogetherMs);
+  const gone = new Set([lost, ...together].map(({ address }) => address));
+  if (gone.size < 2) return false;
+  const isWhole = (getName: (place: WorkerPlace) => string): boolean => {
+    const names = new Set(fleet.filter(({ address }) => gone.has(address)).map(getName));
+    const [name = ''] = names;
+    if (names.size !== 1 || name === '') return false;
+    return fleet.every((place) => getName(place) !== name || gone.has(place.address));
+  };
+  return isWhole(({ rack }) => rack) || isWhole(({ dataCentre }) => dataCentre);
+}
+
+/**
+ * Probability that a common cause that takes `lost` of `total` workers at random hits only workers with a
+ * task that may crash them, of which there are `marked`.
+ */
+export function getCoincidence(lost: number, marked: number, total: number): number {
+  let chance = 1;
+  for (let index = 0; index < lost && index < total; index += 1) {
+    chance *= Math.max(0, marked - index) / (total - index);
+  }
+  return chance;
 }
--- a/packages/scheduling/tests/crashes.test.ts
+++ b/packages/scheduling/tests/crashes.test.ts
@@ -7,11 +7,14 @@
   createGroup,
   decodeCrashes,
   encodeCrashes,
+  getCoincidence,
   getCrashRetryMs,
   isCrashSuspect,
   isCulprit,
   isExonerated,
+  isPlaceLost,
   isSharedLoss,
+  isUncleared,
   recordCrash,
   recordExposure,
 } from '../src/index.ts';
@@ -35,7 +38,7 @@
     atMs: 20_000,
     jobs: new Set([`job of ${id}`]),
     queues: new Set([`queue of ${id}`]),
-    hasSuspect: false,
+    hasUncleared: false,
     isCrash: true,
     latestStartMs: 10_000,
     ...changes,
@@ -207,6 +210,54 @@
   const ids = ['a', 'b', 'c', 'd'];
   const fresh = ids.map((id) => createLost(id, { queues, latestStartMs: 19_900 }));
   expect(isSharedLoss(lost, job, fresh)).toEqual(false);
-  const suspects = ids.map((id) => createLost(id, { hasSuspect: true }));
+  const suspects = ids.map((id) => createLost(id, { hasUncleared: true }));
   expect(isSharedLoss(lost, job, suspects)).toEqual(false);
 });
+
+// Guards against tasks of several queues that crash their workers right after their starts and so excuse
+// each other.
+test('workers that crash right after starts of other queues are no shared loss', () => {
+  const fresh = ['a', 'b', 'c', 'd'].map((id) => createLost(id, { latestStartMs: 19_900 }));
+  expect(isSharedLoss(createLost('w'), { jobId: 'job of w', queue: 'q' }, fresh)).toEqual(false);
+});
+
+// Guards against blaming tasks for a rack or a data centre that loses power right after they started, and
+// against excusing them because of a place that was lost only in part, or with workers elsewhere.
+test('the loss of all workers of a place is no crash', () => {
+  const fleet = ['a', 'b', 'c', 'd'].map((address, index) => ({
+    address,
+    rack: index < 2 ? 'r1' : 'r2',
+    dataCentre: 'd1',
+  }));
+  const isLost = (...ids: string[]): boolean => {
+    const [lost, ...others] = ids.map((id) => createLost(id, { latestStartMs: 19_900 }));
+    return lost !== undefined && isPlaceLost(lost, others, fleet);
+  };
+  expect([isLost('a', 'b'), isLost('a', 'b', 'c', 'd')]).toEqual([true, true]);
+  expect([isLost('a'), isLost('a', 'c'), isLost('a', 'b', 'c')]).toEqual([false, false, false]);
+  const unnamed = fleet.map((one) => ({ ...one, rack: '', dataCentre: '' }));
+  expect(isPlaceLost(createLost('a'), [createLost('b')], unnamed)).toEqual(false);
+});
+
+// Guards against calling it a coincidence that the same few workers are hit, or proof that all are.
+test('the chance of a coincidence falls with the number of other workers', () => {
+  expect(getCoincidence(6, 6, 6)).toEqual(1);
+  expect(Math.round(1 / getCoincidence(3, 3, 16))).toEqual(560);
+  expect(getCoincidence(3, 2, 16)).toEqual(0);
+  fc.assert(
+    fc.property(fc.nat(40), fc.nat(40), fc.nat(40), (lost, extraMarked, extraTotal) => {
+      const marked = lost + extraMarked;
+      const chance = getCoincidence(lost, marked, marked + extraTotal);
+      expect(chance > 0 && chance <= 1).toEqual(true);
+      expect(getCoincidence(lost, marked, marked + extraTotal + 1) <= chance).toEqual(true);
+    }),
+    { seed: 20261205 },
+  );
+});
+
+// Guards against a task that crashes its workers after seconds of work and is cleared by then each time.
+test('an exposed task is uncleared until it outlives the lost run', () => {
+  const task = createTask();
+  recordExposure(task, { run: 1, ranMs: 3000 });
+  expect([isUncleared(task, 1000 + 4400), isUncleared(task, 1000 + 4600)]).toEqual([true, false]);
+});
