--- a/packages/dispatch/src/runlosses.ts
+++ b/packages/dispatch/src/runlosses.ts
@@ -179,12 +179,11 @@
 
   /**
    * Probability that workers lost together for another reason are only such as may have been crashed by
-   * a task; 0 for a worker that was lost alone.
+   * a task; 0 if they are too few to have a common cause.
    */
   function getSharedChance(lost: LostWorker, jobId: string, silent: readonly LostWorker[]): number {
     const companions = listCompanions(lost, jobId, silent);
     const gone = new Set([lost, ...companions].map(({ address }) => address));
-    if (gone.size === 1) return 0;
     const byWorker = activeJobs.groupByWorker();
     const links = context.fleet.list();
     const marked = links.filter(({ id }) =>
--- a/packages/scheduling/src/crashhistory.ts
+++ b/packages/scheduling/src/crashhistory.ts
@@ -147,9 +147,11 @@
 
 /**
  * Probability that a common cause that takes `lost` of `total` workers at random hits only workers with a
- * task that may crash them, of which there are `marked`.
+ * task that may crash them, of which there are `marked`. It is 0 for losses of too few workers to have a
+ * common cause.
  */
 export function getCoincidence(lost: number, marked: number, total: number): number {
+  if (lost <= minUnrelated) return 0;
   let chance = 1;
   for (let index = 0; index < lost && index < total; index += 1) {
     chance *= Math.max(0, marked - index) / (total - index);
