--- a/packages/scheduling/src/crashhistory.ts
+++ b/packages/scheduling/src/crashhistory.ts
@@ -85,9 +85,12 @@
 const minUnrelated = 2;
 const minOthers = 3;
 
-/** Whether a start at `startedAtMs` may have caused a loss at `atMs`. */
+/**
+ * Whether a start at `startedAtMs` may have caused a loss at `atMs`. The answer to a start may arrive
+ * after the loss was seen.
+ */
 export function isFreshStart(startedAtMs: number, atMs: number): boolean {
-  return startedAtMs <= atMs && atMs - startedAtMs <= freshStartMs;
+  return atMs - startedAtMs <= freshStartMs;
 }
 
 /** Workers that fell silent together with a lost one and had no run of the job. */
--- a/packages/scheduling/tests/crashes.test.ts
+++ b/packages/scheduling/tests/crashes.test.ts
@@ -218,7 +218,10 @@
 // each other.
 test('workers that crash right after starts of other queues are no shared loss', () => {
   const fresh = ['a', 'b', 'c', 'd'].map((id) => createLost(id, { latestStartMs: 19_900 }));
-  expect(isSharedLoss(createLost('w'), { jobId: 'job of w', queue: 'q' }, fresh)).toEqual(false);
+  const job = { jobId: 'job of w', queue: 'q' };
+  expect(isSharedLoss(createLost('w'), job, fresh)).toEqual(false);
+  const answeredLate = fresh.map((one) => ({ ...one, latestStartMs: 20_040 }));
+  expect(isSharedLoss(createLost('w'), job, answeredLate)).toEqual(false);
 });
 
 // Guards against blaming tasks for a rack or a data centre that loses power right after they started, and
