Ignore gangs that the pool cannot hold when counting spare workers

What callers see: while a gang waits that is wider than the whole pool, tasks that ran beside a crash wait in turn for an eighth of an idle fleet.

Cause: the gang counted as needing more workers than there are, so none was spare.

Change: such a gang needs none, as it can't start however many workers are free.

--- a/packages/scheduling/src/isolation.ts
+++ b/packages/scheduling/src/isolation.ts
@@ -117,12 +117,13 @@
   );
 }
 
-/** Number of workers that the waiting tasks of a group fill if nothing else runs there. */
+/** Number of workers that the waiting tasks of a group fill; 0 for a gang that the pool cannot hold. */
 function countWorkersNeeded(group: TaskGroup, pool: readonly WorkerView[]): number {
   const worker = pool.find((one) => isCompatible(group, one));
   if (worker === undefined) return 0;
   const fitting = countFitting(group.spec.demand, worker.capacity);
-  return fitting === 0 ? 0 : listWaitingTasks(group).length / fitting;
+  const needed = fitting === 0 ? 0 : listWaitingTasks(group).length / fitting;
+  return group.spec.isGang && needed > pool.length ? 0 : needed;
 }
 
 function isSpare({ isolatedFor, placed, hasOrphans }: WorkerView): boolean {
--- a/packages/scheduling/tests/isolation.test.ts
+++ b/packages/scheduling/tests/isolation.test.ts
@@ -136,6 +136,13 @@
   expect(planStarts(createInput(busy, listSuspects(20, 0))).starts.length).toEqual(8);
 });
 
+// Guards against suspects that wait in turn on an idle fleet because of a gang that can never start.
+test('a gang that is wider than the pool needs no workers', () => {
+  const wide = createReady(createSingle('wide', 1, { taskCount: 8 * 33, isGang: true }));
+  const plan = planStarts(createInput(createFleet(32), [...listSuspects(20, 0), wide]));
+  expect(countStarts(plan, 's')).toEqual(20);
+});
+
 // Guards against a neighbour of the culprit that waits behind tasks with more crashes of their own.
 test('the least suspected tasks are tried first', () => {
   const worse = createSuspect('worse', 0);
