Bound suspects with evidence by their own number where workers are spare

What callers see: a task that crashed one worker alone waits on an idle fleet while others hold more spare workers than the bound allows.

Cause: workers that suspects without evidence hold beyond the bound counted against it.

Change: on spare workers, only those of suspects with evidence count.

Result: the new case of isolation.test.ts fails before (20 and 0 starts) and passes now; the tests of scheduling, and of crashes and takeovers in dispatch, pass.

--- a/packages/scheduling/src/isolation.ts
+++ b/packages/scheduling/src/isolation.ts
@@ -126,6 +126,14 @@
   return group.spec.isGang && needed > pool.length ? 0 : needed;
 }
 
+/** Whether a worker is kept for a suspect that has crashed a worker alone. */
+function hasEvidence({ isolatedFor, placed }: WorkerView): boolean {
+  return (
+    isolatedFor !== undefined &&
+    placed.some(({ task }) => isOccupying(task) && (task.crashRecord?.soleCrashes ?? 0) > 0)
+  );
+}
+
 function isSpare({ isolatedFor, placed, hasOrphans }: WorkerView): boolean {
   return isolatedFor === undefined && placed.length === 0 && !hasOrphans;
 }
@@ -143,9 +151,9 @@
  * Keeps workers for isolated groups, in their order: those that are empty soonest. Nothing else starts
  * there, so that a suspect finds a worker of its own on a busy fleet too. The bound on their number keeps
  * a queue whose tasks crash their workers from taking the workers of the others; `downByPool` are the
- * workers that are down with suspects on them. Most suspects only ran beside a task that crashed their
- * worker: until one has crashed a worker alone, it may have an empty worker beyond the bound that nothing
- * else needs.
+ * workers that are down with suspects on them. Beyond the bound, a suspect may have an empty worker that
+ * nothing else needs. Suspects with evidence are bounded there too, by their own number: the others most
+ * likely only ran beside a task that crashed their worker.
  */
 export function claimWorkers(
   groups: readonly TaskGroup[],
@@ -156,6 +164,7 @@
   const suspects = groups.filter((group) => group.isIsolated === true);
   // The least suspected first: most of them only ran beside a task that crashes its workers.
   suspects.sort((a, b) => countSoleCrashes(a) - countSoleCrashes(b));
+  const evident = new Set(workers.filter(hasEvidence));
   for (const group of suspects) {
     const pool = workers.filter((worker) => worker.pool === group.job.pool);
     const down = downByPool.get(group.job.pool) ?? 0;
@@ -165,11 +174,16 @@
     const added = claim.filter((worker) => worker.isolatedFor === undefined);
     // A gang may need more workers than the limit; it then has to be the only one.
     const isWithinLimit = isolated === 0 || isolated + added.length <= limit;
+    const isEvident = countSoleCrashes(group) > 0;
+    const evidentCount = down + pool.filter((worker) => evident.has(worker)).length;
     const canTakeSpare = (): boolean =>
-      countSoleCrashes(group) === 0 &&
+      (!isEvident || evidentCount + added.length <= limit) &&
       added.every(isSpare) &&
       added.length <= countSpare(groups, pool);
     if (!isWithinLimit && !canTakeSpare()) continue;
-    for (const worker of added) worker.isolatedFor = group.job.id;
+    for (const worker of added) {
+      worker.isolatedFor = group.job.id;
+      if (isEvident) evident.add(worker);
+    }
   }
 }
--- a/packages/scheduling/tests/isolation.test.ts
+++ b/packages/scheduling/tests/isolation.test.ts
@@ -143,6 +143,15 @@
   expect(countStarts(plan, 's')).toEqual(20);
 });
 
+// Guards against a suspect with evidence that waits on an idle fleet for all suspects without.
+test('suspects without evidence leave suspects with evidence their share', () => {
+  const evident = createSuspect('e', 0);
+  for (const { crashRecord } of evident.tasks) Object.assign(crashRecord ?? {}, { soleCrashes: 1 });
+  const ready = [...listSuspects(20, 0), createReady(evident)];
+  const plan = planStarts(createInput(createFleet(32), ready));
+  expect([countStarts(plan, 's'), countStarts(plan, 'e')]).toEqual([20, 1]);
+});
+
 // Guards against a neighbour of the culprit that waits behind tasks with more crashes of their own.
 test('the least suspected tasks are tried first', () => {
   const worse = createSuspect('worse', 0);
