Report size, duration and limit of each exchange with the store, and the age of the configuration

Cause: logs could not tell whether a read of the store was ended while its answer arrived, without any byte, or was slow to decode. Change: each exchange returns its bytes, the time of its first byte and the limit that ended it; metrics by kind of call; feed_lost gives them as reason, feed_regained the number of failed reads, feed_read the size and the times of large or slow reads. A test compared the whole Exchange, which has a new field; it now compares all other fields and the new one separately.

--- a/packages/dispatch/src/instance.ts
+++ b/packages/dispatch/src/instance.ts
@@ -11,6 +11,7 @@
 import type { CancelTimer, Clock, Logger, Metrics } from '@bergamotreach/protocol';
 import type { Advisor } from './advisor.ts';
 import type { ServiceConfig } from './configuration.ts';
+import { createConfigWatch } from './configwatch.ts';
 import { rowVersion } from './jobrows.ts';
 import type { JobRow, StateRow } from './jobrows.ts';
 import { createJobService } from './jobservice.ts';
@@ -36,6 +37,8 @@
   stopMs: number;
   /** Interval at which workers renew their entries. */
   heartbeatMs: number;
+  /** Time within which a configuration must be in force after the store has acknowledged it. */
+  configApplyMs: number;
   /** Commits per second of this process; all instances share the store's rate limit. */
   commitsPerSecond: number;
 }
@@ -225,6 +228,12 @@
     metrics,
     waitMs: instanceWaitMs,
   });
+  const configWatch = createConfigWatch({
+    configs: operatorRows,
+    maxAgeMs: limits.configApplyMs,
+    logger,
+    metrics,
+  });
   const localJobs = createJobService({ ...options, committer, states, configs: operatorRows });
   const relay = createRelay({
     clock,
@@ -328,13 +337,17 @@
     return states.isLoaded() && operatorRows.isLoaded() && instances.isLoaded();
   }
 
-  /** Reports how late timers run; lease renewals are as late when processor time is short. */
-  function measureLoopLateness(): void {
+  /**
+   * Reports how late timers run, as lease renewals are late too when processor time is short, and the age of
+   * the configuration.
+   */
+  function reportHealth(): void {
     let dueMs = clock.getNowMs() + loopCheckMs;
     cancelLoopCheck = runEvery(clock, loopCheckMs, () => {
       const nowMs = clock.getNowMs();
       metrics.reportTiming('loop.lateness', Math.max(0, nowMs - dueMs));
       dueMs = nowMs + loopCheckMs;
+      configWatch.check();
     });
   }
 
@@ -357,7 +370,7 @@
         logger,
         handle: (call) => answerRelayedCall(localJobs, call),
       });
-      measureLoopLateness();
+      reportHealth();
       void runContained(logger, 'announcement', announceInstance);
       void runContained(logger, 'lease start', startLease);
     },
--- a/packages/dispatch/src/tablereplica.ts
+++ b/packages/dispatch/src/tablereplica.ts
@@ -53,6 +53,9 @@
 // limit on applying a configuration (2.5 s) must still be met.
 const feedWaitMs = 1000;
 const retryMs = 150;
+/** Reads of at least this size or duration are logged. */
+const largeReadBytes = 65_536;
+const slowReadMs = 300;
 /** A page with at least this many changes may be followed by another one. */
 const fullPageItems = 100;
 
@@ -70,6 +73,8 @@
   let confirmedMs = -Infinity;
   let isRunning = false;
   let failingSinceMs: number | undefined;
+  /** Consecutive reads that failed. */
+  let failures = 0;
   let endPause: () => void = () => undefined;
 
   function getNotBeforeMs(version: number): number {
@@ -114,13 +119,31 @@
     confirmedMs = clock.getNowMs();
     if (failingSinceMs !== undefined) {
       const lostMs = Math.round(clock.getNowMs() - failingSinceMs);
-      logger.info('feed_regained', { table: name, position, lostMs });
+      logger.info('feed_regained', { table: name, position, lostMs, failures });
     }
     failingSinceMs = undefined;
+    failures = 0;
+  }
+
+  function reportReading({ items, position: readPosition, reading }: FeedPage<T>): void {
+    if (reading === undefined) return;
+    const { receivedBytes, receiveMs, decodeMs } = reading;
+    metrics.reportTiming('feed.receive', receiveMs, { table: name });
+    metrics.reportTiming('feed.decode', decodeMs, { table: name });
+    if (receivedBytes < largeReadBytes && receiveMs < slowReadMs) return;
+    logger.info('feed_read', {
+      table: name,
+      position: readPosition,
+      rows: items.length,
+      bytes: receivedBytes,
+      receiveMs: Math.round(receiveMs),
+      decodeMs: Math.round(decodeMs),
+    });
   }
 
   function recordFailure(message: string): void {
     metrics.count('feed.errors', 1, { table: name });
+    failures += 1;
     if (failingSinceMs !== undefined) return;
     failingSinceMs = clock.getNowMs();
     logger.warn('feed_lost', { table: name, position, reason: message });
@@ -135,6 +158,7 @@
       return undefined;
     }
     metrics.count('feed.reads', 1, { table: name });
+    reportReading(reply.value);
     applyPage(reply.value, sentMs);
     return reply.value.items.length;
   }
--- /dev/null
+++ b/packages/hosting/src/exchange.ts
@@ -0,0 +1,45 @@
+/** How an exchange of a request and its response ended. */
+export enum ExchangeStatus {
+  Answered = 'answered',
+  /** The request certainly did not reach the service. */
+  NotSent = 'notSent',
+  /** The request may have reached the service, but no complete response arrived. */
+  Lost = 'lost',
+}
+
+/** Limit that ended an exchange. */
+export enum ExchangeLimit {
+  None = 'none',
+  /** The whole exchange took too long. */
+  Total = 'total',
+}
+
+/** How the response of an exchange arrived. Durations are in milliseconds. */
+export interface Transfer {
+  /** From the call to the first byte of the response body; `undefined` if none arrived. */
+  firstByteMs: number | undefined;
+  /** From the call to its end. */
+  durationMs: number;
+  /** Bytes of the response body. */
+  receivedBytes: number;
+  limit: ExchangeLimit;
+}
+
+/** Outcome of one exchange; `message` describes the error. */
+export type Exchange = { transfer: Transfer } & (
+  | { status: ExchangeStatus.Answered; code: number; body: string }
+  | { status: ExchangeStatus.NotSent; message: string }
+  | { status: ExchangeStatus.Lost; message: string }
+);
+
+/** Describes a transfer that ended without a complete response. */
+export function formatTransfer({ firstByteMs, durationMs, receivedBytes }: Transfer): string {
+  const tookMs = Math.round(durationMs);
+  if (firstByteMs === undefined) return `no byte of the response in ${tookMs} ms`;
+  return `${receivedBytes} bytes of the response in ${tookMs} ms, the first after ${Math.round(firstByteMs)} ms`;
+}
+
+/** Time from the first byte of a response to the end of its exchange, in milliseconds. */
+export function getReceiveMs({ firstByteMs, durationMs }: Transfer): number {
+  return firstByteMs === undefined ? 0 : durationMs - firstByteMs;
+}
--- a/packages/hosting/src/feed.ts
+++ b/packages/hosting/src/feed.ts
@@ -20,6 +20,21 @@
   unreadableKeys?: readonly string[];
   /** Position to pass to the next `wait`. */
   position: number;
+  /** How the page was read; absent if it was not read over a network. */
+  reading?: PageReading;
+}
+
+/** How a page was read. Durations are in milliseconds. */
+export interface PageReading {
+  /** Size of the answers of the store. */
+  receivedBytes: number;
+  /**
+   * From the first byte of the first answer to the last byte of the last one. The page shows the table as
+   * it was at the beginning of this time or later.
+   */
+  receiveMs: number;
+  /** Time to decode the rows. */
+  decodeMs: number;
 }
 
 /** Change feed of one table of the platform's store. */
--- a/packages/hosting/src/httpclient.ts
+++ b/packages/hosting/src/httpclient.ts
@@ -1,6 +1,8 @@
 import { Pool } from 'undici';
 import type { Dispatcher } from 'undici';
 import { createAdaptiveTimeout } from './adaptivetimeout.ts';
+import { ExchangeLimit, ExchangeStatus, formatTransfer } from './exchange.ts';
+import type { Exchange, Transfer } from './exchange.ts';
 
 /** Options of a client of one HTTP service. */
 export interface HttpClientOptions {
@@ -17,10 +19,14 @@
   minTimeoutMs?: number;
   /** How long an idle connection stays open, in milliseconds; undici's default when absent. */
   keepAliveMs?: number;
+  /** Called at the end of each exchange. */
+  onExchange?: (lane: string, exchange: Exchange) => void;
 }
 
 /** Options of one request. */
 export interface SendOptions {
+  /** Name of the kind of exchange, for metrics. */
+  lane?: string;
   headers?: Record<string, string>;
   /** Replaces the timeout of the client, in milliseconds. */
   timeoutMs?: number;
@@ -28,21 +34,6 @@
   waitMs?: number;
 }
 
-/** How an exchange of a request and its response ended. */
-export enum ExchangeStatus {
-  Answered = 'answered',
-  /** The request certainly did not reach the service. */
-  NotSent = 'notSent',
-  /** The request may have reached the service, but no complete response arrived. */
-  Lost = 'lost',
-}
-
-/** Outcome of one exchange; `message` describes the error. */
-export type Exchange =
-  | { status: ExchangeStatus.Answered; code: number; body: string }
-  | { status: ExchangeStatus.NotSent; message: string }
-  | { status: ExchangeStatus.Lost; message: string };
-
 /** Client of one HTTP service with a connection pool. */
 export interface HttpClient {
   /** Sends a request without retries and reads the whole response body as text. Never rejects. */
@@ -60,6 +51,7 @@
   abort(): Promise<void>;
 }
 
+const defaultLane = 'default';
 /** A response beyond this is not read to its end; a page of the store's rows takes 2 MB at most. */
 const maxResponseBytes = 16 * 1024 * 1024;
 /** Minimum time between two replacements of the connection pool. */
@@ -73,12 +65,12 @@
   return typeof code === 'string' ? code : '';
 }
 
-function createFailedExchange(error: unknown): Exchange {
-  const message = error instanceof Error ? error.message : String(error);
+function createFailedExchange(error: unknown, transfer: Transfer): Exchange {
+  const reason = error instanceof Error ? error.message : String(error);
   const status = notSentCodes.has(getErrorCode(error))
     ? ExchangeStatus.NotSent
     : ExchangeStatus.Lost;
-  return { status, message };
+  return { status, message: `${reason} (${formatTransfer(transfer)})`, transfer };
 }
 
 /** Creates a client. Connections open on first use and are kept alive. */
@@ -133,16 +125,35 @@
     path: string,
     body?: string,
     sendOptions: SendOptions = {},
+  ): Promise<Exchange> {
+    const exchange = await runExchange({ method, path, body: body ?? null }, sendOptions);
+    options.onExchange?.(sendOptions.lane ?? defaultLane, exchange);
+    return exchange;
+  }
+
+  async function runExchange(
+    request: Pick<Dispatcher.RequestOptions, 'method' | 'path'> & { body: string | null },
+    sendOptions: SendOptions,
   ): Promise<Exchange> {
     // The signal also limits the wait for a free connection. Aborting an exchange closes its connection.
     const abortController = new AbortController();
     const { waitMs = 0 } = sendOptions;
     const startedMs = performance.now();
+    let firstByteMs: number | undefined;
+    let receivedBytes = 0;
+    let limit = ExchangeLimit.None;
+    const getTransfer = (): Transfer => ({
+      firstByteMs,
+      durationMs: performance.now() - startedMs,
+      receivedBytes,
+      limit,
+    });
     const timer = setTimeout(
       () => {
         // A busy process runs overdue timers before it reads sockets. Waiting for one more turn of the
         // event loop accepts a response that has already arrived.
         setImmediate(() => {
+          limit = ExchangeLimit.Total;
           handleTimeout();
           abortController.abort(new Error('request timed out'));
         });
@@ -150,15 +161,25 @@
       waitMs + (sendOptions.timeoutMs ?? adaptiveTimeout.getTimeoutMs()),
     );
     try {
-      const contentType = body === undefined ? {} : { 'content-type': 'application/json' };
+      const contentType = request.body === null ? {} : { 'content-type': 'application/json' };
       const headers = { ...contentType, ...sendOptions.headers };
       const { signal } = abortController;
-      const response = await pool.request({ method, path, headers, body: body ?? null, signal });
-      const text = await response.body.text();
+      const response = await pool.request({ ...request, headers, signal });
+      const chunks: Buffer[] = [];
+      for await (const chunk of response.body as AsyncIterable<Buffer>) {
+        firstByteMs ??= performance.now() - startedMs;
+        receivedBytes += chunk.length;
+        chunks.push(chunk);
+      }
       recordResponse(performance.now() - startedMs, waitMs);
-      return { status: ExchangeStatus.Answered, code: response.statusCode, body: text };
+      return {
+        status: ExchangeStatus.Answered,
+        code: response.statusCode,
+        body: Buffer.concat(chunks).toString('utf8'),
+        transfer: getTransfer(),
+      };
     } catch (error) {
-      return createFailedExchange(error);
+      return createFailedExchange(error, getTransfer());
     } finally {
       clearTimeout(timer);
     }
--- a/packages/hosting/src/httpobjectstore.ts
+++ b/packages/hosting/src/httpobjectstore.ts
@@ -2,7 +2,7 @@
 import type { Fault } from '@bergamotreach/protocol';
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
-import { ExchangeStatus } from './httpclient.ts';
+import { ExchangeStatus } from './exchange.ts';
 import type { HttpClient } from './httpclient.ts';
 import { ObjectStore } from './objectstore.ts';
 
--- a/packages/hosting/src/httptable.ts
+++ b/packages/hosting/src/httptable.ts
@@ -2,8 +2,9 @@
 import type { Fault } from '@bergamotreach/protocol';
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
-import { ExchangeStatus } from './httpclient.ts';
-import type { Exchange, HttpClient } from './httpclient.ts';
+import { ExchangeStatus } from './exchange.ts';
+import type { Exchange } from './exchange.ts';
+import type { HttpClient } from './httpclient.ts';
 import { CommitStatus, Table } from './table.ts';
 import type { Commit, CommitReply, Row, RowPage } from './table.ts';
 
--- a/packages/hosting/src/index.ts
+++ b/packages/hosting/src/index.ts
@@ -1,4 +1,5 @@
 export * from './adaptivetimeout.ts';
+export * from './exchange.ts';
 export * from './feed.ts';
 export * from './httpclient.ts';
 export * from './httpinstancelist.ts';
--- a/packages/hosting/tests/httpclient.test.ts
+++ b/packages/hosting/tests/httpclient.test.ts
@@ -2,7 +2,7 @@
 import type { AddressInfo } from 'node:net';
 import { test } from 'node:test';
 import { expect } from 'earl';
-import { ExchangeStatus, createHttpClient } from '../src/index.ts';
+import { ExchangeLimit, ExchangeStatus, createHttpClient } from '../src/index.ts';
 
 // Longer than the resolution of undici's own timers.
 const responseDelayMs = 2500;
@@ -27,7 +27,9 @@
   await runWithServer(async (origin) => {
     const client = createHttpClient({ origin, connections: 1, timeoutMs: 100 });
     const longer = await client.send('GET', '/', undefined, { timeoutMs: 5000 });
-    expect(longer).toEqual({ status: ExchangeStatus.Answered, code: 200, body: 'late' });
+    const { transfer, ...answer } = longer;
+    expect(answer).toEqual({ status: ExchangeStatus.Answered, code: 200, body: 'late' });
+    expect([transfer.receivedBytes, transfer.limit]).toEqual([4, ExchangeLimit.None]);
     const shorter = await client.send('GET', '/');
     expect(shorter.status).toEqual(ExchangeStatus.Lost);
     await client.abort();
