Limit the silence of an exchange instead of its duration

Cause: the limit of an exchange covered the whole response but did not know its size. A read of 2,800 routes takes 1 s on a link of 7 Mbit/s; it had 300 ms once its long poll was over, was ended while its bytes arrived, and began again from nothing. Its backoff was shared by all exchanges with the store, so answers to small calls ended it. Other exchanges that waited behind the large response ran into the same limit.

Change: an exchange fails when no byte of its response arrives for the limit (response or gap), or when it arrives at less than 32 kbit/s; the size of the request adds time to send it. Each kind of call has a backoff of its own, on top of the estimate of all. While a large response shares the link, the limit of others may grow to its upper bound, and their times are not learned. A silent connection on an idle link is found as soon as before, and within a response sooner. This works for every client: store, workers, advisor and the product's own platform.

--- a/packages/hosting/src/adaptivetimeout.ts
+++ b/packages/hosting/src/adaptivetimeout.ts
@@ -23,6 +23,8 @@
    * timeout, it does not grow while calls get no answer: such a service is away rather than slow.
    */
   getExpectedMs(): number;
+  /** Whether a response has been measured. */
+  hasResponses(): boolean;
 }
 
 // Weights of the moving averages of TCP's retransmission timeout (RFC 6298).
@@ -31,15 +33,26 @@
 const deviationFactor = 4;
 const backoffFactor = 2;
 
-/** Creates a timeout that starts at `maxMs`. */
-export function createAdaptiveTimeout({ minMs, maxMs }: AdaptiveTimeoutLimits): AdaptiveTimeout {
+/**
+ * Creates a timeout that starts at `maxMs`, or at the estimate of `shared`, which is also a lower bound of its
+ * own estimate.
+ */
+export function createAdaptiveTimeout(
+  { minMs, maxMs }: AdaptiveTimeoutLimits,
+  shared?: AdaptiveTimeout,
+): AdaptiveTimeout {
   let meanMs: number | undefined;
   let deviationMs = 0;
   let backoff = 1;
 
   function getExpectedMs(): number {
-    if (meanMs === undefined) return minMs;
-    return Math.min(maxMs, Math.max(minMs, meanMs + deviationFactor * deviationMs));
+    const leastMs = shared?.getExpectedMs() ?? minMs;
+    if (meanMs === undefined) return leastMs;
+    return Math.min(maxMs, Math.max(leastMs, meanMs + deviationFactor * deviationMs));
+  }
+
+  function hasResponses(): boolean {
+    return meanMs !== undefined;
   }
 
   return {
@@ -57,8 +70,10 @@
       backoff *= backoffFactor;
     },
     getTimeoutMs() {
-      return meanMs === undefined ? maxMs : Math.min(maxMs, getExpectedMs() * backoff);
+      const isKnown = hasResponses() || shared?.hasResponses() === true;
+      return isKnown ? Math.min(maxMs, getExpectedMs() * backoff) : maxMs;
     },
     getExpectedMs,
+    hasResponses,
   };
 }
--- a/packages/hosting/src/exchange.ts
+++ b/packages/hosting/src/exchange.ts
@@ -10,8 +10,12 @@
 /** Limit that ended an exchange. */
 export enum ExchangeLimit {
   None = 'none',
-  /** The whole exchange took too long. */
-  Total = 'total',
+  /** The response did not begin in time. */
+  Response = 'response',
+  /** No more of the response arrived for too long. */
+  Gap = 'gap',
+  /** The response arrived too slowly to be worth waiting for. */
+  Rate = 'rate',
 }
 
 /** How the response of an exchange arrived. Durations are in milliseconds. */
--- a/packages/hosting/src/httpclient.ts
+++ b/packages/hosting/src/httpclient.ts
@@ -1,8 +1,12 @@
 import { Pool } from 'undici';
 import type { Dispatcher } from 'undici';
-import { createAdaptiveTimeout } from './adaptivetimeout.ts';
 import { ExchangeLimit, ExchangeStatus, formatTransfer } from './exchange.ts';
 import type { Exchange, Transfer } from './exchange.ts';
+import { createLaneTimeouts } from './lanetimeouts.ts';
+import { createLinkLoad } from './linkload.ts';
+import type { LinkLoad } from './linkload.ts';
+import { createSilenceWatch } from './silencewatch.ts';
+import type { SilenceWatch } from './silencewatch.ts';
 
 /** Options of a client of one HTTP service. */
 export interface HttpClientOptions {
@@ -10,7 +14,10 @@
   origin: string;
   /** Maximum number of concurrent connections. */
   connections: number;
-  /** Timeout of an exchange, in milliseconds; upper bound of the adaptive timeout. */
+  /**
+   * Longest silence of the service within an exchange, in milliseconds; upper bound of the adaptive
+   * timeout. The duration of an exchange is not limited while its response arrives.
+   */
   timeoutMs: number;
   /**
    * Lower bound of the adaptive timeout, in milliseconds. When it is absent, the timeout is always
@@ -19,16 +26,23 @@
   minTimeoutMs?: number;
   /** How long an idle connection stays open, in milliseconds; undici's default when absent. */
   keepAliveMs?: number;
+  /**
+   * Longest silence while a large response shares the link, in milliseconds; used where it is longer
+   * than the timeout. `timeoutMs` if absent.
+   */
+  busyTimeoutMs?: number;
+  /** Load of the link that clients of this process share; a link of its own if absent. */
+  linkLoad?: LinkLoad;
   /** Called at the end of each exchange. */
   onExchange?: (lane: string, exchange: Exchange) => void;
 }
 
 /** Options of one request. */
 export interface SendOptions {
-  /** Name of the kind of exchange, for metrics. */
+  /** Name of the kind of exchange, for metrics; each kind has a timeout of its own. */
   lane?: string;
   headers?: Record<string, string>;
-  /** Replaces the timeout of the client, in milliseconds. */
+  /** Replaces the timeout until the response begins, in milliseconds. */
   timeoutMs?: number;
   /** Long-poll time: how long the service may delay its response. Added to the timeout. */
   waitMs?: number;
@@ -43,7 +57,7 @@
     body?: string,
     options?: SendOptions,
   ): Promise<Exchange>;
-  /** Time within which the service answers while it works, in milliseconds; at least `minTimeoutMs`. */
+  /** Time within which the service begins to answer while it works, in milliseconds; at least `minTimeoutMs`. */
   getExpectedMs(): number;
   /** Closes the connections after the exchanges in flight. */
   close(): Promise<void>;
@@ -75,10 +89,11 @@
 
 /** Creates a client. Connections open on first use and are kept alive. */
 export function createHttpClient(options: HttpClientOptions): HttpClient {
-  const adaptiveTimeout = createAdaptiveTimeout({
+  const timeouts = createLaneTimeouts({
     minMs: options.minTimeoutMs ?? options.timeoutMs,
     maxMs: options.timeoutMs,
   });
+  const linkLoad = options.linkLoad ?? createLinkLoad();
   let pool = openPool();
   let lastReplacedMs = -Infinity;
 
@@ -109,15 +124,37 @@
     oldPool.close().catch(() => undefined);
   }
 
-  function handleTimeout(): void {
+  function handleTimeout(lane: string): void {
     if (options.minTimeoutMs === undefined) return;
-    adaptiveTimeout.recordTimeout();
+    timeouts.recordTimeout(lane);
     replacePool();
   }
 
-  function recordResponse(durationMs: number, waitMs: number): void {
+  function recordResponse(lane: string, responseMs: number, waitMs: number): void {
     // A response before the end of the long poll does not show how long the service took.
-    if (durationMs >= waitMs) adaptiveTimeout.recordResponse(durationMs - waitMs);
+    if (responseMs >= waitMs) timeouts.recordResponse(lane, responseMs - waitMs);
+  }
+
+  /** Calls `onSilence` once the exchange has failed; returns a function that ends the watch. */
+  function watchSilence(watch: SilenceWatch, onSilence: () => void): () => void {
+    let timer = setTimeout(checkDue, watch.getDueMs(linkLoad.getLastMs()) - performance.now());
+    let isEnded = false;
+
+    function checkDue(): void {
+      // A busy process runs overdue timers before it reads sockets. Waiting for one more turn of the
+      // event loop accepts a response that has already arrived.
+      setImmediate(() => {
+        if (isEnded) return;
+        const leftMs = watch.getDueMs(linkLoad.getLastMs()) - performance.now();
+        if (leftMs > 0) timer = setTimeout(checkDue, leftMs);
+        else onSilence();
+      });
+    }
+
+    return () => {
+      isEnded = true;
+      clearTimeout(timer);
+    };
   }
 
   async function send(
@@ -126,21 +163,38 @@
     body?: string,
     sendOptions: SendOptions = {},
   ): Promise<Exchange> {
-    const exchange = await runExchange({ method, path, body: body ?? null }, sendOptions);
-    options.onExchange?.(sendOptions.lane ?? defaultLane, exchange);
+    const { lane = defaultLane } = sendOptions;
+    const exchange = await runExchange(
+      { method, path, body: body ?? null },
+      { ...sendOptions, lane },
+    );
+    options.onExchange?.(lane, exchange);
     return exchange;
   }
 
   async function runExchange(
     request: Pick<Dispatcher.RequestOptions, 'method' | 'path'> & { body: string | null },
-    sendOptions: SendOptions,
+    sendOptions: SendOptions & { lane: string },
   ): Promise<Exchange> {
     // The signal also limits the wait for a free connection. Aborting an exchange closes its connection.
     const abortController = new AbortController();
-    const { waitMs = 0 } = sendOptions;
+    const { lane, waitMs = 0 } = sendOptions;
     const startedMs = performance.now();
+    const timeoutMs = timeouts.getTimeoutMs(lane);
+    const watch = createSilenceWatch(
+      {
+        waitMs,
+        requestBytes: request.body?.length ?? 0,
+        responseMs: sendOptions.timeoutMs ?? timeoutMs,
+        gapMs: timeoutMs,
+        busyMs: options.busyTimeoutMs ?? options.timeoutMs,
+      },
+      startedMs,
+    );
     let firstByteMs: number | undefined;
     let receivedBytes = 0;
+    /** Whether another's large response may have delayed this one. */
+    let isDelayed = false;
     let limit = ExchangeLimit.None;
     const getTransfer = (): Transfer => ({
       firstByteMs,
@@ -148,18 +202,11 @@
       receivedBytes,
       limit,
     });
-    const timer = setTimeout(
-      () => {
-        // A busy process runs overdue timers before it reads sockets. Waiting for one more turn of the
-        // event loop accepts a response that has already arrived.
-        setImmediate(() => {
-          limit = ExchangeLimit.Total;
-          handleTimeout();
-          abortController.abort(new Error('request timed out'));
-        });
-      },
-      waitMs + (sendOptions.timeoutMs ?? adaptiveTimeout.getTimeoutMs()),
-    );
+    const stopWatch = watchSilence(watch, () => {
+      limit = watch.getLimit();
+      handleTimeout(lane);
+      abortController.abort(new Error('request timed out'));
+    });
     try {
       const contentType = request.body === null ? {} : { 'content-type': 'application/json' };
       const headers = { ...contentType, ...sendOptions.headers };
@@ -167,27 +214,30 @@
       const response = await pool.request({ ...request, headers, signal });
       const chunks: Buffer[] = [];
       for await (const chunk of response.body as AsyncIterable<Buffer>) {
-        firstByteMs ??= performance.now() - startedMs;
+        const nowMs = performance.now();
+        if (firstByteMs === undefined) {
+          firstByteMs = nowMs - startedMs;
+          isDelayed = linkLoad.getLastMs() > startedMs + waitMs;
+        }
         receivedBytes += chunk.length;
+        watch.recordBytes(chunk.length, nowMs);
+        linkLoad.recordBytes(receivedBytes, nowMs);
         chunks.push(chunk);
       }
-      recordResponse(performance.now() - startedMs, waitMs);
-      return {
-        status: ExchangeStatus.Answered,
-        code: response.statusCode,
-        body: Buffer.concat(chunks).toString('utf8'),
-        transfer: getTransfer(),
-      };
+      const transfer = getTransfer();
+      if (!isDelayed) recordResponse(lane, transfer.firstByteMs ?? transfer.durationMs, waitMs);
+      const text = Buffer.concat(chunks).toString('utf8');
+      return { status: ExchangeStatus.Answered, code: response.statusCode, body: text, transfer };
     } catch (error) {
       return createFailedExchange(error, getTransfer());
     } finally {
-      clearTimeout(timer);
+      stopWatch();
     }
   }
 
   return {
     send,
-    getExpectedMs: () => adaptiveTimeout.getExpectedMs(),
+    getExpectedMs: () => timeouts.getExpectedMs(),
     close: () => pool.close(),
     abort: () => pool.destroy(),
   };
--- a/packages/hosting/tests/httpclient.test.ts
+++ b/packages/hosting/tests/httpclient.test.ts
@@ -3,6 +3,7 @@
 import { test } from 'node:test';
 import { expect } from 'earl';
 import { ExchangeLimit, ExchangeStatus, createHttpClient } from '../src/index.ts';
+import type { Exchange } from '../src/index.ts';
 
 // Longer than the resolution of undici's own timers.
 const responseDelayMs = 2500;
@@ -100,3 +101,68 @@
     await client.abort();
   });
 });
+
+const partMs = 60;
+const partCount = 15;
+
+/** Sends a response in parts; it stops after `sentParts` of them. */
+async function runWithSlowParts(
+  sentParts: number,
+  run: (origin: string) => Promise<void>,
+): Promise<void> {
+  const server = createServer((request, response) => {
+    if (request.url === '/small') {
+      response.end('ok');
+      return;
+    }
+    let parts = 0;
+    const timer = setInterval(() => {
+      parts += 1;
+      if (parts <= sentParts) response.write('x'.repeat(1000));
+      if (parts < partCount) return;
+      clearInterval(timer);
+      if (sentParts === partCount) response.end();
+    }, partMs);
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  try {
+    await run(`http://127.0.0.1:${(server.address() as AddressInfo).port}`);
+  } finally {
+    server.closeAllConnections();
+    server.close();
+  }
+}
+
+async function readParts(origin: string): Promise<Exchange> {
+  const client = createHttpClient({ origin, connections: 2, timeoutMs: 1200, minTimeoutMs: 300 });
+  for (let call = 0; call < 10; call += 1) await client.send('GET', '/small');
+  const exchange = await client.send('GET', '/');
+  await client.abort();
+  return exchange;
+}
+
+// Guards against ending a response that arrives for longer than the timeout.
+test('a response is read to its end while its bytes arrive', async () => {
+  await runWithSlowParts(partCount, async (origin) => {
+    const exchange = await readParts(origin);
+    expect([exchange.status, exchange.transfer.receivedBytes]).toEqual([
+      ExchangeStatus.Answered,
+      partCount * 1000,
+    ]);
+  });
+});
+
+// Guards against waiting for the rest of a response whose connection has gone silent.
+test('a response that stops is given up', async () => {
+  await runWithSlowParts(3, async (origin) => {
+    const exchange = await readParts(origin);
+    const { limit, receivedBytes } = exchange.transfer;
+    expect([exchange.status, limit, receivedBytes]).toEqual([
+      ExchangeStatus.Lost,
+      ExchangeLimit.Gap,
+      3000,
+    ]);
+  });
+});
