Share the reads of refreshes, and date a page by the beginning of its arrival

What callers see: each call that a configuration refuses asks the store for a newer one. While a large configuration arrives over a narrow link, each such call began one more transfer of it.

Cause: a refresh always sent a read of its own, beside the page that was arriving and beside the reads of other refreshes. A page also counted as confirmed when its last byte arrived, though it shows the table as it was seconds before on a narrow link.

Change: a refresh waits for a page that is arriving, shares its read with the callers that wait too, and the next long poll waits for that read. The age of a replica counts from the time at which its page began to arrive.

--- a/packages/dispatch/src/tablereplica.ts
+++ b/packages/dispatch/src/tablereplica.ts
@@ -76,6 +76,12 @@
   /** Consecutive reads that failed. */
   let failures = 0;
   let endPause: () => void = () => undefined;
+  /** Refresh whose read is not sent yet, which later callers may share. */
+  let pendingRefresh: Promise<boolean> | undefined;
+  /** Reads of refreshes in progress, for which the next long poll waits. */
+  let activeRefreshes = 0;
+  /** Called at the end of the next read. */
+  let readListeners: (() => void)[] = [];
 
   function getNotBeforeMs(version: number): number {
     return position !== undefined && version > position ? completeUntilMs : -Infinity;
@@ -116,7 +122,8 @@
     if (isComplete && page.position >= (position ?? 0))
       completeUntilMs = Math.max(completeUntilMs, sentMs);
     position = Math.max(position ?? 0, page.position);
-    confirmedMs = clock.getNowMs();
+    // The page shows the table as it was when it began to arrive.
+    confirmedMs = Math.max(confirmedMs, clock.getNowMs() - (page.reading?.receiveMs ?? 0));
     if (failingSinceMs !== undefined) {
       const lostMs = Math.round(clock.getNowMs() - failingSinceMs);
       logger.info('feed_regained', { table: name, position, lostMs, failures });
@@ -149,8 +156,24 @@
     logger.warn('feed_lost', { table: name, position, reason: message });
   }
 
+  function waitForRead(): Promise<void> {
+    return new Promise((resolve) => {
+      readListeners.push(resolve);
+    });
+  }
+
+  function reportRead(): void {
+    const listeners = readListeners;
+    readListeners = [];
+    for (const listener of listeners) listener();
+  }
+
   /** Reads one page; resolves with its number of changes, or with `undefined` if the read fails. */
-  async function readPage(waitMs: number): Promise<number | undefined> {
+  function readPage(waitMs: number): Promise<number | undefined> {
+    return loadPage(waitMs).finally(reportRead);
+  }
+
+  async function loadPage(waitMs: number): Promise<number | undefined> {
     const sentMs = clock.getNowMs();
     const reply = position === undefined ? await feed.load() : await feed.wait(position, waitMs);
     if (reply.isErr()) {
@@ -170,8 +193,27 @@
     }
   }
 
+  /** Waits for the end of a page that is arriving, which would otherwise be transferred a second time. */
+  async function waitForArrival(): Promise<void> {
+    while (feed.isReceiving()) await waitForRead();
+  }
+
+  async function runRefresh(): Promise<boolean> {
+    activeRefreshes += 1;
+    try {
+      await waitForArrival();
+      // The read shows only what was stored before it, so callers from now on need another one.
+      pendingRefresh = undefined;
+      return await readRemaining();
+    } finally {
+      activeRefreshes -= 1;
+      reportRead();
+    }
+  }
+
   async function run(): Promise<void> {
     while (isRunning) {
+      while (activeRefreshes > 0 && failingSinceMs === undefined) await waitForRead();
       // While reads fail, do not wait for changes: the first answer must show at once that the
       // store is back.
       const waitMs = failingSinceMs === undefined ? (options.waitMs ?? feedWaitMs) : 0;
@@ -209,7 +251,8 @@
     refresh() {
       // The pause may have become shorter since it began, as when this instance becomes the owner.
       endPause();
-      return readRemaining();
+      pendingRefresh ??= runRefresh();
+      return pendingRefresh;
     },
   };
 }
--- /dev/null
+++ b/packages/dispatch/tests/slowfeed.ts
@@ -0,0 +1,58 @@
+import { Feed } from '@bergamotreach/hosting';
+import type { FeedPage } from '@bergamotreach/hosting';
+import { waitFor } from '@bergamotreach/protocol';
+import type { Clock, Fault } from '@bergamotreach/protocol';
+import { Ok } from 'ts-results-es';
+import type { Result } from 'ts-results-es';
+
+const pollMs = 10;
+
+/** Feed of one row, whose pages take as long to arrive as their value takes to send. */
+export class SlowFeed extends Feed<string> {
+  private key = '';
+  private value = '';
+  private version = 0;
+  private transferMs = 0;
+  private receiving = 0;
+  reads = 0;
+  /** Largest number of pages with a row that arrived at the same time. */
+  largestConcurrency = 0;
+
+  constructor(private readonly clock: Clock) {
+    super();
+  }
+
+  put(key: string, value: string, transferMs: number): void {
+    Object.assign(this, { key, value, transferMs });
+    this.version += 1;
+  }
+
+  load(): Promise<Result<FeedPage<string>, Fault>> {
+    return this.sendPage(-1);
+  }
+
+  async wait(position: number, waitMs: number): Promise<Result<FeedPage<string>, Fault>> {
+    const endMs = this.clock.getNowMs() + waitMs;
+    while (this.version <= position && this.clock.getNowMs() < endMs)
+      await waitFor(this.clock, pollMs);
+    return this.sendPage(position);
+  }
+
+  override isReceiving(): boolean {
+    return this.receiving > 0;
+  }
+
+  private async sendPage(after: number): Promise<Result<FeedPage<string>, Fault>> {
+    const { key, value, version, transferMs } = this;
+    const hasRow = version > after;
+    this.reads += 1;
+    if (hasRow) {
+      this.receiving += 1;
+      this.largestConcurrency = Math.max(this.largestConcurrency, this.receiving);
+      await waitFor(this.clock, transferMs);
+      this.receiving -= 1;
+    }
+    const items = hasRow ? [{ key, version, value }] : [];
+    return Ok({ items, isSnapshot: after < 0, position: version });
+  }
+}
--- a/packages/dispatch/tests/tablereplica.test.ts
+++ b/packages/dispatch/tests/tablereplica.test.ts
@@ -4,6 +4,7 @@
 import { FakeProcess } from '../../ownership/tests/fakeprocess.ts';
 import { TableState } from '../../ownership/tests/faketable.ts';
 import { createTableReplica } from '../src/index.ts';
+import { SlowFeed } from './slowfeed.ts';
 import { FakeFeed } from './world.ts';
 
 const longPauseMs = 1000;
@@ -72,3 +73,55 @@
   expect(notBefore[0]).toEqual(-Infinity);
   expect((notBefore[1] ?? Infinity) <= storedMs).toEqual(true);
 });
+
+// Guards against one more transfer of a large page for each caller that asks for a refresh meanwhile, all over
+// the same narrow link, and against a refresh that misses a change from before it was asked for.
+test('refreshes share the reads of a large page', async () => {
+  const clock = createManualClock();
+  const feed = new SlowFeed(clock);
+  const replica = createTableReplica<string>({
+    feed,
+    name: 'configuration',
+    clock,
+    logger: createNullLogger(),
+    metrics: createNullMetrics(),
+  });
+  feed.put('config', 'small', 10);
+  replica.start();
+  await clock.advance(1500);
+  feed.put('config', 'large', 2000);
+  await clock.advance(100);
+  const readsBefore = feed.reads;
+  const seen: (string | undefined)[] = [];
+  for (let caller = 0; caller < 20; caller += 1) {
+    if (caller === 10) feed.put('config', 'next', 10);
+    void replica.refresh().then(() => seen.push(replica.find('config')));
+    await clock.advance(50);
+  }
+  await clock.advance(3000);
+  replica.stop();
+  expect(seen).toEqual(Array.from({ length: 20 }, () => 'next'));
+  expect([feed.largestConcurrency, feed.reads - readsBefore < 8]).toEqual([1, true]);
+});
+
+// Guards against a refresh that returns the result of an earlier one.
+test('each refresh reads the changes before it', async () => {
+  const clock = createManualClock();
+  const feed = new SlowFeed(clock);
+  const replica = createTableReplica<string>({
+    feed,
+    name: 'configuration',
+    clock,
+    logger: createNullLogger(),
+    metrics: createNullMetrics(),
+  });
+  replica.start();
+  await clock.advance(100);
+  for (const value of ['first', 'second', 'third']) {
+    feed.put('config', value, 0);
+    const refreshed = replica.refresh();
+    await clock.advance(10);
+    expect([await refreshed, replica.find('config')]).toEqual([true, value]);
+  }
+  replica.stop();
+});
--- a/packages/hosting/src/feed.ts
+++ b/packages/hosting/src/feed.ts
@@ -28,10 +28,7 @@
 export interface PageReading {
   /** Size of the answers of the store. */
   receivedBytes: number;
-  /**
-   * From the first byte of the first answer to the last byte of the last one. The page shows the table as
-   * it was at the beginning of this time or later.
-   */
+  /** Time for the answers to arrive. The page shows the table as it was at the beginning of it or later. */
   receiveMs: number;
   /** Time to decode the rows. */
   decodeMs: number;
@@ -46,4 +43,8 @@
    * snapshot when the store no longer has the history since `position`. Faults: `store_unavailable`.
    */
   abstract wait(position: number, waitMs: number): Promise<Result<FeedPage<T>, Fault>>;
+  /** Whether a page is arriving, rather than waited for; always false where pages arrive at once. */
+  isReceiving(): boolean {
+    return false;
+  }
 }
--- a/packages/hosting/src/httpclient.ts
+++ b/packages/hosting/src/httpclient.ts
@@ -46,6 +46,8 @@
   timeoutMs?: number;
   /** Long-poll time: how long the service may delay its response. Added to the timeout. */
   waitMs?: number;
+  /** Called when the first byte of the response body has arrived. */
+  onFirstByte?: () => void;
 }
 
 /** Client of one HTTP service with a connection pool. */
@@ -217,6 +219,7 @@
         const nowMs = performance.now();
         if (firstByteMs === undefined) {
           firstByteMs = nowMs - startedMs;
+          sendOptions.onFirstByte?.();
           isDelayed = linkLoad.getLastMs() > startedMs + waitMs;
         }
         receivedBytes += chunk.length;
