Continue the load of a table from the pages that have arrived

What callers would see: a takeover, or an instance that reads its tables again after the store dropped its history, that does not end while single reads fail; no task starts until then.

A load reads all pages of all 16 parts; one failed page made the next try begin again from nothing.

Change: createPartLoad keeps the pages of each part across failures, for up to 10 s, which is within the history that the feed repeats from the lowest version of the pages.

--- a/packages/hosting/src/index.ts
+++ b/packages/hosting/src/index.ts
@@ -10,6 +10,7 @@
 export * from './lanetimeouts.ts';
 export * from './linkload.ts';
 export * from './objectstore.ts';
+export * from './partload.ts';
 export * from './silencewatch.ts';
 export * from './table.ts';
 export * from './tasklist.ts';
--- /dev/null
+++ b/packages/hosting/src/partload.ts
@@ -0,0 +1,66 @@
+import type { Fault } from '@bergamotreach/protocol';
+import { Ok, Result } from 'ts-results-es';
+
+/** Options of the load of a table that is read in pages, part by part. */
+export interface PartLoadOptions<P> {
+  parts: readonly string[];
+  /** Reads the page after `previous`, or the first one of the part. */
+  readPage: (part: string, previous: P | undefined) => Promise<Result<P, Fault>>;
+  /** Whether a page is the last one of its part. */
+  isLast: (page: P) => boolean;
+  /** Monotonic time in milliseconds. */
+  getNowMs: () => number;
+}
+
+/** Load of a whole table. */
+export interface PartLoad<P> {
+  /**
+   * Reads the pages of all parts. After a fault, the next call goes on from the pages that have arrived.
+   * Faults: those of `readPage`.
+   */
+  load(): Promise<Result<P[], Fault>>;
+}
+
+/** Pages older than this are read again; the store keeps its history for 20 s. */
+const maxPageAgeMs = 10_000;
+
+interface PartPages<P> {
+  pages: P[];
+  isComplete: boolean;
+}
+
+/** Creates a load; each complete one begins anew. */
+export function createPartLoad<P>(options: PartLoadOptions<P>): PartLoad<P> {
+  const loaded = new Map<string, PartPages<P>>();
+  let firstPageMs: number | undefined;
+
+  async function loadPart(part: string): Promise<Result<undefined, Fault>> {
+    const progress = loaded.get(part) ?? { pages: [], isComplete: false };
+    loaded.set(part, progress);
+    while (!progress.isComplete) {
+      const page = await options.readPage(part, progress.pages.at(-1));
+      if (page.isErr()) return page;
+      firstPageMs ??= options.getNowMs();
+      progress.pages.push(page.value);
+      progress.isComplete = options.isLast(page.value);
+    }
+    return Ok(undefined);
+  }
+
+  function reset(): void {
+    loaded.clear();
+    firstPageMs = undefined;
+  }
+
+  return {
+    async load() {
+      if (options.getNowMs() - (firstPageMs ?? Infinity) > maxPageAgeMs) reset();
+      const results = await Promise.all(options.parts.map((part) => loadPart(part)));
+      return Result.all(results).map(() => {
+        const pages = options.parts.flatMap((part) => loaded.get(part)?.pages ?? []);
+        reset();
+        return pages;
+      });
+    },
+  };
+}
