Allow for the size of a commit before it counts as late or lost

A commit counts as late after the time that small reads take, and as lost after eight times a small read; a large one that is still being sent was sent again, beside the original on the same link. The limit of a relayed call did not know the size of the job in it either.

Change: the table tells how long a commit may take to send at 2 Mbit/s; the committer counts lateness and loss from then on. A relayed call gets the time to send its job; its overall limit stays. The allowance of an HTTP request uses the same rate.

Result: 'a commit that is still being sent is not sent again' failed before (several copies) and passes now; tests of ownership, hosting, store, relay and slow store pass.

--- a/packages/daemon/src/measuredstores.ts
+++ b/packages/daemon/src/measuredstores.ts
@@ -40,6 +40,10 @@
     return this.inner.getPartition(key);
   }
 
+  override getSendMs(commit: Commit): number {
+    return this.inner.getSendMs(commit);
+  }
+
   async getRow(key: string): Promise<Result<Row | undefined, Fault>> {
     return measureCall(this.options, 'get_row', () => this.inner.getRow(key), getResultCode);
   }
--- a/packages/dispatch/src/relay.ts
+++ b/packages/dispatch/src/relay.ts
@@ -1,5 +1,6 @@
 import { connect, createServer } from 'node:net';
 import type { Server, Socket } from 'node:net';
+import { getSendAllowanceMs } from '@bergamotreach/hosting';
 import {
   FaultCode,
   MessageType,
@@ -46,7 +47,7 @@
   FaultCode.StoreUnavailable,
   FaultCode.UnknownOutcome,
 ]);
-/** A peer gets this long to answer, which is enough across the slowest link. */
+/** A peer gets this long to answer, and the time to send the call to it. */
 const peerTimeoutMs = 450;
 /** All attempts of a call end within this time, so that its caller can still retry. */
 const maxCallMs = 1000;
@@ -211,7 +212,8 @@
       };
       const tryPeer = async (peer: RelayPeer): Promise<void> => {
         unstarted -= 1;
-        const remainingMs = Math.min(peerTimeoutMs, endMs - clock.getNowMs());
+        const timeoutMs = peerTimeoutMs + getSendAllowanceMs(message.job.length);
+        const remainingMs = Math.min(timeoutMs, endMs - clock.getNowMs());
         if (!isResolved && !isRefused(failure) && remainingMs > 0) {
           inFlight += 1;
           const answer = await callPeer(peer, message, remainingMs);
--- a/packages/hosting/src/silencewatch.ts
+++ b/packages/hosting/src/silencewatch.ts
@@ -30,8 +30,8 @@
   getLimit(): ExchangeLimit;
 }
 
-/** Time to send a request is allowed for at this rate, 1 Mbit/s. */
-const slowestSendBytesPerMs = 125;
+/** Time to send a request is allowed for at this rate, 2 Mbit/s. */
+const slowestSendBytesPerMs = 250;
 /** A response that arrives more slowly than this on average, 32 kbit/s, is given up. */
 const slowestReceiveBytesPerMs = 4;
 /** Time before the average rate of a response counts. */
--- a/packages/hosting/src/table.ts
+++ b/packages/hosting/src/table.ts
@@ -1,5 +1,6 @@
 import type { Fault } from '@bergamotreach/protocol';
 import type { Result } from 'ts-results-es';
+import { getSendAllowanceMs } from './silencewatch.ts';
 
 /** Value of a row: any JSON value except `null`, which represents a deletion. */
 export type RowValue = string | number | boolean | RowValue[] | { [name: string]: RowValue };
@@ -89,4 +90,8 @@
   ): Promise<Result<RowPage, Fault>>;
   /** Sends a transaction once, without retries. */
   abstract commit(commit: Commit): Promise<CommitReply>;
+  /** Time that sending a commit may take over a slow link, in milliseconds. */
+  getSendMs(commit: Commit): number {
+    return getSendAllowanceMs(JSON.stringify(commit).length);
+  }
 }
--- a/packages/ownership/src/committer.ts
+++ b/packages/ownership/src/committer.ts
@@ -94,6 +94,7 @@
 /** A commit whose reply has not arrived in time. */
 interface LateCommit {
   operationId: string;
+  /** Time at which its last byte has been sent even over a slow link. */
   sentMs: number;
   attempt: Promise<CommitReply>;
 }
@@ -183,9 +184,11 @@
     totals.writes += writes.length;
     metrics.count('store.commits');
     metrics.count('store.writes', writes.length);
-    const sentMs = clock.getNowMs();
-    const attempt = table.commit({ operationId, conditions: group.listConditions(), writes });
-    const reply = await waitForReply(attempt, settings.getReplyTimeoutMs());
+    const commit = { operationId, conditions: group.listConditions(), writes };
+    const sendMs = table.getSendMs(commit);
+    const sentMs = clock.getNowMs() + sendMs;
+    const attempt = table.commit(commit);
+    const reply = await waitForReply(attempt, settings.getReplyTimeoutMs() + sendMs);
     if (reply === undefined) await watchLateCommit(group, { operationId, sentMs, attempt });
     else await handleReply(group, operationId, reply);
   }
--- a/packages/ownership/tests/committer.test.ts
+++ b/packages/ownership/tests/committer.test.ts
@@ -132,6 +132,26 @@
   expect([state.commits, state.accepted.length]).toEqual([1, 1]);
 });
 
+// Guards against copies of a large commit that share a narrow link with the original, which is still being sent:
+// the small reads beside it are quick.
+test('a commit that is still being sent is not sent again', async () => {
+  const { clock, state } = createState();
+  const { committer, table } = createNode(state, 'd1', { getReplyTimeoutMs: () => replyTimeoutMs });
+  const commit = table.commit.bind(table);
+  const sendMs = 3000;
+  let sent = 0;
+  table.getSendMs = () => sendMs;
+  table.commit = async (one) => {
+    sent += 1;
+    await new Promise<void>((resolve) => clock.setTimer(sendMs, resolve));
+    return commit(one);
+  };
+  const reply = committer.submit(createInsert('a'));
+  await clock.advance(2 * sendMs);
+  expect(await reply).toEqual({ status: TransactionStatus.Committed, versions: { a: 1 } });
+  expect(sent).toEqual(1);
+});
+
 // Guards against waiting for a reply that is lost although the store answers reads quickly.
 test('a commit whose reply is late is read back', async () => {
   const { clock, state } = createState();
