Answer 503 instead of deciding by a configuration that is being replaced for too long

What callers see: a new queue is refused, or a removed one served, by an instance on which the next configuration takes longer to arrive than its bound allows; or the call waits without a limit for that configuration.

Cause: a call that the configuration refuses, or that comes while the replica is old, waits for a refresh of any duration. With reads that end only when bytes stop, that may take seconds.

Change: such a call waits 1 s for the newer configuration, then is answered store_unavailable with Retry-After; it has not run. While the store cannot be read at all, calls are decided by the last configuration as before.

--- a/packages/dispatch/src/jobservice.ts
+++ b/packages/dispatch/src/jobservice.ts
@@ -53,8 +53,8 @@
 /** The operations on jobs that callers use. */
 export interface JobService {
   /**
-   * Resolves the queue and the account of a call. Faults: `store_unavailable` (no configuration
-   * yet), `not_found` (no such queue), `unauthorized` (unknown key).
+   * Resolves the queue and the account of a call. Faults: `store_unavailable` (no configuration yet, or a newer
+   * one is arriving), `not_found` (no such queue), `unauthorized` (unknown key).
    */
   admit(host: string, path: string, key: string | undefined): Promise<Result<Admission, Fault>>;
   /**
@@ -103,6 +103,8 @@
 const freshConfigMs = 300;
 /** A working feed confirms the configuration every second and times out after 1.7 s. */
 const staleConfigMs = 2000;
+/** Callers wait this long for a newer configuration, so that they can still reach another instance. */
+const maxConfigWaitMs = 1000;
 /**
  * A store without an answer for this long counts as unreachable, and new jobs are refused at once.
  */
@@ -278,13 +280,24 @@
       if (config === undefined) return Err(createUnavailable('no configuration yet'));
       const decided = resolveAdmission(config, host, path, key);
       const ageMs = configs.getAgeMs();
-      // If reads do not fail, a replica gets this old only while the process is suspended. Keys may
-      // have been revoked since.
+      // If reads do not fail, a replica gets this old only while the process is suspended or a large page
+      // arrives. Keys may have been revoked since.
       const isStale = ageMs > staleConfigMs && configs.getOutageMs() === 0;
       // A key or queue may be newer than the replica, so a refusal is checked against the store.
       const isTrusted = decided.isOk() ? !isStale : ageMs < freshConfigMs;
       if (isTrusted) return decided;
-      await configs.refresh();
+      const isRefreshed = await Promise.race([
+        configs.refresh(),
+        waitFor(clock, maxConfigWaitMs).then(() => undefined),
+      ]);
+      // A newer configuration is still arriving. It may allow what this one refuses, and the reverse.
+      if (isRefreshed === undefined && configs.getOutageMs() === 0) {
+        return Err(
+          createFault(FaultCode.StoreUnavailable, 'a newer configuration is being read', {
+            retryAfterMs,
+          }),
+        );
+      }
       return resolveAdmission(getConfig() ?? config, host, path, key);
     },
     async submit(admission, request, deadlineMs) {
--- a/packages/dispatch/tests/slowfeed.ts
+++ b/packages/dispatch/tests/slowfeed.ts
@@ -7,10 +7,10 @@
 
 const pollMs = 10;
 
-/** Feed of one row, whose pages take as long to arrive as their value takes to send. */
-export class SlowFeed extends Feed<string> {
+/** Feed of one row, whose pages take a set time to arrive. */
+export class SlowFeed<T> extends Feed<T> {
   private key = '';
-  private value = '';
+  private value: T | undefined;
   private version = 0;
   private transferMs = 0;
   private receiving = 0;
@@ -22,16 +22,16 @@
     super();
   }
 
-  put(key: string, value: string, transferMs: number): void {
+  put(key: string, value: T, transferMs: number): void {
     Object.assign(this, { key, value, transferMs });
     this.version += 1;
   }
 
-  load(): Promise<Result<FeedPage<string>, Fault>> {
+  load(): Promise<Result<FeedPage<T>, Fault>> {
     return this.sendPage(-1);
   }
 
-  async wait(position: number, waitMs: number): Promise<Result<FeedPage<string>, Fault>> {
+  async wait(position: number, waitMs: number): Promise<Result<FeedPage<T>, Fault>> {
     const endMs = this.clock.getNowMs() + waitMs;
     while (this.version <= position && this.clock.getNowMs() < endMs)
       await waitFor(this.clock, pollMs);
@@ -42,9 +42,9 @@
     return this.receiving > 0;
   }
 
-  private async sendPage(after: number): Promise<Result<FeedPage<string>, Fault>> {
+  private async sendPage(after: number): Promise<Result<FeedPage<T>, Fault>> {
     const { key, value, version, transferMs } = this;
-    const hasRow = version > after;
+    const hasRow = version > after && version > 0;
     this.reads += 1;
     if (hasRow) {
       this.receiving += 1;
@@ -53,6 +53,7 @@
       this.receiving -= 1;
     }
     const items = hasRow ? [{ key, version, value }] : [];
-    return Ok({ items, isSnapshot: after < 0, position: version });
+    const reading = { receivedBytes: 0, receiveMs: hasRow ? transferMs : 0, decodeMs: 0 };
+    return Ok({ items, isSnapshot: after < 0, position: version, reading });
   }
 }
--- a/packages/dispatch/tests/tablereplica.test.ts
+++ b/packages/dispatch/tests/tablereplica.test.ts
@@ -78,7 +78,7 @@
 // the same narrow link, and against a refresh that misses a change from before it was asked for.
 test('refreshes share the reads of a large page', async () => {
   const clock = createManualClock();
-  const feed = new SlowFeed(clock);
+  const feed = new SlowFeed<string>(clock);
   const replica = createTableReplica<string>({
     feed,
     name: 'configuration',
@@ -107,7 +107,7 @@
 // Guards against a refresh that returns the result of an earlier one.
 test('each refresh reads the changes before it', async () => {
   const clock = createManualClock();
-  const feed = new SlowFeed(clock);
+  const feed = new SlowFeed<string>(clock);
   const replica = createTableReplica<string>({
     feed,
     name: 'configuration',
