--- a/packages/hosting/src/partload.ts
+++ b/packages/hosting/src/partload.ts
@@ -15,8 +15,8 @@
 /** Load of a whole table. */
 export interface PartLoad<P> {
   /**
-   * Reads the pages of all parts. After a fault, the next call goes on from the pages that have arrived.
-   * Faults: those of `readPage`.
+   * Reads the pages of all parts. After a fault, the next call goes on from the pages that have arrived. Calls
+   * during a load share its result. Faults: those of `readPage`.
    */
   load(): Promise<Result<P[], Fault>>;
 }
@@ -33,6 +33,7 @@
 export function createPartLoad<P>(options: PartLoadOptions<P>): PartLoad<P> {
   const loaded = new Map<string, PartPages<P>>();
   let firstPageMs: number | undefined;
+  let current: Promise<Result<P[], Fault>> | undefined;
 
   async function loadPart(part: string): Promise<Result<undefined, Fault>> {
     const progress = loaded.get(part) ?? { pages: [], isComplete: false };
@@ -52,15 +53,22 @@
     firstPageMs = undefined;
   }
 
+  async function loadParts(): Promise<Result<P[], Fault>> {
+    if (options.getNowMs() - (firstPageMs ?? Infinity) > maxPageAgeMs) reset();
+    const results = await Promise.all(options.parts.map((part) => loadPart(part)));
+    return Result.all(results).map(() => {
+      const pages = options.parts.flatMap((part) => loaded.get(part)?.pages ?? []);
+      reset();
+      return pages;
+    });
+  }
+
   return {
-    async load() {
-      if (options.getNowMs() - (firstPageMs ?? Infinity) > maxPageAgeMs) reset();
-      const results = await Promise.all(options.parts.map((part) => loadPart(part)));
-      return Result.all(results).map(() => {
-        const pages = options.parts.flatMap((part) => loaded.get(part)?.pages ?? []);
-        reset();
-        return pages;
+    load() {
+      current ??= loadParts().finally(() => {
+        current = undefined;
       });
+      return current;
     },
   };
 }
