Read evacuations apart from a configuration that is arriving

What callers would see: no task starts for as long as a large configuration takes to arrive on the owner, so that guaranteed jobs wait beyond their bound, and a takeover that waits for it too.

Cause: evacuations are rows of the table that holds the configuration. An owner starts nothing once it knows them only as of 3.5 s ago, and a new owner none before it has read them; both waited for the whole configuration.

Change: a feed may read urgent rows apart from the others, by a range of keys. A takeover reads the evacuations that way; every instance does so while its page has been arriving for over 1.5 s.

Result: two tests of evacuation.test.ts fail without the separate read (0 of 4 starts; none after the takeover) and pass now. The tests of evacuations, replicas and the platform's store pass.

--- a/packages/dispatch/src/operatorrows.ts
+++ b/packages/dispatch/src/operatorrows.ts
@@ -1,5 +1,6 @@
 import type { Feed } from '@bergamotreach/hosting';
-import type { Clock, Logger, Metrics } from '@bergamotreach/protocol';
+import { runEvery } from '@bergamotreach/protocol';
+import type { CancelTimer, Clock, Logger, Metrics } from '@bergamotreach/protocol';
 import type { Evacuations } from '@bergamotreach/scheduling';
 import type { ServiceConfig } from './configuration.ts';
 import { createTableReplica } from './tablereplica.ts';
@@ -43,8 +44,15 @@
   stop(): void;
   isLoaded(): boolean;
   getEvacuations(): Evacuations;
+  /** Reads the evacuations, also while a large configuration arrives; false if the store does not answer. */
+  refreshEvacuations(): Promise<boolean>;
 }
 
+/** Interval at which the age of the evacuations is checked. */
+const checkIntervalMs = 500;
+/** Evacuations older than this are read apart from the configuration that is arriving. */
+const maxEvacuationAgeMs = 1500;
+
 /** Creates a replica of the operators' table; `start` begins to read it. */
 export function createOperatorRows(options: OperatorRowsOptions): OperatorRows {
   const { logger, metrics } = options;
@@ -83,9 +91,26 @@
     onChange: handleRow,
   });
 
+  let cancelChecks: CancelTimer = () => undefined;
+
+  /** Keeps an owner able to start tasks: without recent evacuations it starts none. */
+  function checkEvacuations(): void {
+    const isWaiting = replica.isLoaded() && replica.getOutageMs() === 0;
+    if (isWaiting && replica.getUrgentAgeMs() > maxEvacuationAgeMs) void replica.refreshUrgent();
+  }
+
   return {
     ...replica,
+    start() {
+      replica.start();
+      cancelChecks = runEvery(options.clock, checkIntervalMs, checkEvacuations);
+    },
+    stop() {
+      cancelChecks();
+      replica.stop();
+    },
     find: () => config,
-    getEvacuations: () => ({ dataCentres, ageMs: replica.getAgeMs() }),
+    getEvacuations: () => ({ dataCentres, ageMs: replica.getUrgentAgeMs() }),
+    refreshEvacuations: () => replica.refreshUrgent(),
   };
 }
--- a/packages/dispatch/src/owner.ts
+++ b/packages/dispatch/src/owner.ts
@@ -267,7 +267,7 @@
   async function loadJobs(): Promise<boolean> {
     while (!isStopped) {
       // An evacuation from before the takeover must be known before the first start.
-      const refreshes = [states, options.operatorRows].map((rows) => rows.refresh());
+      const refreshes = [states.refresh(), options.operatorRows.refreshEvacuations()];
       if (jobRows.isLoaded() && (await Promise.all(refreshes)).every(Boolean)) return true;
       await waitFor(clock, loadRetryMs);
     }
--- a/packages/dispatch/src/ownercontext.ts
+++ b/packages/dispatch/src/ownercontext.ts
@@ -39,7 +39,7 @@
   runner: TaskRunner;
   advisor: Advisor;
   getConfig: () => ServiceConfig | undefined;
-  operatorRows: Pick<OperatorRows, 'getEvacuations' | 'refresh'>;
+  operatorRows: Pick<OperatorRows, 'getEvacuations' | 'refreshEvacuations'>;
   /** Whether this process may send orders now. */
   isHolding: () => boolean;
   getEpochCondition: () => RowCondition | undefined;
--- a/packages/dispatch/src/tablereplica.ts
+++ b/packages/dispatch/src/tablereplica.ts
@@ -35,6 +35,8 @@
    * read.
    */
   getAgeMs(): number;
+  /** Like `getAgeMs`, for the rows that `refreshUrgent` reads. */
+  getUrgentAgeMs(): number;
   /** How long reads have been failing, in milliseconds; 0 while they succeed. */
   getOutageMs(): number;
   /**
@@ -42,6 +44,11 @@
    * answer.
    */
   refresh(): Promise<boolean>;
+  /**
+   * Reads the rows that must not wait for larger ones of the table, also while a page arrives; `refresh` where there
+   * are none. Deleted rows stay until the next page. False if the store does not answer.
+   */
+  refreshUrgent(): Promise<boolean>;
 }
 
 interface Entry<T> {
@@ -71,6 +78,7 @@
   /** Position of the latest snapshot. */
   let snapshotPosition = -Infinity;
   let confirmedMs = -Infinity;
+  let urgentConfirmedMs = -Infinity;
   let isRunning = false;
   let failingSinceMs: number | undefined;
   /** Consecutive reads that failed. */
@@ -234,6 +242,13 @@
     });
   }
 
+  function refresh(): Promise<boolean> {
+    // The pause may have become shorter since it began, as when this instance becomes the owner.
+    endPause();
+    pendingRefresh ??= runRefresh();
+    return pendingRefresh;
+  }
+
   return {
     start() {
       isRunning = true;
@@ -248,11 +263,16 @@
     list: () => [...entries].map(([key, { value }]) => [key, value]),
     getAgeMs: () => clock.getNowMs() - confirmedMs,
     getOutageMs: () => (failingSinceMs === undefined ? 0 : clock.getNowMs() - failingSinceMs),
-    refresh() {
-      // The pause may have become shorter since it began, as when this instance becomes the owner.
-      endPause();
-      pendingRefresh ??= runRefresh();
-      return pendingRefresh;
+    getUrgentAgeMs: () => clock.getNowMs() - Math.max(confirmedMs, urgentConfirmedMs),
+    refresh,
+    async refreshUrgent() {
+      const sentMs = clock.getNowMs();
+      const reply = await feed.loadUrgent();
+      if (reply === undefined) return refresh();
+      if (reply.isErr()) return false;
+      for (const item of reply.value) applyItem(item);
+      urgentConfirmedMs = Math.max(urgentConfirmedMs, sentMs);
+      return true;
     },
   };
 }
--- a/packages/dispatch/tests/evacuation.test.ts
+++ b/packages/dispatch/tests/evacuation.test.ts
@@ -288,3 +288,47 @@
   expect(countStarts(world, 'w0', evacuatedAtMs)).toEqual(0);
   expect(world.getState('j1')).toEqual(JobState.Completed);
 });
+
+// Guards against an owner that starts nothing while a large configuration arrives, and that misses an evacuation from
+// that time: the evacuations are rows of the same table.
+test('a configuration that arrives slowly holds up neither starts nor evacuations', async () => {
+  const world = createTwoDataCentres();
+  const { operatorFeed } = world.addCandidate('a');
+  await world.clock.advance(startUpMs);
+  operatorFeed.transferMs = 12_000;
+  world.evacuate('d3');
+  await world.clock.advance(evacuateMs);
+  const submittedAtMs = world.clock.getNowMs();
+  world.submit('j1', [{ taskCount: 4 }]);
+  await world.clock.advance(1000);
+  expect(countStarts(world, 'w0', submittedAtMs) + countStarts(world, 'w1', submittedAtMs)).toEqual(
+    4,
+  );
+  world.evacuate('d1');
+  await world.clock.advance(evacuateMs / 2);
+  const evacuatedAtMs = world.clock.getNowMs();
+  world.submit('j2', [{ taskCount: 2 }]);
+  await world.clock.advance(2000);
+  expect(countStarts(world, 'w0', evacuatedAtMs)).toEqual(0);
+  expect(countStarts(world, 'w1', evacuatedAtMs)).toEqual(2);
+});
+
+// Guards against a takeover that waits for a large configuration before its first start.
+test('a takeover does not wait for a configuration that is arriving', async () => {
+  const world = createTwoDataCentres();
+  const first = world.addCandidate('a');
+  await world.clock.advance(startUpMs);
+  const second = world.addCandidate('b');
+  await world.clock.advance(startUpMs);
+  second.operatorFeed.transferMs = 30_000;
+  world.evacuate('d3');
+  await world.clock.advance(100);
+  world.evacuate('d1');
+  first.process.kill();
+  const killedAtMs = world.clock.getNowMs();
+  world.submit('j1', [{ taskCount: 2 }]);
+  await world.clock.advance(settleMs);
+  expect([countStarts(world, 'w0', killedAtMs), countStarts(world, 'w1', killedAtMs)]).toEqual([
+    0, 2,
+  ]);
+});
--- a/packages/dispatch/tests/world.ts
+++ b/packages/dispatch/tests/world.ts
@@ -45,6 +45,9 @@
   isCut = false;
   /** The next read is a snapshot, as after the store has dropped its history. */
   hasLostHistory = false;
+  /** Time that a page with changes takes to arrive. */
+  transferMs = 0;
+  private isTransferring = false;
 
   constructor(
     private readonly state: TableState,
@@ -87,13 +90,42 @@
       this.hasLostHistory = false;
       return this.load();
     }
-    return this.answer(() => ({
+    if (hasNews() && this.transferMs > 0) return this.sendSlowly(position);
+    return this.answer(() => this.createPage(position));
+  }
+
+  override isReceiving(): boolean {
+    return this.isTransferring;
+  }
+
+  override loadUrgent(): Promise<Result<FeedItem<T>[], Fault>> {
+    return this.call(() =>
+      this.listSnapshotKeys()
+        .filter((key) => key.startsWith(`${this.prefix}evacuate/`))
+        .map((key) => {
+          const row = this.state.rows.get(key);
+          return this.createItem(key, row?.version ?? 0, row?.value ?? null);
+        }),
+    );
+  }
+
+  /** Sends a page that shows the rows as of now and arrives later. */
+  private async sendSlowly(position: number): Promise<Result<FeedPage<T>, Fault>> {
+    const page = this.createPage(position);
+    this.isTransferring = true;
+    await waitFor(this.process, this.transferMs);
+    this.isTransferring = false;
+    return this.answer(() => page);
+  }
+
+  private createPage(position: number): FeedPage<T> {
+    return {
       items: this.listNewest(position).map(({ key, version, value }) =>
         this.createItem(key, version, value),
       ),
       isSnapshot: false,
       position: this.listShown(position).at(-1)?.version ?? position,
-    }));
+    };
   }
 
   private listSnapshotKeys(): string[] {
@@ -120,10 +152,14 @@
   }
 
   private answer(getPage: () => FeedPage<T>): Promise<Result<FeedPage<T>, Fault>> {
+    return this.call(getPage);
+  }
+
+  private call<V>(getValue: () => V): Promise<Result<V, Fault>> {
     return this.process.call(() =>
       this.isCut || this.state.fault === TableFault.Down
         ? Err(createFault(FaultCode.StoreUnavailable, 'connection refused'))
-        : Ok(getPage()),
+        : Ok(getValue()),
     );
   }
 }
--- a/packages/hosting/src/feed.ts
+++ b/packages/hosting/src/feed.ts
@@ -43,6 +43,13 @@
    * snapshot when the store no longer has the history since `position`. Faults: `store_unavailable`.
    */
   abstract wait(position: number, waitMs: number): Promise<Result<FeedPage<T>, Fault>>;
+  /**
+   * Reads the rows that must not wait for larger ones of the same table; `undefined` where there are none.
+   * Faults: `store_unavailable`.
+   */
+  loadUrgent(): Promise<Result<FeedItem<T>[], Fault> | undefined> {
+    return Promise.resolve(undefined);
+  }
   /** Whether a page is arriving, rather than waited for; always false where pages arrive at once. */
   isReceiving(): boolean {
     return false;
