--- a/packages/dispatch/src/operatorrows.ts
+++ b/packages/dispatch/src/operatorrows.ts
@@ -1,5 +1,5 @@
 import type { Feed } from '@bergamotreach/hosting';
-import { runEvery } from '@bergamotreach/protocol';
+import { runContained, runEvery } from '@bergamotreach/protocol';
 import type { CancelTimer, Clock, Logger, Metrics } from '@bergamotreach/protocol';
 import type { Evacuations } from '@bergamotreach/scheduling';
 import type { ServiceConfig } from './configuration.ts';
@@ -92,18 +92,23 @@
   });
 
   let cancelChecks: CancelTimer = () => undefined;
+  let isReadingEvacuations = false;
 
   /** Keeps an owner able to start tasks: without recent evacuations it starts none. */
-  function checkEvacuations(): void {
+  async function checkEvacuations(): Promise<void> {
     const isWaiting = replica.isLoaded() && replica.getOutageMs() === 0;
-    if (isWaiting && replica.getUrgentAgeMs() > maxEvacuationAgeMs) void replica.refreshUrgent();
+    if (!isWaiting || isReadingEvacuations || replica.getUrgentAgeMs() <= maxEvacuationAgeMs)
+      return;
+    isReadingEvacuations = true;
+    await runContained(logger, 'evacuations', () => replica.refreshUrgent());
+    isReadingEvacuations = false;
   }
 
   return {
     ...replica,
     start() {
       replica.start();
-      cancelChecks = runEvery(options.clock, checkIntervalMs, checkEvacuations);
+      cancelChecks = runEvery(options.clock, checkIntervalMs, () => void checkEvacuations());
     },
     stop() {
       cancelChecks();
