Date a table whose load went on after a fault by its oldest page

What callers would see: for one read, keys and evacuations count as fresher than they are after a load that failed once.

Change: the load returns the time of its first read, from which the page is dated.

Result: 'a load that goes on is dated by its first try' is new; tests of loads, store and narrow links pass.

--- a/packages/hosting/src/partload.ts
+++ b/packages/hosting/src/partload.ts
@@ -12,13 +12,20 @@
   getNowMs: () => number;
 }
 
+/** All pages of a table. */
+export interface LoadedParts<P> {
+  pages: P[];
+  /** Time at which the read of the oldest page was sent. */
+  startedMs: number;
+}
+
 /** Load of a whole table. */
 export interface PartLoad<P> {
   /**
-   * Reads the pages of all parts. After a fault, the next call goes on from the pages that have arrived. Calls
+   * Reads the pages of all parts, the first of them at `startedMs`. After a fault, the next call goes on from the pages that have arrived. Calls
    * during a load share its result. Faults: those of `readPage`.
    */
-  load(): Promise<Result<P[], Fault>>;
+  load(): Promise<Result<LoadedParts<P>, Fault>>;
 }
 
 /** Pages older than this are read again; the store keeps its history for 20 s. */
@@ -32,8 +39,8 @@
 /** Creates a load; each complete one begins anew. */
 export function createPartLoad<P>(options: PartLoadOptions<P>): PartLoad<P> {
   const loaded = new Map<string, PartPages<P>>();
-  let firstPageMs: number | undefined;
-  let current: Promise<Result<P[], Fault>> | undefined;
+  let startedMs: number | undefined;
+  let current: Promise<Result<LoadedParts<P>, Fault>> | undefined;
 
   async function loadPart(part: string): Promise<Result<undefined, Fault>> {
     const progress = loaded.get(part) ?? { pages: [], isComplete: false };
@@ -41,7 +48,6 @@
     while (!progress.isComplete) {
       const page = await options.readPage(part, progress.pages.at(-1));
       if (page.isErr()) return page;
-      firstPageMs ??= options.getNowMs();
       progress.pages.push(page.value);
       progress.isComplete = options.isLast(page.value);
     }
@@ -50,16 +56,19 @@
 
   function reset(): void {
     loaded.clear();
-    firstPageMs = undefined;
+    startedMs = undefined;
   }
 
-  async function loadParts(): Promise<Result<P[], Fault>> {
-    if (options.getNowMs() - (firstPageMs ?? Infinity) > maxPageAgeMs) reset();
+  async function loadParts(): Promise<Result<LoadedParts<P>, Fault>> {
+    const nowMs = options.getNowMs();
+    const hasPages = [...loaded.values()].some(({ pages }) => pages.length > 0);
+    if (!hasPages || nowMs - (startedMs ?? nowMs) > maxPageAgeMs) reset();
+    const oldestMs = (startedMs ??= nowMs);
     const results = await Promise.all(options.parts.map((part) => loadPart(part)));
     return Result.all(results).map(() => {
       const pages = options.parts.flatMap((part) => loaded.get(part)?.pages ?? []);
       reset();
-      return pages;
+      return { pages, startedMs: oldestMs };
     });
   }
 
--- a/packages/hosting/tests/partload.test.ts
+++ b/packages/hosting/tests/partload.test.ts
@@ -31,7 +31,7 @@
   const { load, reads } = createLoad((page) => page === 'b2' && (failures -= 1) >= 0);
   expect((await load()).isErr()).toEqual(true);
   expect((await load()).isErr()).toEqual(true);
-  const pages = (await load()).unwrap().map(({ part, index }) => `${part}${index}`);
+  const pages = (await load()).unwrap().pages.map(({ part, index }) => `${part}${index}`);
   expect(pages).toEqual(['a1', 'a2', 'a3', 'b1', 'b2', 'b3']);
   expect(reads.sort()).toEqual(['a1', 'a2', 'a3', 'b1', 'b2', 'b2', 'b2', 'b3']);
 });
@@ -47,6 +47,18 @@
   expect(reads.filter((page) => page === 'a1').length).toEqual(2);
 });
 
+// Guards against a snapshot that seems newer than the oldest of its pages, which an earlier call has read.
+test('a load that goes on is dated by its first try', async () => {
+  let isFailing = true;
+  const { load, clock } = createLoad((page) => page === 'b2' && isFailing);
+  clock.nowMs = 1000;
+  await load();
+  isFailing = false;
+  clock.nowMs = 4000;
+  expect((await load()).unwrap().startedMs).toEqual(1000);
+  expect((await load()).unwrap().startedMs).toEqual(4000);
+});
+
 // Guards against a second load that returns the pages of the first.
 test('a load after a complete one begins anew', async () => {
   const { load, reads } = createLoad(() => false);
@@ -60,7 +72,7 @@
 test('loads at the same time return the same pages', async () => {
   const { load, reads } = createLoad(() => false);
   const [first, second] = await Promise.all([load(), load()]);
-  expect(first.unwrap().length).toEqual(2 * pagesPerPart);
+  expect(first.unwrap().pages.length).toEqual(2 * pagesPerPart);
   expect(second.unwrap()).toEqual(first.unwrap());
   expect(reads.length).toEqual(2 * pagesPerPart);
 });
