End the backoff of a lane with every answer to it

What callers would see: a dead connection of a feed is found after up to 1.2 s instead of 0.3 s, and with it a cancel or a new configuration, on an instance whose feeds always have changes. Found by reading the diff; no play shows it.

Only measured answers ended the backoff of their lane. An answer before the end of its long poll, or beside a large one, is not measured, so a busy feed kept the backoff that answers to other calls used to end.

Change: every answer ends the backoff of its own lane; only measured ones change the estimate.

Result: 'an early answer to a long poll ends the backoff' failed before and passes now; the tests of hosting pass.

--- a/packages/hosting/src/adaptivetimeout.ts
+++ b/packages/hosting/src/adaptivetimeout.ts
@@ -14,8 +14,10 @@
 export interface AdaptiveTimeout {
   /** Adds the measured time of a response to the estimate and resets the backoff. */
   recordResponse(responseMs: number): void;
-  /** Doubles the timeout, up to `maxMs`, until the next response. */
+  /** Doubles the timeout, up to `maxMs`, until the backoff is reset. */
   recordTimeout(): void;
+  /** Ends the backoff, for a response whose time is not measured. */
+  resetBackoff(): void;
   /** Returns the timeout for the next call. */
   getTimeoutMs(): number;
   /**
@@ -69,6 +71,9 @@
     recordTimeout() {
       backoff *= backoffFactor;
     },
+    resetBackoff() {
+      backoff = 1;
+    },
     getTimeoutMs() {
       const isKnown = hasResponses() || shared?.hasResponses() === true;
       return isKnown ? Math.min(maxMs, getExpectedMs() * backoff) : maxMs;
--- a/packages/hosting/src/httpclient.ts
+++ b/packages/hosting/src/httpclient.ts
@@ -133,6 +133,7 @@
   }
 
   function recordResponse(lane: string, responseMs: number, waitMs: number): void {
+    timeouts.resetBackoff(lane);
     // A response before the end of the long poll does not show how long the service took.
     if (responseMs >= waitMs) timeouts.recordResponse(lane, responseMs - waitMs);
   }
@@ -228,7 +229,8 @@
         chunks.push(chunk);
       }
       const transfer = getTransfer();
-      if (!isDelayed) recordResponse(lane, transfer.firstByteMs ?? transfer.durationMs, waitMs);
+      if (isDelayed) timeouts.resetBackoff(lane);
+      else recordResponse(lane, transfer.firstByteMs ?? transfer.durationMs, waitMs);
       const text = Buffer.concat(chunks).toString('utf8');
       return { status: ExchangeStatus.Answered, code: response.statusCode, body: text, transfer };
     } catch (error) {
--- a/packages/hosting/src/lanetimeouts.ts
+++ b/packages/hosting/src/lanetimeouts.ts
@@ -8,6 +8,8 @@
 export interface LaneTimeouts {
   recordResponse(lane: string, responseMs: number): void;
   recordTimeout(lane: string): void;
+  /** Ends the backoff of a lane, for a response whose time is not measured. */
+  resetBackoff(lane: string): void;
   getTimeoutMs(lane: string): number;
   /** Returns the time within which the service answers while it works, by the answers of all lanes. */
   getExpectedMs(): number;
@@ -34,6 +36,9 @@
     recordTimeout(lane) {
       getLane(lane).recordTimeout();
     },
+    resetBackoff(lane) {
+      getLane(lane).resetBackoff();
+    },
     getTimeoutMs: (lane) => getLane(lane).getTimeoutMs(),
     getExpectedMs: () => allLanes.getExpectedMs(),
   };
--- a/packages/hosting/tests/httpclient.test.ts
+++ b/packages/hosting/tests/httpclient.test.ts
@@ -166,3 +166,33 @@
     ]);
   });
 });
+
+// Guards against a backoff that lasts while all long polls are answered before their time.
+test('an early answer to a long poll ends the backoff', async () => {
+  let isSilent = false;
+  const server = createServer((_request, response) => {
+    if (!isSilent) response.end('ok');
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const origin = `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+  const client = createHttpClient({ origin, connections: 1, timeoutMs: 1200, minTimeoutMs: 200 });
+  for (let call = 0; call < 20; call += 1) await client.send('GET', '/');
+  const measureSilence = async (): Promise<number> => {
+    isSilent = true;
+    const { transfer } = await client.send('GET', '/');
+    isSilent = false;
+    return transfer.durationMs;
+  };
+  await measureSilence();
+  await measureSilence();
+  const backedOffMs = await measureSilence();
+  const early = await client.send('GET', '/', undefined, { waitMs: 5000 });
+  const silenceMs = await measureSilence();
+  await client.abort();
+  server.closeAllConnections();
+  server.close();
+  expect(early.status).toEqual(ExchangeStatus.Answered);
+  expect(silenceMs < backedOffMs).toEqual(true);
+});
--- a/packages/hosting/tests/silencewatch.test.ts
+++ b/packages/hosting/tests/silencewatch.test.ts
@@ -66,3 +66,13 @@
   for (let call = 0; call < 40; call += 1) timeouts.recordResponse('row', 700);
   expect(timeouts.getTimeoutMs('list') >= 700).toEqual(true);
 });
+
+// Guards against a dead connection that is found late because a feed that always answers early stays backed off.
+test('a response without a measured time ends the backoff of its lane', () => {
+  const timeouts = createLaneTimeouts({ minMs: 300, maxMs: 1200 });
+  timeouts.recordResponse('feed', 5);
+  timeouts.recordTimeout('feed');
+  expect(timeouts.getTimeoutMs('feed')).toEqual(600);
+  timeouts.resetBackoff('feed');
+  expect(timeouts.getTimeoutMs('feed')).toEqual(300);
+});
