Read a feed anew for each owner

What callers would see: an owner that takes over in a process that owned before adopts jobs by pages of up to 10 s ago, or waits for an answer that is arriving for the earlier owner. Found by reading the diff; no play or soak shows it.

The feeds of jobs and workers outlive an owner, and pages that were kept, loads in progress and arriving answers belonged to the feed, not to its reader.

Change: a replica that starts makes its feed begin for a new reader, with none of them.

Result: 'a new reader of a feed gets no rows from a load before it' fails without the restart (one read instead of 16) and passes now; the tests of store, replicas and evacuations pass.

--- a/packages/dispatch/src/tablereplica.ts
+++ b/packages/dispatch/src/tablereplica.ts
@@ -251,6 +251,7 @@
 
   return {
     start() {
+      feed.restart();
       isRunning = true;
       void run();
     },
--- a/packages/hosting/src/feed.ts
+++ b/packages/hosting/src/feed.ts
@@ -50,6 +50,10 @@
   loadUrgent(): Promise<Result<FeedItem<T>[], Fault> | undefined> {
     return Promise.resolve(undefined);
   }
+  /** Begins for a new reader, which gets nothing that was read or is being read for an earlier one. */
+  restart(): void {
+    return undefined;
+  }
   /** Whether a page is arriving, rather than waited for; always false where pages arrive at once. */
   isReceiving(): boolean {
     return false;
