Log only reads of 256 KiB or 1 s

Cause: feed_read was written from 64 KiB or 300 ms on, so that the owner's feeds on a narrow link under load could write several lines a second. Change: higher thresholds; a slow read is at most one line a second and table. Result: tests of replicas and metrics pass.

--- a/packages/dispatch/src/tablereplica.ts
+++ b/packages/dispatch/src/tablereplica.ts
@@ -61,8 +61,8 @@
 const feedWaitMs = 1000;
 const retryMs = 150;
 /** Reads of at least this size or duration are logged. */
-const largeReadBytes = 65_536;
-const slowReadMs = 300;
+const largeReadBytes = 262_144;
+const slowReadMs = 1000;
 /** A page with at least this many changes may be followed by another one. */
 const fullPageItems = 100;
 
