--- a/packages/dispatch/src/jobservice.ts
+++ b/packages/dispatch/src/jobservice.ts
@@ -290,10 +290,10 @@
         configs.refresh(),
         waitFor(clock, maxConfigWaitMs).then(() => undefined),
       ]);
-      // A newer configuration is still arriving. It may allow what this one refuses, and the reverse.
+      // A newer configuration may allow what this one refuses, and the reverse.
       if (isRefreshed === undefined && configs.getOutageMs() === 0) {
         return Err(
-          createFault(FaultCode.StoreUnavailable, 'a newer configuration is being read', {
+          createFault(FaultCode.StoreUnavailable, 'the configuration is not confirmed in time', {
             retryAfterMs,
           }),
         );
--- a/packages/dispatch/tests/admission.test.ts
+++ b/packages/dispatch/tests/admission.test.ts
@@ -40,8 +40,7 @@
   return { clock, feed, configs, callQueue };
 }
 
-// Guards against refusing a new queue, or serving a removed one, by a configuration that is older than its bound
-// because the next one takes long to arrive.
+// Guards against decisions by a configuration that is older than its bound while the next one arrives.
 test('a call is told to come back while a newer configuration is late', async () => {
   const { clock, feed, configs, callQueue } = createAdmission();
   feed.put('config', createConfigRow(1, ['/old/']), quickMs);
--- a/packages/dispatch/tests/evacuation.test.ts
+++ b/packages/dispatch/tests/evacuation.test.ts
@@ -289,8 +289,7 @@
   expect(world.getState('j1')).toEqual(JobState.Completed);
 });
 
-// Guards against an owner that starts nothing while a large configuration arrives, and that misses an evacuation from
-// that time: the evacuations are rows of the same table.
+// Guards against an owner that starts nothing, or misses an evacuation, while a large configuration arrives.
 test('a configuration that arrives slowly holds up neither starts nor evacuations', async () => {
   const world = createTwoDataCentres();
   const { operatorFeed } = world.addCandidate('a');
--- a/packages/dispatch/tests/tablereplica.test.ts
+++ b/packages/dispatch/tests/tablereplica.test.ts
@@ -74,8 +74,7 @@
   expect((notBefore[1] ?? Infinity) <= storedMs).toEqual(true);
 });
 
-// Guards against one more transfer of a large page for each caller that asks for a refresh meanwhile, all over
-// the same narrow link, and against a refresh that misses a change from before it was asked for.
+// Guards against one more transfer of a large page for each caller that asks for a refresh meanwhile.
 test('refreshes share the reads of a large page', async () => {
   const clock = createManualClock();
   const feed = new SlowFeed<string>(clock);
--- a/packages/hosting/src/partload.ts
+++ b/packages/hosting/src/partload.ts
@@ -22,13 +22,13 @@
 /** Load of a whole table. */
 export interface PartLoad<P> {
   /**
-   * Reads the pages of all parts, the first of them at `startedMs`. After a fault, the next call goes on from the pages that have arrived. Calls
-   * during a load share its result. Faults: those of `readPage`.
+   * Reads the pages of all parts. After a fault, the next call goes on from the pages that have arrived.
+   * Calls during a load share its result. Faults: those of `readPage`.
    */
   load(): Promise<Result<LoadedParts<P>, Fault>>;
 }
 
-/** Pages older than this are read again; the store keeps its history for 20 s. */
+/** Pages older than this are read again, since the store may have dropped the history after them. */
 const maxPageAgeMs = 10_000;
 
 interface PartPages<P> {
--- a/packages/hosting/tests/partload.test.ts
+++ b/packages/hosting/tests/partload.test.ts
@@ -67,8 +67,7 @@
   expect(reads.length).toEqual(4 * pagesPerPart);
 });
 
-// Guards against a second load beside the first that returns no pages: an instance then held no configuration and no
-// evacuation after the store had dropped its history (soak seed 10001).
+// Guards against a second load beside the first that returns no pages (soak seed 10001).
 test('loads at the same time return the same pages', async () => {
   const { load, reads } = createLoad(() => false);
   const [first, second] = await Promise.all([load(), load()]);
--- a/packages/hosting/tests/silencewatch.test.ts
+++ b/packages/hosting/tests/silencewatch.test.ts
@@ -21,8 +21,7 @@
   expect([watch.getDueMs(never), watch.getLimit()]).toEqual([4300, ExchangeLimit.Gap]);
 });
 
-// Guards against an exchange that fails because another's large response is before it on the link, and against
-// a dead connection that is never found on such a link.
+// Guards against a failure behind another's large response, and a dead connection that is never found there.
 test('a large response beside it extends the limit up to a bound', () => {
   const watch = createSilenceWatch(limits, 0);
   expect(watch.getDueMs(200)).toEqual(500);
@@ -46,8 +45,7 @@
   expect(watch.getDueMs(never)).toEqual(800);
 });
 
-// Guards against a backoff that answers to other kinds of exchange end: on a busy owner, the read of a
-// configuration never got more than twice the shortest limit.
+// Guards against a backoff that answers to other kinds of exchange end.
 test('responses of another lane do not end the backoff', () => {
   const timeouts = createLaneTimeouts({ minMs: 300, maxMs: 1200 });
   timeouts.recordResponse('row', 5);
--- a/packages/ownership/tests/committer.test.ts
+++ b/packages/ownership/tests/committer.test.ts
@@ -132,8 +132,7 @@
   expect([state.commits, state.accepted.length]).toEqual([1, 1]);
 });
 
-// Guards against copies of a large commit that share a narrow link with the original, which is still being sent:
-// the small reads beside it are quick.
+// Guards against copies of a large commit that share a narrow link with the original.
 test('a commit that is still being sent is not sent again', async () => {
   const { clock, state } = createState();
   const { committer, table } = createNode(state, 'd1', { getReplyTimeoutMs: () => replyTimeoutMs });
