--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -1,45 +1,65 @@
-// One accepted job with a step of 3,000 small tasks; then ordinary jobs, of which none may be lost.
+// The instance that gives the orders is killed while many small tasks end on one worker. A worker lists
+// 500 ends at a time.
 import { dirname } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import {
   createConfig,
   createRoute,
-  findIdleJobs,
+  findDoubleRuns,
+  findOwner,
   runCase,
   sleep,
 } from '../standins-2/scenario.mjs';
 
 const prefix = '/lohu930/';
-const small = {
-  spec: 'small',
-  steps: [{ count: 4, cpu: 500, 'mem-mb': 256, 'estimated-ms': 900 }],
-};
-const large = {
-  spec: 'large',
-  steps: [{ count: 3000, cpu: 100, 'mem-mb': 16, 'estimated-ms': 900 }],
+const jobCount = 16;
+const taskCount = 72;
+const workMs = 9000;
+const job = {
+  spec: 'job',
+  steps: [{ count: taskCount, cpu: 100, 'mem-mb': 128, 'estimated-ms': workMs }],
 };
 
 await runCase(
   dirname(fileURLToPath(import.meta.url)),
-  { config: createConfig(1, [createRoute('r-1', prefix)]) },
+  {
+    config: createConfig(1, [createRoute('r-1', prefix)]),
+    instances: 9,
+    zones: ['catania-porto', 'palermo-zisa', 'trapani-saline'],
+    platformLimits: { 'writes-per-s': 800 },
+    workerOptions: { capacity: { cpu: 128_000, 'mem-mb': 262_144, gpus: 8 } },
+  },
   async (world) => {
-    const first = await world.submit(prefix, small);
-    const firstState = await world.waitForState(prefix, first.id, ['completed'], 10_000);
-    if (firstState !== 'completed') throw new Error(`the first job is ${firstState}`);
     const accepted = [];
-    if (world.hasTrouble) {
-      const { id, status } = await world.submit(prefix, large);
+    const firstMs = performance.now();
+    for (let index = 0; index < jobCount; index += 1) {
+      const { id, status } = await world.submit(prefix, job, { workMs });
       if (status === 200) accepted.push(id);
+      await sleep(50);
     }
-    for (let index = 0; index < 6; index += 1) {
-      const { id, status } = await world.submit(prefix, small);
-      if (status === 200) accepted.push(id);
-      await sleep(1000);
+    while (world.workers.countRunning() < accepted.length * taskCount) {
+      if (performance.now() - firstMs > 8500) throw new Error('not all tasks began in time');
+      await sleep(50);
+    }
+    const perWorker = world.workers.list.map(({ running }) => running.size);
+    const ends = Math.min(...world.workers.history.map(({ startedMs }) => startedMs)) + workMs;
+    const owner = await findOwner(world.instances);
+    await sleep(ends - 300 - performance.now());
+    if (world.hasTrouble) owner.kill(3500);
+    await sleep(15_000);
+    const states = {};
+    for (const id of accepted) {
+      const state = await world.waitForState(prefix, id, ['completed'], 5000);
+      states[state] = (states[state] ?? 0) + 1;
     }
-    const { idle, maxUsedShare, states } = await findIdleJobs(world, prefix, accepted);
+    const double = findDoubleRuns(world.workers.history);
+    for (const one of double) world.record('double', one);
     return {
-      isBroken: idle.length > 0,
-      summary: { accepted: accepted.length, idle: idle.length, maxUsedShare, states },
+      isBroken: double.length > 0,
+      summary: {
+        ...{ jobs: accepted.length, perWorker: perWorker.filter(Boolean), states },
+        ...{ runs: world.workers.history.length, double: double.length },
+      },
     };
   },
 );
--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -1,5 +1,4 @@
-// A queue whose policy the service at `recommendation` decides; a new configuration makes each
-// decision take longer, but still far less than the tickets are valid.
+// One accepted job with a step of 3,000 small tasks; then ordinary jobs, of which none may be lost.
 import { dirname } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import {
@@ -11,35 +10,32 @@
 } from '../standins-2/scenario.mjs';
 
 const prefix = '/lohu930/';
-const validityMs = 3000;
-const quick = { 'decision-ms': 100, 'period-ms': 5, 'validity-ms': validityMs };
-const slow = { 'decision-ms': 400, 'period-ms': 10, 'validity-ms': validityMs };
-const job = { spec: 'job', steps: [{ count: 4, cpu: 500, 'mem-mb': 256, 'estimated-ms': 900 }] };
-const createRoutes = (recommendation) => [createRoute('r-1', prefix, { recommendation })];
-let rules = quick;
+const small = {
+  spec: 'small',
+  steps: [{ count: 4, cpu: 500, 'mem-mb': 256, 'estimated-ms': 900 }],
+};
+const large = {
+  spec: 'large',
+  steps: [{ count: 3000, cpu: 100, 'mem-mb': 16, 'estimated-ms': 900 }],
+};
 
 await runCase(
   dirname(fileURLToPath(import.meta.url)),
-  {
-    config: createConfig(1, createRoutes(quick)),
-    advice: { getRules: () => rules, validityMs },
-    workerOptions: { needsTicket: () => true },
-  },
+  { config: createConfig(1, [createRoute('r-1', prefix)]) },
   async (world) => {
-    const first = await world.submit(prefix, job);
+    const first = await world.submit(prefix, small);
     const firstState = await world.waitForState(prefix, first.id, ['completed'], 10_000);
     if (firstState !== 'completed') throw new Error(`the first job is ${firstState}`);
-    if (world.hasTrouble) rules = slow;
-    world.store.put('op', 'config', createConfig(2, createRoutes(rules)));
-    world.record('config', { version: 2, recommendation: rules });
-    await sleep(3000);
     const accepted = [];
-    for (let index = 0; index < 4; index += 1) {
-      const { id, status } = await world.submit(prefix, job);
+    if (world.hasTrouble) {
+      const { id, status } = await world.submit(prefix, large);
+      if (status === 200) accepted.push(id);
+    }
+    for (let index = 0; index < 6; index += 1) {
+      const { id, status } = await world.submit(prefix, small);
       if (status === 200) accepted.push(id);
-      await sleep(1500);
+      await sleep(1000);
     }
-    await sleep(10_000);
     const { idle, maxUsedShare, states } = await findIdleJobs(world, prefix, accepted);
     return {
       isBroken: idle.length > 0,
--- a/review/standins-2/instances.mjs
+++ b/review/standins-2/instances.mjs
@@ -92,7 +92,7 @@
       'internal-ports': [metrics.split(':')[1], relay.split(':')[1]],
       'bind-addresses': { frontend, readiness, 'control-plane': control },
       limits: { 'cpu-share': 0.675, cores: 1, 'memory-mb': memoryMb },
-      platform: { ...platformLimits, address: store.address },
+      platform: { ...options.platform, address: store.address },
       recommendation: advisor?.address ?? '',
       'heartbeat-ms': 1500,
       bounds,
@@ -125,11 +125,18 @@
           memoryKill: instance.isOverMemory === true,
         });
         instance.isOverMemory = false;
-        setTimeout(start, restartDelayMs);
+        setTimeout(start, instance.downMs ?? restartDelayMs);
+        instance.downMs = undefined;
       });
     }
 
     instance.start = start;
+    /** Kills the process; it starts again after `downMs`. */
+    instance.kill = (downMs) => {
+      record('kill', { instance: name, signal: 'SIGKILL', downMs });
+      instance.downMs = downMs;
+      instance.child?.kill('SIGKILL');
+    };
     /** Resident memory in MB; 0 while the process is down. */
     instance.getMemoryMb = () => {
       try {
--- a/review/standins-2/scenario.mjs
+++ b/review/standins-2/scenario.mjs
@@ -59,12 +59,15 @@
   const closeAll = async () => {
     for (const close of closers.reverse()) await close();
   };
+  for (const signal of ['SIGTERM', 'SIGINT']) {
+    process.once(signal, () => void closeAll().then(() => process.exit(2)));
+  }
   const timer = setTimeout(() => {
     record('error', { reason: 'the case took too long' });
     void closeAll().then(() => process.exit(2));
   }, maxRunMs);
   try {
-    const store = await startStore(platformLimits);
+    const store = await startStore({ ...platformLimits, ...options.platformLimits });
     closers.push(store.close);
     store.put('op', 'config', options.config);
     const workers = await startWorkers({
@@ -78,7 +81,8 @@
     if (advisor !== undefined) closers.push(advisor.close);
     const instances = await startInstances({
       ...{ count: options.instances ?? 6, store, advisor, record },
-      zones: ['drenthe-a', 'veluwe-a', 'limburg-a'],
+      zones: options.zones ?? ['drenthe-a', 'veluwe-a', 'limburg-a'],
+      platform: { ...platformLimits, ...options.platformLimits },
       logFile: process.env.LOG_FILE,
       firstPort: getFirstPort(folder),
     });
@@ -191,3 +195,37 @@
   record('idle-check', { idle: [...idle], maxUsedShare, states });
   return { idle: maxUsedShare < 0.5 ? [...idle] : [], maxUsedShare, states };
 }
+
+/**
+ * Rule TWICE for tasks without `speculative`: two runs of a task at the same time, or a start after a run
+ * has ended `done` if that end is taken note of then or later, without a lapse of the lease between.
+ */
+export function findDoubleRuns(history) {
+  const byTask = new Map();
+  for (const run of history) byTask.set(run.task, [...(byTask.get(run.task) ?? []), run]);
+  const found = [];
+  for (const [task, runs] of byTask) {
+    for (const run of runs) {
+      for (const later of runs) {
+        if (later === run || later.startedMs < run.startedMs) continue;
+        const isOverlap = later.startedMs < (run.endedMs ?? Infinity);
+        const isNoted = run.how === 'done' && run.ackedMs !== undefined && !run.isLapsed;
+        if (isOverlap || isNoted) {
+          const afterEndMs = Math.round(later.startedMs - (run.endedMs ?? NaN));
+          found.push({ task, first: run.run, second: later.run, isOverlap, afterEndMs });
+        }
+      }
+    }
+  }
+  return found;
+}
+
+/** Finds the instance that holds the lease, by its own state dump. */
+export async function findOwner(instances) {
+  for (const instance of instances.list) {
+    if (instance.child === undefined) continue;
+    const answer = await send(instance.metrics, 'GET', '/dump', { timeoutMs: 1000 });
+    if (answer.status === 200 && JSON.parse(answer.body).lease === 'holding') return instance;
+  }
+  return undefined;
+}
--- a/review/standins-2/workers.mjs
+++ b/review/standins-2/workers.mjs
@@ -3,6 +3,9 @@
 import { createServer } from 'node:http';
 import { listen, readJson, sendJson, sleep } from './net.mjs';
 
+/** Ends that one answer lists. */
+const maxListedEnds = 500;
+
 const drawnId = (index) => `i-${(0x7f3a0000 + index * 0x9137).toString(16)}`;
 
 /**
@@ -13,6 +16,8 @@
   const capacity = options.capacity ?? { cpu: 32_000, 'mem-mb': 65_536, gpus: 8 };
   const heartbeatMs = 1500;
   const workers = [];
+  /** All runs that began: what a check may know of them. */
+  const history = [];
   /** Tickets by step, then by worker id: `{ ticket, untilMs }`. */
   const tickets = new Map();
 
@@ -45,7 +50,8 @@
       running.delete(task);
       sequence += 1;
       const saved = how === 'done' ? '' : run.checkpoint;
-      ends.push([sequence, task, run.run, how, saved]);
+      ends.push([sequence, task, run.run, how, saved, run.entry]);
+      Object.assign(run.entry, { endedMs: performance.now(), how });
       record('end', { task, run: run.run, worker: id, how });
       for (const release of waiters) release();
       waiters = new Set();
@@ -92,7 +98,9 @@
       if (isFull) return refuse('room');
       highest.set(task, run);
       const timer = setTimeout(() => endRun(task, 'done'), job?.workMs ?? 1000);
-      running.set(task, { run, timer, step: step ?? {}, checkpoint: body.checkpoint ?? '' });
+      const entry = { task, run, worker: id, token, startedMs: performance.now(), isLapsed: false };
+      history.push(entry);
+      running.set(task, { run, timer, entry, step: step ?? {}, checkpoint: body.checkpoint ?? '' });
       record('start', { task, run, worker: id, token });
       return [200, { 'clock-ms': getClockMs() }];
     }
@@ -107,7 +115,11 @@
 
     async function hold(body) {
       if (isFenced(body)) return refuse('fence');
-      ends = ends.filter(([number]) => number > (body['ack-cursor'] ?? 0));
+      const cursor = body['ack-cursor'] ?? 0;
+      for (const [number, , , , , entry] of ends) {
+        if (number <= cursor) entry.ackedMs = performance.now();
+      }
+      ends = ends.filter(([number]) => number > cursor);
       renew(body['deadline-ms']);
       const waitMs = Math.min(2000, body['wait-ms'] ?? 0);
       if (ends.length === 0 && waitMs > 0) {
@@ -121,7 +133,7 @@
       }
       const lists = {
         running: [...running].map(([task, run]) => [task, run.run, run.checkpoint, 50, 0]),
-        ended: ends.slice(0, 500),
+        ended: ends.slice(0, maxListedEnds).map((end) => end.slice(0, 5)),
       };
       return [200, { 'clock-ms': getClockMs(), born: bornAtMs, capacity, ...lists }];
     }
@@ -151,6 +163,8 @@
 
     const expiry = setInterval(() => {
       if (getClockMs() < leaseUntilMs) return;
+      // The end of a run counts as noted only if the lease held until then.
+      for (const [, , , , , entry] of ends) entry.isLapsed = true;
       for (const task of [...running.keys()]) endRun(task, 'lapsed');
     }, 20);
     announce();
@@ -208,6 +222,7 @@
 
   return {
     list: workers,
+    history,
     startAdvisor,
     countRunning: () => workers.reduce((sum, worker) => sum + worker.running.size, 0),
     close: () => workers.forEach((worker) => worker.close()),
