--- a/review/standins-2/workers.mjs
+++ b/review/standins-2/workers.mjs
@@ -173,7 +173,8 @@
       id,
       address,
       running,
-      getToken: () => token,
+      /** Ends a run by its own fault. */
+      failRun: (task) => endRun(task, 'failed'),
       close: () => {
         clearInterval(expiry);
         clearInterval(beats);
