--- a/review/standins-2/scenario.mjs
+++ b/review/standins-2/scenario.mjs
@@ -99,8 +99,12 @@
       return answer;
     };
     /** Submits a job, with the retries that PROTOCOL.md describes; resolves with the last status. */
-    world.submit = async (prefix, job, { workMs = 1000, attempts = 4, id = createId() } = {}) => {
-      jobs.set(id, { id, steps: job.steps, workMs, acceptedMs: undefined });
+    world.submit = async (
+      prefix,
+      job,
+      { workMs = 1000, how = 'done', attempts = 4, id = createId() } = {},
+    ) => {
+      jobs.set(id, { id, steps: job.steps, workMs, how, acceptedMs: undefined });
       let status = 0;
       for (let attempt = 0; attempt < attempts; attempt += 1) {
         status = (await world.call('POST', `${prefix}${id}`, { body: job })).status;
--- a/review/standins-2/workers.mjs
+++ b/review/standins-2/workers.mjs
@@ -21,6 +21,12 @@
   /** Tickets by step, then by worker id: `{ ticket, untilMs }`. */
   const tickets = new Map();
 
+  /** Time that a run works; it may be drawn anew for each run. */
+  function getWorkMs(job) {
+    const workMs = job?.workMs ?? 1000;
+    return typeof workMs === 'function' ? workMs() : workMs;
+  }
+
   function findStep(task) {
     const [jobId, , step] = task.split('.');
     const job = jobs.get(jobId);
@@ -97,7 +103,7 @@
       );
       if (isFull) return refuse('room');
       highest.set(task, run);
-      const timer = setTimeout(() => endRun(task, 'done'), job?.workMs ?? 1000);
+      const timer = setTimeout(() => endRun(task, job?.how ?? 'done'), getWorkMs(job));
       const entry = { task, run, worker: id, token, startedMs: performance.now(), isLapsed: false };
       history.push(entry);
       running.set(task, { run, timer, entry, step: step ?? {}, checkpoint: body.checkpoint ?? '' });
