--- a/review/9/case.mjs
+++ b/review/9/case.mjs
@@ -1,5 +1,5 @@
-// Some services fail again and again by their own fault; gangs of others must still start on the fleet,
-// which is almost empty.
+// Two services. Urgent jobs come at once on one of them, as many as it can hold; an ordinary job of the
+// other, whose workers are idle, must start.
 import { dirname } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import {
@@ -10,49 +10,50 @@
   sleep,
 } from '../standins-2/scenario.mjs';
 
-const normal = createRoute('r-1', '/lohu930/');
-const urgent = createRoute('r-0', '/pufi791/', { priority: 0 });
-const failingJobs = 4;
-/** One task on each worker. */
-const failing = {
-  spec: 'failing',
-  steps: [{ count: 33, cpu: 500, 'mem-mb': 256, 'long-running': true, 'anti-affinity': 1 }],
+const busyService = 'huvo11a';
+const idleService = 'mira07b';
+const urgent = createRoute('r-0', '/pufi791/', { priority: 0, service: busyService });
+const ordinary = createRoute('r-1', '/lohu930/', { priority: 1, service: idleService });
+const idleWorkers = 11;
+const workerCount = 33;
+/** Urgent jobs at once without the burst, and with it: 2.86 times as many. */
+const usualJobs = 7;
+const burstJobs = 20;
+const workMs = 70_000;
+const urgentJob = {
+  spec: 'urgent',
+  steps: [{ count: 1, cpu: 3700, 'mem-mb': 5500, gpus: 8, 'estimated-ms': workMs }],
 };
-const ordinaryJobs = 80;
-const ordinary = {
+const ordinaryJob = {
   spec: 'ordinary',
-  steps: [{ count: 3, cpu: 3700, 'mem-mb': 5500, gpus: 1, 'estimated-ms': 2500 }],
-};
-const drawFailureMs = () => 200 + Math.random() * 10_000;
-const gang = {
-  spec: 'gang',
-  steps: [{ count: 10, cpu: 13_000, 'mem-mb': 34_000, gpus: 8, 'estimated-ms': 8500, gang: true }],
+  steps: [{ count: 1, cpu: 2800, 'mem-mb': 5700, gpus: 1, 'estimated-ms': 6100 }],
 };
 
 await runCase(
   dirname(fileURLToPath(import.meta.url)),
-  { config: createConfig(1, [normal, urgent]) },
+  {
+    config: createConfig(1, [urgent, ordinary]),
+    workers: workerCount,
+    workerOptions: {
+      getService: (index) => (index < idleWorkers ? idleService : busyService),
+    },
+  },
   async (world) => {
-    for (let index = 0; index < failingJobs && world.hasTrouble; index += 1) {
-      await world.submit(normal.prefix, failing, { workMs: drawFailureMs, how: 'failed' });
-      await sleep(1500);
-    }
-    // The failing jobs are a twentieth of what is handed in.
-    for (let index = 0; index < ordinaryJobs; index += 1) {
-      await world.submit(normal.prefix, ordinary, { workMs: 2500 });
-      await sleep(25_000 / ordinaryJobs);
+    const jobCount = world.hasTrouble ? burstJobs : usualJobs;
+    for (let index = 0; index < jobCount; index += 1) {
+      await world.submit(urgent.prefix, urgentJob, { workMs });
     }
-    const accepted = [];
-    for (const { prefix } of [normal, urgent]) {
-      const { id, status } = await world.submit(prefix, gang, { workMs: 8500 });
-      if (status === 200) accepted.push(id);
-    }
-    const { idle, maxUsedShare, states } = await findIdleJobs(world, normal.prefix, accepted);
-    await sleep(15_000);
-    const later = await Promise.all(accepted.map((id) => world.getState(normal.prefix, id)));
+    await sleep(4000);
+    const begun = world.workers.countRunning();
+    if (begun !== jobCount) throw new Error(`${begun} of ${jobCount} urgent jobs began`);
+    const { id } = await world.submit(ordinary.prefix, ordinaryJob, { workMs: 6100 });
+    const members = {
+      list: world.workers.list.filter(({ service }) => service === idleService),
+    };
+    const found = await findIdleJobs(world, ordinary.prefix, [id], members);
     return {
-      isBroken: idle.length > 0,
-      summary: { accepted: accepted.length, idle: idle.length, maxUsedShare, states, later },
+      isBroken: found.idle.length > 0,
+      summary: { urgent: jobCount, idle: found.idle.length, ...found },
     };
   },
 );
--- a/review/standins-2/scenario.mjs
+++ b/review/standins-2/scenario.mjs
@@ -25,10 +25,11 @@
 
 /** The operator's configuration. */
 export function createConfig(version, routes, fields = {}) {
+  const names = [...new Set(routes.map((route) => route.service))];
   return {
     version,
     routes,
-    services: [{ name: service, 'admission-check': true, standby: false }],
+    services: names.map((name) => ({ name, 'admission-check': true, standby: false })),
     limits: { 'max-header-bytes': 16_384, 'max-body-bytes': 262_144 },
     tenants: [{ name: 'kaje80', 'api-keys': [key], guaranteed: { gpus: 48 } }],
     ...fields,
@@ -177,15 +178,16 @@
 
 /**
  * The end of rule LOST: `finish_s` after the last submission, lists the accepted jobs of `ids` that
- * have nothing running for 3 s, though they are not done and under half of the capacity is in use.
+ * have nothing running for 3 s, though they are not done and under half of the capacity of their service's
+ * `members` is in use.
  */
-export async function findIdleJobs({ workers, record, getState }, prefix, ids) {
+export async function findIdleJobs({ workers, record, getState }, prefix, ids, members = workers) {
   await sleep(bounds.finish_s * 1000);
   const idle = new Set(ids);
   let maxUsedShare = 0;
   const endMs = performance.now() + 3500;
   while (performance.now() < endMs) {
-    maxUsedShare = Math.max(maxUsedShare, getUsedShare(workers));
+    maxUsedShare = Math.max(maxUsedShare, getUsedShare(members));
     for (const { running } of workers.list) {
       for (const task of running.keys()) idle.delete(task.split('.')[0]);
     }
--- a/review/standins-2/workers.mjs
+++ b/review/standins-2/workers.mjs
@@ -36,6 +36,7 @@
   async function startWorker(index) {
     const id = drawnId(index);
     const rack = `r1-${Math.floor(index / 8)}`;
+    const ownService = options.getService?.(index) ?? service;
     const zone = options.zones?.[index % options.zones.length] ?? 'z1';
     const bornAtMs = Date.now();
     const bornMs = performance.now();
@@ -162,7 +163,7 @@
 
     function announce() {
       beat += 1;
-      const state = { service, address, zone, version: '1', slots: 8, state: 'ready' };
+      const state = { service: ownService, address, zone, version: '1', slots: 8, state: 'ready' };
       const place = { capacity, labels: ['a', rack], born: bornAtMs };
       store.put('servers', id, { ...state, sequence: beat, ...place, 'cold-remaining-ms': 0 });
     }
@@ -178,6 +179,7 @@
     return {
       id,
       address,
+      service: ownService,
       running,
       /** Ends a run by its own fault. */
       failRun: (task) => endRun(task, 'failed'),
