--- a/review/standins-2/scenario.mjs
+++ b/review/standins-2/scenario.mjs
@@ -47,7 +47,7 @@
   const counts = new Map();
   writeFileSync(file, '');
   /** Notes an event; of each kind, the first `maxLines` are written out and the rest counted. */
-  const record = (event, fields = {}, maxLines = 60) => {
+  const record = (event, fields = {}, maxLines = 5000) => {
     const count = (counts.get(event) ?? 0) + 1;
     counts.set(event, count);
     if (count > maxLines) return;
