Bound what clients outside the limits make a process hold

Cause: bodies were read whole before their size was compared, and without limit before the first configuration; each chunk was queued in a buffer of its own; all requests that one read of 64 KiB contained were under way at once; neither connections, partial frames nor calls were bounded at the listener of the inner protocol.

Change: one memory budget per process counts connections with their requests, bodies and partial frames, and gives up first the clients without progress, then the largest, then the newest. A guard per listener bounds connections (idle ones make room), requests sent ahead, and the time for which answers stay unread. Bodies are collected in slabs from the moment the request arrives, and refused as not run (413, or 429 with Retry-After) when they exceed their limit or the budget. Received bytes are parsed in slices. Ruled out: maxRequestsPerSocket, which closes ordinary connections after so many requests in all.

A test of the body reader builds it from a budget now; what it checks is unchanged.

--- a/packages/daemon/src/body.ts
+++ b/packages/daemon/src/body.ts
@@ -1,4 +1,6 @@
-import type { IncomingMessage } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { HoldCause } from '@bergamotreach/hosting';
+import type { MemoryBudget, MemoryHold } from '@bergamotreach/hosting';
 import { FaultCode, createFault } from '@bergamotreach/protocol';
 import type { Fault } from '@bergamotreach/protocol';
 import { Err, Ok } from 'ts-results-es';
@@ -6,6 +8,12 @@
 
 /** Reads request bodies within a memory budget shared by the whole process. */
 export interface BodyReader {
+  /**
+   * Begins to collect the body of a request that has just arrived; at most `maxBytes` are held. Without it
+   * the chunks that have arrived by the time of `readBody` are each held in a buffer of their own, which
+   * costs hundreds of times the size of a chunk of one byte.
+   */
+  start(request: IncomingMessage, response: ServerResponse, maxBytes: number): void;
   /**
    * Reads a whole body. Faults: `too_large`, `queue_full` (budget exhausted), `bad_request` (the
    * caller closed the connection). The bytes count against the budget until `release` is called.
@@ -17,7 +25,15 @@
   getUsedBytes(): number;
 }
 
+/** Options of a body reader. */
+export interface BodyReaderOptions {
+  budget: MemoryBudget;
+  /** Memory of what is decoded from a body, as a multiple of its size; counts until the release. */
+  decodedFactor?: number;
+}
+
 const budgetRetryMs = 500;
+const slabBytes = 16_384;
 
 function createTooLargeFault(maxBytes: number): Fault {
   return createFault(FaultCode.TooLarge, `body exceeds ${maxBytes} bytes`);
@@ -28,32 +44,66 @@
   return createFault(FaultCode.BadRequest, message);
 }
 
-/** Creates a reader that holds at most `budgetBytes` of unreleased bodies. */
-export function createBodyReader(budgetBytes: number): BodyReader {
-  let usedBytes = 0;
+function createBudgetFault(): Fault {
+  const message = 'memory budget for request bodies is exhausted';
+  return createFault(FaultCode.QueueFull, message, { retryAfterMs: budgetRetryMs });
+}
 
-  function reserveBytes(count: number): Fault | undefined {
-    if (usedBytes + count > budgetBytes) {
-      const message = 'memory budget for request bodies is exhausted';
-      return createFault(FaultCode.QueueFull, message, { retryAfterMs: budgetRetryMs });
-    }
-    usedBytes += count;
-    return undefined;
-  }
+/** Bytes in slabs, so that neither tiny chunks nor growth cost more than the bytes themselves. */
+interface SlabBuffer {
+  append(chunk: Buffer): void;
+  getBytes(): number;
+  /** All bytes in one buffer. */
+  take(): Buffer;
+}
+
+function createSlabBuffer(): SlabBuffer {
+  const slabs: Buffer[] = [];
+  let size = 0;
+  let free = 0;
+  return {
+    append(chunk) {
+      let offset = 0;
+      while (offset < chunk.length) {
+        if (free === 0) {
+          // The first slab is small, since most bodies are.
+          free = slabs.length === 0 ? Math.max(1024, Math.min(slabBytes, chunk.length)) : slabBytes;
+          slabs.push(Buffer.allocUnsafeSlow(free));
+        }
+        const slab = slabs.at(-1);
+        if (slab === undefined) return;
+        const copied = chunk.copy(slab, slab.length - free, offset);
+        free -= copied;
+        offset += copied;
+        size += copied;
+      }
+    },
+    getBytes: () => size,
+    take: () => Buffer.concat(slabs).subarray(0, size),
+  };
+}
 
-  /** Appends the chunks of a body to `chunks`; resolves at its end or at the first fault. */
+/** Creates a reader whose bodies count against the budget. */
+export function createBodyReader({ budget, decodedFactor = 0 }: BodyReaderOptions): BodyReader {
+  const holds = new WeakMap<Buffer, MemoryHold>();
+  const started = new WeakMap<IncomingMessage, Promise<Result<Buffer, Fault>>>();
+
+  /** Resolves at the end of the body or at the first fault. */
   async function collect(
     request: IncomingMessage,
     maxBytes: number,
-    chunks: Buffer[],
-  ): Promise<Fault | undefined> {
-    let size = 0;
+  ): Promise<Result<Buffer, Fault>> {
+    const collected = createSlabBuffer();
     let finish: (fault?: Fault) => void = () => undefined;
+    const hold = budget.open(HoldCause.Body, () => {
+      finish(createBudgetFault());
+    });
     const handleData = (chunk: Buffer): void => {
-      size += chunk.length;
-      const fault = size > maxBytes ? createTooLargeFault(maxBytes) : reserveBytes(chunk.length);
-      if (fault === undefined) chunks.push(chunk);
-      else finish(fault);
+      if (collected.getBytes() + chunk.length > maxBytes) finish(createTooLargeFault(maxBytes));
+      else if (hold.add(chunk.length)) {
+        hold.markProgress();
+        collected.append(chunk);
+      }
     };
     const handleEnd = (): void => {
       finish();
@@ -61,37 +111,59 @@
     const handleClose = (): void => {
       finish(createIncompleteFault());
     };
-    const fault = await new Promise<Fault | undefined>((resolve) => {
-      finish = resolve;
-      // Not an async iterator: leaving one early would destroy the connection before the response is
-      // sent.
-      request.on('data', handleData).on('end', handleEnd);
-      request.on('error', handleClose).on('close', handleClose);
-      if (request.destroyed) handleClose();
+    const ended = new Promise<Fault | undefined>((resolve) => {
+      finish = (fault) => {
+        // What is still on its way stays unread.
+        request.off('data', handleData).pause();
+        resolve(fault);
+      };
     });
-    request.off('data', handleData).off('end', handleEnd).off('close', handleClose);
-    return fault;
-  }
-
-  async function readBody(
-    request: IncomingMessage,
-    maxBytes: number,
-  ): Promise<Result<Buffer, Fault>> {
-    if (Number(request.headers['content-length'] ?? 0) > maxBytes) {
-      return Err(createTooLargeFault(maxBytes));
+    // Not an async iterator: leaving one early would destroy the connection before the response is sent.
+    request.on('data', handleData).on('end', handleEnd);
+    request.on('error', handleClose).on('close', handleClose);
+    // From now on chunks are handed over as they are parsed, not in the next turn of the event loop.
+    request.read(0);
+    if (request.destroyed) handleClose();
+    const fault = await ended;
+    request.off('end', handleEnd).off('close', handleClose);
+    if (fault !== undefined) {
+      hold.release();
+      return Err(fault);
     }
-    const chunks: Buffer[] = [];
-    const fault = await collect(request, maxBytes, chunks);
-    if (fault === undefined) return Ok(Buffer.concat(chunks));
-    for (const chunk of chunks) usedBytes -= chunk.length;
-    return Err(fault);
+    hold.settle();
+    hold.add(collected.getBytes() * decodedFactor);
+    const body = collected.take();
+    holds.set(body, hold);
+    return Ok(body);
   }
 
   return {
-    readBody,
+    start(request, response, maxBytes) {
+      if (Number(request.headers['content-length'] ?? 0) > maxBytes) return;
+      const body = collect(request, maxBytes);
+      started.set(request, body);
+      // A body that nobody has asked for is given up with its response.
+      response.once('close', () => {
+        if (!started.delete(request)) return;
+        void body.then((read) => {
+          if (read.isOk()) holds.get(read.value)?.release();
+        });
+      });
+    },
+    async readBody(request, maxBytes) {
+      if (Number(request.headers['content-length'] ?? 0) > maxBytes) {
+        return Err(createTooLargeFault(maxBytes));
+      }
+      const body = started.get(request);
+      started.delete(request);
+      const read = await (body ?? collect(request, maxBytes));
+      if (read.isErr() || read.value.length <= maxBytes) return read;
+      holds.get(read.value)?.release();
+      return Err(createTooLargeFault(maxBytes));
+    },
     release: (body) => {
-      usedBytes -= body.length;
+      holds.get(body)?.release();
     },
-    getUsedBytes: () => usedBytes,
+    getUsedBytes: () => budget.getUsedBytes(HoldCause.Body),
   };
 }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,5 +1,6 @@
 import { getRequestListener } from '@hono/node-server';
 import type { EffectiveConfig } from '@bergamotreach/config';
+import { createMemoryBudget } from '@bergamotreach/hosting';
 import type { Instance } from '@bergamotreach/hosting';
 import { createScheduler } from '@bergamotreach/placement';
 import type { JobSpec } from '@bergamotreach/placement';
@@ -38,8 +39,12 @@
   stop(): void;
 }
 
-// Total size of buffered request bodies; a daemon has 64 MB of memory.
+// Total size of buffered request bodies, and of all that callers make a daemon hold; it has 64 MB of
+// memory, and 2,000 idle connections take 16 MB.
 const bodyBudgetBytes = 8 * 1024 * 1024;
+const callerBudgetBytes = 24 * 1024 * 1024;
+/** Largest part of a configuration change or a submission besides its payload. */
+const maxEnvelopeBytes = 2 * 1024 * 1024;
 // Time for load balancers and peers to notice the drain before new work is refused.
 const drainNoticeMs = 2000;
 
@@ -96,12 +101,25 @@
   };
   const components = await createComponents({ ...options, clients }, applyConfig);
   const auth = createAuthenticator(settings.operatorTokenHash);
-  const bodyReader = createBodyReader(bodyBudgetBytes);
+  const budget = createMemoryBudget({
+    clock,
+    maxBytes: callerBudgetBytes,
+    maxBodyBytes: bodyBudgetBytes,
+  });
+  const bodyReader = createBodyReader({ budget });
   let finish: () => void = () => undefined;
   const finished = new Promise<void>((resolve) => {
     finish = resolve;
   });
 
+  /** Largest body that any route takes; each checks its own limit. */
+  function getMaxBodyBytes(): number {
+    if (state.config === undefined) return 0;
+    const { limits, services } = state.config;
+    const sizes = Object.values(services).map(({ maxBodyBytes }) => maxBodyBytes);
+    return Math.max(limits.maxBodyBytes, limits.maxPayloadBytes + maxEnvelopeBytes, ...sizes);
+  }
+
   function checkJob(region: string, spec: JobSpec): Result<void, Fault> {
     if (region === settings.region || state.config === undefined)
       return components.owner.checkJob(spec);
@@ -237,7 +255,14 @@
   });
   const server = await startHttpServer({
     address: settings.httpAddress,
-    handler: (request, response) => void listener(request, response),
+    name: 'callers',
+    budget,
+    logger,
+    metrics,
+    handler(request, response) {
+      bodyReader.start(request, response, getMaxBodyBytes());
+      void listener(request, response);
+    },
   });
   state.server = server;
   const poller = startInstancePoller({
--- a/packages/daemon/src/httpserver.ts
+++ b/packages/daemon/src/httpserver.ts
@@ -2,14 +2,17 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
 import type { LimitsConfig } from '@bergamotreach/config';
+import { createConnectionGuard } from '@bergamotreach/hosting';
+import type { MemoryBudget } from '@bergamotreach/hosting';
 import {
   FaultCode,
   createFault,
+  createSystemClock,
   faultResponses,
   getOutcome,
   splitAddress,
 } from '@bergamotreach/protocol';
-import type { Fault } from '@bergamotreach/protocol';
+import type { Fault, Logger, Metrics } from '@bergamotreach/protocol';
 import { formatFaultBody } from './responses.ts';
 
 /** Configurable limits of the listener. */
@@ -40,7 +43,17 @@
 export interface HttpServerOptions {
   /** `ip:port`; port 0 selects a free one. */
   address: string;
+  /** Name of the listener in logs and metrics. */
+  name: string;
   handler: RequestHandler;
+  /** Memory that the clients of all listeners may make the process hold. */
+  budget: MemoryBudget;
+  logger: Logger;
+  metrics: Metrics;
+  /** Connections before `applyLimits` is called for the first time. */
+  maxConnections?: number;
+  /** Requests that one connection may send ahead of the answers that it has read. */
+  maxAhead?: number;
 }
 
 const initialReadTimeoutMs = 10_000;
@@ -54,6 +67,12 @@
 // serve.
 const initialMaxConnections = 1024;
 const closeCheckMs = 100;
+/** Clients wait for an answer before they send the next request, or send a few ahead. */
+const defaultMaxAhead = 128;
+/** Part of the received bytes that is parsed at once. */
+const sliceBytes = 4096;
+/** Connections that wait for the guard's decision while others are being closed. */
+const connectionMargin = 64;
 
 function createClientFault(code: string | undefined): Fault {
   if (code === 'ERR_HTTP_REQUEST_TIMEOUT') {
@@ -109,6 +128,23 @@
   return request.rawHeaders.reduce((sum, text) => sum + text.length + 2, lineBytes);
 }
 
+/**
+ * Hands what a connection receives to the HTTP parser in small slices, and nothing more once the connection
+ * is closed. Node.js parses up to 64 KiB at once otherwise: over a thousand requests sent ahead, each with its
+ * objects, before the first one can be refused.
+ */
+function parseInSlices(socket: Socket): void {
+  const parsers = socket.listeners('data') as ((chunk: Buffer) => void)[];
+  const [parse] = parsers;
+  if (parse === undefined || parsers.length > 1) return;
+  socket.removeListener('data', parse);
+  socket.on('data', (chunk: Buffer) => {
+    for (let from = 0; from < chunk.length && !socket.destroyed; from += sliceBytes) {
+      parse(chunk.subarray(from, from + sliceBytes));
+    }
+  });
+}
+
 async function listen(server: Server, address: string): Promise<string> {
   const { host, port } = splitAddress(address);
   await new Promise<void>((resolve, reject) => {
@@ -136,8 +172,20 @@
     },
     handleRequest,
   );
-  server.maxConnections = initialMaxConnections;
+  const maxConnections = options.maxConnections ?? initialMaxConnections;
+  const guard = createConnectionGuard({
+    listener: options.name,
+    budget: options.budget,
+    maxConnections,
+    maxAhead: options.maxAhead ?? defaultMaxAhead,
+    clock: createSystemClock(),
+    logger: options.logger,
+    metrics: options.metrics,
+  });
+  server.maxConnections = maxConnections + connectionMargin;
   server.on('connection', (socket) => {
+    if (!guard.accept(socket)) return;
+    parseInSlices(socket);
     sockets.add(socket);
     socket.once('close', () => sockets.delete(socket));
   });
@@ -150,10 +198,16 @@
   const address = await listen(server, options.address);
 
   function handleRequest(request: IncomingMessage, response: ServerResponse): void {
+    const headerBytes = countHeaderBytes(request);
+    // The rest of what a closed connection has sent is still parsed.
+    if (!guard.startRequest(request.socket, headerBytes)) return;
     openResponses.add(response);
-    response.once('close', () => openResponses.delete(response));
+    response.once('close', () => {
+      openResponses.delete(response);
+      guard.endRequest(request.socket, headerBytes);
+    });
     if (isDraining) response.setHeader('connection', 'close');
-    if (countHeaderBytes(request) <= maxHeaderBytes) options.handler(request, response);
+    if (headerBytes <= maxHeaderBytes) options.handler(request, response);
     else
       sendFault(
         response,
@@ -200,6 +254,7 @@
       });
     });
     clearInterval(timer);
+    guard.close();
   }
 
   return {
@@ -207,7 +262,8 @@
     applyLimits: (limits) => {
       server.requestTimeout = limits.readTimeoutMs;
       server.headersTimeout = limits.readTimeoutMs;
-      server.maxConnections = limits.maxConnections;
+      server.maxConnections = limits.maxConnections + connectionMargin;
+      guard.setMaxConnections(limits.maxConnections);
       maxHeaderBytes = limits.maxHeaderBytes;
     },
     startDraining,
--- a/packages/daemon/tests/httprequest.test.ts
+++ b/packages/daemon/tests/httprequest.test.ts
@@ -1,4 +1,11 @@
-import { FaultCode, Outcome, createFault, faultResponses } from '@bergamotreach/protocol';
+import { createMemoryBudget } from '@bergamotreach/hosting';
+import {
+  FaultCode,
+  Outcome,
+  createFault,
+  createSystemClock,
+  faultResponses,
+} from '@bergamotreach/protocol';
 import { EndpointFault, setEndpointFault } from '@bergamotreach/standin';
 import { expect } from 'earl';
 import { connect } from 'node:net';
@@ -158,7 +165,9 @@
 
 // Guards against bytes that stay reserved after a refusal, which would shrink the budget permanently.
 test('a body refused midway releases the bytes already reserved', async () => {
-  const reader = createBodyReader(10);
+  const reader = createBodyReader({
+    budget: createMemoryBudget({ clock: createSystemClock(), maxBytes: 10 }),
+  });
   const first = createBody();
   first.end(Buffer.alloc(8));
   const kept = await reader.readBody(first, 100);
--- a/packages/dispatch/src/instance.ts
+++ b/packages/dispatch/src/instance.ts
@@ -1,4 +1,4 @@
-import type { Feed, Table } from '@bergamotreach/hosting';
+import type { Feed, MemoryBudget, Table } from '@bergamotreach/hosting';
 import {
   LeaseState,
   WritePriority,
@@ -74,6 +74,8 @@
   logger: Logger;
   metrics: Metrics;
   limits: InstanceLimits;
+  /** Memory that clients of all listeners may make the process hold. */
+  budget: MemoryBudget;
   /** Planning policy set by the operators; the default policy if absent. */
   policy?: PlanPolicy;
 }
@@ -367,7 +369,10 @@
       instances.start();
       await startRelayListener({
         address: options.relayAddress,
+        budget: options.budget,
+        clock,
         logger,
+        metrics,
         handle: (call) => answerRelayedCall(localJobs, call),
       });
       reportHealth();
--- a/packages/dispatch/src/relay.ts
+++ b/packages/dispatch/src/relay.ts
@@ -1,6 +1,7 @@
 import { connect, createServer } from 'node:net';
 import type { Server, Socket } from 'node:net';
-import { getSendAllowanceMs } from '@bergamotreach/hosting';
+import { createConnectionGuard, getSendAllowanceMs } from '@bergamotreach/hosting';
+import type { MemoryBudget } from '@bergamotreach/hosting';
 import {
   FaultCode,
   MessageType,
@@ -246,18 +247,32 @@
 export interface RelayListenerOptions {
   /** `ip:port`. */
   address: string;
+  /** Memory that clients of all listeners may make the process hold. */
+  budget: MemoryBudget;
+  clock: Clock;
   logger: Logger;
+  metrics: Metrics;
   handle: (call: RelayCallMessage) => Promise<RelayAnswerMessage>;
 }
 
 /** Longest time that a connection of a peer may be idle. */
 const maxIdleMs = 5000;
+/** Peers send one call on each connection, and each instance relays to three peers at most. */
+const maxConnections = 512;
+const maxCallsAhead = 8;
 
 /** Starts a server that answers relayed calls. Rejects if the address cannot be used. */
 export async function startRelayListener(options: RelayListenerOptions): Promise<Server> {
   const { logger } = options;
+  const guard = createConnectionGuard({
+    ...options,
+    listener: 'relay',
+    maxConnections,
+    maxAhead: maxCallsAhead,
+  });
 
   function handleSocket(socket: Socket): void {
+    if (!guard.accept(socket)) return;
     const reader = createFrameReader();
     socket.setTimeout(maxIdleMs, () => {
       socket.destroy();
@@ -272,7 +287,13 @@
         socket.destroy();
         return;
       }
-      for (const message of messages.value) void answer(socket, message);
+      guard.setPartial(socket, reader.countPendingBytes());
+      for (const message of messages.value) {
+        if (!guard.startRequest(socket, 0)) return;
+        void answer(socket, message).then(() => {
+          guard.endRequest(socket, 0);
+        });
+      }
     });
   }
 
--- a/packages/dispatch/tests/malformed.test.ts
+++ b/packages/dispatch/tests/malformed.test.ts
@@ -3,7 +3,7 @@
 import type { AddressInfo } from 'node:net';
 import { setImmediate as waitTurn } from 'node:timers/promises';
 import { test } from 'node:test';
-import { Feed } from '@bergamotreach/hosting';
+import { Feed, createMemoryBudget } from '@bergamotreach/hosting';
 import type { FeedPage } from '@bergamotreach/hosting';
 import {
   FaultCode,
@@ -80,7 +80,15 @@
   handle: Parameters<typeof startRelayListener>[0]['handle'],
   run: (port: number) => Promise<void>,
 ): Promise<void> {
-  const server = await startRelayListener({ address: '127.0.0.1:0', logger, handle });
+  const clock = createSystemClock();
+  const server = await startRelayListener({
+    address: '127.0.0.1:0',
+    budget: createMemoryBudget({ clock, maxBytes: Infinity }),
+    clock,
+    logger,
+    metrics: createNullMetrics(),
+    handle,
+  });
   try {
     await run((server.address() as AddressInfo).port);
   } finally {
--- a/packages/dispatch/tests/relay.test.ts
+++ b/packages/dispatch/tests/relay.test.ts
@@ -2,6 +2,7 @@
 import type { AddressInfo, Server } from 'node:net';
 import { test } from 'node:test';
 import { setTimeout as wait } from 'node:timers/promises';
+import { createMemoryBudget } from '@bergamotreach/hosting';
 import {
   FaultCode,
   MessageType,
@@ -16,6 +17,9 @@
 import { createRelay, startRelayListener } from '../src/index.ts';
 
 const logger = createNullLogger();
+const clock = createSystemClock();
+const budget = createMemoryBudget({ clock, maxBytes: Infinity });
+const listenerContext = { budget, clock, logger, metrics: createNullMetrics() };
 /** Fails a test that gets no answer within this time. */
 const maxAnswerMs = 5000;
 const refusalTravelMs = 30;
@@ -40,7 +44,7 @@
   const answer = { type, faultCode, message: '', retryAfterMs: 0, value: 'done' } as const;
   return startRelayListener({
     address: '127.0.0.1:0',
-    logger,
+    ...listenerContext,
     handle: () => Promise.resolve(answer),
   });
 }
@@ -54,7 +58,7 @@
   const answer = { type: MessageType.RelayAnswer, message: '', retryAfterMs: 0 } as const;
   const refusing = await startRelayListener({
     address: '127.0.0.1:0',
-    logger,
+    ...listenerContext,
     handle() {
       reportRefusal();
       return Promise.resolve({ ...answer, faultCode: FaultCode.Unauthorized, value: '' });
@@ -62,7 +66,7 @@
   });
   const late = await startRelayListener({
     address: '127.0.0.1:0',
-    logger,
+    ...listenerContext,
     handle: async () => {
       await refused;
       // Lets the refusal arrive first.
--- a/packages/hosting/src/index.ts
+++ b/packages/hosting/src/index.ts
@@ -1,4 +1,5 @@
 export * from './adaptivetimeout.ts';
+export * from './connectionguard.ts';
 export * from './exchange.ts';
 export * from './feed.ts';
 export * from './httpclient.ts';
@@ -9,6 +10,7 @@
 export * from './instance.ts';
 export * from './lanetimeouts.ts';
 export * from './linkload.ts';
+export * from './memorybudget.ts';
 export * from './objectstore.ts';
 export * from './partload.ts';
 export * from './silencewatch.ts';
--- a/packages/protocol/src/frame.ts
+++ b/packages/protocol/src/frame.ts
@@ -26,38 +26,57 @@
 export interface FrameReader {
   /** Returns the messages that the chunk completes. Faults: `too_large`, `protocol`. */
   readChunk(chunk: Buffer): Result<PeerMessage[], Fault>;
+  /** Bytes of a frame that has not arrived as a whole. */
+  countPendingBytes(): number;
 }
 
 /** Creates a reader for one connection. After a fault the connection must be closed. */
 export function createFrameReader(): FrameReader {
+  /** Joined only once a frame is whole: each join of a frame in small chunks would copy all of it. */
+  let chunks: Buffer[] = [];
+  let pendingBytes = 0;
   let pending: Buffer = Buffer.alloc(0);
+  /** Bytes without which no frame is whole. */
+  let neededBytes = headerBytes;
 
   function readFrame(): Result<PeerMessage | undefined, Fault> {
-    if (pending.length < headerBytes) return Ok(undefined);
+    if (pending.length < headerBytes) {
+      neededBytes = headerBytes;
+      return Ok(undefined);
+    }
     const length = pending.readUInt32BE(0);
     if (length > maxFrameBytes) {
       return Err(
         createFault(FaultCode.TooLarge, `frame of ${length} bytes exceeds ${maxFrameBytes}`),
       );
     }
-    if (pending.length < headerBytes + length) return Ok(undefined);
+    if (pending.length < headerBytes + length) {
+      neededBytes = headerBytes + length;
+      return Ok(undefined);
+    }
     const body = pending.subarray(headerBytes, headerBytes + length);
     pending = pending.subarray(headerBytes + length);
     return decodeBody(body);
   }
 
   function readChunk(chunk: Buffer): Result<PeerMessage[], Fault> {
-    pending = pending.length === 0 ? chunk : Buffer.concat([pending, chunk]);
+    chunks.push(chunk);
+    pendingBytes += chunk.length;
+    if (pendingBytes < neededBytes) return Ok([]);
+    pending = chunks.length === 1 ? chunk : Buffer.concat(chunks);
     const messages: PeerMessage[] = [];
     for (;;) {
       const frame = readFrame();
       if (frame.isErr()) return Err(frame.error);
-      if (frame.value === undefined) return Ok(messages);
+      if (frame.value === undefined) break;
       messages.push(frame.value);
     }
+    chunks = pending.length === 0 ? [] : [pending];
+    pendingBytes = pending.length;
+    return Ok(messages);
   }
 
-  return { readChunk };
+  return { readChunk, countPendingBytes: () => pendingBytes };
 }
 
 function decodeBody(body: Buffer): Result<PeerMessage, Fault> {
