Weigh waits and stops by what they cost callers, and decide about departures

The progress that workers report, linear in time, was not read. Waits, stops and refusals were weighed by measures that do not know each other.

Change: scheduling/callercost.ts measures delays, refusals and stops by expected worth; order and stops use it with planning.measure = callers, and the earlier measures stay as the default policy. Reported progress and observed run times replace declared ones with planning.observesRuns. Runs on workers that leave within less than planning.shortNoticeMs of their notice are stopped at once unless they end in time. The reserve is one per pool; lasting tasks may use it after 2 s, others after two objectives. The deploy file asks for the first three where work is saved at intervals of 1 s or more; settings that would refuse in the file come in a variable. The fake workers of the tests report true progress.

--- a/packages/bench/src/decisions/load.ts
+++ b/packages/bench/src/decisions/load.ts
@@ -50,6 +50,8 @@
   bursts: readonly Burst[];
   /** Declared run times are wrong by up to this factor in either direction. */
   estimateFactor: number;
+  /** Share of the jobs that take `factor` times as long as the others of their queue. */
+  tail?: { share: number; factor: number };
 }
 
 /** A job of a random load. */
@@ -102,7 +104,9 @@
   const jobs: GeneratedJob[] = [];
 
   function createJob(queue: QueueProfile, arrivalMs: number): GeneratedJob {
-    const meanMs = getSample(random, queue.taskMs);
+    const { tail } = profile;
+    const isTail = tail !== undefined && random.getUniform() < tail.share;
+    const meanMs = getSample(random, queue.taskMs) * (isTail ? tail.factor : 1);
     const estimateError = random.getLogUniform(1 / profile.estimateFactor, profile.estimateFactor);
     const step = createStep(random, queue, Math.round(meanMs * estimateError));
     const { priority, stretch, targetMs } = queue;
--- a/packages/bench/src/decisions/policies.ts
+++ b/packages/bench/src/decisions/policies.ts
@@ -1,4 +1,4 @@
-import { createArrivalOrder, createPlanPolicy } from '@bergamotreach/scheduling';
+import { CostMeasure, createArrivalOrder, createPlanPolicy } from '@bergamotreach/scheduling';
 import type { PlanPolicy } from '@bergamotreach/scheduling';
 
 /** A policy under comparison. */
@@ -14,6 +14,12 @@
 export function listPolicies(): NamedPolicy[] {
   return [
     { name: 'default', policy: createPlanPolicy() },
+    { name: 'caller-cost', policy: createPlanPolicy({ measure: CostMeasure.Callers }) },
+    { name: 'observed', policy: createPlanPolicy({ observesRuns: true }) },
+    {
+      name: 'cost-observed',
+      policy: createPlanPolicy({ measure: CostMeasure.Callers, observesRuns: true }),
+    },
     { name: 'no-reserve', policy: createPlanPolicy({ urgentReserveShare: 0 }) },
     { name: 'half-reserve', policy: createPlanPolicy({ urgentReserveShare: 0.5 }) },
     { name: 'no-reservations', policy: createPlanPolicy({ maxReservations: 0 }) },
--- a/packages/bench/src/decisions/scenarios.ts
+++ b/packages/bench/src/decisions/scenarios.ts
@@ -159,4 +159,23 @@
     },
   },
   { name: 'wide-gangs', load: wideGangs, fleet: largeFleet },
+  {
+    name: 'scarce',
+    load: {
+      ...changeArrivalRate(wideGangs, 1.15),
+      accounts: [
+        ['a1', 10],
+        ['a2', 4],
+        ['a3', 2],
+        ['a4', 1],
+      ],
+      estimateFactor: 1.9,
+    },
+    fleet: largeFleet,
+  },
+  {
+    name: 'uneven',
+    load: { ...wideGangs, tail: { share: 0.03, factor: 7 } },
+    fleet: { ...largeFleet, speeds: [0.8, 1, 1.25] },
+  },
 ];
--- a/packages/bench/src/decisions/simulation.ts
+++ b/packages/bench/src/decisions/simulation.ts
@@ -7,13 +7,15 @@
   TaskPhase,
   addResources,
   createPlanPolicy,
-  createUrgentDemand,
+  createRunTimes,
+  createUrgentDemands,
   createWorkerHealth,
   getCoreEquivalent,
   getLatestRun,
   isExhausted,
   isOccupying,
   recordEnd,
+  recordProgress,
   planStarts,
 } from '@bergamotreach/scheduling';
 import type {
@@ -48,6 +50,8 @@
   failing: readonly (Span & { workers: readonly number[] })[];
   /** Rack-bound gangs that span several racks take this many times as long. */
   spreadFactor: number;
+  /** Speeds of the workers relative to the nominal one, assigned in turn; all nominal if absent. */
+  speeds?: readonly number[];
   stopMs: number;
   reclaimMs: number;
   restoreMs: number;
@@ -100,7 +104,8 @@
 ): JobOutcome[] {
   const activeJobs = createActiveJobs();
   const workerHealth = createWorkerHealth();
-  const urgentDemand = createUrgentDemand();
+  const urgentDemand = createUrgentDemands();
+  const runTimes = createRunTimes();
   const outcomes = new Map<string, JobOutcome>();
   const runs = new Map<Task, Run>();
   const saved = new Map<Task, number>();
@@ -169,14 +174,17 @@
   function runPlan(): void {
     if (fleet.ownerGaps.some(isWithin)) return;
     urgentDemand.record(activeJobs.sumUrgentDemand(nowMs), nowMs);
+    if (policy.observesRuns) reportProgress();
     const result = planStarts({
       nowMs,
       workers: buildViews(),
       ready: activeJobs.listReady(nowMs),
+      runTimes,
+      getRanked: (group) => activeJobs.getRanked(group, nowMs),
       suspectsDown: new Map(),
       guaranteed: activeJobs.listGuaranteed(fleet.guarantees),
       preemptUrgentAfterMs: Math.max(0, fleet.reclaimMs - fleet.stopMs - reclaimMarginMs),
-      urgentDemand: urgentDemand.getLevel(),
+      urgentDemand: urgentDemand.getLevels(),
       policy,
     });
     for (const { group, task } of result.stops) {
@@ -188,6 +196,12 @@
     for (const { group, placements } of result.starts) startGroup(group, placements);
   }
 
+  function reportProgress(): void {
+    for (const { placed, startedMs, neededMs } of runs.values()) {
+      recordProgress(placed.task, Math.min(1, (nowMs - startedMs) / neededMs), nowMs);
+    }
+  }
+
   function startGroup(group: TaskGroup, placements: Plan['starts'][number]['placements']): void {
     const gangRun = getLatestRun(group) + 1;
     const racks = new Set(placements.map(({ workerId }) => getRack(workerId)));
@@ -217,7 +231,8 @@
     const isFailing = fleet.failing.some((span) => isWithin(span) && span.workers.includes(index));
     const slowSpan = fleet.slow.find((span) => isWithin(span) && span.workers.includes(index));
     // A gang that spans racks is slowed down as a whole; a slow worker delays the end of its gang.
-    const slowdown = (isSpread ? fleet.spreadFactor : 1) * (slowSpan?.factor ?? 1);
+    const speed = fleet.speeds?.[index % fleet.speeds.length] ?? 1;
+    const slowdown = ((isSpread ? fleet.spreadFactor : 1) * (slowSpan?.factor ?? 1)) / speed;
     const savedMs = saved.get(task) ?? 0;
     const restoreMs = savedMs > 0 ? fleet.restoreMs : 0;
     const trueMs = outcome.job.taskMs[task.index] ?? 0;
@@ -275,6 +290,9 @@
     if (outcome === undefined) return;
     runs.delete(task);
     const ranMs = nowMs - ended.startedMs;
+    if (end === RunEnd.Done && ended.run === 1) {
+      runTimes.record(group.job, group.spec, ranMs, nowMs);
+    }
     const worker = { id: task.workerId };
     let checkpoint = '';
     if (end !== RunEnd.Done) {
--- a/packages/bench/src/planning/planning.ts
+++ b/packages/bench/src/planning/planning.ts
@@ -118,7 +118,7 @@
     ready,
     suspectsDown: new Map(),
     guaranteed,
-    urgentDemand: workerCount,
+    urgentDemand: new Map([['p1', workerCount]]),
     preemptUrgentAfterMs: 1500,
     policy: createPlanPolicy(),
   };
--- a/packages/dispatch/src/activejobs.ts
+++ b/packages/dispatch/src/activejobs.ts
@@ -49,6 +49,8 @@
   findTask(name: string): PlacedTask | undefined;
   /** Groups with tasks that may start at the Unix time `wallMs`. */
   listReady(wallMs: number): ReadyGroup[];
+  /** A group with the age and the mean work by which it is ranked at the Unix time `wallMs`. */
+  getRanked(group: TaskGroup, wallMs: number): ReadyGroup;
   /** Tasks that occupy resources, by worker id. */
   groupByWorker(): Map<string, PlacedTask[]>;
   /** Tasks that occupy resources on one worker. */
@@ -56,9 +58,9 @@
   /** Ids of the urgent jobs that fit within the guarantees of their accounts, oldest first. */
   listGuaranteed(guarantees: ReadonlyMap<string, number>): Set<string>;
   /**
-   * Accelerators that urgent tasks occupy, or would occupy if all that may start at `wallMs` did.
+   * Accelerators that urgent tasks of each pool occupy, or would occupy if all that may start at `wallMs` did.
    */
-  sumUrgentDemand(wallMs: number): number;
+  sumUrgentDemand(wallMs: number): Map<string, number>;
   isComplete(job: ActiveJob): boolean;
 }
 
@@ -145,6 +147,11 @@
       }
       return ready;
     },
+    getRanked(group, wallMs) {
+      const job = jobs.get(group.job.id);
+      const meanWork = workMeans.find(group.job.queue) ?? 0;
+      return { group, ageMs: job === undefined ? 0 : getAgeMs(job, group, wallMs), meanWork };
+    },
     groupByWorker() {
       const placed = new Map<string, PlacedTask[]>();
       visitOccupying((group, task) => {
@@ -178,7 +185,7 @@
       return guaranteed;
     },
     sumUrgentDemand(wallMs) {
-      let sum = 0;
+      const sums = new Map<string, number>();
       for (const job of jobs.values()) {
         if (job.submission.rules.priority !== urgentPriority || isFinal(job.state)) continue;
         for (const group of job.groups.values()) {
@@ -186,10 +193,12 @@
           const tasks = group.tasks.filter(
             (task) => isOccupying(task) || (isCounted && task.phase === TaskPhase.Waiting),
           );
-          sum += tasks.length * group.spec.demand.accelerators;
+          const { pool } = job.submission;
+          const sum = sums.get(pool) ?? 0;
+          sums.set(pool, sum + tasks.length * group.spec.demand.accelerators);
         }
       }
-      return sum;
+      return sums;
     },
     isComplete: (job) => listGroups(job).every(isGroupDone),
   };
--- a/packages/dispatch/src/owner.ts
+++ b/packages/dispatch/src/owner.ts
@@ -4,7 +4,8 @@
 import {
   JobState,
   TaskPhase,
-  createUrgentDemand,
+  createRunTimes,
+  createUrgentDemands,
   createWorkerHealth,
   getCoreEquivalent,
   hasCulprit,
@@ -17,6 +18,7 @@
 } from '@bergamotreach/scheduling';
 import type { CrashRow, GroupRecord } from '@bergamotreach/scheduling';
 import { CancelSource, createJobCancels, isCancel } from './cancels.ts';
+import { createDepartures } from './departures.ts';
 import { createFleet } from './fleet.ts';
 import { buildWorkerViews, countSuspectsDown } from './fleetview.ts';
 import { createHeldRuns } from './heldruns.ts';
@@ -86,8 +88,6 @@
  * Plans also run at this interval: timed jobs, waiting times and worker backoffs cause no event.
  */
 const planIntervalMs = 200;
-/** Checkpointing tasks of a draining worker are stopped this long before it may leave. */
-const drainStopMs = 1500;
 /** Wait beyond the longest lease before the runs of an unlisted worker are given up. */
 const unlistedMarginMs = 500;
 /** Time for orders, one round of planning and the start of a gang on the reclaimed accelerators. */
@@ -102,7 +102,8 @@
   const preemptUrgentAfterMs = Math.max(0, options.reclaimMs - options.stopMs - reclaimMarginMs);
   const activeJobs = createActiveJobs();
   const workerHealth = createWorkerHealth();
-  const urgentDemand = createUrgentDemand();
+  const urgentDemand = createUrgentDemands();
+  const runTimes = createRunTimes();
   const records = new Map<string, GroupRecord>();
   /** Jobs with stored progress that cannot be read. */
   const unreadableJobs = new Set<string>();
@@ -149,7 +150,10 @@
     onReport: (link, report) => reports.handleReport(link, report),
     onLapse: handleLapse,
     onFenced: options.onFenced,
-    onChange: requestPlan,
+    onChange(link) {
+      departures.check(link);
+      requestPlan();
+    },
   });
   const jobRows = createTableReplica<JobRow>({
     feed: options.jobFeed,
@@ -178,6 +182,7 @@
     options,
     activeJobs,
     workerHealth,
+    runTimes,
     observedRuns: new Map(),
     unansweredStarts: new WeakMap(),
     journal,
@@ -208,6 +213,7 @@
   const reports = createRunReports(context, lifecycle, heldRuns);
   const losses = createRunLosses(context);
   const starter = createStarter(context, lifecycle);
+  const departures = createDepartures(context, lifecycle, runTimes);
 
   /** Reads all rows of a table of group records; false if the owner was stopped meanwhile. */
   async function loadRows(
@@ -342,18 +348,6 @@
     }
   }
 
-  /** Lets checkpointing tasks move away before a draining worker leaves. */
-  function stopDrainingRuns(): void {
-    const byWorker = activeJobs.groupByWorker();
-    for (const link of fleet.list()) {
-      const entry = link.getEntry();
-      if (!entry.isDraining || entry.drainRemainingMs > drainStopMs) continue;
-      for (const placed of byWorker.get(link.id) ?? []) {
-        if (placed.group.spec.isCheckpointing) lifecycle.stopTask(placed, 'worker draining');
-      }
-    }
-  }
-
   function requestPlan(): void {
     if (cancelPlan !== undefined || isStopped) return;
     cancelPlan = clock.setTimer(planDelayMs, () => {
@@ -381,9 +375,11 @@
     tickets.updateAllowedWorkers(ready, workers);
     const result = planStarts({
       nowMs: startedAtMs,
-      urgentDemand: urgentDemand.getLevel(),
+      urgentDemand: urgentDemand.getLevels(),
       preemptUrgentAfterMs,
       policy: options.policy,
+      runTimes,
+      getRanked: (group) => activeJobs.getRanked(group, wallMs),
       workers,
       ready,
       suspectsDown: countSuspectsDown(context, startedAtMs),
@@ -414,7 +410,7 @@
     runContainedSync(logger, 'checks of runs', () => {
       heldRuns.releaseExpired();
       dropUnlistedRuns();
-      stopDrainingRuns();
+      departures.checkAll();
       losses.dropExonerated();
     });
     tryPlan();
--- a/packages/dispatch/src/ownercontext.ts
+++ b/packages/dispatch/src/ownercontext.ts
@@ -5,6 +5,7 @@
 import type {
   PlanPolicy,
   Resources,
+  RunTimes,
   Task,
   TaskGroup,
   WorkerHealth,
@@ -65,6 +66,8 @@
   options: OwnerOptions;
   activeJobs: ActiveJobs;
   workerHealth: WorkerHealth;
+  /** Observed run times of the work of this owner; empty after a takeover. */
+  runTimes: RunTimes;
   observedRuns: ObservedRuns;
   unansweredStarts: UnansweredStarts;
   journal: Journal;
--- a/packages/dispatch/src/runreports.ts
+++ b/packages/dispatch/src/runreports.ts
@@ -7,6 +7,7 @@
   isFinal,
   setCheckpoint,
   recordEnd,
+  recordProgress,
   parseTaskName,
 } from '@bergamotreach/scheduling';
 import type { PlacedTask, Resources, TaskGroup } from '@bergamotreach/scheduling';
@@ -36,6 +37,7 @@
 const maxUnknownJobMs = 15_000;
 const unknownJobRetryMs = 250;
 const msPerSecond = 1000;
+const percentPerShare = 100;
 /** Entries of one worker that cannot be read and are logged. */
 const maxReportedEntries = 20;
 
@@ -144,6 +146,10 @@
     }
     observedRuns.delete(task);
     if (ended.end === RunEnd.Done) workerHealth.recordSuccess(link.id);
+    // A resumed run shows only a part of the run time.
+    if (ended.end === RunEnd.Done && ranMs !== undefined && ended.run === 1) {
+      context.runTimes.record(group.job, group.spec, ranMs, clock.getNowMs());
+    }
     if (ended.end === RunEnd.Failed)
       workerHealth.recordFailure(link.id, group.key, clock.getNowMs());
     lifecycle.applyEnd(placed, effect);
@@ -199,6 +205,9 @@
     if (task.phase === TaskPhase.Stopping) {
       stops.stopRun(link, { task: status.task, run: status.run });
     }
+    if (context.options.policy.observesRuns) {
+      recordProgress(task, status.percent / percentPerShare, clock.getNowMs());
+    }
     const observed = observedRuns.get(task);
     if (observed !== undefined) Object.assign(observed, { missedReports: 0, isListed: true });
     if (status.checkpoint !== '' && status.checkpoint !== task.checkpoint) {
--- a/packages/dispatch/src/workerlink.ts
+++ b/packages/dispatch/src/workerlink.ts
@@ -62,6 +62,13 @@
    */
   getEntry(): WorkerEntry;
   updateEntry(entry: WorkerEntry): void;
+  /**
+   * Monotonic time before which a draining worker does not leave; `undefined` if it does not drain or its
+   * entry does not tell.
+   */
+  getLeavesAtMs(): number | undefined;
+  /** Time between the first word that the worker drains and its departure, in milliseconds. */
+  getNoticeMs(): number | undefined;
   getState(): LinkState;
   /** Whether the platform currently lists the worker. */
   isListed(): boolean;
@@ -132,6 +139,17 @@
   let isCalling = false;
   /** When the worker removed its entry; `undefined` while it is not known to have left. */
   let withdrawnAtMs: number | undefined;
+  let leavesAtMs: number | undefined;
+  let noticeMs: number | undefined;
+  updateDeparture();
+
+  /** Later entries repeat the notice with less time left. */
+  function updateDeparture(): void {
+    const { isDraining, drainRemainingMs } = listedEntry;
+    if (!isDraining || !Number.isFinite(drainRemainingMs)) return;
+    noticeMs ??= drainRemainingMs;
+    leavesAtMs = Math.min(leavesAtMs ?? Infinity, clock.getNowMs() + drainRemainingMs);
+  }
 
   function setState(next: LinkState, reason: string): void {
     if (state === next) return;
@@ -296,7 +314,10 @@
     updateEntry(next) {
       listedEntry = next;
       updateCapacity();
+      updateDeparture();
     },
+    getLeavesAtMs: () => leavesAtMs,
+    getNoticeMs: () => noticeMs,
     getState: () => state,
     isListed: () => isListed,
     setListed(value) {
--- a/packages/dispatch/tests/fakeworkers.ts
+++ b/packages/dispatch/tests/fakeworkers.ts
@@ -194,11 +194,11 @@
     this.fencingToken = request.fencingToken;
     this.ackedSequence = Math.max(this.ackedSequence, request.ackedSequence);
     if (request.leaseUntilMs !== undefined) this.renewLease(request.leaseUntilMs);
-    const runs: RunStatus[] = [...this.active].map(([task, { run }]) => ({
+    const runs: RunStatus[] = [...this.active].map(([task, { run, endsAtMs }]) => ({
       task,
       run,
       checkpoint: this.getCheckpoint(task),
-      percent: 50,
+      percent: Math.floor(100 * Math.min(1, 1 - (endsAtMs - this.getClockMs()) / this.runMs)),
     }));
     const ends = this.ended.filter(({ sequence }) => sequence > this.ackedSequence);
     const capacity = this.reportedCapacity;
--- a/packages/dispatch/tests/world.ts
+++ b/packages/dispatch/tests/world.ts
@@ -197,8 +197,8 @@
   evacuate: (dataCentre: string) => void;
   /** Ends the evacuation of a data centre. */
   endEvacuation: (dataCentre: string) => void;
-  /** Lists a worker as draining. */
-  drainWorker: (id: string) => void;
+  /** Lists a worker as draining; it leaves after `remainingMs`, by default the longest lease. */
+  drainWorker: (id: string, remainingMs?: number) => void;
   /** Removes a worker from the list. */
   unlistWorker: (id: string) => void;
   /** Lists a worker with room for this many tasks of one accelerator. */
@@ -253,7 +253,12 @@
  * Creates a world with idle workers and no candidate. Workers are called `w0`, `w1` and so on, and take
  * turns in the data centres `d1`, `d2` and so on.
  */
-export function createWorld(workerCount = 2, taskMs = runMs, dataCentreCount = 1): World {
+export function createWorld(
+  workerCount = 2,
+  taskMs = runMs,
+  dataCentreCount = 1,
+  policy = createPlanPolicy(),
+): World {
   const clock = createManualClock();
   const store = new TableState(clock);
   const workers = new Map<string, FakeWorker>();
@@ -388,7 +393,7 @@
           metrics,
           maxLeaseMs,
           reclaimMs: 2900,
-          policy: createPlanPolicy(),
+          policy,
           stopMs: 900,
           heartbeatMs: 1500,
         });
@@ -462,10 +467,10 @@
       const writes = [{ key: `op/evacuate/${dataCentre}`, value: null }];
       store.apply({ operationId, conditions: [], writes }, 't', 0);
     },
-    drainWorker(id) {
+    drainWorker(id, remainingMs = maxLeaseMs) {
       const bornAtMs = workers.get(id)?.bornAtMs ?? 1;
       const entry = { ...createEntry(id, dataCentreCount), bornAtMs };
-      const draining = { ...entry, isDraining: true, drainRemainingMs: maxLeaseMs };
+      const draining = { ...entry, isDraining: true, drainRemainingMs: remainingMs };
       apply(`servers/${id}`, draining as unknown as RowValue);
     },
     unlistWorker: removeEntry,
--- a/packages/scheduling/src/group.ts
+++ b/packages/scheduling/src/group.ts
@@ -1,4 +1,5 @@
 import type { CrashRecord } from './crashes.ts';
+import type { RunProgress } from './runprogress.ts';
 import type { JobSubmission, StepSpec } from './submission.ts';
 import { formatGroupName } from './taskname.ts';
 
@@ -49,6 +50,8 @@
   crashRecord?: CrashRecord;
   /** Monotonic time before which the task does not start again after a crash; 0 if there was none. */
   retryAtMs: number;
+  /** Progress of the latest run, as far as its worker reports it and the deployment uses it. */
+  progress?: RunProgress;
 }
 
 /** One step of one occurrence of a job, with the state of its tasks. */
--- a/packages/scheduling/src/planner.ts
+++ b/packages/scheduling/src/planner.ts
@@ -15,14 +15,19 @@
 import type { PlanPolicy } from './policy.ts';
 import { listStops, planPreemption, reservePreempted } from './preemption.ts';
 import type { PreemptionPlan } from './preemption.ts';
-import { getTaskMs, getTaskWork } from './ranking.ts';
+import { getTaskMs } from './ranking.ts';
+import type { LossContext, RankedGroup } from './loss.ts';
 import { applyReservation, planReservation } from './reservation.ts';
 import type { GangReservation } from './reservation.ts';
 import { addResources, getDominantShare } from './resources.ts';
 import type { Resources } from './resources.ts';
+import { isOverdue } from './order.ts';
+import { createRunTimes } from './runtimes.ts';
+import type { RunTimes } from './runtimes.ts';
 import { urgentPriority } from './submission.ts';
 import { markUrgentReserve } from './urgentreserve.ts';
 import type { Wait } from './waiting.ts';
+import { UrgentReserve } from './worker.ts';
 import type { PlacedTask, WorkerView } from './worker.ts';
 
 /** A group that may start tasks now: it is due, its dependencies are done and its job has not ended. */
@@ -48,8 +53,12 @@
   suspectsDown: ReadonlyMap<string, number>;
   /** Ids of the urgent jobs that are within the guarantee of their account. */
   guaranteed: ReadonlySet<string>;
-  /** Recent accelerator demand of urgent work; see `UrgentDemand`. */
-  urgentDemand: number;
+  /** Recent accelerator demand of urgent work by pool; see `UrgentDemands`. */
+  urgentDemand: ReadonlyMap<string, number>;
+  /** What was observed about run times; as declared if absent. */
+  runTimes?: RunTimes;
+  /** Age and mean work of a running group; its age counts as 0 if absent. */
+  getRanked?: (group: TaskGroup) => RankedGroup;
   /** Wait after which a guaranteed job may preempt other urgent work, in milliseconds. */
   preemptUrgentAfterMs: number;
   policy: PlanPolicy;
@@ -93,10 +102,40 @@
 /** Backfill must end before the reservation is due even if it takes this many times its declared time. */
 const backfillMargin = 1.3;
 
-function isIdle(input: PlanInput): boolean {
+/** Wait after which a task that lasts may use workers that are reserved for urgent work. */
+const lastingWaitMs = 2000;
+
+/** Groups workers by pool; keeps their order. */
+function groupByPool(workers: readonly WorkerView[]): Map<string, WorkerView[]> {
+  const pools = new Map<string, WorkerView[]>();
+  for (const worker of workers) {
+    const members = pools.get(worker.pool);
+    if (members === undefined) pools.set(worker.pool, [worker]);
+    else members.push(worker);
+  }
+  return pools;
+}
+
+/** Reserves workers of each pool for the urgent work of that pool alone. */
+function reservePools({ policy, urgentDemand }: PlanInput, pools: Map<string, WorkerView[]>): void {
+  for (const [pool, workers] of pools) {
+    const wanted = isIdle(workers) ? 0 : (urgentDemand.get(pool) ?? 0) * policy.urgentReserveShare;
+    markUrgentReserve(workers, wanted);
+  }
+}
+
+/**
+ * Whether a group may use workers that are reserved for urgent work: nothing waits for urgent work that may
+ * never come beyond the bound on waiting.
+ */
+function canUseReserve({ group, ageMs }: ReadyGroup): boolean {
+  return group.spec.isLongRunning ? ageMs > lastingWaitMs : isOverdue(group.job, ageMs);
+}
+
+function isIdle(workers: readonly WorkerView[]): boolean {
   const used: Resources = { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
   const total = { ...used };
-  for (const { capacity, free } of input.workers) {
+  for (const { capacity, free } of workers) {
     addResources(used, capacity);
     addResources(used, free, -1);
     addResources(total, capacity);
@@ -133,12 +172,16 @@
   const preempting = new Set<TaskGroup>();
   const stopping = new Set<Task>();
   const reservations = new Map<TaskGroup, GangReservation>();
-  const isFleetIdle = isIdle(input);
-  markUrgentReserve(
-    input.workers,
-    isFleetIdle ? 0 : input.urgentDemand * input.policy.urgentReserveShare,
-  );
-  const order = input.policy.order.rank(splitReady(input), input);
+  const isFleetIdle = isIdle(input.workers);
+  const pools = groupByPool(input.workers);
+  reservePools(input, pools);
+  const losses: LossContext = {
+    nowMs: input.nowMs,
+    runTimes: input.runTimes ?? createRunTimes(),
+    getRanked: input.getRanked ?? ((group) => ({ group, ageMs: 0, meanWork: 0 })),
+  };
+  const getLoss = (victim: PlacedTask): number => input.policy.loss.getStopLoss(victim, losses);
+  const order = input.policy.order.rank(splitReady(input), { ...input, ...losses });
   /** Number of tasks placed, by group or part of a group. */
   const placedCounts = new Map<TaskGroup, number>();
   markIsolated(input.workers, input.nowMs);
@@ -160,7 +203,8 @@
   }
 
   /** Preempts work for a group, or reserves the resources of stops in progress. */
-  function preemptFor({ group, ageMs }: ReadyGroup, spread: Spread): void {
+  function preemptFor(ready: ReadyGroup, spread: Spread): void {
+    const { group, ageMs } = ready;
     const hasLowerPriority = (victim: TaskGroup): boolean =>
       victim.job.rules.priority > group.job.rules.priority;
     const canPreempt = (victim: TaskGroup): boolean => {
@@ -175,7 +219,7 @@
     const preemption =
       choosePreemption(group, spread, hasLowerPriority) ??
       (canPreemptUrgent ? choosePreemption(group, spread, canPreempt) : undefined);
-    if (preemption === undefined || !isLossAcceptable(group, preemption)) return;
+    if (preemption === undefined || !isLossAcceptable(ready, preemption)) return;
     preempting.add(group);
     reservePreempted(group, preemption);
     for (const victim of listStops(preemption)) {
@@ -190,10 +234,11 @@
    * A guarantee is met at any cost. Beyond its guarantee, a job must not lose far more work than its
    * own: without this limit, a burst of small urgent jobs preempted one wide gang after another.
    */
-  function isLossAcceptable(group: TaskGroup, { cost, victims }: PreemptionPlan): boolean {
+  function isLossAcceptable(ready: ReadyGroup, { cost, victims }: PreemptionPlan): boolean {
+    const { group } = ready;
     if (victims.length === 0 || input.guaranteed.has(group.job.id)) return true;
-    const ownWork = getTaskWork(group.spec) * listWaitingTasks(group).length;
-    return cost <= ownWork * input.policy.maxLossFactor;
+    const waitMs = planReservation(group, input.workers, input.nowMs)?.readyInMs ?? Infinity;
+    return input.policy.loss.isWorth(ready, cost, waitMs, losses);
   }
 
   function markReleasing(victim: PlacedTask): void {
@@ -210,11 +255,11 @@
   ): PreemptionPlan | undefined {
     const sets = listLocalSets(group, input.workers);
     const choices = sets
-      .map((members) => planPreemption(group, members, canPreempt, input.nowMs))
+      .map((members) => planPreemption(group, members, canPreempt, getLoss))
       .filter((found) => found !== undefined);
     const isWide = sets.length === 0 || (choices.length === 0 && spread === Spread.Anywhere);
     if (isWide) {
-      const found = planPreemption(group, input.workers, canPreempt, input.nowMs);
+      const found = planPreemption(group, input.workers, canPreempt, getLoss);
       if (found !== undefined) choices.push(found);
     }
     return choices.sort((a, b) => a.cost - b.cost)[0];
@@ -253,6 +298,17 @@
       .sort((a, b) => a.readyInMs - b.readyInMs)[0];
   }
 
+  /** Opens the workers reserved for urgent work to a group; returns what they were reserved for. */
+  function takeReserve({ job }: TaskGroup): [WorkerView, UrgentReserve][] {
+    const reserved: [WorkerView, UrgentReserve][] = [];
+    for (const worker of pools.get(job.pool) ?? []) {
+      if (worker.urgentReserve === UrgentReserve.None) continue;
+      reserved.push([worker, worker.urgentReserve]);
+      worker.urgentReserve = UrgentReserve.None;
+    }
+    return reserved;
+  }
+
   /** Plans a group with access to reserved slots if it ends before their gang needs them (backfill). */
   function planWithBackfill(ready: ReadyGroup): void {
     const { group } = ready;
@@ -261,8 +317,10 @@
       ([owner, { readyInMs }]) => owner !== group && takesMs <= readyInMs,
     );
     for (const [owner, reservation] of usable) applyReservation(owner, reservation, -1);
+    const reserved = canUseReserve(ready) ? takeReserve(group) : [];
     if (group.spec.isGang) planGang(ready);
     else planTasks(ready);
+    for (const [worker, reserve] of reserved) worker.urgentReserve = reserve;
     for (const [owner, reservation] of usable) applyReservation(owner, reservation);
   }
 
--- a/packages/scheduling/src/preemption.ts
+++ b/packages/scheduling/src/preemption.ts
@@ -1,31 +1,15 @@
-import { TaskPhase, isOccupying } from './group.ts';
+import { TaskPhase } from './group.ts';
 import type { Task, TaskGroup } from './group.ts';
+import { listAffectedTasks } from './loss.ts';
 import { countFittingTasks, getFreeAfterStops, listWaitingTasks } from './packing.ts';
-import { addResources, getCoreEquivalent } from './resources.ts';
+import { addResources } from './resources.ts';
 import type { PlacedTask, WorkerView } from './worker.ts';
 
-const msPerSecond = 1000;
-/** Penalty per stopped task, which favours plans with fewer victims. */
-const stopPenaltyCoreSeconds = 5;
-/** Time that a checkpointing task loses by a restart; other tasks lose their whole run. */
-const restartSeconds = 0.5;
-
 /** Whether the tasks of a running group may be preempted. */
 export type VictimRule = (victim: TaskGroup) => boolean;
 
-/** Core-seconds lost by stopping one task, with a fixed penalty per task. */
-export function getPreemptionLoss({ group, task }: PlacedTask, nowMs: number): number {
-  const cores = getCoreEquivalent(group.spec.demand);
-  if (group.spec.isCheckpointing) return stopPenaltyCoreSeconds + cores * restartSeconds;
-  const ranMs = task.startedAtMs > 0 ? Math.max(0, nowMs - task.startedAtMs) : 0;
-  return stopPenaltyCoreSeconds + (cores * ranMs) / msPerSecond;
-}
-
-/** Tasks that end when one task is stopped: the task itself, or all members of its gang. */
-export function listAffectedTasks(victim: PlacedTask): PlacedTask[] {
-  if (!victim.group.spec.isGang) return [victim];
-  return victim.group.tasks.filter(isOccupying).map((task) => ({ group: victim.group, task }));
-}
+/** Loss by stopping a victim with everything that ends with it. */
+export type StopLossRule = (victim: PlacedTask) => number;
 
 interface PreemptionOption {
   worker: WorkerView;
@@ -34,17 +18,12 @@
   cost: number;
 }
 
-/** Core-seconds lost by stopping a victim with everything that ends with it. */
-function getTotalLoss(victim: PlacedTask, nowMs: number): number {
-  return listAffectedTasks(victim).reduce((sum, one) => sum + getPreemptionLoss(one, nowMs), 0);
-}
-
 /** Lists sets of victims on a worker, least loss first; each set frees more slots than the one before. */
 function listOptions(
   group: TaskGroup,
   worker: WorkerView,
   canPreempt: VictimRule,
-  nowMs: number,
+  getLoss: StopLossRule,
 ): PreemptionOption[] {
   const room = getFreeAfterStops(worker);
   const options: PreemptionOption[] = [];
@@ -52,7 +31,7 @@
   if (slots > 0) options.push({ worker, victims: [], slots, cost: 0 });
   const candidates = worker.placed
     .filter(({ group: owner, task }) => task.phase === TaskPhase.Running && canPreempt(owner))
-    .map((victim) => ({ victim, loss: getTotalLoss(victim, nowMs) }))
+    .map((victim) => ({ victim, loss: getLoss(victim) }))
     .sort((a, b) => a.loss - b.loss);
   const victims: PlacedTask[] = [];
   const counted = new Set<TaskGroup>();
@@ -95,7 +74,7 @@
   return best;
 }
 
-/** Tasks to stop, and the free and freed slots for the group; `cost` is in core-seconds. */
+/** Tasks to stop, and the free and freed slots for the group; `cost` is in the unit of the loss rule. */
 export interface PreemptionPlan {
   victims: PlacedTask[];
   workers: { worker: WorkerView; slots: number }[];
@@ -110,12 +89,12 @@
   group: TaskGroup,
   workers: readonly WorkerView[],
   canPreempt: VictimRule,
-  nowMs: number,
+  getLoss: StopLossRule,
 ): PreemptionPlan | undefined {
   let needed = listWaitingTasks(group).length;
   const choices: WorkerChoice[] = workers.map((worker) => ({
     worker,
-    options: listOptions(group, worker, canPreempt, nowMs),
+    options: listOptions(group, worker, canPreempt, getLoss),
     chosen: { worker, victims: [], slots: 0, cost: 0 },
   }));
   while (needed > 0) {
--- a/packages/scheduling/src/reservation.ts
+++ b/packages/scheduling/src/reservation.ts
@@ -3,6 +3,7 @@
 import { countFittingTasks, getFreeAfterStops, listWaitingTasks } from './packing.ts';
 import { getTaskMs } from './ranking.ts';
 import { addResources } from './resources.ts';
+import { findRemainingMs } from './runprogress.ts';
 import type { PlacedTask, WorkerView } from './worker.ts';
 
 /** Slots reserved for a waiting gang; the work in them runs to its end. */
@@ -16,8 +17,10 @@
 const overrunShare = 0.2;
 const minRemainingMs = 200;
 
-/** Expected remaining time of a run, in milliseconds. */
+/** Expected remaining time of a run by its reported progress, or else as declared, in milliseconds. */
 export function getRemainingMs({ group, task }: PlacedTask, nowMs: number): number {
+  const reportedMs = findRemainingMs(task, nowMs);
+  if (reportedMs !== undefined) return Math.max(reportedMs, minRemainingMs);
   const declaredMs = getTaskMs(group.spec);
   const ranMs = task.startedAtMs > 0 ? nowMs - task.startedAtMs : 0;
   return Math.max(declaredMs - ranMs, declaredMs * overrunShare, minRemainingMs);
--- a/packages/scheduling/src/urgentreserve.ts
+++ b/packages/scheduling/src/urgentreserve.ts
@@ -33,6 +33,27 @@
   };
 }
 
+/** Estimates of the accelerators that urgent work needs, by pool. */
+export interface UrgentDemands {
+  /** Records the accelerators that urgent work of each pool holds or waits for now. */
+  record(accelerators: ReadonlyMap<string, number>, nowMs: number): void;
+  getLevels(): ReadonlyMap<string, number>;
+}
+
+/** Creates estimates that start at zero; pools are added as they have urgent work. */
+export function createUrgentDemands(): UrgentDemands {
+  const demands = new Map<string, UrgentDemand>();
+  return {
+    record(accelerators, nowMs) {
+      for (const pool of accelerators.keys()) {
+        if (!demands.has(pool)) demands.set(pool, createUrgentDemand());
+      }
+      for (const [pool, demand] of demands) demand.record(accelerators.get(pool) ?? 0, nowMs);
+    },
+    getLevels: () => new Map([...demands].map(([pool, demand]) => [pool, demand.getLevel()])),
+  };
+}
+
 /**
  * Reserves whole workers for urgent work by setting `urgentReserve`, rack by rack so that urgent gangs
  * find room in one rack. Without a reserve, each burst of urgent jobs on a full fleet preempts work
--- a/packages/scheduling/tests/planner.test.ts
+++ b/packages/scheduling/tests/planner.test.ts
@@ -4,6 +4,7 @@
   UrgentReserve,
   TaskPhase,
   createPlanPolicy,
+  createRunTimes,
   markUrgentReserve,
   planReservation,
   planStarts,
@@ -104,7 +105,10 @@
   const [first, second] = workers.map(({ urgentReserve }) => urgentReserve);
   expect([first, second]).toEqual([UrgentReserve.UrgentOnly, UrgentReserve.UrgentOnly]);
   const plain = createSingle('plain', 2, { taskCount: 40 });
-  const changes = { urgentDemand: 16, policy: createPlanPolicy({ urgentReserveShare: 1 }) };
+  const changes = {
+    urgentDemand: new Map([['p1', 16]]),
+    policy: createPlanPolicy({ urgentReserveShare: 1 }),
+  };
   // No worker is reserved while the fleet is idle, so keep it busy.
   for (const worker of workers) runOn(worker, createSingle(`b${worker.id}`, 2, { taskCount: 5 }));
   const plan = planStarts(createInput(workers, [createReady(plain)], changes));
@@ -214,7 +218,9 @@
     const low = createSingle('low', 2, { taskCount: 8 });
     const high = createSingle('high', 1, { taskCount: 9 });
     const ready = [createReady(low), createReady(high)];
-    return policy.order.rank(ready, { guaranteed: new Set() }).map(({ group }) => group.job.id);
+    return policy.order
+      .rank(ready, { guaranteed: new Set(), nowMs: 0, runTimes: createRunTimes() })
+      .map(({ group }) => group.job.id);
   };
   expect([order([1]), order()]).toEqual([
     ['low', 'high'],
--- a/packages/scheduling/tests/samples.ts
+++ b/packages/scheduling/tests/samples.ts
@@ -98,7 +98,7 @@
     ready,
     suspectsDown: new Map(),
     guaranteed: new Set(),
-    urgentDemand: 0,
+    urgentDemand: new Map(),
     preemptUrgentAfterMs: 1500,
     policy: createPlanPolicy(),
     ...changes,
