Compute the costs of a group once for each plan

Cause: the measure by caller costs computed the standing of a job for each of its tasks on each worker, and the kinds of work of a step as text each time.

--- a/packages/bench/src/planning/command.ts
+++ b/packages/bench/src/planning/command.ts
@@ -1,3 +1,4 @@
+import { CostMeasure } from '@bergamotreach/scheduling';
 import { defineCommand } from 'citty';
 import { measurePlanning } from './planning.ts';
 import type { PlanningTimes } from './planning.ts';
@@ -16,6 +17,12 @@
   meta: { name: 'planning', description: 'Measure planning rounds on a nearly full fleet' },
   args: {
     rounds: { type: 'string', default: defaultRounds, description: 'Rounds of each size' },
+    measure: {
+      type: 'enum',
+      options: Object.values(CostMeasure),
+      default: CostMeasure.Separate,
+      description: 'How waits and stops are weighed',
+    },
   },
   run({ args }) {
     console.log(
@@ -23,7 +30,9 @@
     );
     for (const workers of workerCounts) {
       for (const waiting of waitingCounts) {
-        console.log(formatRow(measurePlanning(workers, waiting, Number(args.rounds))));
+        console.log(
+          formatRow(measurePlanning(workers, waiting, Number(args.rounds), args.measure)),
+        );
       }
     }
   },
--- a/packages/bench/src/planning/planning.ts
+++ b/packages/bench/src/planning/planning.ts
@@ -1,12 +1,19 @@
 import { createSystemClock } from '@bergamotreach/protocol';
 import {
+  CostMeasure,
   UrgentReserve,
   TaskPhase,
   createGroup,
   createPlanPolicy,
   planStarts,
 } from '@bergamotreach/scheduling';
-import type { PlacedTask, PlanInput, TaskGroup, WorkerView } from '@bergamotreach/scheduling';
+import type {
+  PlacedTask,
+  PlanInput,
+  PlanPolicy,
+  TaskGroup,
+  WorkerView,
+} from '@bergamotreach/scheduling';
 import { createRandom } from '../random.ts';
 import type { Random } from '../random.ts';
 
@@ -95,7 +102,7 @@
   worker.placed = placed;
 }
 
-function createInput(workerCount: number, waitingGroups: number): PlanInput {
+function createInput(workerCount: number, waitingGroups: number, policy: PlanPolicy): PlanInput {
   const random = createRandom(seed);
   const chooseSize = (): number => gangSizes[random.getIndex(gangSizes.length)] ?? 1;
   const running = Array.from({ length: 200 }, (_, index) =>
@@ -120,7 +127,7 @@
     guaranteed,
     urgentDemand: new Map([['p1', workerCount]]),
     preemptUrgentAfterMs: 1500,
-    policy: createPlanPolicy(),
+    policy,
   };
 }
 
@@ -129,12 +136,14 @@
   workers: number,
   waitingGroups: number,
   rounds: number,
+  measure = CostMeasure.Separate,
 ): PlanningTimes {
+  const policy = createPlanPolicy({ measure });
   const clock = createSystemClock();
   const times: number[] = [];
   for (let round = 0; round < rounds; round += 1) {
     // Planning modifies the free resources of its input, so each round needs a new one.
-    const input = createInput(workers, waitingGroups);
+    const input = createInput(workers, waitingGroups, policy);
     const startedMs = clock.getNowMs();
     planStarts(input);
     times.push(clock.getNowMs() - startedMs);
--- a/packages/scheduling/src/loss.ts
+++ b/packages/scheduling/src/loss.ts
@@ -83,7 +83,19 @@
 /** Work since the latest checkpoint of a task that saves, in milliseconds. */
 const unsavedMs = 1000;
 
+/** What a plan has computed about a group; it is needed for each of its tasks on each worker. */
+interface GroupCosts {
+  standing: JobStanding;
+  /** Tasks that are not done. */
+  open: number;
+  /** Loss by stopping the whole gang; absent before it is needed. */
+  gangLoss?: number;
+}
+
 class CallerLoss extends LossMeasure {
+  /** Costs by the plan for which they were computed. */
+  private readonly plans = new WeakMap<LossContext, Map<TaskGroup, GroupCosts>>();
+
   constructor(
     private readonly value: ValuePolicy,
     private readonly late: LatePolicy,
@@ -93,8 +105,18 @@
 
   getStopLoss(victim: PlacedTask, context: LossContext): number {
     const { group } = victim;
-    const affected = listAffectedTasks(victim);
-    const standing = this.computeStanding(context.getRanked(group), context);
+    if (!group.spec.isGang) return this.computeLoss(victim, [victim], context);
+    const costs = this.getCosts(group, context);
+    costs.gangLoss ??= this.computeLoss(victim, listAffectedTasks(victim), context);
+    return costs.gangLoss;
+  }
+
+  private computeLoss(
+    { group }: PlacedTask,
+    affected: readonly PlacedTask[],
+    context: LossContext,
+  ): number {
+    const { standing, open } = this.getCosts(group, context);
     let lostMs = 0;
     for (const { task } of affected) {
       const ranMs = task.startedAtMs > 0 ? context.nowMs - task.startedAtMs : 0;
@@ -106,22 +128,31 @@
       lostWork: (cores * lostMs) / msPerSecond,
     };
     // One of many tasks delays its job by its share, since others may take longer anyway.
-    const open = group.spec.isGang
-      ? 1
-      : group.tasks.filter(({ phase }) => phase !== TaskPhase.Done).length;
-    return getStopCost({ ...standing, worth: standing.worth / open }, loss, this.late);
+    const share = group.spec.isGang ? 1 : 1 / open;
+    return getStopCost({ ...standing, worth: standing.worth * share }, loss, this.late);
   }
 
   isWorth(ready: RankedGroup, loss: number, waitMs: number, context: LossContext): boolean {
-    const standing = this.computeStanding(ready, context);
+    const { nowMs, runTimes } = context;
+    const standing = computeStanding({ ...ready, nowMs, runTimes }, this.value);
     const gain = Number.isFinite(waitMs)
       ? getDelayCost(standing, waitMs, this.late)
       : getRefusalCost(standing, this.late);
     return loss <= gain;
   }
 
-  private computeStanding(ranked: RankedGroup, { nowMs, runTimes }: LossContext): JobStanding {
-    return computeStanding({ ...ranked, nowMs, runTimes }, this.value);
+  private getCosts(group: TaskGroup, context: LossContext): GroupCosts {
+    const known = this.plans.get(context) ?? new Map<TaskGroup, GroupCosts>();
+    this.plans.set(context, known);
+    const found = known.get(group);
+    if (found !== undefined) return found;
+    const { nowMs, runTimes } = context;
+    const costs: GroupCosts = {
+      standing: computeStanding({ ...context.getRanked(group), nowMs, runTimes }, this.value),
+      open: group.tasks.filter(({ phase }) => phase !== TaskPhase.Done).length,
+    };
+    known.set(group, costs);
+    return costs;
   }
 }
 
--- a/packages/scheduling/src/runtimes.ts
+++ b/packages/scheduling/src/runtimes.ts
@@ -45,10 +45,16 @@
 /** Kinds of work that are remembered; the oldest is dropped first. */
 const maxSamples = 512;
 
-/** Kinds that a step belongs to, the narrowest first. */
-function listKinds(job: JobSubmission, spec: StepSpec): string[] {
+const knownKinds = new WeakMap<StepSpec, readonly string[]>();
+
+/** Kinds that a step belongs to, the widest first: what callers declare is corrected by each in turn. */
+function listKinds(job: JobSubmission, spec: StepSpec): readonly string[] {
+  const known = knownKinds.get(spec);
+  if (known !== undefined) return known;
   const queue = JSON.stringify([job.pool, job.queue]);
-  return [`${queue}/${JSON.stringify([job.account, spec.image])}`, queue];
+  const kinds = [queue, `${queue}/${JSON.stringify([job.account, spec.image])}`];
+  knownKinds.set(spec, kinds);
+  return kinds;
 }
 
 /** Creates run times without observations. */
@@ -99,8 +105,7 @@
     estimate(job, spec, nowMs) {
       let median = 0;
       let spread = declaredSpread;
-      // The wider kind corrects what callers declare, and the narrower one corrects the wider.
-      for (const kind of listKinds(job, spec).reverse()) {
+      for (const kind of listKinds(job, spec)) {
         const sample = samples.get(kind);
         if (sample === undefined) continue;
         const weight = getWeight(sample, nowMs);
