Stop parsing what was received while answers wait to be read

Cause: the listener hands received bytes to the HTTP parser in slices. When the answers to requests sent ahead fill a connection, Node.js pauses it, and its parser asserts that it is not called until the connection is read again; the next slice ended the process. Found by reading.

Change: what is left of the received bytes goes back to the connection and is parsed once it is read again.

Result: slices.test.ts, 20 requests of 3 KB sent at once with answers of 64 KB each, failed with the assertion of node:internal/assert before, and passes now, as do the other tests of the daemon.

--- a/packages/daemon/src/httpserver.ts
+++ b/packages/daemon/src/httpserver.ts
@@ -140,6 +140,11 @@
   socket.removeListener('data', parse);
   socket.on('data', (chunk: Buffer) => {
     for (let from = 0; from < chunk.length && !socket.destroyed; from += sliceBytes) {
+      if (socket.isPaused()) {
+        // Answers wait to be read. The parser must not be called until the connection is read again.
+        socket.unshift(chunk.subarray(from));
+        return;
+      }
       parse(chunk.subarray(from, from + sliceBytes));
     }
   });
