Use tickets of short validity from a slow advisor

Cause: a ticket was used only while 2.4 s of its validity were left, counted from before the call.

Change: the margin is at most half of what is left at the answer, and a call names no more workers than leave half of the validity at its answer.

The fake advisor can be slow.

--- a/packages/dispatch/src/tickets.ts
+++ b/packages/dispatch/src/tickets.ts
@@ -38,6 +38,8 @@
   /** Incarnation of the worker that accepts the ticket. */
   bornAtMs: number;
   expiresAtMs: number;
+  /** Validity that must be left for a start. */
+  marginMs: number;
 }
 
 interface StepTickets {
@@ -49,8 +51,13 @@
 
 /** Workers in one call; the time objectives of jobs allow for one call with this many. */
 const workersPerCall = 30;
-/** A ticket must outlive the start window of 2 s and the call that carries it. */
-const minRemainingMs = 2400;
+/** A ticket should outlive the start window of 2 s and the call that carries it. */
+const usualMarginMs = 2400;
+/**
+ * Share of the validity left at the answer that may serve as this margin. A start that is repeated with an expired
+ * ticket is refused, which does no harm; tickets that are never used keep a job from starting.
+ */
+const maxMarginShare = 0.5;
 /** Time for calls of other machines that the advisor handles first. */
 const advisorQueueMs = 1500;
 const retryMs = 300;
@@ -62,6 +69,8 @@
   const { advisor, fleet, clock, logger, metrics } = options;
   const steps = new Map<string, StepTickets>();
   let isRequesting = false;
+  /** Workers that the next call may name, so that half of the validity is left when its answer arrives. */
+  let maxWorkers = workersPerCall;
 
   function getStepTickets(key: string): StepTickets {
     const known = steps.get(key);
@@ -76,7 +85,7 @@
     const bornAtMs = fleet.find(workerId)?.getEntry().bornAtMs;
     const isValid =
       ticket?.bornAtMs === bornAtMs &&
-      (ticket?.expiresAtMs ?? 0) > clock.getNowMs() + minRemainingMs;
+      (ticket?.expiresAtMs ?? 0) > clock.getNowMs() + (ticket?.marginMs ?? 0);
     return isValid ? ticket : undefined;
   }
 
@@ -103,7 +112,6 @@
     return choices
       .map((choice) => ({ id: choice.worker.id, score: getScore(choice) }))
       .sort((a, b) => compareScores(b.score, a.score))
-      .slice(0, workersPerCall)
       .map(({ id }) => id);
   }
 
@@ -124,6 +132,9 @@
     });
     metrics.count('advice.calls', 1, { outcome: result.isOk() ? 'answered' : 'failed' });
     if (result.isOk()) {
+      const perWorkerMs = Math.max(1, tookMs) / ids.length;
+      const fitting = Math.floor(result.value.validityMs / 2 / perWorkerMs);
+      maxWorkers = Math.max(1, Math.min(workersPerCall, fitting));
       const step = getStepTickets(group.key);
       for (const id of ids) {
         const ticket = result.value.tickets.get(id);
@@ -133,7 +144,9 @@
           step.admitted.add(id);
           // Validity is counted from before the call, so a ticket is never used too long.
           const expiresAtMs = startedMs + result.value.validityMs;
-          step.tickets.set(id, { ticket, bornAtMs, expiresAtMs });
+          const leftMs = Math.max(0, expiresAtMs - clock.getNowMs());
+          const marginMs = Math.min(usualMarginMs, leftMs * maxMarginShare);
+          step.tickets.set(id, { ticket, bornAtMs, expiresAtMs, marginMs });
         }
       }
       isRequesting = false;
@@ -162,7 +175,7 @@
       const ids = chooseCandidates(group, workers);
       group.allowedWorkers = allowed;
       if (rules === undefined || ids.length === 0) continue;
-      void requestAdvice(group, rules, ids);
+      void requestAdvice(group, rules, ids.slice(0, maxWorkers));
       return;
     }
   }
--- a/packages/dispatch/tests/fakeadvisor.ts
+++ b/packages/dispatch/tests/fakeadvisor.ts
@@ -12,6 +12,10 @@
   /** Number of next calls that get no answer. */
   lostCalls = 0;
   validityMs = 4000;
+  /** Time that a call takes. */
+  answerMs = 20;
+  /** Further time that it takes for each worker named. */
+  perWorkerMs = 0;
   readonly calls: { step: string; workers: readonly string[] }[] = [];
 
   constructor(private readonly clock: Clock) {
@@ -29,7 +33,7 @@
       await waitFor(this.clock, timeoutMs);
       return Err(createFault(FaultCode.WorkerUnavailable, 'no answer'));
     }
-    await waitFor(this.clock, 20);
+    await waitFor(this.clock, this.answerMs + this.perWorkerMs * workerIds.length);
     const good = workerIds.filter((id) => this.admitted?.has(id) === true);
     const tickets = new Map(good.map((id) => [id, `${step} on ${id}`]));
     return Ok({ tickets, validityMs: this.validityMs });
--- a/packages/dispatch/tests/tickets.test.ts
+++ b/packages/dispatch/tests/tickets.test.ts
@@ -64,3 +64,29 @@
   expect(world.advisor.calls.length >= 2).toEqual(true);
   expect(runner.starts.every(({ ticket }) => ticket !== undefined)).toEqual(true);
 });
+
+// Guards against tickets that are never used since the call for them took a part of their validity: the job would
+// never start (review/10).
+test('tickets of short validity from a slow advisor are used', async () => {
+  const world = createWorld(2);
+  Object.assign(world.advisor, { admitted: new Set(['w1']), validityMs: 3000, answerMs: 700 });
+  world.addCandidate('a');
+  await world.clock.advance(startUpMs);
+  world.submit('j1', [{ taskCount: 8 }]);
+  await world.clock.advance(10_000);
+  expect(world.getState('j1')).toEqual(JobState.Completed);
+});
+
+// Guards against calls for so many workers that all tickets have expired when the answer arrives.
+test('a call names no more workers than the validity of its tickets allows', async () => {
+  const world = createWorld(40);
+  Object.assign(world.advisor, {
+    ...{ admitted: new Set(['w0']), validityMs: 2000 },
+    ...{ answerMs: 100, perWorkerMs: 100 },
+  });
+  world.addCandidate('a');
+  await world.clock.advance(startUpMs);
+  world.submit('j1', [{ taskCount: 8 }]);
+  await world.clock.advance(25_000);
+  expect(world.getState('j1')).toEqual(JobState.Completed);
+});
