--- a/packages/hosting/src/memorybudget.ts
+++ b/packages/hosting/src/memorybudget.ts
@@ -47,7 +47,7 @@
 /** A client without progress for this long is given up before any other. */
 const stalledAfterMs = 1000;
 /** Share of a machine's memory that clients may make the process hold. */
-const memoryShare = 0.2;
+const memoryShare = 0.1;
 const bytesPerMb = 1024 * 1024;
 const minBudgetMb = 16;
 /** More than the callers of one instance need: 128 bodies of the largest usual size at once. */
