Keep callers that wait for the process while others are given up

Cause: a connection counted as without progress 1 s after its latest request or answer, so in a shortage of memory a caller whose submission waited longer for the store was closed before a client that sent a large body byte by byte. Found by reading.

Change: a connection with requests under way waits for the process and does not count as without progress; among those the largest and newest still go first.

Result: memorybudget.test.ts has a case for it, which needs the new call and so was not run on the code before; the tests of hosting, of the listener and of bodies pass.

Conclusion: who is given up follows what the client does, not how long the process takes.

--- a/packages/hosting/src/connectionguard.ts
+++ b/packages/hosting/src/connectionguard.ts
@@ -119,6 +119,7 @@
 
   function markProgress(client: Client): void {
     client.hold.markProgress();
+    client.hold.setWaiting(client.requests > 0);
     clients.delete(client.socket);
     clients.set(client.socket, client);
   }
--- a/packages/hosting/src/memorybudget.ts
+++ b/packages/hosting/src/memorybudget.ts
@@ -14,6 +14,8 @@
   add(bytes: number): boolean;
   /** Records that the client has made progress. */
   markProgress(): void;
+  /** Sets whether the client waits for the process, which does not count as a lack of progress. */
+  setWaiting(isWaiting: boolean): void;
   /** Keeps the hold until it is released: its request is under way. */
   settle(): void;
   /** Returns all bytes; has no effect on a hold that was given up. */
@@ -40,6 +42,7 @@
   cause: HoldCause;
   bytes: number;
   progressMs: number;
+  isWaiting: boolean;
   isSettled: boolean;
   onEvict: () => void;
 }
@@ -87,12 +90,14 @@
   /** The hold to give up; of `cause` alone if that is what exceeds its bound. */
   function findVictim(cause?: HoldCause): Hold | undefined {
     const stalledMs = clock.getNowMs() - stalledAfterMs;
+    const isWithoutProgress = ({ isWaiting, progressMs }: Hold): boolean =>
+      !isWaiting && progressMs < stalledMs;
     let victim: Hold | undefined;
     for (const hold of holds) {
       if (hold.isSettled || hold.bytes <= 0) continue;
       if (cause !== undefined && hold.cause !== cause) continue;
-      const isStalled = hold.progressMs < stalledMs;
-      const isVictimStalled = victim !== undefined && victim.progressMs < stalledMs;
+      const isStalled = isWithoutProgress(hold);
+      const isVictimStalled = victim !== undefined && isWithoutProgress(victim);
       const isWorse =
         victim === undefined ||
         (isStalled === isVictimStalled ? hold.bytes >= victim.bytes : isStalled);
@@ -104,7 +109,7 @@
   return {
     open(cause, onEvict) {
       const hold: Hold = {
-        ...{ cause, onEvict, bytes: 0, isSettled: false },
+        ...{ cause, onEvict, bytes: 0, isWaiting: false, isSettled: false },
         progressMs: clock.getNowMs(),
       };
       holds.add(hold);
@@ -123,6 +128,9 @@
         markProgress() {
           hold.progressMs = clock.getNowMs();
         },
+        setWaiting(isWaiting) {
+          hold.isWaiting = isWaiting;
+        },
         settle() {
           hold.isSettled = true;
         },
--- a/packages/hosting/tests/memorybudget.test.ts
+++ b/packages/hosting/tests/memorybudget.test.ts
@@ -26,6 +26,24 @@
   expect(evicted).toEqual(['stalled', 'large', 'next']);
 });
 
+// Guards against an ordinary caller that waits for a slow store and is given up before a client that sends its
+// body byte by byte.
+test('a client that waits for the process does not count as one without progress', async () => {
+  const clock = createManualClock();
+  const budget = createMemoryBudget({ clock, maxBytes: 100 });
+  const evicted: string[] = [];
+  const waiting = openHold(budget, 'waiting', evicted);
+  waiting.add(10);
+  waiting.setWaiting(true);
+  await clock.advance(1500);
+  openHold(budget, 'slow sender', evicted).add(80);
+  openHold(budget, 'next', evicted).add(20);
+  expect(evicted).toEqual(['slow sender']);
+  waiting.setWaiting(false);
+  openHold(budget, 'another', evicted).add(75);
+  expect(evicted).toEqual(['slow sender', 'waiting']);
+});
+
 // Guards against a request under way that is given up, and against bytes that are never returned.
 test('a settled hold stays until it is released', () => {
   const budget = createMemoryBudget({ clock: createManualClock(), maxBytes: 100 });
