Contain errors of departures, and take a first configuration in chunks

Cause: since decisions about departures also run when an entry changes, outside the containment of errors that the periodic checks have; since a daemon without a configuration held no byte of a body without a declared length, so a first configuration sent in chunks was answered 413. One comment gave a wrong reason for a bound. All found by reading.

Change: the decision at a change of an entry is contained; before the first configuration the largest envelope bounds a body; the comment says what the bound is for.

Result: the tests of departures, the listener and bodies pass (26 with those of the budget); there is no test of either case.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -114,7 +114,8 @@
 
   /** Largest body that any route takes; each checks its own limit. */
   function getMaxBodyBytes(): number {
-    if (state.config === undefined) return 0;
+    // The first configuration may come in chunks, without a declared length.
+    if (state.config === undefined) return maxEnvelopeBytes;
     const { limits, services } = state.config;
     const sizes = Object.values(services).map(({ maxBodyBytes }) => maxBodyBytes);
     return Math.max(limits.maxBodyBytes, limits.maxPayloadBytes + maxEnvelopeBytes, ...sizes);
--- a/packages/dispatch/src/owner.ts
+++ b/packages/dispatch/src/owner.ts
@@ -151,7 +151,9 @@
     onLapse: handleLapse,
     onFenced: options.onFenced,
     onChange(link) {
-      departures.check(link);
+      runContainedSync(logger, 'departure', () => {
+        departures.check(link);
+      });
       requestPlan();
     },
   });
--- a/packages/scheduling/src/runtimes.ts
+++ b/packages/scheduling/src/runtimes.ts
@@ -33,7 +33,7 @@
 const declaredWeight = 8;
 /** The mix of work changes within minutes; older observations say little. */
 const halfLifeMs = 60_000;
-/** Beyond this many halvings nothing is left of a sample. */
+/** More observations than this make the estimate no steadier, only slower to follow a change. */
 const maxWeight = 200;
 /**
  * Largest distance of one observation from the median. A few runs that take seven times as long must
