Check a configuration of the users' platform before it is sent

Cause: a route, key or guarantee that no call can match, and limits without an effect, show only when callers complain.

--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -1,4 +1,5 @@
 export * from './advisor.ts';
+export * from './configcheck.ts';
 export * from './configuration.ts';
 export * from './instance.ts';
 export * from './activejobs.ts';
