Place work by the observed speed of workers

Cause: workers of one pool differ in speed, and a gang or a job of many tasks ends with its slowest one. Nobody knew the speeds, so that single jobs ended seconds sooner or later by placement alone (docs/design/hard-load.md).

Change: scheduling/workerspeed.ts compares the runs of each complete group and keeps a speed by machine, robust against single long runs. With planning.placesBySpeed a group takes the fastest class of workers at which it fits as a whole, and of those the slowest first. Gauge workers.speed.

--- a/packages/bench/src/decisions/policies.ts
+++ b/packages/bench/src/decisions/policies.ts
@@ -16,6 +16,7 @@
     { name: 'default', policy: createPlanPolicy() },
     { name: 'caller-cost', policy: createPlanPolicy({ measure: CostMeasure.Callers }) },
     { name: 'observed', policy: createPlanPolicy({ observesRuns: true }) },
+    { name: 'by-speed', policy: createPlanPolicy({ placesBySpeed: true }) },
     {
       name: 'cost-observed',
       policy: createPlanPolicy({ measure: CostMeasure.Callers, observesRuns: true }),
--- a/packages/bench/src/decisions/simulation.ts
+++ b/packages/bench/src/decisions/simulation.ts
@@ -10,9 +10,11 @@
   createRunTimes,
   createUrgentDemands,
   createWorkerHealth,
+  createWorkerSpeeds,
   getCoreEquivalent,
   getLatestRun,
   isExhausted,
+  isGroupDone,
   isOccupying,
   recordEnd,
   recordProgress,
@@ -106,6 +108,7 @@
   const workerHealth = createWorkerHealth();
   const urgentDemand = createUrgentDemands();
   const runTimes = createRunTimes();
+  const workerSpeeds = createWorkerSpeeds();
   const outcomes = new Map<string, JobOutcome>();
   const runs = new Map<Task, Run>();
   const saved = new Map<Task, number>();
@@ -163,6 +166,7 @@
         releasing,
         placed,
         maxStarts: workerHealth.countStarts(id, placed.length, nowMs),
+        speedClass: policy.placesBySpeed ? workerSpeeds.getClass(id, nowMs) : 0,
         isSuspect: workerHealth.isSuspect(id, nowMs),
         urgentReserve: UrgentReserve.None,
         machine: '',
@@ -292,6 +296,7 @@
     const ranMs = nowMs - ended.startedMs;
     if (end === RunEnd.Done && ended.run === 1) {
       runTimes.record(group.job, group.spec, ranMs, nowMs);
+      workerSpeeds.record(group, task.workerId, ranMs);
     }
     const worker = { id: task.workerId };
     let checkpoint = '';
@@ -305,6 +310,7 @@
       outcome.lostWork += (cores * (ranMs - checkpointedMs * ended.slowdown)) / msPerSecond;
     }
     const effect = recordEnd(group, task, ended.run, end, checkpoint);
+    if (isGroupDone(group)) workerSpeeds.learn(group, nowMs);
     if (end === RunEnd.Done) workerHealth.recordSuccess(worker.id);
     if (end === RunEnd.Failed) workerHealth.recordFailure(worker.id, group.key, nowMs);
     if (group.spec.isGang && end !== RunEnd.Done) stopGroup(group);
--- a/packages/bench/src/planning/planning.ts
+++ b/packages/bench/src/planning/planning.ts
@@ -75,6 +75,7 @@
     releasing: { cpuMillis: 0, memoryMb: 0, accelerators: 0 },
     placed: [],
     maxStarts: Infinity,
+    speedClass: 0,
     isSuspect: false,
     urgentReserve: UrgentReserve.None,
     machine: '',
--- a/packages/dispatch/src/fleetview.ts
+++ b/packages/dispatch/src/fleetview.ts
@@ -66,7 +66,8 @@
   placed: PlacedTask[],
   nowMs: number,
 ): WorkerView {
-  const { workerHealth, orphanUsage, startBackoffs } = context;
+  const { workerHealth, workerSpeeds, orphanUsage, startBackoffs } = context;
+  const { placesBySpeed } = context.options.policy;
   const { id, address, pool, rack, labels, capacity } = link.getEntry();
   const free = { ...capacity };
   const releasing: Resources = { ...noResources };
@@ -89,6 +90,7 @@
     releasing,
     placed,
     maxStarts,
+    speedClass: placesBySpeed ? workerSpeeds.getClass(address, nowMs) : 0,
     isSuspect: workerHealth.isSuspect(id, nowMs),
     urgentReserve: UrgentReserve.None,
     hasOrphans: usedByOrphans !== undefined && getCoreEquivalent(usedByOrphans) > 0,
--- a/packages/dispatch/src/owner.ts
+++ b/packages/dispatch/src/owner.ts
@@ -7,6 +7,7 @@
   createRunTimes,
   createUrgentDemands,
   createWorkerHealth,
+  createWorkerSpeeds,
   getCoreEquivalent,
   hasCulprit,
   markUncounted,
@@ -15,8 +16,9 @@
   noResources,
   parseTaskName,
   planStarts,
+  speedClasses,
 } from '@bergamotreach/scheduling';
-import type { CrashRow, GroupRecord } from '@bergamotreach/scheduling';
+import type { CrashRow, GroupRecord, WorkerView } from '@bergamotreach/scheduling';
 import { CancelSource, createJobCancels, isCancel } from './cancels.ts';
 import { createDepartures } from './departures.ts';
 import { createFleet } from './fleet.ts';
@@ -185,6 +187,7 @@
     activeJobs,
     workerHealth,
     runTimes,
+    workerSpeeds: createWorkerSpeeds(),
     observedRuns: new Map(),
     unansweredStarts: new WeakMap(),
     journal,
@@ -389,6 +392,7 @@
     });
     metrics.reportTiming('plan.duration', clock.getNowMs() - startedAtMs);
     metrics.reportTiming('reports.age', getOldestReportMs());
+    if (options.policy.placesBySpeed) reportSpeeds(workers);
     waitLog.reportWaits(result.waits, workers);
     for (const { group, task, reason, beneficiary } of result.stops) {
       const stopReason = `${reason} by ${beneficiary}`;
@@ -402,6 +406,13 @@
     else if (journal.countPending() > 0) void journal.flush();
   }
 
+  function reportSpeeds(workers: readonly WorkerView[]): void {
+    for (const one of speedClasses) {
+      const count = workers.filter(({ speedClass }) => speedClass === one).length;
+      metrics.setGauge('workers.speed', count, { speedClass: String(one) });
+    }
+  }
+
   /** Longest time since the last report of a worker that has not lapsed. */
   function getOldestReportMs(): number {
     const links = fleet.list().filter((link) => link.getState() !== LinkState.Lapsed);
--- a/packages/dispatch/src/ownercontext.ts
+++ b/packages/dispatch/src/ownercontext.ts
@@ -9,6 +9,7 @@
   Task,
   TaskGroup,
   WorkerHealth,
+  WorkerSpeeds,
 } from '@bergamotreach/scheduling';
 import type { Advisor } from './advisor.ts';
 import type { ServiceConfig } from './configuration.ts';
@@ -68,6 +69,8 @@
   workerHealth: WorkerHealth;
   /** Observed run times of the work of this owner; empty after a takeover. */
   runTimes: RunTimes;
+  /** Observed speeds of machines; empty after a takeover. */
+  workerSpeeds: WorkerSpeeds;
   observedRuns: ObservedRuns;
   unansweredStarts: UnansweredStarts;
   journal: Journal;
--- a/packages/dispatch/src/runreports.ts
+++ b/packages/dispatch/src/runreports.ts
@@ -5,6 +5,7 @@
   addResources,
   getCoreEquivalent,
   isFinal,
+  isGroupDone,
   setCheckpoint,
   recordEnd,
   recordProgress,
@@ -149,7 +150,9 @@
     // A resumed run shows only a part of the run time.
     if (ended.end === RunEnd.Done && ranMs !== undefined && ended.run === 1) {
       context.runTimes.record(group.job, group.spec, ranMs, clock.getNowMs());
+      context.workerSpeeds.record(group, link.getEntry().address, ranMs);
     }
+    if (isGroupDone(group)) context.workerSpeeds.learn(group, clock.getNowMs());
     if (ended.end === RunEnd.Failed)
       workerHealth.recordFailure(link.id, group.key, clock.getNowMs());
     lifecycle.applyEnd(placed, effect);
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -23,3 +23,4 @@
 export * from './waiting.ts';
 export * from './worker.ts';
 export * from './workerhealth.ts';
+export * from './workerspeed.ts';
--- a/packages/scheduling/src/packing.ts
+++ b/packages/scheduling/src/packing.ts
@@ -109,8 +109,40 @@
   return slots;
 }
 
-/** Orders workers of the urgent reserve first, then by best fit: least resources left after placement. */
-function compareSlots(group: TaskGroup, needed: number): (a: Slot, b: Slot) => number {
+/**
+ * The slowest speed class that a group needs for `needed` tasks, if it takes the fastest workers; `undefined` if
+ * not all of them fit.
+ */
+function findPace(slots: readonly Slot[], needed: number): number | undefined {
+  let count = 0;
+  for (const slot of [...slots].sort((a, b) => b.worker.speedClass - a.worker.speedClass)) {
+    count += slot.count;
+    if (count >= needed) return slot.worker.speedClass;
+  }
+  return undefined;
+}
+
+/**
+ * Orders speed classes, lowest rank first. A group ends with its slowest task, so it takes the slowest of the
+ * workers that keep its pace and leaves faster ones to others. Without a pace the fastest go first.
+ */
+function createSpeedRank(slots: readonly Slot[], needed: number): (speedClass: number) => number {
+  if (slots.every(({ worker }) => worker.speedClass === 0)) return () => 0;
+  const pace = findPace(slots, needed);
+  if (pace === undefined) return (speedClass) => -speedClass;
+  return (speedClass) => (speedClass >= pace ? speedClass - pace : Number.MAX_SAFE_INTEGER);
+}
+
+/**
+ * Orders workers of the urgent reserve first, then by speed, then by best fit: least resources left after
+ * placement.
+ */
+function compareSlots(
+  group: TaskGroup,
+  slots: readonly Slot[],
+  needed: number,
+): (a: Slot, b: Slot) => number {
+  const getSpeedRank = createSpeedRank(slots, needed);
   const getLeftover = ({ worker, count }: Slot): number => {
     const left = { ...worker.free };
     addResources(left, group.spec.demand, -Math.min(count, needed));
@@ -123,7 +155,9 @@
     return leftover;
   };
   return (a, b) =>
-    b.worker.urgentReserve - a.worker.urgentReserve || getCachedLeftover(a) - getCachedLeftover(b);
+    b.worker.urgentReserve - a.worker.urgentReserve ||
+    getSpeedRank(a.worker.speedClass) - getSpeedRank(b.worker.speedClass) ||
+    getCachedLeftover(a) - getCachedLeftover(b);
 }
 
 function fillSlots(slots: readonly Slot[], tasks: readonly Task[]): Placement[] {
@@ -167,7 +201,7 @@
   tasks: readonly Task[],
 ): Placement[] | undefined {
   if (countSlots(slots) < tasks.length) return undefined;
-  const placements = fillSlots(slots.sort(compareSlots(group, tasks.length)), tasks);
+  const placements = fillSlots(slots.sort(compareSlots(group, slots, tasks.length)), tasks);
   replaceFailedWorkers(placements);
   return placements;
 }
@@ -257,7 +291,7 @@
   const slots = listSlots(group, workers, getResources);
   const local = slots.filter(({ worker }) => isLocal(group, worker));
   const remote = slots.filter(({ worker }) => !isLocal(group, worker));
-  const order = compareSlots(group, tasks.length);
+  const order = compareSlots(group, slots, tasks.length);
   const usable =
     spread === Spread.Local ? local.sort(order) : [...local.sort(order), ...remote.sort(order)];
   const placements = fillSlots(usable, tasks);
--- a/packages/scheduling/src/policy.ts
+++ b/packages/scheduling/src/policy.ts
@@ -25,6 +25,8 @@
   late: LatePolicy;
   /** Whether the progress that workers report is used; otherwise run times are taken as declared. */
   observesRuns: boolean;
+  /** Whether workers that were seen to be faster or slower than their fellows are chosen by their speed. */
+  placesBySpeed: boolean;
   /**
    * A worker that leaves within less than this time of its notice, in milliseconds, leaves runs whose end
    * is uncertain until its lease expires; they are decided about one by one. 0 turns this off: only runs
@@ -82,6 +84,7 @@
     maxReservations: defaultMaxReservations,
     late: defaultLatePolicy,
     observesRuns: false,
+    placesBySpeed: false,
     shortNoticeMs: 0,
     ...rest,
     value,
--- a/packages/scheduling/src/worker.ts
+++ b/packages/scheduling/src/worker.ts
@@ -33,6 +33,8 @@
   placed: readonly PlacedTask[];
   /** Maximum number of tasks that may start now; 0 excludes the worker. */
   maxStarts: number;
+  /** Speed relative to its fellows; 0 is usual or unknown, see `WorkerSpeeds`. */
+  speedClass: number;
   /** Whether a recent run on it failed and none has succeeded since. */
   isSuspect: boolean;
   /** Whether the worker is reserved for urgent work, and how strictly. */
--- a/packages/scheduling/tests/samples.ts
+++ b/packages/scheduling/tests/samples.ts
@@ -65,6 +65,7 @@
     releasing: { ...noResources },
     placed: [],
     maxStarts: Infinity,
+    speedClass: 0,
     isSuspect: false,
     urgentReserve: UrgentReserve.None,
     hasOrphans: false,
