Bound connections between daemons that have not sent a hello

Cause: the listener for other daemons closed only idle connections without a hello.

Change: at most 256 connections without a hello, 64 KiB and 5 s for the hello whatever arrives meanwhile; the oldest makes room. Refusals are logged at most every 5 s with their number.

--- a/packages/membership/src/peerlistener.ts
+++ b/packages/membership/src/peerlistener.ts
@@ -22,7 +22,14 @@
   close(): void;
 }
 
+/** Time within which a connection must have sent its whole hello. */
 const helloTimeoutMs = 5000;
+/** A hello names each known daemon in about a hundred bytes. */
+const maxHelloBytes = 65_536;
+/** Connections without a hello; all daemons of a large deployment may reconnect at once. */
+const maxUnknownPeers = 256;
+/** Refused connections are logged once in this period. */
+const reportMs = 5000;
 
 function isSameSecret(left: string, right: string): boolean {
   const a = Buffer.from(left);
@@ -33,7 +40,24 @@
 /** Starts listening. Closes connections whose first message is not a valid hello. */
 export async function startPeerListener(options: PeerListenerOptions): Promise<PeerListener> {
   const sockets = new Set<Socket>();
+  /** Connections without a hello, oldest first. */
+  const unknown = new Set<Socket>();
   let receivedBytes = 0;
+  let refused = 0;
+  let reportedMs = -Infinity;
+
+  function refuse(socket: Socket, reason: string): void {
+    refused += 1;
+    unknown.delete(socket);
+    const nowMs = performance.now();
+    if (nowMs - reportedMs >= reportMs) {
+      const address = socket.remoteAddress;
+      options.logger.warn('peer_refused', { address, reason, connections: refused });
+      reportedMs = nowMs;
+      refused = 0;
+    }
+    socket.destroy();
+  }
 
   function acceptHello(message: PeerMessage): string | undefined {
     if (message.type !== MessageType.Hello) return undefined;
@@ -45,11 +69,19 @@
   function handleSocket(socket: Socket): void {
     const reader = createFrameReader();
     let peerId: string | undefined;
+    let helloBytes = 0;
     sockets.add(socket);
-    socket.setTimeout(helloTimeoutMs, () => {
-      if (peerId === undefined) socket.destroy();
-    });
+    unknown.add(socket);
+    const [oldest] = unknown;
+    if (unknown.size > maxUnknownPeers && oldest !== undefined) {
+      refuse(oldest, 'too many connections without a hello');
+    }
+    const timer = setTimeout(() => {
+      if (peerId === undefined) refuse(socket, 'no hello in time');
+    }, helloTimeoutMs);
     socket.on('data', (chunk: Buffer) => {
+      // What arrived before the connection was refused is still delivered.
+      if (socket.destroyed) return;
       receivedBytes += chunk.length;
       const messages = reader.readChunk(chunk);
       if (messages.isErr()) {
@@ -61,16 +93,22 @@
         if (peerId !== undefined) options.onMessage(peerId, message);
         else peerId = acceptHello(message);
         if (peerId === undefined) {
-          options.logger.warn('peer_refused', { address: socket.remoteAddress });
-          socket.destroy();
+          refuse(socket, 'the first message is not a valid hello');
           return;
         }
+        unknown.delete(socket);
       }
+      helloBytes += chunk.length;
+      if (peerId === undefined && helloBytes > maxHelloBytes) refuse(socket, 'hello is too long');
     });
     socket.on('error', () => {
       socket.destroy();
     });
-    socket.on('close', () => sockets.delete(socket));
+    socket.on('close', () => {
+      clearTimeout(timer);
+      sockets.delete(socket);
+      unknown.delete(socket);
+    });
   }
 
   const { host, port } = splitAddress(options.address);
