Do not take a run for gone while its worker has more ends to list

Cause: a worker lists 500 ends at a time.

Change: a report tells whether further ends follow. While they do, a run that is not listed is neither dropped nor counted as missed, and a held run stays held.

--- a/packages/dispatch/src/heldruns.ts
+++ b/packages/dispatch/src/heldruns.ts
@@ -84,10 +84,11 @@
       for (const [task, heldRun] of heldRuns) {
         if (heldRun.workerId !== link.id) continue;
         const isWaiting = isHeld(task);
-        heldRuns.delete(task);
-        if (!isWaiting) continue;
         const name = getTaskName(heldRun.group, task);
         const isListed = report.runs.some((run) => run.task === name && run.run === task.run);
+        if (isWaiting && !isListed && report.hasMoreEnds === true) continue;
+        heldRuns.delete(task);
+        if (!isWaiting) continue;
         logger.info('run_released', { task: name, run: task.run, worker: link.id, isListed });
         if (isListed) resumeRun(heldRun, report.clockMs);
         else lifecycle.dropRun(heldRun);
--- a/packages/dispatch/src/runreports.ts
+++ b/packages/dispatch/src/runreports.ts
@@ -167,7 +167,7 @@
       const status = running.get(key);
       running.delete(key);
       if (status !== undefined) handlePresent(link, { group, task }, status, report.clockMs);
-      else if (!isUnclear(report, getTaskName(group, task))) {
+      else if (report.hasMoreEnds !== true && !isUnclear(report, getTaskName(group, task))) {
         handleAbsent(link, { group, task }, report.clockMs);
       }
     }
--- a/packages/dispatch/src/taskrunner.ts
+++ b/packages/dispatch/src/taskrunner.ts
@@ -123,6 +123,8 @@
   capacity?: Resources;
   runs: readonly RunStatus[];
   ends: readonly EndedRun[];
+  /** Whether further ends follow once these are acknowledged, so that a missing run may have ended. */
+  hasMoreEnds?: boolean;
   /** Parts that cannot be read. */
   skippedEntries?: readonly SkippedEntry[];
 }
--- a/packages/dispatch/tests/fakeworkers.ts
+++ b/packages/dispatch/tests/fakeworkers.ts
@@ -42,6 +42,8 @@
 export class FakeWorker {
   readonly active = new Map<string, ActiveRun>();
   readonly ended: EndedRun[] = [];
+  /** Number of ends that a report lists at most. */
+  maxListedEnds = Infinity;
   /** All runs that ever began. */
   readonly startedRuns: { task: string; run: number; atMs: number }[] = [];
   readonly highestRuns = new Map<string, number>();
@@ -200,9 +202,11 @@
       checkpoint: this.getCheckpoint(task),
       percent: Math.floor(100 * Math.min(1, 1 - (endsAtMs - this.getClockMs()) / this.runMs)),
     }));
-    const ends = this.ended.filter(({ sequence }) => sequence > this.ackedSequence);
+    const unacknowledged = this.ended.filter(({ sequence }) => sequence > this.ackedSequence);
+    const ends = unacknowledged.slice(0, this.maxListedEnds);
+    const hasMoreEnds = unacknowledged.length >= this.maxListedEnds;
     const capacity = this.reportedCapacity;
-    const known = { clockMs: this.getClockMs(), bornAtMs: this.bornAtMs, runs, ends };
+    const known = { clockMs: this.getClockMs(), bornAtMs: this.bornAtMs, runs, ends, hasMoreEnds };
     return Ok(capacity === undefined ? known : { ...known, capacity });
   }
 
--- a/packages/dispatch/tests/takeovers.test.ts
+++ b/packages/dispatch/tests/takeovers.test.ts
@@ -105,3 +105,22 @@
   const [stored] = encodeCrashes(group).records;
   expect(stored?.slice(0, 7)).toEqual(counts);
 });
+
+// Guards against tasks that run a second time though they ended as done while nobody owned them: a worker
+// lists only so many ends at a time.
+test('runs that ended beyond what a worker lists at once do not run again', async () => {
+  const world = createWorld(1, taskMs);
+  world.addCandidate('a');
+  await world.clock.advance(startUpMs);
+  const [worker] = world.workers.values();
+  if (worker === undefined) throw new Error('one worker expected');
+  worker.maxListedEnds = 1;
+  world.submit('j', [{ taskCount: 4 }]);
+  await world.clock.advance(taskMs - 500);
+  expect(worker.active.size).toEqual(4);
+  world.candidates[0]?.process.kill();
+  world.addCandidate('b');
+  await world.clock.advance(leaseWaitMs);
+  expect(worker.startedRuns.map(({ run }) => run)).toEqual([1, 1, 1, 1]);
+  expect(world.getState('j')).toEqual(JobState.Completed);
+});
--- a/packages/scheduling/src/packing.ts
+++ b/packages/scheduling/src/packing.ts
@@ -224,7 +224,7 @@
   return listLocalRacks(group, racks).map((rack) => racks.get(rack) ?? []);
 }
 
-/** Places all waiting tasks in one rack by best fit: the rack with the fewest slots that suffice. */
+/** Places all waiting tasks in one rack: the one with the fastest pace, and of those the one with the fewest slots. */
 function placeOneRack(
   group: TaskGroup,
   workers: readonly WorkerView[],
@@ -232,14 +232,17 @@
 ): Placement[] | undefined {
   const tasks = listWaitingTasks(group);
   const racks = groupByRack(workers);
-  let best: Slot[] | undefined;
+  let best: { slots: Slot[]; pace: number; count: number } | undefined;
   for (const rack of listLocalRacks(group, racks)) {
     const slots = listSlots(group, racks.get(rack) ?? [], getResources);
     const count = countSlots(slots);
     if (count < tasks.length) continue;
-    if (best === undefined || count < countSlots(best)) best = slots;
+    const pace = findPace(slots, tasks.length) ?? 0;
+    const isBetter =
+      best === undefined || pace > best.pace || (pace === best.pace && count < best.count);
+    if (isBetter) best = { slots, pace, count };
   }
-  return best === undefined ? undefined : placeAll(group, best, tasks);
+  return best === undefined ? undefined : placeAll(group, best.slots, tasks);
 }
 
 /** Whether some rack could hold the whole group if it were empty. */
--- a/packages/scheduling/tests/workerspeed.test.ts
+++ b/packages/scheduling/tests/workerspeed.test.ts
@@ -71,6 +71,19 @@
   expect(listClasses([-1, 1, 0], 5, false)).toEqual([-1, 0, 1]);
 });
 
+// Guards against a gang of one rack that takes the slow rack because it has fewer free slots.
+test('a gang of one rack takes the fastest rack', () => {
+  const workers = createFleet([-1, -1, 1, 1, 1]).map((worker, index) => ({
+    ...worker,
+    rack: index < 2 ? 'r1' : 'r2',
+  }));
+  const { capacity } = createWorker('w');
+  const step = { taskCount: 2, isGang: true, isRackBound: true, demand: { ...capacity } };
+  const group = createSingle('j', 1, step);
+  const plan = planStarts(createInput(workers, [createReady(group)]));
+  expect(listWorkers(plan, 'j')).toEqual(['w2', 'w3']);
+});
+
 // Guards against a change for deployments that do not place by speed.
 test('without speeds the best fit decides', () => {
   const workers = createFleet([0, 0]);
