Let best fit go before the speed of workers

Cause: speed before fit scattered small tasks over fast workers, and wide gangs waited for whole workers.

Change: workers are ordered by fit first and by speed among those that fit equally well, racks by their free slots and then by pace.

--- a/packages/scheduling/src/packing.ts
+++ b/packages/scheduling/src/packing.ts
@@ -134,8 +134,8 @@
 }
 
 /**
- * Orders workers of the urgent reserve first, then by speed, then by best fit: least resources left after
- * placement.
+ * Orders workers of the urgent reserve first, then by best fit (least resources left after placement), then by
+ * speed. Speed before fit scattered small tasks over fast workers, so that wide gangs waited for room.
  */
 function compareSlots(
   group: TaskGroup,
@@ -156,8 +156,8 @@
   };
   return (a, b) =>
     b.worker.urgentReserve - a.worker.urgentReserve ||
-    getSpeedRank(a.worker.speedClass) - getSpeedRank(b.worker.speedClass) ||
-    getCachedLeftover(a) - getCachedLeftover(b);
+    getCachedLeftover(a) - getCachedLeftover(b) ||
+    getSpeedRank(a.worker.speedClass) - getSpeedRank(b.worker.speedClass);
 }
 
 function fillSlots(slots: readonly Slot[], tasks: readonly Task[]): Placement[] {
@@ -224,7 +224,7 @@
   return listLocalRacks(group, racks).map((rack) => racks.get(rack) ?? []);
 }
 
-/** Places all waiting tasks in one rack: the one with the fastest pace, and of those the one with the fewest slots. */
+/** Places all waiting tasks in one rack: the one with the fewest slots, and of those the one with the fastest pace. */
 function placeOneRack(
   group: TaskGroup,
   workers: readonly WorkerView[],
@@ -239,7 +239,7 @@
     if (count < tasks.length) continue;
     const pace = findPace(slots, tasks.length) ?? 0;
     const isBetter =
-      best === undefined || pace > best.pace || (pace === best.pace && count < best.count);
+      best === undefined || count < best.count || (count === best.count && pace > best.pace);
     if (isBetter) best = { slots, pace, count };
   }
   return best === undefined ? undefined : placeAll(group, best.slots, tasks);
