Drop the highest rate of a run, which nothing uses

Cause: recordProgress kept the highest rate of each run for restarts that were never built; workers turn slow for 5 to 7 s on the site files, too short for a restart to pay.

--- a/packages/scheduling/src/runprogress.ts
+++ b/packages/scheduling/src/runprogress.ts
@@ -11,8 +11,6 @@
   /** Beginning of the period over which the rate is measured. */
   fromShare: number;
   fromMs: number;
-  /** Highest rate of the run so far, as a share per millisecond; 0 before the first measurement. */
-  fastestRate: number;
 }
 
 /** Shortest period over which a rate is measured. */
@@ -34,7 +32,6 @@
       atMs: nowMs,
       fromShare: share,
       fromMs: nowMs,
-      fastestRate: 0,
     };
     return;
   }
@@ -45,7 +42,6 @@
   }
   known.share = share;
   known.atMs = nowMs;
-  known.fastestRate = Math.max(known.fastestRate, findRate(task) ?? 0);
 }
 
 /** Latest rate of the current run, as a share per millisecond; `undefined` before it can be measured. */
--- a/packages/scheduling/tests/callercost.test.ts
+++ b/packages/scheduling/tests/callercost.test.ts
@@ -90,7 +90,6 @@
   Object.assign(running, { phase: 'running', run: 1, startedAtMs: 1000 });
   running.progress = {
     ...{ run: 1, share: 0.75, atMs: 4000, fromShare: 0.5, fromMs: 3000 },
-    fastestRate: 0.00025,
   };
   const standing = computeStanding(
     { group, ageMs: 4000, meanWork: 180, nowMs: 4000, runTimes: createRunTimes() },
--- a/packages/scheduling/tests/leaving.test.ts
+++ b/packages/scheduling/tests/leaving.test.ts
@@ -27,7 +27,6 @@
     Object.assign(task, { phase: TaskPhase.Running, run: 1, startedAtMs: nowMs - 1000 });
     task.progress = {
       ...{ run: 1, share, atMs: nowMs, fromShare: 0, fromMs: nowMs - 1000 },
-      fastestRate: share / 1000,
     };
   }
   const standing = computeStanding(
