Observe the speeds of workers only where they are used

Cause: found on reading the change: runs were compared, and the racks of a group sorted by pace, also where placesBySpeed is off.

Change: speeds are recorded only with the setting, and without speeds neither slots nor racks are sorted for a pace.

Measured: 53 tests of planner, speeds, owner and takeovers pass.

--- a/packages/dispatch/src/runreports.ts
+++ b/packages/dispatch/src/runreports.ts
@@ -49,6 +49,7 @@
   heldRuns: HeldRuns,
 ): RunReports {
   const { activeJobs, journal, stops, workerHealth, observedRuns, orphanUsage } = context;
+  const { placesBySpeed } = context.options.policy;
   const { clock, logger, metrics } = context.options;
 
   /** The latest report of each worker that arrived before the jobs were loaded. */
@@ -150,9 +151,11 @@
     // A resumed run shows only a part of the run time.
     if (ended.end === RunEnd.Done && ranMs !== undefined && ended.run === 1) {
       context.runTimes.record(group.job, group.spec, ranMs, clock.getNowMs());
-      context.workerSpeeds.record(group, link.getEntry().address, ranMs);
+      if (placesBySpeed) context.workerSpeeds.record(group, link.getEntry().address, ranMs);
+    }
+    if (placesBySpeed && isGroupDone(group)) {
+      context.workerSpeeds.learn(group, clock.getNowMs());
     }
-    if (isGroupDone(group)) context.workerSpeeds.learn(group, clock.getNowMs());
     if (ended.end === RunEnd.Failed)
       workerHealth.recordFailure(link.id, group.key, clock.getNowMs());
     lifecycle.applyEnd(placed, effect);
--- a/packages/scheduling/src/packing.ts
+++ b/packages/scheduling/src/packing.ts
@@ -109,11 +109,16 @@
   return slots;
 }
 
+function hasSpeeds(slots: readonly Slot[]): boolean {
+  return slots.some(({ worker }) => worker.speedClass !== 0);
+}
+
 /**
  * The slowest speed class that a group needs for `needed` tasks, if it takes the fastest workers; `undefined` if
  * not all of them fit.
  */
 function findPace(slots: readonly Slot[], needed: number): number | undefined {
+  if (!hasSpeeds(slots)) return countSlots(slots) >= needed ? 0 : undefined;
   let count = 0;
   for (const slot of [...slots].sort((a, b) => b.worker.speedClass - a.worker.speedClass)) {
     count += slot.count;
@@ -127,7 +132,7 @@
  * workers that keep its pace and leaves faster ones to others. Without a pace the fastest go first.
  */
 function createSpeedRank(slots: readonly Slot[], needed: number): (speedClass: number) => number {
-  if (slots.every(({ worker }) => worker.speedClass === 0)) return () => 0;
+  if (!hasSpeeds(slots)) return () => 0;
   const pace = findPace(slots, needed);
   if (pace === undefined) return (speedClass) => -speedClass;
   return (speedClass) => (speedClass >= pace ? speedClass - pace : Number.MAX_SAFE_INTEGER);
