Observe run times only where observesRuns asks for it

Change: ends are recorded only with observesRuns, in the owner and in the played loads. Deployments are not touched: the deploy file asks for both or neither.

--- a/packages/bench/src/decisions/simulation.ts
+++ b/packages/bench/src/decisions/simulation.ts
@@ -295,7 +295,7 @@
     runs.delete(task);
     const ranMs = nowMs - ended.startedMs;
     if (end === RunEnd.Done && ended.run === 1) {
-      runTimes.record(group.job, group.spec, ranMs, nowMs);
+      if (policy.observesRuns) runTimes.record(group.job, group.spec, ranMs, nowMs);
       workerSpeeds.record(group, task.workerId, ranMs);
     }
     const worker = { id: task.workerId };
--- a/packages/dispatch/src/runreports.ts
+++ b/packages/dispatch/src/runreports.ts
@@ -49,7 +49,7 @@
   heldRuns: HeldRuns,
 ): RunReports {
   const { activeJobs, journal, stops, workerHealth, observedRuns, orphanUsage } = context;
-  const { placesBySpeed } = context.options.policy;
+  const { observesRuns, placesBySpeed } = context.options.policy;
   const { clock, logger, metrics } = context.options;
 
   /** The latest report of each worker that arrived before the jobs were loaded. */
@@ -150,7 +150,7 @@
     if (ended.end === RunEnd.Done) workerHealth.recordSuccess(link.id);
     // A resumed run shows only a part of the run time.
     if (ended.end === RunEnd.Done && ranMs !== undefined && ended.run === 1) {
-      context.runTimes.record(group.job, group.spec, ranMs, clock.getNowMs());
+      if (observesRuns) context.runTimes.record(group.job, group.spec, ranMs, clock.getNowMs());
       if (placesBySpeed) context.workerSpeeds.record(group, link.getEntry().address, ranMs);
     }
     if (placesBySpeed && isGroupDone(group)) {
@@ -211,7 +211,7 @@
     if (task.phase === TaskPhase.Stopping) {
       stops.stopRun(link, { task: status.task, run: status.run });
     }
-    if (context.options.policy.observesRuns) {
+    if (observesRuns) {
       recordProgress(task, status.percent / percentPerShare, clock.getNowMs());
     }
     const observed = observedRuns.get(task);
