Measure idleness by pool where a job waits for its rack

Cause: a job gives up its rack after 5 s only while the fleet is idle, and idleness was measured over the workers of all pools.

Change: idleness is that of the job's own pool, as for the urgent reserve.

Evidence: both tests of pools.test.ts failed before and pass now; the tests of the planner and of the reserve are unchanged and pass.

--- a/packages/scheduling/src/planner.ts
+++ b/packages/scheduling/src/planner.ts
@@ -93,9 +93,9 @@
 
 /** Longest wait of an urgent job for its rack; preemption must fit into the rest of its reclaim time. */
 const urgentLocalWaitMs = 2100;
-/** Longest wait of a job for its rack while the fleet is idle. */
+/** Longest wait of a job for its rack while its pool is idle. */
 const idleLocalWaitMs = 5000;
-/** The fleet counts as idle while its dominant share in use is at most this. */
+/** A pool counts as idle while its dominant share in use is at most this. */
 const idleUsedShare = 0.5;
 /** Wait after which a gang gets a reservation. */
 const reserveAfterMs = 2500;
@@ -117,10 +117,14 @@
 }
 
 /** Reserves workers of each pool for the urgent work of that pool alone. */
-function reservePools({ policy, urgentDemand }: PlanInput, pools: Map<string, WorkerView[]>): void {
+function reservePools(
+  { policy, urgentDemand }: PlanInput,
+  pools: ReadonlyMap<string, WorkerView[]>,
+  idlePools: ReadonlySet<string>,
+): void {
   for (const [pool, workers] of pools) {
-    const wanted = isIdle(workers) ? 0 : (urgentDemand.get(pool) ?? 0) * policy.urgentReserveShare;
-    markUrgentReserve(workers, wanted);
+    const demand = idlePools.has(pool) ? 0 : (urgentDemand.get(pool) ?? 0);
+    markUrgentReserve(workers, demand * policy.urgentReserveShare);
   }
 }
 
@@ -147,14 +151,10 @@
  * Rack-bound work that is spread over racks takes several times as long: it misses its objective and
  * occupies resources longer. So it waits for a rack, as long as some rack could hold it.
  */
-function chooseSpread(
-  { group, ageMs }: ReadyGroup,
-  input: PlanInput,
-  isFleetIdle: boolean,
-): Spread {
+function chooseSpread({ group, ageMs }: ReadyGroup, input: PlanInput, isPoolIdle: boolean): Spread {
   const { isGang, isRackBound } = group.spec;
   if (isRackBound && isGang && !canFitRack(group, input.workers)) return Spread.Anywhere;
-  if (isFleetIdle && ageMs >= idleLocalWaitMs) return Spread.Anywhere;
+  if (isPoolIdle && ageMs >= idleLocalWaitMs) return Spread.Anywhere;
   const isUrgent = group.job.rules.priority === urgentPriority;
   return isUrgent && ageMs >= urgentLocalWaitMs ? Spread.Anywhere : Spread.Local;
 }
@@ -172,9 +172,12 @@
   const preempting = new Set<TaskGroup>();
   const stopping = new Set<Task>();
   const reservations = new Map<TaskGroup, GangReservation>();
-  const isFleetIdle = isIdle(input.workers);
   const pools = groupByPool(input.workers);
-  reservePools(input, pools);
+  // Work of one pool never waits for what other pools have in use.
+  const idlePools = new Set(
+    [...pools].filter(([, workers]) => isIdle(workers)).map(([pool]) => pool),
+  );
+  reservePools(input, pools, idlePools);
   const losses: LossContext = {
     nowMs: input.nowMs,
     runTimes: input.runTimes ?? createRunTimes(),
@@ -269,7 +272,7 @@
     const { group } = ready;
     // All members start together, so the gang waits until its previous run has ended everywhere.
     if (group.tasks.some(isOccupying)) return;
-    const spread = chooseSpread(ready, input, isFleetIdle);
+    const spread = chooseSpread(ready, input, idlePools.has(group.job.pool));
     const placements = placeGang(group, input.workers, spread);
     if (placements !== undefined) addStart(group, placements);
     else if (group.job.rules.priority === urgentPriority) preemptFor(ready, spread);
@@ -326,7 +329,7 @@
 
   function planTasks(ready: ReadyGroup): void {
     const { group } = ready;
-    const spread = chooseSpread(ready, input, isFleetIdle);
+    const spread = chooseSpread(ready, input, idlePools.has(group.job.pool));
     addStart(group, placeTasks(group, input.workers, spread));
     const placed = placedCounts.get(group) ?? 0;
     const isUrgent = group.job.rules.priority === urgentPriority;
--- /dev/null
+++ b/packages/scheduling/tests/pools.test.ts
@@ -0,0 +1,48 @@
+import { test } from 'node:test';
+import { expect } from 'earl';
+import { planStarts } from '../src/index.ts';
+import type { TaskGroup, WorkerView } from '../src/index.ts';
+import {
+  createInput,
+  createReady,
+  createSingle,
+  createWorker,
+  listWorkers,
+  runOn,
+} from './samples.ts';
+
+const otherPool = 'p2';
+const longWaitMs = 6000;
+/** Two workers in use, in the pool `p1` by default. */
+function createBusy(): WorkerView[] {
+  const workers = ['busy-1', 'busy-2'].map((id) => createWorker(id));
+  for (const worker of workers) runOn(worker, createSingle(`on-${worker.id}`, 1, { taskCount: 8 }));
+  return workers;
+}
+
+function moveToOtherPool(group: TaskGroup): TaskGroup {
+  return { ...group, job: { ...group.job, pool: otherPool } };
+}
+
+// Guards against a job that waits for its rack without bound on idle workers, since the workers of another
+// pool are in use and the fleet as a whole is not idle.
+test('a job of an idle pool gives up its rack although another pool is busy', () => {
+  const idle = { ...createWorker('idle-1', 'r2'), pool: otherPool };
+  const group = moveToOtherPool(createSingle('bound', 1, { preferredRack: 'r9' }));
+  const plan = planStarts(createInput([...createBusy(), idle], [createReady(group, longWaitMs)]));
+  expect(listWorkers(plan, 'bound')).toEqual(['idle-1']);
+});
+
+// Guards against the reverse: an idle pool must not count for a busy one, where longer runs delay others.
+test('a job of a busy pool keeps waiting for its rack although another pool is idle', () => {
+  const idle = ['idle-1', 'idle-2', 'idle-3'].map((id) => ({
+    ...createWorker(id),
+    pool: otherPool,
+  }));
+  const [first, second] = createBusy();
+  const free = createWorker('free', 'r2');
+  const workers = [first, second, free].filter((worker) => worker !== undefined);
+  const group = createSingle('bound', 1, { preferredRack: 'r9' });
+  const plan = planStarts(createInput([...workers, ...idle], [createReady(group, longWaitMs)]));
+  expect(listWorkers(plan, 'bound')).toEqual([]);
+});
