Count reservations of waiting gangs by pool

What callers saw: a gang of one service never got a reservation while two gangs of another service waited, so newer work overtook it.

Cause: maxReservations counted the reservations of all pools together.

Change: it counts those of the gang's pool.

Evidence: the third test of pools.test.ts failed before and passes now.

--- a/packages/scheduling/src/planner.ts
+++ b/packages/scheduling/src/planner.ts
@@ -279,8 +279,13 @@
     else reserveForGang(ready, spread);
   }
 
+  function countReservations(pool: string): number {
+    return [...reservations.keys()].filter(({ job }) => job.pool === pool).length;
+  }
+
   function reserveForGang({ group, ageMs }: ReadyGroup, spread: Spread): void {
-    if (ageMs < reserveAfterMs || reservations.size >= input.policy.maxReservations) return;
+    if (ageMs < reserveAfterMs) return;
+    if (countReservations(group.job.pool) >= input.policy.maxReservations) return;
     const afterStops = placeGang(group, input.workers, spread, getFreeAfterStops);
     if (afterStops !== undefined) {
       reservePlacements(group, afterStops);
--- a/packages/scheduling/src/policy.ts
+++ b/packages/scheduling/src/policy.ts
@@ -17,7 +17,7 @@
    * sooner and delays other work.
    */
   urgentReserveShare: number;
-  /** Maximum number of waiting gangs with a reservation at the same time; 0 turns reservations off. */
+  /** Maximum number of waiting gangs of a pool with a reservation at the same time; 0 turns reservations off. */
   maxReservations: number;
   /** How operators value jobs. */
   value: ValuePolicy;
--- a/packages/scheduling/tests/pools.test.ts
+++ b/packages/scheduling/tests/pools.test.ts
@@ -1,6 +1,6 @@
 import { test } from 'node:test';
 import { expect } from 'earl';
-import { planStarts } from '../src/index.ts';
+import { createPlanPolicy, planStarts } from '../src/index.ts';
 import type { TaskGroup, WorkerView } from '../src/index.ts';
 import {
   createInput,
@@ -13,6 +13,12 @@
 
 const otherPool = 'p2';
 const longWaitMs = 6000;
+const gang = {
+  isGang: true,
+  taskCount: 16,
+  demand: { cpuMillis: 1000, memoryMb: 1000, accelerators: 1 },
+};
+
 /** Two workers in use, in the pool `p1` by default. */
 function createBusy(): WorkerView[] {
   const workers = ['busy-1', 'busy-2'].map((id) => createWorker(id));
@@ -46,3 +52,27 @@
   const plan = planStarts(createInput([...workers, ...idle], [createReady(group, longWaitMs)]));
   expect(listWorkers(plan, 'bound')).toEqual([]);
 });
+
+// Guards against gangs of one pool that take all reservations, so that newer work of another pool overtakes
+// its gang for ever.
+test('gangs of one pool leave reservations to another pool', () => {
+  const policy = createPlanPolicy({ maxReservations: 1 });
+  const own = [createWorker('own-1'), createWorker('own-2')];
+  const other = ['other-1', 'other-2'].map((id) => ({ ...createWorker(id), pool: otherPool }));
+  const inUse = [own[0], other[0]].filter((worker) => worker !== undefined);
+  for (const worker of inUse) {
+    const group = { ...createSingle(`on-${worker.id}`, 1, { taskCount: 8 }) };
+    runOn(worker, worker.pool === otherPool ? moveToOtherPool(group) : group, 9000);
+  }
+  const first = createSingle('first', 1, gang);
+  const second = moveToOtherPool(createSingle('second', 1, gang));
+  // It would still run when the reservation of the other pool's gang is due.
+  const long = moveToOtherPool(createSingle('long', 2, { estimatedMs: 60_000 }));
+  const ready = [
+    createReady(first, longWaitMs),
+    createReady(second, longWaitMs - 1),
+    createReady(long),
+  ];
+  const plan = planStarts(createInput([...own, ...other], ready, { policy }));
+  expect(listWorkers(plan, 'long')).toEqual([]);
+});
