--- a/packages/scheduling/tests/pools.test.ts
+++ b/packages/scheduling/tests/pools.test.ts
@@ -26,7 +26,7 @@
   return workers;
 }
 
-function moveToOtherPool(group: TaskGroup): TaskGroup {
+function setOtherPool(group: TaskGroup): TaskGroup {
   return { ...group, job: { ...group.job, pool: otherPool } };
 }
 
@@ -34,7 +34,7 @@
 // pool are in use and the fleet as a whole is not idle.
 test('a job of an idle pool gives up its rack although another pool is busy', () => {
   const idle = { ...createWorker('idle-1', 'r2'), pool: otherPool };
-  const group = moveToOtherPool(createSingle('bound', 1, { preferredRack: 'r9' }));
+  const group = setOtherPool(createSingle('bound', 1, { preferredRack: 'r9' }));
   const plan = planStarts(createInput([...createBusy(), idle], [createReady(group, longWaitMs)]));
   expect(listWorkers(plan, 'bound')).toEqual(['idle-1']);
 });
@@ -62,12 +62,12 @@
   const inUse = [own[0], other[0]].filter((worker) => worker !== undefined);
   for (const worker of inUse) {
     const group = { ...createSingle(`on-${worker.id}`, 1, { taskCount: 8 }) };
-    runOn(worker, worker.pool === otherPool ? moveToOtherPool(group) : group, 9000);
+    runOn(worker, worker.pool === otherPool ? setOtherPool(group) : group, 9000);
   }
   const first = createSingle('first', 1, gang);
-  const second = moveToOtherPool(createSingle('second', 1, gang));
+  const second = setOtherPool(createSingle('second', 1, gang));
   // It would still run when the reservation of the other pool's gang is due.
-  const long = moveToOtherPool(createSingle('long', 2, { estimatedMs: 60_000 }));
+  const long = setOtherPool(createSingle('long', 2, { estimatedMs: 60_000 }));
   const ready = [
     createReady(first, longWaitMs),
     createReady(second, longWaitMs - 1),
