Do not take a run for gone while its worker lists other ends

A list that is cut by its size looks complete, and a run of an earlier owner that it does not hold was given up at the first report.

Change: such a run is gone at the first report without ends, or after five reports with ends; a held run stays held until a report without ends.

Evidence: 'runs that ended beyond a list that is cut by its size do not run again' started a task twice before and passes now.

--- a/packages/dispatch/src/heldruns.ts
+++ b/packages/dispatch/src/heldruns.ts
@@ -86,7 +86,8 @@
         const isWaiting = isHeld(task);
         const name = getTaskName(heldRun.group, task);
         const isListed = report.runs.some((run) => run.task === name && run.run === task.run);
-        if (isWaiting && !isListed && report.hasMoreEnds === true) continue;
+        // Its end may follow those that the report lists.
+        if (isWaiting && !isListed && report.ends.length > 0) continue;
         heldRuns.delete(task);
         if (!isWaiting) continue;
         logger.info('run_released', { task: name, run: task.run, worker: link.id, isListed });
--- a/packages/dispatch/src/runreports.ts
+++ b/packages/dispatch/src/runreports.ts
@@ -11,7 +11,7 @@
   recordProgress,
   parseTaskName,
 } from '@bergamotreach/scheduling';
-import type { PlacedTask, Resources, TaskGroup } from '@bergamotreach/scheduling';
+import type { PlacedTask, Resources, Task, TaskGroup } from '@bergamotreach/scheduling';
 import { waitFor } from '@bergamotreach/protocol';
 import type { HeldRuns } from './heldruns.ts';
 import type { JobLifecycle } from './joblifecycle.ts';
@@ -31,6 +31,12 @@
 
 /** A run that this many consecutive reports do not list is gone. */
 const maxMissedReports = 2;
+/**
+ * A list of ends may be cut by its size, so a run of an earlier owner that is missing from it may have ended. It is
+ * gone at the first report without ends, or after this many with ends, each of which follows the
+ * acknowledgement of the one before.
+ */
+const maxReportsWithEnds = 5;
 /**
  * How long after a takeover an end of a job that is not adopted stays unacknowledged: longer than the
  * feed of jobs lags. Later, the row of such a job is unreadable.
@@ -57,6 +63,8 @@
   const createdMs = clock.getNowMs();
   /** Entries that were logged, by worker. */
   const reportedEntries = new WeakMap<WorkerLink, Set<string>>();
+  /** Reports with ends that did not list a run of an earlier owner, by task. */
+  const reportsWithEnds = new WeakMap<Task, number>();
 
   async function handleReport(link: WorkerLink, report: WorkerReport): Promise<number> {
     if (!context.isLoaded()) {
@@ -171,7 +179,7 @@
       running.delete(key);
       if (status !== undefined) handlePresent(link, { group, task }, status, report.clockMs);
       else if (report.hasMoreEnds !== true && !isUnclear(report, getTaskName(group, task))) {
-        handleAbsent(link, { group, task }, report.clockMs);
+        handleAbsent(link, { group, task }, report);
       }
     }
     stops.setOrphans(link, [...running.values()]);
@@ -222,10 +230,12 @@
   }
 
   /** Handles a run that its worker does not list: it has not begun, or it is gone. */
-  function handleAbsent(link: WorkerLink, placed: PlacedTask, clockMs: number): void {
+  function handleAbsent(link: WorkerLink, placed: PlacedTask, report: WorkerReport): void {
     const { group, task } = placed;
+    const { clockMs } = report;
     const observed = observedRuns.get(task);
     const isRestored = observed === undefined;
+    if (isRestored && canEndFollow(task, report)) return;
     if (observed?.run === task.run) {
       // A start in flight is decided by its own answer, and a report may be older than the
       // confirmation.
@@ -245,6 +255,14 @@
     lifecycle.dropRun(placed);
   }
 
+  /** Whether the end of a run of an earlier owner may follow the ends of a report that does not list it. */
+  function canEndFollow(task: Task, { ends }: WorkerReport): boolean {
+    if (ends.length === 0) return false;
+    const count = (reportsWithEnds.get(task) ?? 0) + 1;
+    reportsWithEnds.set(task, count);
+    return count < maxReportsWithEnds;
+  }
+
   /** Stops a run that no job wants: its job has ended, or a newer run of the task exists. */
   function stopOrphan(link: WorkerLink, run: RunStatus, total: Resources): void {
     // The demand of a task whose row was removed is unknown, so assume the whole worker.
--- a/packages/dispatch/tests/fakeworkers.ts
+++ b/packages/dispatch/tests/fakeworkers.ts
@@ -44,6 +44,8 @@
   readonly ended: EndedRun[] = [];
   /** Number of ends that a report lists at most. */
   maxListedEnds = Infinity;
+  /** Whether reports tell that more ends follow. */
+  tellsMoreEnds = true;
   /** All runs that ever began. */
   readonly startedRuns: { task: string; run: number; atMs: number }[] = [];
   readonly highestRuns = new Map<string, number>();
@@ -204,7 +206,7 @@
     }));
     const unacknowledged = this.ended.filter(({ sequence }) => sequence > this.ackedSequence);
     const ends = unacknowledged.slice(0, this.maxListedEnds);
-    const hasMoreEnds = unacknowledged.length >= this.maxListedEnds;
+    const hasMoreEnds = this.tellsMoreEnds && unacknowledged.length >= this.maxListedEnds;
     const capacity = this.reportedCapacity;
     const known = { clockMs: this.getClockMs(), bornAtMs: this.bornAtMs, runs, ends, hasMoreEnds };
     return Ok(capacity === undefined ? known : { ...known, capacity });
--- a/packages/dispatch/tests/takeovers.test.ts
+++ b/packages/dispatch/tests/takeovers.test.ts
@@ -10,6 +10,8 @@
 const taskMs = 8000;
 /** Time for a takeover, a whole lease at 98 % of its rate, and the margin beyond it. */
 const leaseWaitMs = 14_500;
+/** Several takeovers in turn end within this time. */
+const maxTakeoversMs = 60_000;
 /** A job with room for it may wait this long. */
 const maxWaitMs = 3000;
 
@@ -106,21 +108,54 @@
   expect(stored?.slice(0, 7)).toEqual(counts);
 });
 
-// Guards against tasks that run a second time though they ended as done while nobody owned them: a worker
-// lists only so many ends at a time.
-test('runs that ended beyond what a worker lists at once do not run again', async () => {
+/** Runs four tasks that end while nobody owns the jobs, on a worker that lists one end at a time. */
+async function endUnowned(tellsMoreEnds: boolean, owners = 1): Promise<World> {
   const world = createWorld(1, taskMs);
   world.addCandidate('a');
   await world.clock.advance(startUpMs);
   const [worker] = world.workers.values();
   if (worker === undefined) throw new Error('one worker expected');
-  worker.maxListedEnds = 1;
+  Object.assign(worker, { maxListedEnds: 1, tellsMoreEnds });
   world.submit('j', [{ taskCount: 4 }]);
   await world.clock.advance(taskMs - 500);
   expect(worker.active.size).toEqual(4);
   world.candidates[0]?.process.kill();
-  world.addCandidate('b');
+  for (let count = 1; count <= owners; count += 1) {
+    const { process } = world.addCandidate(`b${count}`);
+    if (count === owners) break;
+    while (worker.ackedSequence < count && world.clock.getNowMs() < maxTakeoversMs) {
+      await world.clock.advance(1);
+    }
+    expect(worker.ackedSequence).toEqual(count);
+    process.kill();
+  }
   await world.clock.advance(leaseWaitMs);
-  expect(worker.startedRuns.map(({ run }) => run)).toEqual([1, 1, 1, 1]);
+  return world;
+}
+
+function listRuns(world: World): number[] {
+  return world.listStartedRuns().map(({ run }) => run);
+}
+
+// Guards against tasks that run a second time though they ended as done while nobody owned them: a worker
+// lists only so many ends at a time.
+test('runs that ended beyond what a worker lists at once do not run again', async () => {
+  const world = await endUnowned(true);
+  expect(listRuns(world)).toEqual([1, 1, 1, 1]);
+  expect(world.getState('j')).toEqual(JobState.Completed);
+});
+
+// Guards against the same where the list is cut by its size, so that its length does not tell.
+test('runs that ended beyond a list that is cut by its size do not run again', async () => {
+  const world = await endUnowned(false);
+  expect(listRuns(world)).toEqual([1, 1, 1, 1]);
+  expect(world.getState('j')).toEqual(JobState.Completed);
+});
+
+// Guards against the same after an owner that was killed between the acknowledgement of one page of ends
+// and the next page.
+test('runs that ended beyond a page that an earlier owner acknowledged do not run again', async () => {
+  const world = await endUnowned(false, 3);
+  expect(listRuns(world)).toEqual([1, 1, 1, 1]);
   expect(world.getState('j')).toEqual(JobState.Completed);
 });
