Read on after a page of changes that was cut by its bytes

Cause: a page with fewer than 100 changes counted as the last one, so that a refresh ended, and a replica was dated, before the rows that followed a page of few large rows.

Evidence: 'a refresh reads on after a page that was cut by its bytes' failed before and passes now.

--- a/packages/dispatch/src/tablereplica.ts
+++ b/packages/dispatch/src/tablereplica.ts
@@ -63,8 +63,14 @@
 /** Reads of at least this size or duration are logged. */
 const largeReadBytes = 262_144;
 const slowReadMs = 1000;
-/** A page with at least this many changes may be followed by another one. */
+/** A page with at least this many changes, or of at least this size, may be followed by another one. */
 const fullPageItems = 100;
+const fullPageBytes = 500_000;
+
+function canBeCut({ items, isSnapshot, reading }: FeedPage<unknown>): boolean {
+  if (isSnapshot || items.length === 0) return false;
+  return items.length >= fullPageItems || (reading?.receivedBytes ?? 0) >= fullPageBytes;
+}
 
 /** Creates a replica; `start` begins to read. */
 export function createTableReplica<T>(options: TableReplicaOptions<T>): TableReplica<T> {
@@ -126,8 +132,7 @@
   function applyPage(page: FeedPage<T>, sentMs: number): void {
     for (const item of page.items) applyItem(item);
     if (page.isSnapshot) removeMissing(page);
-    const isComplete = page.isSnapshot || page.items.length < fullPageItems;
-    if (isComplete && page.position >= (position ?? 0))
+    if (!canBeCut(page) && page.position >= (position ?? 0))
       completeUntilMs = Math.max(completeUntilMs, sentMs);
     position = Math.max(position ?? 0, page.position);
     // The page shows the table as it was when it began to arrive.
@@ -176,12 +181,12 @@
     for (const listener of listeners) listener();
   }
 
-  /** Reads one page; resolves with its number of changes, or with `undefined` if the read fails. */
-  function readPage(waitMs: number): Promise<number | undefined> {
+  /** Reads one page; resolves with whether another one may follow, or with `undefined` if the read fails. */
+  function readPage(waitMs: number): Promise<boolean | undefined> {
     return loadPage(waitMs).finally(reportRead);
   }
 
-  async function loadPage(waitMs: number): Promise<number | undefined> {
+  async function loadPage(waitMs: number): Promise<boolean | undefined> {
     const sentMs = clock.getNowMs();
     const reply = position === undefined ? await feed.load() : await feed.wait(position, waitMs);
     if (reply.isErr()) {
@@ -191,13 +196,13 @@
     metrics.count('feed.reads', 1, { table: name });
     reportReading(reply.value);
     applyPage(reply.value, sentMs);
-    return reply.value.items.length;
+    return canBeCut(reply.value);
   }
 
   async function readRemaining(): Promise<boolean> {
     for (;;) {
-      const count = await readPage(0);
-      if (count === undefined || count < fullPageItems) return count !== undefined;
+      const isFollowed = await readPage(0);
+      if (isFollowed !== true) return isFollowed !== undefined;
     }
   }
 
--- a/packages/dispatch/tests/tablereplica.test.ts
+++ b/packages/dispatch/tests/tablereplica.test.ts
@@ -1,6 +1,11 @@
 import { test } from 'node:test';
+import { Feed } from '@bergamotreach/hosting';
+import type { FeedItem, FeedPage } from '@bergamotreach/hosting';
 import { createManualClock, createNullLogger, createNullMetrics } from '@bergamotreach/protocol';
+import type { Fault } from '@bergamotreach/protocol';
 import { expect } from 'earl';
+import { Ok } from 'ts-results-es';
+import type { Result } from 'ts-results-es';
 import { FakeProcess } from '../../ownership/tests/fakeprocess.ts';
 import { TableState } from '../../ownership/tests/faketable.ts';
 import { createTableReplica } from '../src/index.ts';
@@ -124,3 +129,50 @@
   }
   replica.stop();
 });
+
+/** Feed whose pages end after a few rows, since the store bounds their bytes. */
+class CutFeed extends Feed<string> {
+  constructor(
+    private readonly rows: FeedItem<string>[],
+    private readonly pageRows: number,
+    private readonly receivedBytes: number,
+  ) {
+    super();
+  }
+
+  load(): Promise<Result<FeedPage<string>, Fault>> {
+    return Promise.resolve(Ok({ items: [], isSnapshot: true, position: 0 }));
+  }
+
+  wait(position: number): Promise<Result<FeedPage<string>, Fault>> {
+    const items = this.rows.filter(({ version }) => version > position).slice(0, this.pageRows);
+    const reading = { receivedBytes: this.receivedBytes, receiveMs: 0, decodeMs: 0 };
+    const next = items.at(-1)?.version ?? position;
+    return Promise.resolve(Ok({ items, isSnapshot: false, position: next, reading }));
+  }
+}
+
+// Guards against a refresh that takes a page of few but large rows for the end of the changes: a takeover then
+// missed states that were stored before it.
+test('a refresh reads on after a page that was cut by its bytes', async () => {
+  const clock = createManualClock();
+  const rows = Array.from({ length: 10 }, (_, index) => ({
+    key: `r${index}`,
+    version: index + 1,
+    value: 'x',
+  }));
+  const replica = createTableReplica<string>({
+    feed: new CutFeed(rows, 4, 1_000_000),
+    name: 'states',
+    clock,
+    logger: createNullLogger(),
+    metrics: createNullMetrics(),
+    // The replica's own reads are far apart.
+    getPauseMs: () => 60_000,
+  });
+  replica.start();
+  await clock.advance(10);
+  expect(await replica.refresh()).toEqual(true);
+  expect(replica.list().length).toEqual(rows.length);
+  replica.stop();
+});
