Tell a refusal for content from an outage of the store

Cause: the store answers 400 to a row beyond row-bytes or a call beyond 1 MB. Nothing bounded the bytes of a batch or of a commit.

Change: Rejected is an outcome of its own. A refused commit is divided into its transactions, a refused batch into halves until the row at fault is alone; it is left out with an error line. Batches and commits end before the size of a call. A submission that the store refuses is answered 413 too_large.

--- a/packages/daemon/src/measuredstores.ts
+++ b/packages/daemon/src/measuredstores.ts
@@ -1,5 +1,5 @@
 import { ObjectStore, Table } from '@bergamotreach/hosting';
-import type { Commit, CommitReply, Row, RowPage } from '@bergamotreach/hosting';
+import type { Commit, CommitReply, Row, RowPage, TableLimits } from '@bergamotreach/hosting';
 import type { Clock, Fault, Metrics } from '@bergamotreach/protocol';
 import type { Result } from 'ts-results-es';
 
@@ -40,6 +40,14 @@
     return this.inner.getPartition(key);
   }
 
+  override getLimits(): TableLimits {
+    return this.inner.getLimits();
+  }
+
+  override getCommitBytes(content: Pick<Commit, 'conditions' | 'writes'>): number {
+    return this.inner.getCommitBytes(content);
+  }
+
   override getSendMs(commit: Commit): number {
     return this.inner.getSendMs(commit);
   }
--- a/packages/dispatch/src/jobservice.ts
+++ b/packages/dispatch/src/jobservice.ts
@@ -180,6 +180,9 @@
       .with({ status: TransactionStatus.Unavailable }, ({ message }) =>
         Err(createUnavailable(`not accepted: ${message}`)),
       )
+      .with({ status: TransactionStatus.Rejected }, ({ message }) =>
+        Err(createFault(FaultCode.TooLarge, `the job cannot be stored: ${message}`)),
+      )
       .with({ status: TransactionStatus.Unknown }, () => Err(createUnknownOutcome()))
       .exhaustive();
   }
@@ -262,6 +265,9 @@
       .with({ status: TransactionStatus.Unavailable }, ({ message }) =>
         Err(createUnavailable(message)),
       )
+      .with({ status: TransactionStatus.Rejected }, ({ message }) =>
+        Err(createUnavailable(message)),
+      )
       .with({ status: TransactionStatus.Unknown }, () => Err(createUnknownOutcome()))
       .exhaustive();
   }
--- a/packages/dispatch/src/journal.ts
+++ b/packages/dispatch/src/journal.ts
@@ -20,6 +20,8 @@
   hasPrecedence: (key: string, value: RowValue) => boolean;
   /** Called with a stored value that took precedence. */
   onOverruled: (key: string, value: RowValue) => void;
+  /** Called with a row whose value the store refuses for its content; it is not written any more. */
+  onRejected: (key: string, reason: string) => void;
 }
 
 /**
@@ -35,6 +37,8 @@
    * precedence is reported and not checked again.
    */
   write(key: string, value: RowValue, guardKey?: string): void;
+  /** Queues the removal of a row; has no effect on a row that is not known to be stored. */
+  remove(key: string): void;
   /**
    * Resolves with true once all writes queued so far are stored, or with false if they never will
    * be.
@@ -62,7 +66,8 @@
 }
 
 interface PendingWrite {
-  value: RowValue;
+  /** `null` removes the row. */
+  value: RowValue | null;
   sequence: number;
   guardKey: string | undefined;
 }
@@ -72,6 +77,8 @@
  * 100; the rest is left for cancellations that this instance commits at the same time.
  */
 const maxBatchEntries = 90;
+/** Share of the bytes of a commit that one batch takes; cancellations need little. */
+const batchBytesShare = 0.9;
 const retryMs = 100;
 
 /**
@@ -88,6 +95,11 @@
   const versions = new Map<string, number>();
   /** Rows whose stored value took precedence; they are not written any more. */
   const overruled = new Set<string>();
+  /** Rows whose content the store refuses; they are not written any more. */
+  const rejected = new Set<string>();
+  const maxBatchBytes = table.getLimits().commitBytes * batchBytesShare;
+  /** Parts of a batch that was refused, to be written one after the other until the row at fault is alone. */
+  const divided: string[][] = [];
   const pending = new Map<string, PendingWrite>();
   /** When the latest commit of each row was sent. */
   const commitSentMs = new Map<string, number>();
@@ -107,25 +119,53 @@
         : [pending, inFlight].some((writes) => (writes.get(key)?.sequence ?? Infinity) <= last);
     const ready = waiters.filter((waiter) => !isOpen(waiter));
     waiters = waiters.filter(isOpen);
-    for (const waiter of ready) waiter.resolve(true);
+    for (const waiter of ready) {
+      waiter.resolve(waiter.key === undefined || !rejected.has(waiter.key));
+    }
+  }
+
+  function getBytes(key: string, { value, guardKey }: PendingWrite): number {
+    const keys = guardKey === undefined ? [key] : [key, guardKey];
+    const conditions = keys.map((name) => ({ key: name, version: 0 }));
+    return table.getCommitBytes({ conditions, writes: [{ key, value }] });
   }
 
   function createBatch(): Map<string, PendingWrite> {
     const batch = new Map<string, PendingWrite>();
     let entries = 0;
-    for (const [key, write] of pending) {
+    let bytes = 0;
+    for (const key of divided.shift() ?? [...pending.keys()]) {
+      const write = pending.get(key);
+      if (write === undefined) continue;
       // The write, the condition on its row, and the condition on the guard if there is one.
       entries += write.guardKey === undefined ? 2 : 3;
-      if (entries > maxBatchEntries) break;
+      bytes += getBytes(key, write);
+      if (entries > maxBatchEntries || (batch.size > 0 && bytes > maxBatchBytes)) break;
       batch.set(key, write);
       pending.delete(key);
     }
     return batch;
   }
 
+  /** Divides a batch that the store refuses for its content, until the row at fault is alone. */
+  function handleRejected(batch: ReadonlyMap<string, PendingWrite>, reason: string): void {
+    const keys = [...batch.keys()];
+    const [first] = keys;
+    if (keys.length === 1 && first !== undefined) {
+      rejected.add(first);
+      pending.delete(first);
+      options.onRejected(first, reason);
+      return;
+    }
+    const middle = Math.ceil(keys.length / 2);
+    logger.warn('batch_divided', { rows: keys.length, reason });
+    for (const [key, write] of batch) requeueWrite(key, write);
+    divided.unshift(keys.slice(0, middle), keys.slice(middle));
+  }
+
   /** Queues a write again, merged with a newer write of the row if there is one. */
   function requeueWrite(key: string, write: PendingWrite): void {
-    if (overruled.has(key)) return;
+    if (overruled.has(key) || rejected.has(key)) return;
     const newer = pending.get(key);
     pending.set(key, newer === undefined ? write : mergeWrites(write, newer));
   }
@@ -147,6 +187,7 @@
     }
     inFlight = createBatch();
     const batch = inFlight;
+    if (batch.size === 0) return;
     const keys = [...batch.keys(), ...listGuards(batch)];
     const startedMs = clock.getNowMs();
     for (const key of batch.keys()) commitSentMs.set(key, startedMs);
@@ -170,7 +211,8 @@
       .with({ status: TransactionStatus.Committed }, async ({ versions: written }) => {
         for (const [key, write] of batch) {
           const version = written[key];
-          if (version !== undefined) versions.set(key, version);
+          if (write.value === null) dropVersion(key);
+          else if (version !== undefined) versions.set(key, version);
           // The row was overwritten since, so its version must be read.
           else await resolveRow(key, write);
         }
@@ -188,6 +230,9 @@
           if (conflicts.includes(key)) await resolveGuard(key);
         }
       })
+      .with({ status: TransactionStatus.Rejected }, ({ message }) => {
+        handleRejected(batch, message);
+      })
       .otherwise(async ({ message }) => {
         logger.warn('journal_retry', { rows: batch.size, status: reply.status, reason: message });
         for (const [key, write] of batch) requeueWrite(key, write);
@@ -195,6 +240,11 @@
       });
   }
 
+  function dropVersion(key: string): void {
+    versions.delete(key);
+    commitSentMs.delete(key);
+  }
+
   function handleFenced(): void {
     logger.warn('journal_fenced', { pending: pending.size + inFlight.size });
     close();
@@ -216,6 +266,7 @@
     const row = await readRow(key);
     if (isClosed) return;
     versions.set(key, row?.version ?? 0);
+    if (row === undefined && write.value === null) return;
     if (row !== undefined && JSON.stringify(row.value) === JSON.stringify(write.value)) return;
     if (row === undefined || !checkPrecedence(row, write)) requeueWrite(key, write);
   }
@@ -262,16 +313,21 @@
     waiters = [];
   }
 
+  function queueWrite(key: string, value: RowValue | null, guardKey?: string): void {
+    if (isClosed || overruled.has(key) || rejected.has(key)) return;
+    sequence += 1;
+    const older = pending.get(key);
+    const write = { value, sequence, guardKey };
+    pending.set(key, older === undefined ? write : mergeWrites(older, write));
+  }
+
   return {
     setVersion(key, version) {
       versions.set(key, version);
     },
-    write(key, value, guardKey) {
-      if (isClosed || overruled.has(key)) return;
-      sequence += 1;
-      const older = pending.get(key);
-      const write = { value, sequence, guardKey };
-      pending.set(key, older === undefined ? write : mergeWrites(older, write));
+    write: queueWrite,
+    remove(key) {
+      if (versions.has(key) || pending.has(key) || inFlight.has(key)) queueWrite(key, null);
     },
     flush() {
       if (isClosed) return Promise.resolve(false);
@@ -282,7 +338,7 @@
       });
     },
     flushRow(key) {
-      if (isClosed) return Promise.resolve(undefined);
+      if (isClosed || rejected.has(key)) return Promise.resolve(undefined);
       if (!pending.has(key) && !inFlight.has(key)) return Promise.resolve(commitSentMs.get(key));
       return new Promise((resolve) => {
         const resolveWithTime = (isStored: boolean): void => {
--- a/packages/dispatch/src/owner.ts
+++ b/packages/dispatch/src/owner.ts
@@ -129,6 +129,9 @@
     onOverruled: (key, value) => {
       cancels.handleRow(key, value);
     },
+    onRejected: (key, reason) => {
+      logger.error('row_rejected', { row: key, reason });
+    },
   });
   const orders = createOrderSender({
     runner: options.runner,
--- a/packages/hosting/src/table.ts
+++ b/packages/hosting/src/table.ts
@@ -55,6 +55,8 @@
   Ambiguous = 'ambiguous',
   /** The commit certainly did not take effect, for example because the connection was refused. */
   Unavailable = 'unavailable',
+  /** The store refuses the commit for its content, now and later; nothing was written. */
+  Rejected = 'rejected',
 }
 
 /** Reply to a commit. */
@@ -62,7 +64,21 @@
   | { status: CommitStatus.Committed; versions: Record<string, number> }
   | { status: CommitStatus.Conflict; conflicts: string[] }
   | { status: CommitStatus.Ambiguous; message: string }
-  | { status: CommitStatus.Unavailable; message: string };
+  | { status: CommitStatus.Unavailable; message: string }
+  | { status: CommitStatus.Rejected; message: string };
+
+/** Sizes that a table takes, in bytes. */
+export interface TableLimits {
+  /** Largest value of a row, as JSON. */
+  rowBytes: number;
+  /** Largest sum of `getCommitBytes` over the transactions of a commit. */
+  commitBytes: number;
+}
+
+/** Size of a value as JSON in UTF-8, in bytes. */
+export function getJsonBytes(value: unknown): number {
+  return Buffer.byteLength(JSON.stringify(value));
+}
 
 /** One page of rows in key order. */
 export interface RowPage {
@@ -90,6 +106,14 @@
   ): Promise<Result<RowPage, Fault>>;
   /** Sends a transaction once, without retries. */
   abstract commit(commit: Commit): Promise<CommitReply>;
+  /** Sizes that the table takes; unlimited by default. */
+  getLimits(): TableLimits {
+    return { rowBytes: Infinity, commitBytes: Infinity };
+  }
+  /** Size of a transaction in a commit, in bytes. */
+  getCommitBytes({ conditions, writes }: Pick<Commit, 'conditions' | 'writes'>): number {
+    return getJsonBytes({ conditions, writes });
+  }
   /** Time that sending a commit may take over a slow link, in milliseconds. */
   getSendMs(commit: Commit): number {
     return getSendAllowanceMs(JSON.stringify(commit).length);
--- a/packages/ownership/src/committer.ts
+++ b/packages/ownership/src/committer.ts
@@ -108,7 +108,7 @@
 /** Creates a group committer; transactions submitted in the same turn share a commit. */
 export function createGroupCommitter(options: GroupCommitterOptions): GroupCommitter {
   const { table, clock, logger, metrics } = options;
-  const settings = { ...defaults, ...options };
+  const settings = { ...defaults, maxBytes: table.getLimits().commitBytes, ...options };
   const queue = createWriteQueue(settings.maxQueued);
   const budget = createCommitBudget(clock, settings.commitsPerSecond, settings.burst);
   const totals = { commits: 0, writes: 0, readBacks: 0 };
@@ -225,6 +225,9 @@
       .with({ status: CommitStatus.Unavailable }, ({ message }) => {
         for (const entry of group.pending) handleUnavailable(entry, message);
       })
+      .with({ status: CommitStatus.Rejected }, ({ message }) => {
+        handleRejected(group.pending, message);
+      })
       .with({ status: CommitStatus.Ambiguous }, () => handleAmbiguous(group.pending, operationId))
       .exhaustive();
   }
@@ -336,6 +339,20 @@
     else retryLater(entry, message);
   }
 
+  /** One transaction that the store refuses for its content must not fail the others of its commit. */
+  function handleRejected(pending: readonly PendingTransaction[], message: string): void {
+    metrics.count('store.rejections');
+    if (pending.length > 1) {
+      logger.warn('commit_divided', { transactions: pending.length, reason: message });
+      requeue(pending.map((entry) => Object.assign(entry, { isAlone: true })));
+      return;
+    }
+    for (const entry of pending) {
+      if (entry.ambiguousIds.length > 0) retryLater(entry, message);
+      else entry.sendReply({ status: TransactionStatus.Rejected, message });
+    }
+  }
+
   /** Retries a transaction that has ambiguous attempts, after a wait and for a limited time. */
   function retryLater(entry: PendingTransaction, message: string): void {
     const isLate = clock.getNowMs() - entry.submittedMs >= settings.readBackTimeoutMs;
@@ -383,7 +400,11 @@
       if (partition === undefined) throw new Error('transaction spans several partitions');
       return new Promise((resolve) => {
         const submittedMs = clock.getNowMs();
-        const entry = { transaction, sendReply: resolve, ambiguousIds: [], submittedMs, partition };
+        const bytes = table.getCommitBytes(transaction);
+        const entry = {
+          ...{ transaction, sendReply: resolve, ambiguousIds: [], submittedMs, partition },
+          ...{ bytes, isAlone: false },
+        };
         if (isClosed) {
           failPending(entry, 'committer closed');
           return;
--- a/packages/ownership/src/transaction.ts
+++ b/packages/ownership/src/transaction.ts
@@ -35,6 +35,8 @@
   Conflict = 'conflict',
   /** The store is down or the queue is full; none of its writes was or will be applied. */
   Unavailable = 'unavailable',
+  /** The store refuses it for its content, now and later; none of its writes was or will be applied. */
+  Rejected = 'rejected',
   /** The reply was lost and the read-back was inconclusive; its writes may have been applied. */
   Unknown = 'unknown',
 }
@@ -44,6 +46,7 @@
   | { status: TransactionStatus.Committed; versions: Record<string, number> }
   | { status: TransactionStatus.Conflict; conflicts: string[] }
   | { status: TransactionStatus.Unavailable; message: string }
+  | { status: TransactionStatus.Rejected; message: string }
   | { status: TransactionStatus.Unknown; message: string };
 
 /** A submitted transaction that has no reply yet. */
@@ -55,6 +58,10 @@
   submittedMs: number;
   /** Partition of all its keys. */
   partition: string;
+  /** Size in a commit, in bytes. */
+  bytes: number;
+  /** Shares no commit: it was part of one that the store refused for its content. */
+  isAlone: boolean;
 }
 
 /** Finds the version that a transaction requires of a row; `undefined` without a condition. */
@@ -92,14 +99,22 @@
   maxWrites: number;
   /** Limit of writes and conditions together. */
   maxEntries: number;
+  /** Limit of the sizes of its transactions together; a larger one is committed alone. */
+  maxBytes: number;
 }
 
 /** Creates an empty group. */
-export function createGroup({ maxWrites, maxEntries }: GroupLimits): TransactionGroup {
+export function createGroup({ maxWrites, maxEntries, maxBytes }: GroupLimits): TransactionGroup {
   const required = new Map<string, number>();
   const written = new Set<string>();
   const pending: PendingTransaction[] = [];
   let writeCount = 0;
+  let byteCount = 0;
+
+  function canShare({ bytes, isAlone }: PendingTransaction): boolean {
+    if (pending.length === 0) return true;
+    return !isAlone && pending[0]?.isAlone !== true && byteCount + bytes <= maxBytes;
+  }
 
   function isIndependent(transaction: Transaction): boolean {
     const hasConflict = transaction.conditions.some(({ key, version }) => {
@@ -119,11 +134,12 @@
     pending,
     add(entry) {
       const { transaction } = entry;
-      if (!hasRoom(transaction)) return false;
+      if (!canShare(entry) || !hasRoom(transaction)) return false;
       if (!isIndependent(transaction)) return false;
       for (const { key, version } of transaction.conditions) required.set(key, version);
       for (const { key } of transaction.writes) written.add(key);
       writeCount += transaction.writes.length;
+      byteCount += entry.bytes;
       pending.push(entry);
       return true;
     },
--- a/packages/ownership/tests/committer.test.ts
+++ b/packages/ownership/tests/committer.test.ts
@@ -35,6 +35,30 @@
   expect(state.accepted.map((commit) => commit.writes.length)).toEqual([33, 7]);
 });
 
+// Guards against one transaction whose content the store refuses, which failed or delayed the others of its commit.
+test('a transaction that the store refuses for its content fails alone', async () => {
+  const { clock, state } = createState();
+  state.isRejected = (key) => key === 'b';
+  const { committer } = createNode(state, 'd1');
+  const replies = ['a', 'b', 'c'].map((key) => committer.submit(createInsert(key)));
+  await clock.advance(500);
+  const statuses = (await Promise.all(replies)).map((reply) => reply.status);
+  const { Committed, Rejected } = TransactionStatus;
+  expect(statuses).toEqual([Committed, Rejected, Committed]);
+});
+
+// Guards against a commit that the store refuses since its transactions together are too large.
+test('the sizes of transactions count towards the limit of a commit', async () => {
+  const { clock, state } = createState();
+  state.limits = { rowBytes: Infinity, commitBytes: 1000 };
+  const { committer } = createNode(state, 'd1');
+  const replies = Array.from({ length: 20 }, (_, n) => committer.submit(createInsert(`k${n}`)));
+  await clock.advance(500);
+  const statuses = (await Promise.all(replies)).map((reply) => reply.status);
+  expect(new Set(statuses)).toEqual(new Set([TransactionStatus.Committed]));
+  expect([state.rejections, state.accepted.length > 1]).toEqual([0, true]);
+});
+
 // Guards against one conflicting transaction failing its whole group.
 test('a conflict fails only the transactions concerned', async () => {
   const { clock, state } = createState();
--- a/packages/ownership/tests/faketable.ts
+++ b/packages/ownership/tests/faketable.ts
@@ -1,5 +1,12 @@
-import { CommitStatus, Table } from '@bergamotreach/hosting';
-import type { Commit, CommitReply, Row, RowPage } from '@bergamotreach/hosting';
+import { CommitStatus, Table, getJsonBytes } from '@bergamotreach/hosting';
+import type {
+  Commit,
+  CommitReply,
+  Row,
+  RowPage,
+  RowValue,
+  TableLimits,
+} from '@bergamotreach/hosting';
 import { FaultCode, createFault } from '@bergamotreach/protocol';
 import type { Fault, ManualClock } from '@bergamotreach/protocol';
 import { Err, Ok } from 'ts-results-es';
@@ -41,6 +48,11 @@
   ignoresConditions = false;
   lateMs = 1500;
   latencyMs = 0;
+  /** Sizes that the table takes. A commit beyond them is rejected, and counted. */
+  limits: TableLimits = { rowBytes: Infinity, commitBytes: Infinity };
+  /** Whether a row is rejected whatever its size. */
+  isRejected: (key: string, value: RowValue) => boolean = () => false;
+  rejections = 0;
   /** Time that a partition takes per commit; a commit that would wait over a second is refused. */
   partitionCommitMs = 0;
   readonly busyUntilMs = new Map<string, number>();
@@ -51,6 +63,17 @@
 
   constructor(readonly clock: ManualClock) {}
 
+  /** Whether the table refuses a commit for its content. */
+  hasFlaw(commit: Commit): boolean {
+    const isTooLarge = commit.writes.some(
+      ({ key, value }) =>
+        value !== null &&
+        (getJsonBytes(value) > this.limits.rowBytes || this.isRejected(key, value)),
+    );
+    const { conditions, writes } = commit;
+    return isTooLarge || getJsonBytes({ conditions, writes }) > this.limits.commitBytes;
+  }
+
   apply(commit: Commit, processId: string, sentMs: number): CommitReply {
     const conflicts = commit.conditions
       .filter(({ key, version }) => (this.rows.get(key)?.version ?? 0) !== version)
@@ -93,6 +116,10 @@
     return this.state.getPartition(key);
   }
 
+  override getLimits(): TableLimits {
+    return this.state.limits;
+  }
+
   async getRow(key: string): Promise<Result<Row | undefined, Fault>> {
     return this.read(() => this.state.rows.get(key));
   }
@@ -134,6 +161,10 @@
 
   private applyFault(commit: Commit, sentMs: number): CommitReply {
     const { state, process } = this;
+    if (state.fault !== TableFault.Down && state.hasFlaw(commit)) {
+      state.rejections += 1;
+      return { status: CommitStatus.Rejected, message: 'too large' };
+    }
     const lost: CommitReply = { status: CommitStatus.Ambiguous, message: 'reply lost' };
     switch (state.fault) {
       case TableFault.None:
