Store the progress of wide steps in chunks, and hold a refused job alone

Cause: the progress of all tasks of a step was one row, which the store refuses beyond row-bytes. A start of one task wrote the whole step.

Rows of earlier versions are merged with the chunks. A head row keeps versions without chunks from starting the tasks again. Orders of a gang wait for all its rows; one stored end or checkpoint stands for the gang. A job of which the store refuses a row is held: error line job_held, metric, dump; its ends stay unacknowledged.

--- a/packages/bench/src/decisions/simulation.ts
+++ b/packages/bench/src/decisions/simulation.ts
@@ -337,7 +337,7 @@
     outcomes.set(job.submission.id, outcome);
     addEvent(job.arrivalMs, () => {
       const row = { submission: job.submission, acceptedAtMs: nowMs };
-      activeJobs.add(row, JobState.Queued, () => undefined);
+      activeJobs.add(row, JobState.Queued);
       schedulePlan();
     });
   }
--- a/packages/dispatch/src/activejobs.ts
+++ b/packages/dispatch/src/activejobs.ts
@@ -14,7 +14,6 @@
   urgentPriority,
 } from '@bergamotreach/scheduling';
 import type {
-  GroupRecord,
   JobState,
   JobSubmission,
   PlacedTask,
@@ -22,25 +21,31 @@
   Task,
   TaskGroup,
 } from '@bergamotreach/scheduling';
-import type { JobRow } from './jobrows.ts';
+import { createHead } from './jobrows.ts';
+import type { JobHead, JobRow } from './jobrows.ts';
+import { noProgress } from './progressrows.ts';
+import type { StoredProgress } from './progressrows.ts';
 
 /** A job that an owner schedules, with the progress of its tasks. */
 export interface ActiveJob {
   submission: JobSubmission;
   acceptedAtMs: number;
   state: JobState;
-  /** Groups by key, ordered by occurrence, then by step. */
+  /** Groups of the open occurrences by key: from the time that an occurrence is due until it is done. */
   groups: Map<string, TaskGroup>;
+  /** Number of the next occurrence to be opened. */
+  next: number;
+  open: Set<number>;
+  /** Whether a head row tells which occurrences are open; otherwise the rows of all of them are kept. */
+  hasHead: boolean;
+  /** Nothing of it starts, since the store refuses one of its rows. */
+  isHeld: boolean;
 }
 
 /** The jobs that an owner schedules, with their tasks. */
 export interface ActiveJobs {
-  /** Adds a job that is not final; `findRecord` returns the stored progress of a group. */
-  add(
-    row: JobRow,
-    state: JobState,
-    findRecord: (groupKey: string) => GroupRecord | undefined,
-  ): ActiveJob;
+  /** Adds a job that is not final, with what is stored of its progress. */
+  add(row: JobRow, state: JobState, stored?: StoredProgress): ActiveJob;
   find(jobId: string): ActiveJob | undefined;
   /** Removes a job that is final and whose tasks occupy no worker. */
   remove(jobId: string): void;
@@ -66,14 +71,43 @@
 
 // Allows for clock differences between instances: an occurrence must not start before its time.
 const dueMarginMs = 60;
-
 /** Creates an empty set of jobs. */
 export function createActiveJobs(): ActiveJobs {
   const jobs = new Map<string, ActiveJob>();
   const workMeans = createWorkMeans();
 
-  function listGroups(job: ActiveJob): TaskGroup[] {
-    return [...job.groups.values()];
+  function createStoredGroup(
+    { submission }: ActiveJob,
+    occurrence: number,
+    step: number,
+    stored: StoredProgress,
+  ): TaskGroup {
+    const found = stored.findGroup(formatGroupName({ jobId: submission.id, occurrence, step }));
+    if (found === undefined) return createGroup(submission, occurrence, step);
+    const group = decodeGroup(submission, occurrence, step, found.record);
+    group.isChunked ||= found.isChunked;
+    return group;
+  }
+
+  /** Opens an occurrence, unless all of it is stored as done. */
+  function openOccurrence(job: ActiveJob, occurrence: number, stored = noProgress): void {
+    const groups = job.submission.steps.map((_, step) =>
+      createStoredGroup(job, occurrence, step, stored),
+    );
+    if (groups.every(isGroupDone)) return;
+    job.open.add(occurrence);
+    for (const group of groups) job.groups.set(group.key, group);
+  }
+
+  /** Opens the occurrences of which something is stored, and those before them that are not done. */
+  function openStored(job: ActiveJob, stored: StoredProgress): void {
+    const { head } = stored;
+    const next = head?.next ?? 0;
+    const known = new Set(head?.open);
+    job.next = Math.max(next, ...stored.listOccurrences().map((occurrence) => occurrence + 1));
+    job.next = Math.min(job.next, getOccurrenceCount(job.submission));
+    for (let occurrence = next; occurrence < job.next; occurrence += 1) known.add(occurrence);
+    for (const occurrence of known) openOccurrence(job, occurrence, stored);
   }
 
   function visitOccupying(visit: (group: TaskGroup, task: Task) => void): void {
@@ -105,20 +139,17 @@
   }
 
   return {
-    add(row, state, findRecord) {
+    add(row, state, stored = noProgress) {
       const { submission, acceptedAtMs } = row;
-      const job: ActiveJob = { submission, acceptedAtMs, state, groups: new Map() };
-      for (let occurrence = 0; occurrence < getOccurrenceCount(submission); occurrence += 1) {
-        for (const step of submission.steps.keys()) {
-          const key = formatGroupName({ jobId: submission.id, occurrence, step });
-          const record = findRecord(key);
-          const group =
-            record === undefined
-              ? createGroup(submission, occurrence, step)
-              : decodeGroup(submission, occurrence, step, record);
-          job.groups.set(key, group);
-        }
-      }
+      const job: ActiveJob = {
+        ...{ submission, acceptedAtMs, state, groups: new Map(), next: 0, open: new Set() },
+        ...{ hasHead: stored.head !== undefined, isHeld: false },
+      };
+      openStored(job, stored);
+      for (; job.next < getOccurrenceCount(submission); job.next += 1)
+        openOccurrence(job, job.next);
+      const isWide = [...job.groups.values()].some(({ isChunked }) => isChunked);
+      job.hasHead ||= isWide;
       jobs.set(submission.id, job);
       workMeans.add(submission);
       return job;
@@ -138,7 +169,7 @@
     listReady(wallMs) {
       const ready: ReadyGroup[] = [];
       for (const job of jobs.values()) {
-        if (isFinal(job.state)) continue;
+        if (isFinal(job.state) || job.isHeld) continue;
         const meanWork = workMeans.find(job.submission.queue) ?? 0;
         for (const group of job.groups.values()) {
           if (!isReady(job, group, wallMs)) continue;
@@ -200,10 +231,16 @@
       }
       return sums;
     },
-    isComplete: (job) => listGroups(job).every(isGroupDone),
+    isComplete: (job) =>
+      job.next >= getOccurrenceCount(job.submission) && [...job.groups.values()].every(isGroupDone),
   };
 }
 
+/** Head row of a job. */
+export function encodeHead({ next, open }: ActiveJob): JobHead {
+  return createHead(next, open);
+}
+
 /** Number of tasks of a job that occupy resources. */
 export function countOccupying(job: ActiveJob): number {
   return [...job.groups.values()].flatMap((group) => group.tasks.filter(isOccupying)).length;
--- a/packages/dispatch/src/joblifecycle.ts
+++ b/packages/dispatch/src/joblifecycle.ts
@@ -3,26 +3,36 @@
   JobState,
   RunEnd,
   TaskPhase,
-  encodeGroup,
   isCulprit,
   isFinal,
   recordEnd,
 } from '@bergamotreach/scheduling';
 import type { PlacedTask, Task, TaskGroup } from '@bergamotreach/scheduling';
-import { countOccupying } from './activejobs.ts';
+import { countOccupying, encodeHead } from './activejobs.ts';
 import type { ActiveJob } from './activejobs.ts';
-import { createStateRow, encodeRow, getProgressKey, getStateKey } from './jobrows.ts';
+import {
+  createStateRow,
+  encodeRow,
+  formatHeadName,
+  getProgressKey,
+  getStateKey,
+} from './jobrows.ts';
 import { getTaskName } from './ownercontext.ts';
 import type { OwnerContext } from './ownercontext.ts';
 import { createObservedRun } from './observedrun.ts';
+import { encodeProgress } from './progressrows.ts';
 
 /** State changes of jobs and tasks, together with the rows to write and the orders to send. */
 export interface JobLifecycle {
   findJob(group: TaskGroup): ActiveJob | undefined;
-  /** Queues a write of a group's progress. */
-  writeGroup(group: TaskGroup): void;
+  /** Queues a write of the progress of some tasks of a group; of all if absent. */
+  writeGroup(group: TaskGroup, tasks?: readonly Task[]): void;
   /** Queues a write of runs to be started, conditional on an unchanged job state. */
-  writeStarts(group: TaskGroup): void;
+  writeStarts(group: TaskGroup, tasks: readonly Task[]): void;
+  /** Queues a write of the head of a job. */
+  writeHead(job: ActiveJob): void;
+  /** Stops starting tasks of a job of which the store refuses a row. */
+  holdJob(jobId: string, key: string, reason: string): void;
   /** Queues a write of a job's state. */
   writeState(job: ActiveJob): void;
   finishJob(job: ActiveJob, state: JobState, reason: string): void;
@@ -45,23 +55,50 @@
 /** Creates the part of an owner that changes the state of jobs. */
 export function createJobLifecycle(context: OwnerContext): JobLifecycle {
   const { activeJobs, journal, stops, observedRuns } = context;
-  const { logger, metrics, getWallMs } = context.options;
+  const { logger, metrics, getWallMs, table } = context.options;
+  const maxRowBytes = table.getLimits().rowBytes;
 
   function findJob(group: TaskGroup): ActiveJob | undefined {
     return activeJobs.find(group.job.id);
   }
 
-  function writeGroup(group: TaskGroup): void {
-    journal.write(getProgressKey(group.key), encodeRow(encodeGroup(group)));
+  function writeRows(group: TaskGroup, tasks: readonly Task[], guardKey?: string): void {
+    const wasChunked = group.isChunked;
+    const { rows, omitted } = encodeProgress(group, tasks, maxRowBytes);
+    const job = findJob(group);
+    // Versions without heads would start the tasks of the chunks again.
+    if (job !== undefined && group.isChunked && (!wasChunked || !job.hasHead)) writeHead(job);
+    for (const { key, value } of rows) {
+      journal.write(getProgressKey(key), encodeRow(value), guardKey);
+    }
+    if (omitted === 0) return;
+    metrics.count('checkpoints.omitted', omitted);
+    logger.warn('checkpoints_not_stored', { group: group.key, checkpoints: omitted });
+  }
+
+  function writeGroup(group: TaskGroup, tasks: readonly Task[] = group.tasks): void {
+    writeRows(group, tasks);
+  }
+
+  function writeHead(job: ActiveJob): void {
+    job.hasHead = true;
+    const name = formatHeadName(job.submission.id);
+    journal.write(getProgressKey(name), encodeRow(encodeHead(job)));
+  }
+
+  function holdJob(jobId: string, key: string, reason: string): void {
+    const job = activeJobs.find(jobId);
+    metrics.count('jobs.held');
+    logger.error('job_held', { job: jobId, row: key, reason, state: job?.state });
+    if (job !== undefined) job.isHeld = true;
   }
 
   /**
    * The replica of the job states may not show a cancellation yet, so the store checks the state
    * that the plan relied on.
    */
-  function writeStarts(group: TaskGroup): void {
-    const stateKey = getStateKey(group.job.id);
-    journal.write(getProgressKey(group.key), encodeRow(encodeGroup(group)), stateKey);
+  function writeStarts(group: TaskGroup, tasks: readonly Task[]): void {
+    writeRows(group, tasks, getStateKey(group.job.id));
   }
 
   function writeState(job: ActiveJob): void {
@@ -118,7 +155,8 @@
 
   function applyEnd({ group, task }: PlacedTask, effect: EndEffect): void {
     const job = findJob(group);
-    writeGroup(group);
+    // The end of one member is that of the gang.
+    writeGroup(group, group.spec.isGang ? group.tasks : [task]);
     if (job === undefined) return;
     if (isFinal(job.state)) {
       removeFinalJob(job);
@@ -163,6 +201,8 @@
     findJob,
     writeGroup,
     writeStarts,
+    writeHead,
+    holdJob,
     writeState,
     finishJob,
     removeFinalJob,
--- a/packages/dispatch/src/jobrows.ts
+++ b/packages/dispatch/src/jobrows.ts
@@ -132,6 +132,52 @@
     .check(z.maxLength(maxTasksPerStep)),
 });
 
+/** Format of the progress of a job that versions without heads cannot read. */
+const headFormat = 2;
+
+/**
+ * Row `progress/<job>.999999999.0`: the occurrences of a job whose progress is not one row a step. It is in the table of
+ * the progress and no record of a group, so versions without heads leave the job alone instead of starting its tasks
+ * again.
+ */
+export interface JobHead {
+  format: number;
+  /** Number of the next occurrence that was not opened yet. */
+  next: number;
+  /** Occurrences before `next` that are not done. */
+  open: number[];
+}
+
+/** Occurrence in the key of a head; jobs have fewer. */
+const headOccurrence = 999_999_999;
+const headSuffix = `.${headOccurrence}.0`;
+
+/** Most occurrences of a job that are open at once, so that its head fits into a row. */
+export const maxOpenOccurrences = 1000;
+
+const headSchema = z.object({
+  format: z.literal(headFormat),
+  next: ordinalSchema,
+  open: z.array(ordinalSchema).check(z.maxLength(maxOpenOccurrences)),
+});
+
+export const checkJobHead: Check<JobHead> = createCheck(headSchema);
+
+/** Creates the head of a job. */
+export function createHead(next: number, open: Iterable<number>): JobHead {
+  return { format: headFormat, next, open: [...open] };
+}
+
+/** Name of the head of a job within the table of progress. */
+export function formatHeadName(jobId: string): string {
+  return `${jobId}${headSuffix}`;
+}
+
+/** Whether the name of a row in the table of progress is that of a head. */
+export function isHeadName(name: string): boolean {
+  return name.endsWith(headSuffix);
+}
+
 const checkJobShape: Check<JobRow> = createCheck(jobRowSchema);
 
 /** Checks rows of the store, which other versions of this software may have written. */
@@ -161,14 +207,20 @@
   return `${stateTable}/${id}`;
 }
 
-/** Key of the row with the progress of a group of tasks. */
-export function getProgressKey(groupKey: string): string {
-  return `${progressTable}/${groupKey}`;
+/** Key of a row of progress: of a group, of one of its chunks, or of the head of a job. */
+export function getProgressKey(name: string): string {
+  return `${progressTable}/${name}`;
+}
+
+/** Key of the row with the crash records of a group of tasks, or of one of its chunks. */
+export function getCrashKey(name: string): string {
+  return `${crashTable}/${name}`;
 }
 
-/** Key of the row with the crash records of a group of tasks. */
-export function getCrashKey(groupKey: string): string {
-  return `${crashTable}/${groupKey}`;
+/** Id of the job that a row belongs to. */
+export function parseJobId(key: string): string {
+  const name = key.slice(key.indexOf('/') + 1);
+  return name.split('.')[0] ?? name;
 }
 
 /** Creates the row of a job state that changes at the Unix time `wallMs`. */
@@ -182,6 +234,6 @@
 }
 
 /** Encodes a row for the store. Rows are plain JSON values by construction. */
-export function encodeRow(row: JobRow | StateRow | GroupRecord | CrashRow): RowValue {
+export function encodeRow(row: JobRow | StateRow | GroupRecord | CrashRow | JobHead): RowValue {
   return row as unknown as RowValue;
 }
--- a/packages/dispatch/src/owner.ts
+++ b/packages/dispatch/src/owner.ts
@@ -18,7 +18,7 @@
   planStarts,
   speedClasses,
 } from '@bergamotreach/scheduling';
-import type { CrashRow, GroupRecord, WorkerView } from '@bergamotreach/scheduling';
+import type { CrashRow, WorkerView } from '@bergamotreach/scheduling';
 import { CancelSource, createJobCancels, isCancel } from './cancels.ts';
 import { createDepartures } from './departures.ts';
 import { createFleet } from './fleet.ts';
@@ -30,8 +30,11 @@
 import {
   checkCrashRow,
   checkGroupRecord,
+  checkJobHead,
   crashTable,
   getStateKey,
+  isHeadName,
+  parseJobId,
   progressTable,
   rowVersion,
 } from './jobrows.ts';
@@ -40,7 +43,8 @@
 import { createTableReplica } from './tablereplica.ts';
 import { createOrderSender } from './orders.ts';
 import type { OwnerContext, OwnerOptions } from './ownercontext.ts';
-import { createRunLosses, applyCrashRow } from './runlosses.ts';
+import { createProgressRows, formatGroupRow, listGroupRows } from './progressrows.ts';
+import { createRunLosses, applyCrashRows } from './runlosses.ts';
 import { createRunReports } from './runreports.ts';
 import { createRunStops } from './runstops.ts';
 import { createStarter } from './starter.ts';
@@ -68,6 +72,8 @@
   runningTasks: number;
   workers: { id: string; state: LinkState; silentMs: number }[];
   pendingWrites: number;
+  /** Ids of jobs of which the store refuses a row. */
+  heldJobs: string[];
   evacuated: EvacuatedDataCentre[];
 }
 
@@ -106,7 +112,7 @@
   const workerHealth = createWorkerHealth();
   const urgentDemand = createUrgentDemands();
   const runTimes = createRunTimes();
-  const records = new Map<string, GroupRecord>();
+  const progressRows = createProgressRows();
   /** Jobs with stored progress that cannot be read. */
   const unreadableJobs = new Set<string>();
   /** Stored crash records by group key. */
@@ -130,7 +136,7 @@
       cancels.handleRow(key, value);
     },
     onRejected: (key, reason) => {
-      logger.error('row_rejected', { row: key, reason });
+      lifecycle.holdJob(parseJobId(key), key, reason);
     },
   });
   const orders = createOrderSender({
@@ -246,13 +252,17 @@
   }
 
   function addProgress({ key, version, value }: Row): void {
-    const record = checkGroupRecord(value);
-    if (record.isErr()) {
-      markUnreadable(key, record.error);
-      return;
+    const name = key.slice(progressTable.length + 1);
+    if (isHeadName(name)) {
+      const head = checkJobHead(value);
+      if (head.isOk()) progressRows.addHead(parseJobId(key), head.value);
+      else markUnreadable(key, head.error);
+    } else {
+      const record = checkGroupRecord(value);
+      if (record.isOk()) progressRows.addGroup(name, record.value);
+      else markUnreadable(key, record.error);
     }
     journal.setVersion(key, version);
-    records.set(key.slice(progressTable.length + 1), record.value);
   }
 
   function addCrashes({ key, version, value }: Row): void {
@@ -269,9 +279,9 @@
 
   /** Excludes a job from scheduling: without its progress it might run twice. */
   function markUnreadable(key: string, reason: string): void {
-    const name = parseTaskName(`${key.slice(progressTable.length + 1)}.0`);
-    logger.error('job_row_refused', { job: name?.jobId, row: key, reason });
-    if (name !== undefined) unreadableJobs.add(name.jobId);
+    const jobId = parseJobId(key);
+    logger.error('job_row_refused', { job: jobId, row: key, reason });
+    unreadableJobs.add(jobId);
   }
 
   /**
@@ -301,9 +311,16 @@
     if (isFinal(state)) return;
     const version = states.findVersion(jobId) ?? 0;
     journal.setVersion(getStateKey(jobId), version);
-    const job = activeJobs.add(row, state, (groupKey) => records.get(groupKey));
+    const stored = progressRows.take(jobId);
+    const job = activeJobs.add(row, state, stored);
     for (const group of job.groups.values()) {
-      applyCrashRow(group, crashRows.get(group.key));
+      const names = group.isChunked
+        ? [formatGroupRow(group.key), ...listGroupRows(group, group.tasks)]
+        : [group.key];
+      applyCrashRows(
+        group,
+        names.flatMap((name) => crashRows.get(name) ?? []),
+      );
       // That owner started tasks again after crashes without a record of them.
       if (options.previousRowVersion < rowVersion) markUncounted(group);
     }
@@ -318,6 +335,7 @@
       ageMs: Math.round(getWallMs() - row.acceptedAtMs),
     });
     if (version === 0) lifecycle.writeState(job);
+    if (job.hasHead && stored.head === undefined) lifecycle.writeHead(job);
     finishRestored(job);
     requestPlan();
   }
@@ -445,6 +463,7 @@
       if (!isRead) return;
       isLoaded = true;
       for (const [jobId] of jobRows.list()) addJob(jobId);
+      progressRows.dropJobs((jobId) => isFinal(states.find(jobId)?.state ?? JobState.Queued));
       reports.handleDeferred();
       logger.info('owner_started', {
         epoch,
@@ -486,6 +505,7 @@
         silentMs: Math.round(link.getSilenceMs()),
       })),
       pendingWrites: journal.countPending(),
+      heldJobs: activeJobs.list().flatMap((job) => (job.isHeld ? [job.submission.id] : [])),
       evacuated: listEvacuated(),
     }),
   };
--- a/packages/dispatch/src/runlosses.ts
+++ b/packages/dispatch/src/runlosses.ts
@@ -3,7 +3,6 @@
   TaskPhase,
   createCrashHistory,
   decodeCrashes,
-  encodeCrashes,
   getCoincidence,
   getCrashRetryMs,
   isExonerated,
@@ -27,6 +26,7 @@
   TaskGroup,
 } from '@bergamotreach/scheduling';
 import { encodeRow, getCrashKey } from './jobrows.ts';
+import { encodeCrashRows } from './progressrows.ts';
 import { getTaskName } from './ownercontext.ts';
 import type { OwnerContext } from './ownercontext.ts';
 import { LapseCause, LinkState } from './workerlink.ts';
@@ -242,8 +242,10 @@
     metrics.count('crashes.counted', 1, { isSole: String(crash.isSole) });
   }
 
-  function writeCrashes(group: TaskGroup): void {
-    journal.write(getCrashKey(group.key), encodeRow(encodeCrashes(group)));
+  function writeCrashes(group: TaskGroup, tasks: readonly Task[]): void {
+    for (const { key, value } of encodeCrashRows(group, tasks)) {
+      journal.write(getCrashKey(key), encodeRow(value));
+    }
   }
 
   return {
@@ -288,7 +290,7 @@
         task.retryAtMs = clock.getNowMs() + getCrashRetryMs(task);
         reportCrash(placed, workerId, crash);
       }
-      writeCrashes(group);
+      writeCrashes(group, [task]);
     },
     cancelLoss(task) {
       pending.delete(task);
@@ -310,17 +312,16 @@
             logger.info('crashes_dropped', { task: getTaskName(group, task), run: task.run });
             delete task.crashRecord;
           }
-          writeCrashes(group);
+          writeCrashes(group, cleared);
         }
       }
     },
   };
 }
 
-/** Restores the stored crash records of a group. */
-export function applyCrashRow(group: TaskGroup, row: CrashRow | undefined): void {
-  if (row === undefined) return;
-  decodeCrashes(group, row);
+/** Restores the stored crash records of a group from its rows: that of the whole group first, then its chunks. */
+export function applyCrashRows(group: TaskGroup, rows: readonly CrashRow[]): void {
+  for (const row of rows) decodeCrashes(group, row);
   for (const task of group.tasks) {
     if (task.phase === TaskPhase.Done) delete task.crashRecord;
   }
--- a/packages/dispatch/src/runreports.ts
+++ b/packages/dispatch/src/runreports.ts
@@ -83,7 +83,7 @@
   }
 
   /** Applies the ends of a report; returns the number of the last one that may be acknowledged. */
-  function handleEnds(link: WorkerLink, { ends }: WorkerReport): number {
+  function handleEnds(link: WorkerLink, { ends, hasMoreEnds }: WorkerReport): number {
     let lastSequence = 0;
     let isComplete = true;
     for (const ended of [...ends].sort((a, b) => a.sequence - b.sequence)) {
@@ -98,6 +98,8 @@
         continue;
       }
       handleEnd(link, ended);
+      // A later owner may be able to store it. A full list must go on, since it hides the ends of other jobs.
+      if (isOfHeldJob(ended) && hasMoreEnds !== true) isComplete = false;
       if (isComplete) lastSequence = ended.sequence;
     }
     return lastSequence;
@@ -115,6 +117,11 @@
     return state !== undefined && !isFinal(state);
   }
 
+  function isOfHeldJob({ task }: EndedRun): boolean {
+    const job = activeJobs.find(parseTaskName(task)?.jobId ?? '');
+    return job?.isHeld === true && !isFinal(job.state);
+  }
+
   /**
    * Work lost with a run, in core-seconds; `undefined` if its run time is unknown or nothing is
    * lost.
@@ -150,7 +157,7 @@
     metrics.count('runs.ended', 1, { end: ended.end });
     if (effect === EndEffect.Stale) return;
     if (effect === EndEffect.Superseded) {
-      lifecycle.writeGroup(group);
+      lifecycle.writeGroup(group, [task]);
       lifecycle.stopTask(placed, 'earlier run completed');
       return;
     }
--- a/packages/dispatch/src/starter.ts
+++ b/packages/dispatch/src/starter.ts
@@ -10,8 +10,9 @@
 } from '@bergamotreach/scheduling';
 import type { PlacedTask, PlannedStart, Resources, TaskGroup } from '@bergamotreach/scheduling';
 import type { JobLifecycle } from './joblifecycle.ts';
-import { getCrashKey, getProgressKey } from './jobrows.ts';
+import { formatHeadName, getCrashKey, getProgressKey } from './jobrows.ts';
 import { isOverCapacity } from './fleetview.ts';
+import { listGroupRows } from './progressrows.ts';
 import { StartOutcome, startWindowMs } from './orders.ts';
 import type { StartResult } from './orders.ts';
 import { getTaskName } from './ownercontext.ts';
@@ -52,20 +53,55 @@
    */
   async function startAll(starts: readonly PlannedStart[]): Promise<void> {
     const pending = starts.map((start) => ({ group: start.group, runs: reserveRuns(start) }));
-    await Promise.all(pending.map(({ group, runs }) => startWhenStored(group, runs)));
+    await Promise.all(
+      pending.flatMap(({ group, runs }) =>
+        groupByRow(group, runs).map((stored) => startWhenStored(group, stored)),
+      ),
+    );
+  }
+
+  /** Runs that are stored in the same row start together; the members of a gang once all of them are stored. */
+  function groupByRow(group: TaskGroup, runs: readonly PendingRun[]): PendingRun[][] {
+    if (group.spec.isGang || !group.isChunked) return [[...runs]];
+    const byRow = new Map<string, PendingRun[]>();
+    for (const run of runs) {
+      const [row = ''] = listGroupRows(group, [run.task]);
+      byRow.set(row, [...(byRow.get(row) ?? []), run]);
+    }
+    return [...byRow.values()];
+  }
+
+  /** Resolves with the earliest time at which one of the rows was sent; `undefined` if one never is stored. */
+  async function waitForRows(keys: readonly string[]): Promise<number | undefined> {
+    const sentMs = await Promise.all(keys.map((key) => journal.flushRow(key)));
+    const stored = sentMs.filter((ms) => ms !== undefined);
+    return stored.length < keys.length ? undefined : Math.min(...stored);
   }
 
   /** Does not wait for the other commits of a plan, since the job could be cancelled meanwhile. */
   async function startWhenStored(group: TaskGroup, runs: readonly PendingRun[]): Promise<void> {
     // The crash record of an earlier run is stored first, so that it outlives this owner.
-    if (group.tasks.some(({ crashRecord }) => crashRecord !== undefined)) {
-      await journal.flushRow(getCrashKey(group.key));
+    const tasks = runs.map(({ task }) => task);
+    const rows = listGroupRows(group, tasks);
+    if (tasks.some(({ crashRecord }) => crashRecord !== undefined)) {
+      await Promise.all(rows.map((name) => journal.flushRow(getCrashKey(name))));
+    }
+    // The head keeps versions that do not know chunks from starting the tasks again; it has no guard.
+    if (group.isChunked) await journal.flushRow(getProgressKey(formatHeadName(group.job.id)));
+    const commitSentMs = await waitForRows(rows.map(getProgressKey));
+    if (commitSentMs === undefined) {
+      dropHeldRuns(group, runs);
+      return;
     }
-    const commitSentMs = await journal.flushRow(getProgressKey(group.key));
-    if (commitSentMs === undefined) return;
     for (const pendingRun of runs) void startContained(pendingRun, commitSentMs);
   }
 
+  /** The store refuses their row, so they are never sent. */
+  function dropHeldRuns(group: TaskGroup, runs: readonly PendingRun[]): void {
+    if (context.isStopped() || lifecycle.findJob(group)?.isHeld !== true) return;
+    for (const { task, run } of runs) if (task.run === run) lifecycle.dropRun({ group, task });
+  }
+
   /** After an unexpected error, the start may or may not have been sent: the worker's reports decide. */
   async function startContained(pendingRun: PendingRun, commitSentMs: number): Promise<void> {
     const { group, task, run, workerId } = pendingRun;
@@ -94,7 +130,10 @@
       // No report can show the run before its order is sent.
       observedRuns.set(task, createObservedRun(task.run));
     }
-    lifecycle.writeStarts(group);
+    lifecycle.writeStarts(
+      group,
+      placements.map(({ task }) => task),
+    );
     const job = lifecycle.findJob(group);
     if (job?.state === JobState.Queued) {
       job.state = JobState.Running;
@@ -120,6 +159,7 @@
     };
     const isWanted = (): boolean =>
       !context.isStopped() &&
+      lifecycle.findJob(group)?.isHeld !== true &&
       hasRoom() &&
       task.run === run &&
       task.phase === TaskPhase.Starting &&
--- a/packages/scheduling/src/crashes.ts
+++ b/packages/scheduling/src/crashes.ts
@@ -154,9 +154,9 @@
 }
 
 /** Encodes the crash records of a group for the store. */
-export function encodeCrashes(group: TaskGroup): CrashRow {
+export function encodeCrashes(group: TaskGroup, tasks: readonly Task[] = group.tasks): CrashRow {
   return {
-    records: group.tasks.flatMap(({ index, crashRecord }) => {
+    records: tasks.flatMap(({ index, crashRecord }) => {
       if (crashRecord === undefined) return [];
       const { run, crashes, soleCrashes, logChance, longestMs, machine, isExposed } = crashRecord;
       const counts = [index, run, crashes, soleCrashes] as const;
--- a/packages/scheduling/src/group.ts
+++ b/packages/scheduling/src/group.ts
@@ -66,6 +66,8 @@
   gangFailures: number;
   /** Latest run of a gang that was counted in `gangFailures`. */
   lastFailedRun: number;
+  /** Its progress is stored in chunks of tasks, since one row would not hold it. */
+  isChunked: boolean;
   /** Workers that the policy of the queue admits now; `undefined` admits all. */
   allowedWorkers?: ReadonlySet<string> | undefined;
   /** In a part of a group that a plan splits: the whole group. */
@@ -74,6 +76,9 @@
   isIsolated?: boolean;
 }
 
+/** Progress of wider groups is stored in chunks from the first run on. */
+export const maxTasksPerRow = 512;
+
 /** Creates a group whose tasks have not run yet. Throws if the job has no such step. */
 export function createGroup(job: JobSubmission, occurrence: number, step: number): TaskGroup {
   const spec = job.steps[step];
@@ -87,6 +92,7 @@
     tasks: Array.from({ length: spec.taskCount }, (_, index) => createTask(index)),
     gangFailures: 0,
     lastFailedRun: 0,
+    isChunked: spec.taskCount > maxTasksPerRow,
   };
 }
 
