Hold only the occurrences of a job that are due and not done

Cause: an owner created every task of every occurrence when it adopted a job, and every plan walked them.

Change: occurrences are opened when they are due, in order, while fewer than 16 of a job wait for a place, and closed when they are done. Jobs of more than 64 occurrences have a head row with the next and the open occurrences, and the rows of their done occurrences are removed. The bound of 100,000 tasks counts one occurrence, so 3,000 tasks each hour for a year are accepted.

--- a/packages/bench/src/decisions/simulation.ts
+++ b/packages/bench/src/decisions/simulation.ts
@@ -177,6 +177,7 @@
 
   function runPlan(): void {
     if (fleet.ownerGaps.some(isWithin)) return;
+    activeJobs.openDue(nowMs);
     urgentDemand.record(activeJobs.sumUrgentDemand(nowMs), nowMs);
     if (policy.observesRuns) reportProgress();
     const result = planStarts({
--- a/packages/dispatch/src/activejobs.ts
+++ b/packages/dispatch/src/activejobs.ts
@@ -21,7 +21,7 @@
   Task,
   TaskGroup,
 } from '@bergamotreach/scheduling';
-import { createHead } from './jobrows.ts';
+import { createHead, maxOpenOccurrences } from './jobrows.ts';
 import type { JobHead, JobRow } from './jobrows.ts';
 import { noProgress } from './progressrows.ts';
 import type { StoredProgress } from './progressrows.ts';
@@ -52,6 +52,11 @@
   list(): ActiveJob[];
   /** Finds a task by its full name, `<job>.<occurrence>.<step>.<index>`. */
   findTask(name: string): PlacedTask | undefined;
+  /** Opens the occurrences that are due at the Unix time `wallMs`, as far as their bounds allow. */
+  openDue(wallMs: number): void;
+  isOccurrenceDone(job: ActiveJob, occurrence: number): boolean;
+  /** Removes the groups of an occurrence that is done. */
+  closeOccurrence(job: ActiveJob, occurrence: number): void;
   /** Groups with tasks that may start at the Unix time `wallMs`. */
   listReady(wallMs: number): ReadyGroup[];
   /** A group with the age and the mean work by which it is ranked at the Unix time `wallMs`. */
@@ -71,11 +76,27 @@
 
 // Allows for clock differences between instances: an occurrence must not start before its time.
 const dueMarginMs = 60;
+/** The rows of jobs with at most this many occurrences are kept until the job ends, as earlier versions do. */
+const maxKeptOccurrences = 64;
+/**
+ * Overdue occurrences of a job are opened while fewer than this many, with fewer tasks than this, wait for a place: the
+ * others would wait behind them anyway.
+ */
+const maxWaitingOccurrences = 16;
+const maxWaitingTasks = 1024;
+
 /** Creates an empty set of jobs. */
 export function createActiveJobs(): ActiveJobs {
   const jobs = new Map<string, ActiveJob>();
   const workMeans = createWorkMeans();
 
+  function listOccurrenceGroups(job: ActiveJob, occurrence: number): TaskGroup[] {
+    const { id, steps } = job.submission;
+    return steps.flatMap(
+      (_, step) => job.groups.get(formatGroupName({ jobId: id, occurrence, step })) ?? [],
+    );
+  }
+
   function createStoredGroup(
     { submission }: ActiveJob,
     occurrence: number,
@@ -110,6 +131,35 @@
     for (const occurrence of known) openOccurrence(job, occurrence, stored);
   }
 
+  function countWaiting(job: ActiveJob, wallMs: number): { occurrences: number; tasks: number } {
+    const ready = [...job.groups.values()].filter((group) => isReady(job, group, wallMs));
+    const waiting = ready.flatMap(({ tasks }) =>
+      tasks.filter(({ phase }) => phase === TaskPhase.Waiting),
+    );
+    const occurrences = new Set(ready.map(({ occurrence }) => occurrence)).size;
+    return { occurrences, tasks: waiting.length };
+  }
+
+  function canOpenNext(job: ActiveJob, wallMs: number): boolean {
+    if (job.next >= getOccurrenceCount(job.submission)) return false;
+    const dueAtMs = getDueAtMs(job.submission, job.next);
+    if (dueAtMs > 0 && wallMs < dueAtMs + dueMarginMs) return false;
+    if (job.open.size >= maxOpenOccurrences) return false;
+    if (job.open.size === 0) return true;
+    const waiting = countWaiting(job, wallMs);
+    return waiting.occurrences < maxWaitingOccurrences && waiting.tasks < maxWaitingTasks;
+  }
+
+  function openDue(wallMs: number): void {
+    for (const job of jobs.values()) {
+      if (isFinal(job.state) || job.isHeld) continue;
+      while (canOpenNext(job, wallMs)) {
+        openOccurrence(job, job.next);
+        job.next += 1;
+      }
+    }
+  }
+
   function visitOccupying(visit: (group: TaskGroup, task: Task) => void): void {
     for (const job of jobs.values()) {
       for (const group of job.groups.values()) {
@@ -146,10 +196,12 @@
         ...{ hasHead: stored.head !== undefined, isHeld: false },
       };
       openStored(job, stored);
-      for (; job.next < getOccurrenceCount(submission); job.next += 1)
-        openOccurrence(job, job.next);
+      if (submission.recurrence === undefined && job.next === 0) {
+        openOccurrence(job, 0);
+        job.next = 1;
+      }
       const isWide = [...job.groups.values()].some(({ isChunked }) => isChunked);
-      job.hasHead ||= isWide;
+      job.hasHead ||= isWide || getOccurrenceCount(submission) > maxKeptOccurrences;
       jobs.set(submission.id, job);
       workMeans.add(submission);
       return job;
@@ -166,6 +218,12 @@
       const task = group?.tasks[parsed.index];
       return group === undefined || task === undefined ? undefined : { group, task };
     },
+    openDue,
+    isOccurrenceDone: (job, occurrence) => listOccurrenceGroups(job, occurrence).every(isGroupDone),
+    closeOccurrence(job, occurrence) {
+      for (const { key } of listOccurrenceGroups(job, occurrence)) job.groups.delete(key);
+      job.open.delete(occurrence);
+    },
     listReady(wallMs) {
       const ready: ReadyGroup[] = [];
       for (const job of jobs.values()) {
--- a/packages/dispatch/src/joblifecycle.ts
+++ b/packages/dispatch/src/joblifecycle.ts
@@ -8,19 +8,21 @@
   recordEnd,
 } from '@bergamotreach/scheduling';
 import type { PlacedTask, Task, TaskGroup } from '@bergamotreach/scheduling';
+import { runContained } from '@bergamotreach/protocol';
 import { countOccupying, encodeHead } from './activejobs.ts';
 import type { ActiveJob } from './activejobs.ts';
 import {
   createStateRow,
   encodeRow,
   formatHeadName,
+  getCrashKey,
   getProgressKey,
   getStateKey,
 } from './jobrows.ts';
 import { getTaskName } from './ownercontext.ts';
 import type { OwnerContext } from './ownercontext.ts';
 import { createObservedRun } from './observedrun.ts';
-import { encodeProgress } from './progressrows.ts';
+import { encodeProgress, listGroupRows } from './progressrows.ts';
 
 /** State changes of jobs and tasks, together with the rows to write and the orders to send. */
 export interface JobLifecycle {
@@ -93,6 +95,24 @@
     if (job !== undefined) job.isHeld = true;
   }
 
+  /** The rows of an occurrence are removed once the head that calls it done is stored. */
+  async function closeOccurrence(job: ActiveJob, occurrence: number): Promise<void> {
+    const names = [...job.groups.values()]
+      .filter((group) => group.occurrence === occurrence)
+      .flatMap((group) => [group.key, ...listGroupRows(group, group.tasks)]);
+    activeJobs.closeOccurrence(job, occurrence);
+    context.tickets.dropJob(`${job.submission.id}.${occurrence}`);
+    if (!job.hasHead) return;
+    writeHead(job);
+    const headKey = getProgressKey(formatHeadName(job.submission.id));
+    if ((await journal.flushRow(headKey)) === undefined) return;
+    for (const name of names) {
+      journal.remove(getProgressKey(name));
+      journal.remove(getCrashKey(name));
+    }
+    await journal.flush();
+  }
+
   /**
    * The replica of the job states may not show a cancellation yet, so the store checks the state
    * that the plan relied on.
@@ -166,8 +186,11 @@
       finishJob(job, JobState.Failed, 'no attempts left');
       return;
     }
-    if (effect === EndEffect.Done && activeJobs.isComplete(job)) {
+    const isEnded = effect === EndEffect.Done;
+    if (isEnded && activeJobs.isComplete(job)) {
       finishJob(job, JobState.Completed, 'all tasks done');
+    } else if (isEnded && activeJobs.isOccurrenceDone(job, group.occurrence)) {
+      void runContained(logger, 'occurrence', () => closeOccurrence(job, group.occurrence));
     }
     if (group.spec.isGang && task.phase === TaskPhase.Waiting) stopGang(group, 'gang member ended');
   }
--- a/packages/dispatch/src/jobrequest.ts
+++ b/packages/dispatch/src/jobrequest.ts
@@ -12,8 +12,8 @@
 export const maxTasksPerStep = 4096;
 export const maxOccurrences = 10_000;
 export const maxStepsPerJob = 1000;
-/** An owner keeps the state of every task of every occurrence in memory. */
-const maxTasksPerJob = 100_000;
+/** Bounds what one job takes in the memory of an owner, which holds the tasks of occurrences that are due. */
+const maxTasksPerOccurrence = 100_000;
 
 /** Schema of a step. */
 export const stepSchema = z.object({
@@ -54,7 +54,7 @@
 }
 
 /** The work of a job, from a caller or from a row. */
-type JobWork = Pick<JobRequest, 'payload' | 'steps' | 'recurrence'>;
+type JobWork = Pick<JobRequest, 'payload' | 'steps'>;
 
 const requestSchema = z.object({
   id: nameSchema.check(z.minLength(1)),
@@ -72,12 +72,12 @@
 };
 
 /** Checks what a schema of the fields cannot: the size of a job as a whole and the order of its steps. */
-export function checkWork({ payload, steps, recurrence }: JobWork): Result<undefined, string> {
+export function checkWork({ payload, steps }: JobWork): Result<undefined, string> {
   if (Buffer.byteLength(payload) > maxPayloadBytes) {
     return Err(`payload exceeds ${maxPayloadBytes} bytes`);
   }
-  const tasks = steps.reduce((sum, { taskCount }) => sum + taskCount, 0) * (recurrence?.count ?? 1);
-  if (tasks > maxTasksPerJob) return Err(`${tasks} tasks exceed ${maxTasksPerJob}`);
+  const tasks = steps.reduce((sum, { taskCount }) => sum + taskCount, 0);
+  if (tasks > maxTasksPerOccurrence) return Err(`${tasks} tasks exceed ${maxTasksPerOccurrence}`);
   const isBackward = steps.every(({ dependsOn }, index) =>
     dependsOn.every((other) => other < index),
   );
--- a/packages/dispatch/src/owner.ts
+++ b/packages/dispatch/src/owner.ts
@@ -32,6 +32,7 @@
   checkGroupRecord,
   checkJobHead,
   crashTable,
+  getProgressKey,
   getStateKey,
   isHeadName,
   parseJobId,
@@ -44,6 +45,7 @@
 import { createOrderSender } from './orders.ts';
 import type { OwnerContext, OwnerOptions } from './ownercontext.ts';
 import { createProgressRows, formatGroupRow, listGroupRows } from './progressrows.ts';
+import type { StoredProgress } from './progressrows.ts';
 import { createRunLosses, applyCrashRows } from './runlosses.ts';
 import { createRunReports } from './runreports.ts';
 import { createRunStops } from './runstops.ts';
@@ -336,10 +338,20 @@
     });
     if (version === 0) lifecycle.writeState(job);
     if (job.hasHead && stored.head === undefined) lifecycle.writeHead(job);
+    if (stored.head !== undefined) removeDoneRows(job, stored);
     finishRestored(job);
     requestPlan();
   }
 
+  /** Removes the rows of occurrences that the stored head calls done. */
+  function removeDoneRows(job: ActiveJob, stored: StoredProgress): void {
+    const next = stored.head?.next ?? 0;
+    for (const occurrence of stored.listOccurrences()) {
+      if (occurrence >= next || job.open.has(occurrence)) continue;
+      for (const name of stored.listRows(occurrence)) journal.remove(getProgressKey(name));
+    }
+  }
+
   /** Ends a job whose last result a previous owner stored without the new job state. */
   function finishRestored(job: ActiveJob): void {
     if (activeJobs.isComplete(job)) lifecycle.finishJob(job, JobState.Completed, 'all tasks done');
@@ -395,6 +407,7 @@
     const guarantees = new Map(
       config?.accounts.map((account) => [account.name, account.guaranteedAccelerators]),
     );
+    activeJobs.openDue(wallMs);
     urgentDemand.record(activeJobs.sumUrgentDemand(wallMs), startedAtMs);
     const workers = buildWorkerViews(context, startedAtMs);
     const ready = activeJobs.listReady(wallMs);
--- a/packages/dispatch/src/tickets.ts
+++ b/packages/dispatch/src/tickets.ts
@@ -29,8 +29,8 @@
   findTicket(group: TaskGroup, workerId: string): string | undefined;
   /** Removes a ticket that the worker rejected. */
   dropTicket(group: TaskGroup, workerId: string): void;
-  /** Removes all tickets of a job. */
-  dropJob(jobId: string): void;
+  /** Removes all tickets of a job, or of one occurrence of it (`<job>.<occurrence>`). */
+  dropJob(name: string): void;
 }
 
 interface Ticket {
@@ -203,8 +203,8 @@
     dropTicket(group, workerId) {
       steps.get(group.key)?.tickets.delete(workerId);
     },
-    dropJob(jobId) {
-      for (const key of steps.keys()) if (key.startsWith(`${jobId}.`)) steps.delete(key);
+    dropJob(name) {
+      for (const key of steps.keys()) if (key.startsWith(`${name}.`)) steps.delete(key);
     },
   };
 }
