Bound the starts that an owner has in progress

What callers saw: beside a job of 3,000 tasks workers counted as silent, and the job took over 20 s instead of 3 s.

Cause: all starts of a plan were sent at once, waited in the owner's process until they timed out and were sent again; renewals of leases waited behind them.

Change: at most 128 starts are in progress; the rest of a plan is planned again once half of them have ended. A gang is never divided.

--- a/packages/dispatch/src/owner.ts
+++ b/packages/dispatch/src/owner.ts
@@ -433,8 +433,9 @@
       if (group.spec.isGang) lifecycle.stopGang(group, stopReason);
       else lifecycle.stopTask({ group, task }, stopReason);
     }
-    if (result.starts.length > 0) {
-      void runContained(logger, 'starts', () => starter.startAll(result.starts));
+    const starts = starter.limitStarts(result.starts);
+    if (starts.length > 0) {
+      void runContained(logger, 'starts', () => starter.startAll(starts));
     }
     // Stores the queued state of jobs that could not start yet.
     else if (journal.countPending() > 0) void journal.flush();
--- a/packages/dispatch/src/starter.ts
+++ b/packages/dispatch/src/starter.ts
@@ -23,6 +23,11 @@
 
 /** Carries out planned starts. */
 export interface Starter {
+  /**
+   * Starts of a plan that may be carried out now, first ones first; a gang is never divided. Another plan is requested
+   * once there is room for the others.
+   */
+  limitStarts(starts: readonly PlannedStart[]): PlannedStart[];
   startAll(starts: readonly PlannedStart[]): Promise<void>;
 }
 
@@ -39,6 +44,11 @@
  * after a cancellation is 3 s.
  */
 const maxStateAgeMs = 2500;
+/**
+ * Starts in progress of an owner. With more, their orders wait in the process until they time out, and the renewals of
+ * leases wait behind them.
+ */
+const maxOpenStarts = 128;
 /** How long a worker that refused a start for lack of resources gets no new one. */
 const refusalBackoffMs = 400;
 const unhealthyBackoffMs = 2000;
@@ -48,11 +58,37 @@
   const { journal, orders, observedRuns, startBackoffs } = context;
   const { clock, logger, metrics } = context.options;
 
+  let openStarts = 0;
+  /** Starts were left out of a plan. */
+  let isLimited = false;
+
+  function limitStarts(starts: readonly PlannedStart[]): PlannedStart[] {
+    let room = maxOpenStarts - openStarts;
+    const allowed: PlannedStart[] = [];
+    for (const start of starts) {
+      const { group, placements } = start;
+      const taken =
+        group.spec.isGang && room > 0 ? placements : placements.slice(0, Math.max(0, room));
+      if (taken.length < placements.length) isLimited = true;
+      room -= taken.length;
+      if (taken.length > 0) allowed.push({ group, placements: taken });
+    }
+    return allowed;
+  }
+
+  function closeStarts(count: number): void {
+    openStarts -= count;
+    if (!isLimited || openStarts > maxOpenStarts / 2) return;
+    isLimited = false;
+    context.requestPlan();
+  }
+
   /**
    * Stores the runs before they are started, so that any later owner knows where to look for them.
    */
   async function startAll(starts: readonly PlannedStart[]): Promise<void> {
     const pending = starts.map((start) => ({ group: start.group, runs: reserveRuns(start) }));
+    openStarts += pending.reduce((sum, { runs }) => sum + runs.length, 0);
     await Promise.all(
       pending.flatMap(({ group, runs }) =>
         groupByRow(group, runs).map((stored) => startWhenStored(group, stored)),
@@ -91,9 +127,14 @@
     const commitSentMs = await waitForRows(rows.map(getProgressKey));
     if (commitSentMs === undefined) {
       dropHeldRuns(group, runs);
+      closeStarts(runs.length);
       return;
     }
-    for (const pendingRun of runs) void startContained(pendingRun, commitSentMs);
+    for (const pendingRun of runs) {
+      void startContained(pendingRun, commitSentMs).finally(() => {
+        closeStarts(1);
+      });
+    }
   }
 
   /** The store refuses their row, so they are never sent. */
@@ -253,5 +294,5 @@
     link.requestReport();
   }
 
-  return { startAll };
+  return { limitStarts, startAll };
 }
--- a/packages/dispatch/tests/fakeworkers.ts
+++ b/packages/dispatch/tests/fakeworkers.ts
@@ -229,6 +229,9 @@
 export class FakeRunner extends TaskRunner {
   /** All starts that were sent. */
   readonly starts: SentStart[] = [];
+  /** Starts without an answer yet, and the most of them at any time. */
+  private openStarts = 0;
+  mostOpenStarts = 0;
 
   constructor(
     private readonly workers: ReadonlyMap<string, FakeWorker>,
@@ -244,7 +247,11 @@
       addressed.restartsAtStart = false;
       addressed.restart();
     }
-    return this.sendOrder(address, (worker) => worker.start(order));
+    this.openStarts += 1;
+    this.mostOpenStarts = Math.max(this.mostOpenStarts, this.openStarts);
+    return this.sendOrder(address, (worker) => worker.start(order)).finally(() => {
+      this.openStarts -= 1;
+    });
   }
 
   async stop(address: WorkerAddress, order: StopOrder): Promise<OrderReply> {
--- a/packages/dispatch/tests/widejobs.test.ts
+++ b/packages/dispatch/tests/widejobs.test.ts
@@ -92,6 +92,16 @@
   }
 });
 
+// Guards against thousands of orders at once: they timed out in the queue of the process, renewals of leases waited
+// behind them, and workers counted as silent.
+test('the tasks of a wide job start a bounded number at a time', async () => {
+  const world = await createWideWorld(5000);
+  world.submit('wide', [{ taskCount: 1000, demand }]);
+  await world.clock.advance(3000);
+  expect(countRuns(world).runs).toEqual(1000);
+  expect((world.candidates[0]?.runner.mostOpenStarts ?? Infinity) <= 128).toEqual(true);
+});
+
 /** Group of a wide step, some tasks of which have run. */
 function createProgressed(taskCount: number): TaskGroup {
   const group = createGroup(createJob('old', 1, [createStep({ taskCount, demand })]), 0, 0);
