Bound what submissions make the system store and hold

What callers saw: a job of a few hundred steps exceeded a row and was answered 503 for ever; nothing bounded the memory of accepted jobs together.

Cause: submissions were accepted, or retried as after an outage, without regard to what they take.

Change: a job row that does not fit is compressed; what the store still refuses is answered 413. A repeat of an accepted job is looked up first.

--- /dev/null
+++ b/packages/dispatch/src/heldwork.ts
@@ -0,0 +1,67 @@
+import { getJsonBytes } from '@bergamotreach/hosting';
+import type { Clock } from '@bergamotreach/protocol';
+import { getOccurrenceCount, isFinal } from '@bergamotreach/scheduling';
+import type { JobSubmission } from '@bergamotreach/scheduling';
+import type { StateRow } from './jobrows.ts';
+import type { TableReplica } from './tablereplica.ts';
+
+/** Memory of a task that runs, and of the row of a job for each of its bytes. */
+const taskBytes = 400;
+const parsedFactor = 3;
+/** Overdue tasks of a job that an owner has in hand, beyond which no occurrence is opened. */
+const maxWaitingTasks = 1024;
+/** A job whose state does not tell its size: an earlier version wrote it. */
+const defaultJobBytes = 16_384;
+/** Time after which an owner has adopted an accepted job, and its state is in the replica. */
+const adoptionMs = 10_000;
+/** The sum over all states is computed at most this often. */
+const sumIntervalMs = 250;
+
+/** Memory that an accepted job makes an owner hold until it ends, in bytes. */
+export function computeJobBytes(submission: JobSubmission): number {
+  const tasks = submission.steps.reduce((sum, { taskCount }) => sum + taskCount, 0);
+  const occurrences = Math.min(
+    getOccurrenceCount(submission),
+    Math.ceil(maxWaitingTasks / tasks) + 1,
+  );
+  return getJsonBytes(submission) * parsedFactor + tasks * occurrences * taskBytes;
+}
+
+/** Accounts for the memory that accepted jobs make an owner hold. */
+export interface HeldWork {
+  /** Memory of all accepted jobs that have not ended, in bytes. */
+  getUsedBytes(): number;
+  /** Counts a job that this instance has accepted, until its state shows in the replica. */
+  addAccepted(jobId: string, bytes: number): void;
+}
+
+/** Creates the account; `states` are those of all jobs. */
+export function createHeldWork(states: TableReplica<StateRow>, clock: Clock): HeldWork {
+  const accepted = new Map<string, { bytes: number; untilMs: number }>();
+  let storedBytes = 0;
+  let summedMs = -Infinity;
+
+  function sumStored(): number {
+    if (clock.getNowMs() - summedMs < sumIntervalMs) return storedBytes;
+    summedMs = clock.getNowMs();
+    storedBytes = 0;
+    for (const [, { state, heldBytes }] of states.list()) {
+      if (!isFinal(state)) storedBytes += heldBytes ?? defaultJobBytes;
+    }
+    return storedBytes;
+  }
+
+  return {
+    getUsedBytes() {
+      let sum = sumStored();
+      for (const [jobId, { bytes, untilMs }] of accepted) {
+        if (states.find(jobId) !== undefined || clock.getNowMs() > untilMs) accepted.delete(jobId);
+        else sum += bytes;
+      }
+      return sum;
+    },
+    addAccepted(jobId, bytes) {
+      accepted.set(jobId, { bytes, untilMs: clock.getNowMs() + adoptionMs });
+    },
+  };
+}
--- a/packages/dispatch/src/instance.ts
+++ b/packages/dispatch/src/instance.ts
@@ -41,6 +41,8 @@
   configApplyMs: number;
   /** Commits per second of this process; all instances share the store's rate limit. */
   commitsPerSecond: number;
+  /** Memory that accepted jobs may make an owner hold, in bytes. */
+  maxHeldBytes: number;
 }
 
 /** Options of an instance. */
@@ -236,7 +238,11 @@
     logger,
     metrics,
   });
-  const localJobs = createJobService({ ...options, committer, states, configs: operatorRows });
+  const localJobs = createJobService({
+    ...options,
+    ...{ committer, states, configs: operatorRows },
+    maxHeldBytes: options.limits.maxHeldBytes,
+  });
   const relay = createRelay({
     clock,
     logger,
--- a/packages/dispatch/src/jobrows.ts
+++ b/packages/dispatch/src/jobrows.ts
@@ -8,7 +8,7 @@
 } from '@bergamotreach/protocol/bounds';
 import { createCheck } from '@bergamotreach/protocol/check';
 import type { Check } from '@bergamotreach/protocol/check';
-import { JobState } from '@bergamotreach/scheduling';
+import { JobState, isFinal } from '@bergamotreach/scheduling';
 import type {
   CrashRow,
   GroupRecord,
@@ -16,6 +16,8 @@
   StoredCrashRecord,
 } from '@bergamotreach/scheduling';
 import * as z from 'zod/mini';
+import { computeJobBytes } from './heldwork.ts';
+import { decodePacked } from './packedrow.ts';
 import { checkWork, maxTasksPerStep, recurrenceSchema, stepsSchema } from './jobrequest.ts';
 
 /** Row `job/<id>`: an accepted job; never changed. Without a state row the job is queued. */
@@ -42,6 +44,8 @@
    * be stored, and must not run then. The row alone does not prove that the job exists.
    */
   isWithdrawn?: boolean;
+  /** Memory that the job makes an owner hold until it ends, in bytes; earlier versions drop it. */
+  heldBytes?: number;
 }
 
 const jobRowSchema = z.object({
@@ -70,6 +74,7 @@
   isTimed: z.boolean(),
   changedAtMs: unixMsSchema,
   isWithdrawn: z.exactOptional(z.boolean()),
+  heldBytes: z.exactOptional(amountSchema),
 });
 
 /** Longest checkpoint, which a worker chooses; a row of a group holds one for each task. */
@@ -182,7 +187,9 @@
 
 /** Checks rows of the store, which other versions of this software may have written. */
 export const checkJobRow: Check<JobRow> = (value) =>
-  checkJobShape(value).andThen((row) => checkWork(row.submission).map(() => row));
+  decodePacked(value)
+    .andThen(checkJobShape)
+    .andThen((row) => checkWork(row.submission).map(() => row));
 export const checkStateRow: Check<StateRow> = createCheck(stateRowSchema);
 export const checkGroupRecord: Check<GroupRecord> = createCheck(groupRecordSchema);
 
@@ -225,12 +232,14 @@
 
 /** Creates the row of a job state that changes at the Unix time `wallMs`. */
 export function createStateRow(
-  { queue, account, recurrence }: JobSubmission,
+  submission: JobSubmission,
   state: JobState,
   wallMs: number,
 ): StateRow {
+  const { queue, account, recurrence } = submission;
   const isTimed = recurrence !== undefined;
-  return { state, queue, account, isTimed, changedAtMs: Math.round(wallMs) };
+  const row = { state, queue, account, isTimed, changedAtMs: Math.round(wallMs) };
+  return isFinal(state) ? row : { ...row, heldBytes: computeJobBytes(submission) };
 }
 
 /** Encodes a row for the store. Rows are plain JSON values by construction. */
--- a/packages/dispatch/src/jobservice.ts
+++ b/packages/dispatch/src/jobservice.ts
@@ -12,6 +12,7 @@
 import { findAccount, findQueue } from './configuration.ts';
 import type { AccountConfig, QueueConfig, ServiceConfig } from './configuration.ts';
 import type { JobRequest } from './jobrequest.ts';
+import { createHeldWork, computeJobBytes } from './heldwork.ts';
 import {
   checkJobRow,
   checkStateRow,
@@ -22,6 +23,7 @@
 } from './jobrows.ts';
 import type { JobRow, StateRow } from './jobrows.ts';
 import type { ConfigReplica } from './operatorrows.ts';
+import { encodePacked } from './packedrow.ts';
 import type { TableReplica } from './tablereplica.ts';
 
 /** Options of the job service. */
@@ -32,6 +34,8 @@
   configs: ConfigReplica;
   /** Time within which the store is expected to answer a call now, in milliseconds. */
   getExpectedStoreMs: () => number;
+  /** Memory that accepted jobs may make an owner hold, in bytes. */
+  maxHeldBytes: number;
   clock: Clock;
   /** Unix time in milliseconds. */
   getWallMs: () => number;
@@ -59,7 +63,8 @@
   admit(host: string, path: string, key: string | undefined): Promise<Result<Admission, Fault>>;
   /**
    * Accepts a job; idempotent for a repeated id. Faults: `store_unavailable` (not accepted and
-   * never will be), `unknown_outcome` (may have been accepted; repeat with the same id).
+   * never will be), `too_large` (the store cannot hold it), `quota_exceeded` (accepted jobs take the memory),
+   * `unknown_outcome` (may have been accepted; repeat with the same id).
    */
   submit(
     admission: Admission,
@@ -97,6 +102,8 @@
  */
 const unknownAfterFactor = 3;
 const retryAfterMs = 1000;
+/** Accepted jobs end within seconds or hours; callers that come back sooner only add to the load. */
+const fullRetryAfterMs = 5000;
 /**
  * A refusal by a configuration replica confirmed this recently needs no check against the store.
  */
@@ -129,6 +136,7 @@
 /** Creates the job service of an instance. */
 export function createJobService(options: JobServiceOptions): JobService {
   const { committer, states, configs, clock, getWallMs, logger, metrics } = options;
+  const heldWork = createHeldWork(states, clock);
 
   function getConfig(): ServiceConfig | undefined {
     return configs.find();
@@ -173,6 +181,13 @@
     return createFault(FaultCode.UnknownOutcome, message, { retryAfterMs });
   }
 
+  function createFullFault(jobBytes: number, usedBytes: number): Fault {
+    const message =
+      `not accepted: the job takes ${jobBytes} bytes of memory until it ends, and accepted jobs ` +
+      `take ${usedBytes} of ${options.maxHeldBytes}`;
+    return createFault(FaultCode.QuotaExceeded, message, { retryAfterMs: fullRetryAfterMs });
+  }
+
   function decideSubmit(reply: TransactionReply): Result<undefined, Fault> {
     return match(reply)
       .with({ status: TransactionStatus.Committed }, () => Ok(undefined))
@@ -342,16 +357,34 @@
         reportResult('refused_store_away');
         return Err(createUnavailable('not accepted: the store is unreachable'));
       }
+      const jobBytes = computeJobBytes(submission);
+      const usedBytes = heldWork.getUsedBytes();
+      if (usedBytes + jobBytes > options.maxHeldBytes) {
+        // The repeat of a job that no state shows yet must not be refused.
+        const stored = await options.table.getRow(getJobKey(request.id));
+        if (stored.isErr()) {
+          reportResult('refused_store_away');
+          return Err(createUnavailable(`not accepted: ${stored.error.message}`));
+        }
+        if (stored.value !== undefined) {
+          reportResult('known');
+          return Ok(undefined);
+        }
+        reportResult('refused_memory');
+        return Err(createFullFault(jobBytes, usedBytes));
+      }
+      const { rowBytes } = options.table.getLimits();
       const job: JobRow = { submission, acceptedAtMs: Math.round(getWallMs()) };
       const work = committer.submit({
         // The state row is left to the owner: job rows and the owner's rows are in different
         // partitions, so that with a store that is slow per partition neither delays the other.
         conditions: [{ key: getJobKey(request.id), version: 0 }],
-        writes: [{ key: getJobKey(request.id), value: encodeRow(job) }],
+        writes: [{ key: getJobKey(request.id), value: encodePacked(encodeRow(job), rowBytes) }],
         priority: WritePriority.NewWork,
       });
       const reply = await limitTime(work, deadlineMs);
       const result = reply === undefined ? Err(createUnknownOutcome()) : decideSubmit(reply);
+      if (result.isOk()) heldWork.addAccepted(request.id, jobBytes);
       reportResult(reply?.status ?? 'timeout');
       return result;
     },
--- a/packages/dispatch/tests/services.ts
+++ b/packages/dispatch/tests/services.ts
@@ -25,6 +25,7 @@
   world: World,
   id: string,
   expectedStoreMs = quickStoreMs,
+  maxHeldBytes = Infinity,
 ): { jobs: JobService; process: FakeProcess } {
   const process = new FakeProcess(id, world.clock);
   const table = new FakeTable(world.store, process);
@@ -58,6 +59,7 @@
     configs,
     getWallMs,
     getExpectedStoreMs: () => expectedStoreMs,
+    maxHeldBytes,
   });
   return { jobs, process };
 }
