Return the room of starts after an unexpected error, and report a held job once

Cause: found on reading the change. An error before the orders of a start left its runs counted as in progress for ever, so that an owner could stop starting anything; each refused row of a held job was logged; the crash rows of an occurrence stayed if its owner ended before their removal.

Change: the count is returned in any case; a job is held once; crash rows are removed with the rows of progress at the next takeover.

Evidence: by reading; the tests of wide jobs, occurrences, starts and the owner pass.

--- a/packages/dispatch/src/joblifecycle.ts
+++ b/packages/dispatch/src/joblifecycle.ts
@@ -90,6 +90,7 @@
 
   function holdJob(jobId: string, key: string, reason: string): void {
     const job = activeJobs.find(jobId);
+    if (job?.isHeld === true) return;
     metrics.count('jobs.held');
     logger.error('job_held', { job: jobId, row: key, reason, state: job?.state });
     if (job !== undefined) job.isHeld = true;
--- a/packages/dispatch/src/owner.ts
+++ b/packages/dispatch/src/owner.ts
@@ -32,6 +32,7 @@
   checkGroupRecord,
   checkJobHead,
   crashTable,
+  getCrashKey,
   getProgressKey,
   getStateKey,
   isHeadName,
@@ -348,7 +349,10 @@
     const next = stored.head?.next ?? 0;
     for (const occurrence of stored.listOccurrences()) {
       if (occurrence >= next || job.open.has(occurrence)) continue;
-      for (const name of stored.listRows(occurrence)) journal.remove(getProgressKey(name));
+      for (const name of stored.listRows(occurrence)) {
+        journal.remove(getProgressKey(name));
+        journal.remove(getCrashKey(name));
+      }
     }
   }
 
--- a/packages/dispatch/src/starter.ts
+++ b/packages/dispatch/src/starter.ts
@@ -91,11 +91,21 @@
     openStarts += pending.reduce((sum, { runs }) => sum + runs.length, 0);
     await Promise.all(
       pending.flatMap(({ group, runs }) =>
-        groupByRow(group, runs).map((stored) => startWhenStored(group, stored)),
+        groupByRow(group, runs).map((stored) => startCounted(group, stored)),
       ),
     );
   }
 
+  /** After an unexpected error before the orders, the runs no longer count as starts in progress. */
+  async function startCounted(group: TaskGroup, runs: readonly PendingRun[]): Promise<void> {
+    let isSent = false;
+    try {
+      isSent = await startWhenStored(group, runs);
+    } finally {
+      if (!isSent) closeStarts(runs.length);
+    }
+  }
+
   /** Runs that are stored in the same row start together; the members of a gang once all of them are stored. */
   function groupByRow(group: TaskGroup, runs: readonly PendingRun[]): PendingRun[][] {
     if (group.spec.isGang || !group.isChunked) return [[...runs]];
@@ -114,8 +124,11 @@
     return stored.length < keys.length ? undefined : Math.min(...stored);
   }
 
-  /** Does not wait for the other commits of a plan, since the job could be cancelled meanwhile. */
-  async function startWhenStored(group: TaskGroup, runs: readonly PendingRun[]): Promise<void> {
+  /**
+   * Does not wait for the other commits of a plan, since the job could be cancelled meanwhile. Resolves with false if
+   * no order is sent.
+   */
+  async function startWhenStored(group: TaskGroup, runs: readonly PendingRun[]): Promise<boolean> {
     // The crash record of an earlier run is stored first, so that it outlives this owner.
     const tasks = runs.map(({ task }) => task);
     const rows = listGroupRows(group, tasks);
@@ -127,14 +140,14 @@
     const commitSentMs = await waitForRows(rows.map(getProgressKey));
     if (commitSentMs === undefined) {
       dropHeldRuns(group, runs);
-      closeStarts(runs.length);
-      return;
+      return false;
     }
     for (const pendingRun of runs) {
       void startContained(pendingRun, commitSentMs).finally(() => {
         closeStarts(1);
       });
     }
+    return true;
   }
 
   /** The store refuses their row, so they are never sent. */
