--- a/packages/dispatch/src/heldwork.ts
+++ b/packages/dispatch/src/heldwork.ts
@@ -8,8 +8,8 @@
 /** Memory of a task that runs, and of the row of a job for each of its bytes. */
 const taskBytes = 400;
 const parsedFactor = 3;
-/** Overdue tasks of a job that an owner has in hand, beyond which no occurrence is opened. */
-const maxWaitingTasks = 1024;
+/** Overdue tasks of a job that wait for a place, beyond which no further occurrence is opened. */
+export const maxWaitingTasks = 1024;
 /** A job whose state does not tell its size: an earlier version wrote it. */
 const defaultJobBytes = 16_384;
 /** Time after which an owner has adopted an accepted job, and its state is in the replica. */
