--- a/packages/dispatch/src/heldwork.ts
+++ b/packages/dispatch/src/heldwork.ts
@@ -1,4 +1,3 @@
-import { getJsonBytes } from '@bergamotreach/hosting';
 import type { Clock } from '@bergamotreach/protocol';
 import { getOccurrenceCount, isFinal } from '@bergamotreach/scheduling';
 import type { JobSubmission } from '@bergamotreach/scheduling';
@@ -8,6 +7,9 @@
 /** Memory of a task that runs, and of the row of a job for each of its bytes. */
 const taskBytes = 400;
 const parsedFactor = 3;
+/** A step and one of its dependencies in the row of a job. */
+const stepBytes = 400;
+const dependencyBytes = 4;
 /** Overdue tasks of a job that wait for a place, beyond which no further occurrence is opened. */
 export const maxWaitingTasks = 1024;
 /** A job whose state does not tell its size: an earlier version wrote it. */
@@ -24,7 +26,12 @@
     getOccurrenceCount(submission),
     Math.ceil(maxWaitingTasks / tasks) + 1,
   );
-  return getJsonBytes(submission) * parsedFactor + tasks * occurrences * taskBytes;
+  const dependencies = submission.steps.reduce((sum, { dependsOn }) => sum + dependsOn.length, 0);
+  const rowBytes =
+    submission.payload.length +
+    submission.steps.length * stepBytes +
+    dependencies * dependencyBytes;
+  return rowBytes * parsedFactor + tasks * occurrences * taskBytes;
 }
 
 /** Accounts for the memory that accepted jobs make an owner hold. */
