Count at most the occurrences that an owner opens in the budget of a job

Cause: found on reading. The budget counted up to 104 waiting occurrences of an hourly job of ten tasks, 416 KB, though an owner opens at most 16 of them, so that about 210 such jobs used up the 87 MB of a small instance and the next was refused for memory that none of them takes.

Change: the bound of 16 counts too, from one constant.

--- a/packages/dispatch/src/activejobs.ts
+++ b/packages/dispatch/src/activejobs.ts
@@ -21,7 +21,7 @@
   Task,
   TaskGroup,
 } from '@bergamotreach/scheduling';
-import { maxWaitingTasks } from './heldwork.ts';
+import { maxWaitingOccurrences, maxWaitingTasks } from './heldwork.ts';
 import { createHead, maxOpenOccurrences } from './jobrows.ts';
 import type { JobHead, JobRow } from './jobrows.ts';
 import { noProgress } from './progressrows.ts';
@@ -79,11 +79,6 @@
 const dueMarginMs = 60;
 /** The rows of jobs with at most this many occurrences are kept until the job ends, as earlier versions do. */
 const maxKeptOccurrences = 64;
-/**
- * Overdue occurrences of a job are opened while fewer than this many, with fewer than `maxWaitingTasks` tasks, wait for
- * a place: the others would wait behind them anyway.
- */
-const maxWaitingOccurrences = 16;
 
 /** Creates an empty set of jobs. */
 export function createActiveJobs(): ActiveJobs {
--- a/packages/dispatch/src/heldwork.ts
+++ b/packages/dispatch/src/heldwork.ts
@@ -10,7 +10,11 @@
 /** A step and one of its dependencies in the row of a job. */
 const stepBytes = 400;
 const dependencyBytes = 4;
-/** Overdue tasks of a job that wait for a place, beyond which no further occurrence is opened. */
+/**
+ * Overdue occurrences of a job are opened while fewer than this many, with fewer tasks than this, wait for a place: the
+ * others would wait behind them anyway.
+ */
+export const maxWaitingOccurrences = 16;
 export const maxWaitingTasks = 1024;
 /** A job whose state does not tell its size: an earlier version wrote it. */
 const defaultJobBytes = 16_384;
@@ -24,6 +28,7 @@
   const tasks = submission.steps.reduce((sum, { taskCount }) => sum + taskCount, 0);
   const occurrences = Math.min(
     getOccurrenceCount(submission),
+    maxWaitingOccurrences,
     Math.ceil(maxWaitingTasks / tasks) + 1,
   );
   const dependencies = submission.steps.reduce((sum, { dependsOn }) => sum + dependsOn.length, 0);
--- a/packages/dispatch/tests/heldwork.test.ts
+++ b/packages/dispatch/tests/heldwork.test.ts
@@ -4,7 +4,8 @@
 import { expect } from 'earl';
 import { createStep } from '../../scheduling/tests/samples.ts';
 import { checkJobRow } from '../src/index.ts';
-import { addService, admission } from './services.ts';
+import { computeJobBytes } from '../src/heldwork.ts';
+import { addService, admission, queue } from './services.ts';
 import { createWorld } from './world.ts';
 import type { World } from './world.ts';
 
@@ -55,6 +56,19 @@
   expect(refused.isErr() ? refused.error.code : 'accepted').toEqual(FaultCode.TooLarge);
 });
 
+// Guards against scheduled jobs that are refused for memory they never take: the budget counted over a hundred
+// occurrences of each, though an owner opens 16 at most while they wait.
+test('four hundred hourly jobs of a year fit into the memory of a small instance', () => {
+  const hourMs = 3_600_000;
+  const bytes = computeJobBytes({
+    ...{ id, account: 'a1', queue: 'q1', pool: 'p1', rules: queue.rules, payload: 'x' },
+    steps: [createStep({ taskCount: 10 })],
+    recurrence: { count: 8760, firstAtMs: hourMs, intervalMs: hourMs },
+  });
+  const quarterOfMemory = (350 * 1024 * 1024) / 4;
+  expect(400 * bytes <= quarterOfMemory).toEqual(true);
+});
+
 // Guards against accepted jobs that together exceed the memory of an owner, and against refusing a repeat.
 test('jobs beyond the memory are refused with a time, and repeats are not', async () => {
   const world = createWorld(1);
