Compute the size of a value without its text

Cause: each submission was encoded once to compare its size with a row and once to account it in a commit; the texts were garbage at once.

Change: getJsonBytes walks the value.

--- a/packages/dispatch/src/packedrow.ts
+++ b/packages/dispatch/src/packedrow.ts
@@ -1,4 +1,5 @@
 import { deflateRawSync, inflateRawSync } from 'node:zlib';
+import { getJsonBytes } from '@bergamotreach/hosting';
 import type { RowValue } from '@bergamotreach/hosting';
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
@@ -11,9 +12,8 @@
  * form skip the row, which they could not have stored.
  */
 export function encodePacked(value: RowValue, maxBytes: number): RowValue {
-  const text = JSON.stringify(value);
-  if (Buffer.byteLength(text) <= maxBytes) return value;
-  return { packed: deflateRawSync(text).toString('base64') };
+  if (getJsonBytes(value) <= maxBytes) return value;
+  return { packed: deflateRawSync(JSON.stringify(value)).toString('base64') };
 }
 
 /** Restores a value that was compressed; other values stay as they are. */
--- a/packages/hosting/src/index.ts
+++ b/packages/hosting/src/index.ts
@@ -8,6 +8,7 @@
 export * from './httptable.ts';
 export * from './httpworkerclient.ts';
 export * from './instance.ts';
+export * from './jsonsize.ts';
 export * from './lanetimeouts.ts';
 export * from './linkload.ts';
 export * from './memorybudget.ts';
--- a/packages/hosting/src/table.ts
+++ b/packages/hosting/src/table.ts
@@ -1,5 +1,6 @@
 import type { Fault } from '@bergamotreach/protocol';
 import type { Result } from 'ts-results-es';
+import { getJsonBytes } from './jsonsize.ts';
 import { getSendAllowanceMs } from './silencewatch.ts';
 
 /** Value of a row: any JSON value except `null`, which represents a deletion. */
@@ -75,11 +76,6 @@
   commitBytes: number;
 }
 
-/** Size of a value as JSON in UTF-8, in bytes. */
-export function getJsonBytes(value: unknown): number {
-  return Buffer.byteLength(JSON.stringify(value));
-}
-
 /** One page of rows in key order. */
 export interface RowPage {
   rows: Row[];
