Keep no reference to a body while its submission is stored

Cause: the buffer of a body was referenced until its call was answered, and its parts by the callback of its hold, so only a full collection freed them.

--- a/packages/daemon/src/body.ts
+++ b/packages/daemon/src/body.ts
@@ -21,6 +21,8 @@
   readBody(request: IncomingMessage, maxBytes: number): Promise<Result<Buffer, Fault>>;
   /** Returns the bytes of a body to the budget. */
   release(body: Buffer): void;
+  /** The hold of a body, for callers that keep the budget reserved for longer than the body itself. */
+  getHold(body: Buffer): MemoryHold | undefined;
   /** Bytes that count against the budget now. */
   getUsedBytes(): number;
 }
@@ -53,7 +55,7 @@
 interface SlabBuffer {
   append(chunk: Buffer): void;
   getBytes(): number;
-  /** All bytes in one buffer. */
+  /** Removes and returns all bytes in one buffer. */
   take(): Buffer;
 }
 
@@ -79,7 +81,8 @@
       }
     },
     getBytes: () => size,
-    take: () => Buffer.concat(slabs).subarray(0, size),
+    // The slabs would stay referenced by the hold's callback for as long as the hold is open.
+    take: () => Buffer.concat(slabs.splice(0)).subarray(0, size),
   };
 }
 
@@ -164,6 +167,7 @@
     release: (body) => {
       holds.get(body)?.release();
     },
+    getHold: (body) => holds.get(body),
     getUsedBytes: () => budget.getUsedBytes(HoldCause.Body),
   };
 }
