Bound the submissions that wait for the store in bytes

Cause: a submission stays queued for up to 2 s after its call was answered, and the queue counted entries alone: 2,000 of any size.

Change: new work has a bound in bytes; beyond it a submission is refused at once as not accepted. Other writes are not affected.

--- a/packages/ownership/src/committer.ts
+++ b/packages/ownership/src/committer.ts
@@ -29,6 +29,8 @@
   burst?: number;
   /** Largest number of queued transactions. */
   maxQueued?: number;
+  /** Largest size of the new work among them in commits, in bytes. Default: no limit. */
+  maxNewWorkBytes?: number;
   /** Largest number of writes in one table commit. */
   maxWrites?: number;
   /** Largest number of writes and conditions together in one table commit. Default: no limit. */
@@ -83,6 +85,7 @@
   commitsPerSecond: 40,
   burst: 10,
   maxQueued: 2000,
+  maxNewWorkBytes: Infinity,
   maxWrites: maxCommitWrites,
   maxEntries: Infinity,
   maxQueueMs: 2000,
@@ -109,7 +112,7 @@
 export function createGroupCommitter(options: GroupCommitterOptions): GroupCommitter {
   const { table, clock, logger, metrics } = options;
   const settings = { ...defaults, maxBytes: table.getLimits().commitBytes, ...options };
-  const queue = createWriteQueue(settings.maxQueued);
+  const queue = createWriteQueue(settings.maxQueued, settings.maxNewWorkBytes);
   const budget = createCommitBudget(clock, settings.commitsPerSecond, settings.burst);
   const totals = { commits: 0, writes: 0, readBacks: 0 };
   const inFlight = new Map<string, number>();
--- a/packages/ownership/src/writequeue.ts
+++ b/packages/ownership/src/writequeue.ts
@@ -27,8 +27,11 @@
   listSizes(): number[];
 }
 
-/** Creates a queue of at most `maxQueued` transactions. */
-export function createWriteQueue(maxQueued: number): WriteQueue {
+/**
+ * Creates a queue of at most `maxQueued` transactions, and of new work of at most `maxNewWorkBytes`: clients decide
+ * on the size of new work, and it stays queued after their calls have ended.
+ */
+export function createWriteQueue(maxQueued: number, maxNewWorkBytes = Infinity): WriteQueue {
   const queues = new Map<WritePriority, PendingTransaction[]>(
     writePriorities.map((priority) => [priority, []]),
   );
@@ -49,6 +52,12 @@
     return writePriorities.filter((priority) => (priority === WritePriority.Lease) === isLease);
   }
 
+  function isOverBytes({ transaction, bytes }: PendingTransaction): boolean {
+    if (transaction.priority !== WritePriority.NewWork) return false;
+    const queued = getQueue(WritePriority.NewWork);
+    return queued.reduce((sum, entry) => sum + entry.bytes, bytes) > maxNewWorkBytes;
+  }
+
   function findReady(
     isLease: boolean,
     canCommit: (partition: string) => boolean,
@@ -73,6 +82,7 @@
   return {
     add(entry) {
       const { priority } = entry.transaction;
+      if (isOverBytes(entry)) return entry;
       let evicted: PendingTransaction | undefined;
       if (getSize() >= maxQueued) {
         evicted = evictLowest(priority);
--- a/packages/ownership/tests/committer.test.ts
+++ b/packages/ownership/tests/committer.test.ts
@@ -59,6 +59,22 @@
   expect([state.rejections, state.accepted.length > 1]).toEqual([0, true]);
 });
 
+// Guards against submissions that fill the memory while they wait for the store, and against shedding an outcome
+// for them.
+test('new work beyond the bytes of the queue is refused at once', async () => {
+  const { clock, state } = createState();
+  const { committer } = createNode(state, 'd1', { maxNewWorkBytes: 500 });
+  const value = 'x'.repeat(200);
+  const submit = (key: string, priority = WritePriority.NewWork) =>
+    committer.submit({ ...createInsert(key, priority), writes: [{ key, value }] });
+  const replies = ['a', 'b', 'c'].map((key) => submit(key));
+  const outcome = submit('d', WritePriority.Outcome);
+  await clock.advance(100);
+  const statuses = (await Promise.all([...replies, outcome])).map((reply) => reply.status);
+  const { Committed, Unavailable } = TransactionStatus;
+  expect(statuses).toEqual([Committed, Unavailable, Unavailable, Committed]);
+});
+
 // Guards against one conflicting transaction failing its whole group.
 test('a conflict fails only the transactions concerned', async () => {
   const { clock, state } = createState();
