Count jobs towards the memory of accepted work before they are stored

What callers saw: nothing bounded jobs that were submitted at the same time; each was compared with the jobs that had already been stored. A repeat could be refused as not accepted while its first attempt was still on its way.

Cause: a job counted only after the store had acknowledged it.

Change: a job counts from the time it is sent on, until it is refused or its state shows, and its repeats are not refused in that time.

--- a/packages/dispatch/src/heldwork.ts
+++ b/packages/dispatch/src/heldwork.ts
@@ -41,15 +41,19 @@
 
 /** Accounts for the memory that accepted jobs make an owner hold. */
 export interface HeldWork {
-  /** Memory of all accepted jobs that have not ended, in bytes. */
+  /** Memory of all jobs that have not ended, accepted or under way to the store, in bytes. */
   getUsedBytes(): number;
-  /** Counts a job that this instance has accepted, until its state shows in the replica. */
-  addAccepted(jobId: string, bytes: number): void;
+  /** Counts a job that this instance stores, until its state shows in the replica. */
+  reserve(jobId: string, bytes: number): void;
+  /** Whether a job is counted that shows in no state yet. */
+  isReserved(jobId: string): boolean;
+  /** Uncounts a job that was not accepted. */
+  release(jobId: string): void;
 }
 
 /** Creates the account; `states` are those of all jobs. */
 export function createHeldWork(states: TableReplica<StateRow>, clock: Clock): HeldWork {
-  const accepted = new Map<string, { bytes: number; untilMs: number }>();
+  const reserved = new Map<string, { bytes: number; untilMs: number }>();
   let storedBytes = 0;
   let summedMs = -Infinity;
 
@@ -66,14 +70,18 @@
   return {
     getUsedBytes() {
       let sum = sumStored();
-      for (const [jobId, { bytes, untilMs }] of accepted) {
-        if (states.find(jobId) !== undefined || clock.getNowMs() > untilMs) accepted.delete(jobId);
+      for (const [jobId, { bytes, untilMs }] of reserved) {
+        if (states.find(jobId) !== undefined || clock.getNowMs() > untilMs) reserved.delete(jobId);
         else sum += bytes;
       }
       return sum;
     },
-    addAccepted(jobId, bytes) {
-      accepted.set(jobId, { bytes, untilMs: clock.getNowMs() + adoptionMs });
+    reserve(jobId, bytes) {
+      reserved.set(jobId, { bytes, untilMs: clock.getNowMs() + adoptionMs });
+    },
+    isReserved: (jobId) => reserved.has(jobId),
+    release(jobId) {
+      reserved.delete(jobId);
     },
   };
 }
--- a/packages/dispatch/src/instance.ts
+++ b/packages/dispatch/src/instance.ts
@@ -43,6 +43,8 @@
   commitsPerSecond: number;
   /** Memory that accepted jobs may make an owner hold, in bytes. */
   maxHeldBytes: number;
+  /** Submissions that one instance may have queued for the store, in bytes of its commits. */
+  maxQueuedBytes: number;
 }
 
 /** Options of an instance. */
@@ -182,6 +184,7 @@
     createOperationId: () => `${options.processId}/${String((nextOperation += 1))}`,
     commitsPerSecond: limits.commitsPerSecond,
     maxEntries: maxCommitEntries,
+    maxNewWorkBytes: limits.maxQueuedBytes,
     getReplyTimeoutMs: options.getExpectedStoreMs,
   });
   const states = createTableReplica<StateRow>({
--- a/packages/dispatch/src/jobservice.ts
+++ b/packages/dispatch/src/jobservice.ts
@@ -359,7 +359,9 @@
       }
       const jobBytes = computeJobBytes(submission);
       const usedBytes = heldWork.getUsedBytes();
-      if (usedBytes + jobBytes > options.maxHeldBytes) {
+      // A repeat is not refused while an earlier attempt may still be stored.
+      const isFull = usedBytes + jobBytes > options.maxHeldBytes;
+      if (isFull && !heldWork.isReserved(request.id)) {
         // The repeat of a job that no state shows yet must not be refused.
         const stored = await options.table.getRow(getJobKey(request.id));
         if (stored.isErr()) {
@@ -373,6 +375,7 @@
         reportResult('refused_memory');
         return Err(createFullFault(jobBytes, usedBytes));
       }
+      heldWork.reserve(request.id, jobBytes);
       const { rowBytes } = options.table.getLimits();
       const job: JobRow = { submission, acceptedAtMs: Math.round(getWallMs()) };
       const work = committer.submit({
@@ -384,7 +387,9 @@
       });
       const reply = await limitTime(work, deadlineMs);
       const result = reply === undefined ? Err(createUnknownOutcome()) : decideSubmit(reply);
-      if (result.isOk()) heldWork.addAccepted(request.id, jobBytes);
+      // Without an outcome the job may still be stored.
+      if (result.isOk()) heldWork.reserve(request.id, jobBytes);
+      else if (result.error.code !== FaultCode.UnknownOutcome) heldWork.release(request.id);
       reportResult(reply?.status ?? 'timeout');
       return result;
     },
--- a/packages/dispatch/tests/heldwork.test.ts
+++ b/packages/dispatch/tests/heldwork.test.ts
@@ -86,3 +86,21 @@
   expect([fault?.code, (fault?.retryAfterMs ?? 0) > 0]).toEqual([FaultCode.QuotaExceeded, true]);
   expect((await submit('2')).isOk()).toEqual(true);
 });
+
+// Guards against jobs that are each within the memory that is left, and exceed it together as they are stored at
+// the same time, and against refusing a repeat whose first attempt may still be stored.
+test('jobs that are submitted at once count before they are stored', async () => {
+  const world = createWorld(1);
+  const { jobs } = addService(world, 'a', 300, 3_000_000);
+  await world.clock.advance(startUpMs);
+  const steps = [createStep({ taskCount: 3000 })];
+  const submitted = await waitFor(
+    world,
+    Promise.all(
+      ['1', '2', '3', '2'].map((last) =>
+        jobs.submit(admission, { id: `${id}${last}`, payload: 'x', steps }, deadlineMs),
+      ),
+    ),
+  );
+  expect(submitted.map((result) => result.isOk())).toEqual([true, true, false, true]);
+});
