Let the heap grow slowly while much of a machine's memory is in use

Cause: the runtime lets garbage grow to about the size of what is in use, whatever the machine has.

Change: beyond 40 % of the memory the heap grows by 20 % at a time.

--- a/packages/hosting/src/index.ts
+++ b/packages/hosting/src/index.ts
@@ -2,6 +2,7 @@
 export * from './connectionguard.ts';
 export * from './exchange.ts';
 export * from './feed.ts';
+export * from './heaplimit.ts';
 export * from './httpclient.ts';
 export * from './httpinstancelist.ts';
 export * from './httpobjectstore.ts';
--- /dev/null
+++ b/packages/hosting/tests/heaplimit.test.ts
@@ -0,0 +1,23 @@
+import { test } from 'node:test';
+import { createManualClock } from '@bergamotreach/protocol';
+import { expect } from 'earl';
+import { startHeapLimit } from '../src/index.ts';
+
+// Guards against garbage that takes the rest of a small machine's memory, and against frequent collections where
+// there is room.
+test('the heap grows slowly only while much of the memory is in use', async () => {
+  const clock = createManualClock();
+  const percents: number[] = [];
+  let residentBytes = 100;
+  startHeapLimit({
+    clock,
+    memoryBytes: 1000,
+    getResidentBytes: () => residentBytes,
+    setGrowthPercent: (percent) => percents.push(percent),
+  });
+  for (const bytes of [390, 410, 900, 350, 290, 390]) {
+    residentBytes = bytes;
+    await clock.advance(1000);
+  }
+  expect(percents.map((percent) => percent > 0)).toEqual([true, false]);
+});
