--- a/packages/dispatch/src/configuration.ts
+++ b/packages/dispatch/src/configuration.ts
@@ -5,6 +5,8 @@
   decisionMs: number;
   /** Added for each worker in a call. */
   perWorkerMs: number;
+  /** How long its tickets are valid; absent if the configuration does not say. */
+  validityMs?: number;
 }
 
 /** A queue that callers submit jobs to. */
--- a/packages/dispatch/src/tickets.ts
+++ b/packages/dispatch/src/tickets.ts
@@ -2,6 +2,8 @@
 import { countFittingTasks, listWaitingTasks } from '@bergamotreach/scheduling';
 import type { ReadyGroup, TaskGroup, WorkerView } from '@bergamotreach/scheduling';
 import type { Advisor } from './advisor.ts';
+import { getCallMs, getMaxNamed, getSlowness, noRecord, recordCall } from './advicesize.ts';
+import type { AdvisorRecord } from './advicesize.ts';
 import type { AdviceRules } from './configuration.ts';
 import type { Fleet } from './fleet.ts';
 
@@ -49,8 +51,6 @@
   refused: Set<string>;
 }
 
-/** Workers in one call; the time objectives of jobs allow for one call with this many. */
-const workersPerCall = 30;
 /** A ticket should outlive the start window of 2 s and the call that carries it. */
 const usualMarginMs = 2400;
 /**
@@ -61,6 +61,10 @@
 /** Time for calls of other machines that the advisor handles first. */
 const advisorQueueMs = 1500;
 const retryMs = 300;
+/** Assumed until an answer or the configuration tells the validity of a queue's tickets. */
+const usualValidityMs = 3000;
+/** Queues of which a record is kept. */
+const maxRecords = 1000;
 
 /**
  * Creates an empty cache. It sends one call at a time, since the advisor handles calls one by one.
@@ -69,8 +73,8 @@
   const { advisor, fleet, clock, logger, metrics } = options;
   const steps = new Map<string, StepTickets>();
   let isRequesting = false;
-  /** Workers that the next call may name, so that half of the validity is left when its answer arrives. */
-  let maxWorkers = workersPerCall;
+  /** By queue, latest last: its advisor as its answers have shown it. */
+  const records = new Map<string, AdvisorRecord>();
 
   function getStepTickets(key: string): StepTickets {
     const known = steps.get(key);
@@ -115,10 +119,20 @@
       .map(({ id }) => id);
   }
 
+  function setRecord(queue: string, record: AdvisorRecord): void {
+    records.delete(queue);
+    records.set(queue, record);
+    const [oldest] = records.keys();
+    if (records.size > maxRecords && oldest !== undefined) records.delete(oldest);
+  }
+
   async function requestAdvice(group: TaskGroup, rules: AdviceRules, ids: string[]): Promise<void> {
     isRequesting = true;
     const startedMs = clock.getNowMs();
-    const timeoutMs = rules.decisionMs + rules.perWorkerMs * ids.length + advisorQueueMs;
+    const { queue } = group.job;
+    const record = records.get(queue) ?? noRecord;
+    const expectedMs = Math.round(getCallMs(rules, ids.length) * getSlowness(record));
+    const timeoutMs = expectedMs + advisorQueueMs;
     const incarnations = new Map(ids.map((id) => [id, fleet.find(id)?.getEntry().bornAtMs]));
     const result = await advisor.advise(group.key, ids, timeoutMs);
     const tookMs = Math.round(clock.getNowMs() - startedMs);
@@ -129,12 +143,12 @@
       admitted: result.isOk() ? result.value.tickets.size : 0,
       outcome,
       tookMs,
+      expectedMs,
     });
     metrics.count('advice.calls', 1, { outcome: result.isOk() ? 'answered' : 'failed' });
     if (result.isOk()) {
-      const perWorkerMs = Math.max(1, tookMs) / ids.length;
-      const fitting = Math.floor(result.value.validityMs / 2 / perWorkerMs);
-      maxWorkers = Math.max(1, Math.min(workersPerCall, fitting));
+      const call = { workers: ids.length, tookMs, decided: 0, admitted: 0 };
+      setRecord(queue, recordCall(record, rules, call));
       const step = getStepTickets(group.key);
       for (const id of ids) {
         const ticket = result.value.tickets.get(id);
@@ -153,6 +167,11 @@
       options.onTickets();
       return;
     }
+    // The advisor may take longer than its rules say, so the next call waits longer.
+    if (tookMs >= timeoutMs) {
+      const call = { workers: ids.length, tookMs, decided: 0, admitted: 0 };
+      setRecord(queue, recordCall(record, rules, call));
+    }
     clock.setTimer(retryMs, () => {
       isRequesting = false;
       options.onTickets();
@@ -175,7 +194,9 @@
       const ids = chooseCandidates(group, workers);
       group.allowedWorkers = allowed;
       if (rules === undefined || ids.length === 0) continue;
-      void requestAdvice(group, rules, ids.slice(0, maxWorkers));
+      const record = records.get(group.job.queue) ?? noRecord;
+      const maxNamed = getMaxNamed(rules, rules.validityMs ?? usualValidityMs, record);
+      void requestAdvice(group, rules, ids.slice(0, maxNamed));
       return;
     }
   }
--- a/packages/dispatch/tests/fakeworkers.ts
+++ b/packages/dispatch/tests/fakeworkers.ts
@@ -81,6 +81,10 @@
   isGuarded = true;
   /** What reports say of the capacity; absent if they do not. */
   reportedCapacity: Resources | undefined;
+  /** Whether a start has the ticket that it needs. */
+  hasValidTicket: (order: StartOrder) => boolean = () => true;
+  /** Number of starts that were refused for want of a ticket. */
+  ticketRefusals = 0;
   /** How runs end on this worker. */
   end = RunEnd.Done;
   /** Time between two checkpoints of a run; 0 means no checkpoints. */
@@ -159,6 +163,10 @@
     }
     if ((this.highestRuns.get(order.task) ?? 0) >= order.run) return refuse(RefusalReason.OldRun);
     if (order.leaseUntilMs <= clockMs) return refuse(RefusalReason.TooLate);
+    if (!this.hasValidTicket(order)) {
+      this.ticketRefusals += 1;
+      return refuse(RefusalReason.BadTicket);
+    }
     if (this.active.size >= this.slots) {
       this.overloads += 1;
       if (this.isGuarded) return refuse(RefusalReason.NoRoom);
--- a/packages/dispatch/tests/world.ts
+++ b/packages/dispatch/tests/world.ts
@@ -25,7 +25,14 @@
   createTableReplica,
   createStateRow,
 } from '../src/index.ts';
-import type { JobRow, OperatorRow, ServiceConfig, StateRow, WorkerEntry } from '../src/index.ts';
+import type {
+  AdviceRules,
+  JobRow,
+  OperatorRow,
+  ServiceConfig,
+  StateRow,
+  WorkerEntry,
+} from '../src/index.ts';
 import { createOwner } from '../src/owner.ts';
 import type { Owner } from '../src/owner.ts';
 import { FakeAdvisor } from './fakeadvisor.ts';
@@ -184,6 +191,10 @@
   /** The candidates in the order in which they were added. */
   candidates: Candidate[];
   advisor: FakeAdvisor;
+  /** Queues of the configuration besides `q1`, with the rules of their advisor if they have one. */
+  queues: Map<string, AdviceRules | undefined>;
+  /** Queues whose starts the workers refuse without a valid ticket. */
+  guardedQueues: Set<string>;
   /** Guaranteed accelerators by account. */
   guarantees: Map<string, number>;
   /**
@@ -265,6 +276,8 @@
   const candidates: Candidate[] = [];
   const advisor = new FakeAdvisor(clock);
   const guarantees = new Map<string, number>();
+  const queues = new Map<string, AdviceRules | undefined>();
+  const guardedQueues = new Set<string>();
   let operations = 0;
   /** Tasks that crash their workers. */
   const crashing = new Map<string, { afterMs: number; comesBack: ComeBack }>();
@@ -275,8 +288,19 @@
     store.apply({ operationId, conditions: [{ key, version }], writes: [{ key, value }] }, 't', 0);
   }
 
+  function findQueueName(name: string): string {
+    const row = store.rows.get(`job/${name.split('.')[0] ?? ''}`)?.value as unknown;
+    return (row as JobRow | undefined)?.submission.queue ?? '';
+  }
+
+  advisor.findRules = (step) => queues.get(findQueueName(step));
+  advisor.getBornAtMs = (id) => workers.get(id)?.bornAtMs ?? 0;
+
   function addWorker(id: string): FakeWorker {
     const worker = new FakeWorker(id, clock, taskMs);
+    worker.hasValidTicket = ({ task, ticket }) =>
+      !guardedQueues.has(findQueueName(task)) ||
+      advisor.isValid(task.split('.').slice(0, -1).join('.'), id, ticket);
     worker.onStart = (task) => {
       const crash = crashing.get(task);
       if (crash === undefined) return;
@@ -412,18 +436,23 @@
   }
 
   function getConfig(): ServiceConfig | undefined {
-    if (advisor.admitted === undefined && guarantees.size === 0) return undefined;
+    if (advisor.admitted === undefined && guarantees.size === 0 && queues.size === 0)
+      return undefined;
     const rules = { priority: 1, maxAttempts: 2, stretch: 3, targetMs: 1000 };
     const queue = { name: 'q1', host: 'h', prefix: '/', pool: 'p1', rules, isPublic: true };
     const advice = { decisionMs: 10, perWorkerMs: 1 };
     const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
-    const queues = advisor.admitted === undefined ? [] : [{ ...queue, advice }];
+    const first = advisor.admitted === undefined ? [] : [{ ...queue, advice }];
+    const others = [...queues].map(([name, rulesOfAdvice]) => ({
+      ...{ ...queue, name, prefix: `/${name}/` },
+      ...(rulesOfAdvice === undefined ? {} : { advice: rulesOfAdvice }),
+    }));
     const accounts = [...guarantees].map(([name, guaranteedAccelerators]) => ({
       name,
       keys: [],
       guaranteedAccelerators,
     }));
-    return { version: 1, queues, accounts, limits };
+    return { version: 1, queues: [...first, ...others], accounts, limits };
   }
 
   function getRow(id: string): StateRow | undefined {
@@ -436,6 +465,8 @@
     workers,
     candidates,
     advisor,
+    queues,
+    guardedQueues,
     guarantees,
     addCandidate,
     submit(id, steps, changes = {}) {
