Plan ahead by the decisions of a policy, not by tickets

Callers would see: gangs and urgent jobs of a queue with a policy that wait on a busy fleet while their tickets run out, and rack-bound gangs that run on several racks.

Cause: reservations, preemptions, workers kept for suspects and the question whether a rack can hold a gang counted workers with a valid ticket only. Tickets run out after seconds; the decision of the policy stays.

Change: a group carries the decisions beside its tickets. What is planned ahead goes by the admitted workers; a start needs a ticket, as before.

Found by reading, not shown by a run.

--- a/packages/dispatch/src/tickets.ts
+++ b/packages/dispatch/src/tickets.ts
@@ -207,9 +207,11 @@
         const hasPolicy = options.findAdviceRules(group.job.queue) !== undefined;
         if (!hasPolicy) {
           group.allowedWorkers = undefined;
+          group.decisions = undefined;
           continue;
         }
         const step = getStepTickets(group.key);
+        group.decisions = step;
         const ids = [...step.tickets.keys()].filter(
           (id) => findValidTicket(step, id) !== undefined,
         );
--- a/packages/scheduling/src/group.ts
+++ b/packages/scheduling/src/group.ts
@@ -1,3 +1,4 @@
+import type { PolicyDecisions } from './advice.ts';
 import type { CrashRecord } from './crashes.ts';
 import type { RunProgress } from './runprogress.ts';
 import type { JobSubmission, StepSpec } from './submission.ts';
@@ -68,8 +69,10 @@
   lastFailedRun: number;
   /** Its progress is stored in chunks of tasks, since one row would not hold it. */
   isChunked: boolean;
-  /** Workers that the policy of the queue admits now; `undefined` admits all. */
+  /** Workers with a valid ticket, where tasks may start now; `undefined` if the queue has no policy. */
   allowedWorkers?: ReadonlySet<string> | undefined;
+  /** What the policy of the queue has decided; `undefined` if the queue has none. */
+  decisions?: PolicyDecisions | undefined;
   /** In a part of a group that a plan splits: the whole group. */
   source?: TaskGroup;
   /** Its waiting tasks may crash their workers, so they start only where no other job has a run. */
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -1,3 +1,4 @@
+export * from './advice.ts';
 export * from './callercost.ts';
 export * from './crashes.ts';
 export * from './crashhistory.ts';
--- a/packages/scheduling/src/planner.ts
+++ b/packages/scheduling/src/planner.ts
@@ -1,3 +1,4 @@
+import { createDecidedGroup, createOpenGroup } from './advice.ts';
 import { TaskPhase, isOccupying } from './group.ts';
 import type { Task, TaskGroup } from './group.ts';
 import { claimWorkers, markIsolated, splitSuspects } from './isolation.ts';
@@ -153,7 +154,8 @@
  */
 function chooseSpread({ group, ageMs }: ReadyGroup, input: PlanInput, isPoolIdle: boolean): Spread {
   const { isGang, isRackBound } = group.spec;
-  if (isRackBound && isGang && !canFitRack(group, input.workers)) return Spread.Anywhere;
+  const canFit = (): boolean => canFitRack(createOpenGroup(group, input.workers), input.workers);
+  if (isRackBound && isGang && !canFit()) return Spread.Anywhere;
   if (isPoolIdle && ageMs >= idleLocalWaitMs) return Spread.Anywhere;
   const isUrgent = group.job.rules.priority === urgentPriority;
   return isUrgent && ageMs >= urgentLocalWaitMs ? Spread.Anywhere : Spread.Local;
@@ -189,7 +191,7 @@
   const placedCounts = new Map<TaskGroup, number>();
   markIsolated(input.workers, input.nowMs);
   claimWorkers(
-    order.map(({ group }) => group),
+    order.map(({ group }) => createDecidedGroup(group)),
     input.workers,
     input.suspectsDown,
     input.nowMs,
@@ -240,7 +242,8 @@
   function isLossAcceptable(ready: ReadyGroup, { cost, victims }: PreemptionPlan): boolean {
     const { group } = ready;
     if (victims.length === 0 || input.guaranteed.has(group.job.id)) return true;
-    const waitMs = planReservation(group, input.workers, input.nowMs)?.readyInMs ?? Infinity;
+    const reservation = planReservation(createDecidedGroup(group), input.workers, input.nowMs);
+    const waitMs = reservation?.readyInMs ?? Infinity;
     return input.policy.loss.isWorth(ready, cost, waitMs, losses);
   }
 
@@ -256,13 +259,14 @@
     spread: Spread,
     canPreempt: (victim: TaskGroup) => boolean,
   ): PreemptionPlan | undefined {
+    const decided = createDecidedGroup(group);
     const sets = listLocalSets(group, input.workers);
     const choices = sets
-      .map((members) => planPreemption(group, members, canPreempt, getLoss))
+      .map((members) => planPreemption(decided, members, canPreempt, getLoss))
       .filter((found) => found !== undefined);
     const isWide = sets.length === 0 || (choices.length === 0 && spread === Spread.Anywhere);
     if (isWide) {
-      const found = planPreemption(group, input.workers, canPreempt, getLoss);
+      const found = planPreemption(decided, input.workers, canPreempt, getLoss);
       if (found !== undefined) choices.push(found);
     }
     return choices.sort((a, b) => a.cost - b.cost)[0];
@@ -286,7 +290,8 @@
   function reserveForGang({ group, ageMs }: ReadyGroup, spread: Spread): void {
     if (ageMs < reserveAfterMs) return;
     if (countReservations(group.job.pool) >= input.policy.maxReservations) return;
-    const afterStops = placeGang(group, input.workers, spread, getFreeAfterStops);
+    const decided = createDecidedGroup(group);
+    const afterStops = placeGang(decided, input.workers, spread, getFreeAfterStops);
     if (afterStops !== undefined) {
       reservePlacements(group, afterStops);
       return;
@@ -298,10 +303,11 @@
   }
 
   function chooseReservation(group: TaskGroup, spread: Spread): GangReservation | undefined {
+    const decided = createDecidedGroup(group);
     const sets = listLocalSets(group, input.workers);
     if (sets.length === 0 || spread === Spread.Anywhere) sets.push(input.workers);
     return sets
-      .map((workers) => planReservation(group, workers, input.nowMs))
+      .map((workers) => planReservation(decided, workers, input.nowMs))
       .filter((reservation) => reservation !== undefined)
       .sort((a, b) => a.readyInMs - b.readyInMs)[0];
   }
