Give each waiting step its turn at the advisor

Cause: calls for advice went to the first step, by priority and age, whose workers with valid tickets had too little room. Tickets run out while a step that cannot start still waits, so it was first again after each call. Calls also named thirty workers for a few small tasks, and workers without room.

Change: the planner lists at the rank of each group the workers on which it would start if it had tickets; a group that advice would not let start is not listed. Steps take turns: urgent, then overdue, then those without a call; a step whose calls bring no start is asked for at most once in two seconds. Urgent steps, gangs and suspects also ask for decisions to plan ahead, after all others. A call names what the step is likely to need. `job_waits` tells a wait for tickets (`ticket`).

Measured: dispatch/tests/advice.test.ts, six tests red before (no job of four completed, three times; 30 workers named; two full workers named; ten of 40 jobs open 12 s after a takeover), green now.

--- a/packages/dispatch/src/owner.ts
+++ b/packages/dispatch/src/owner.ts
@@ -415,7 +415,8 @@
     urgentDemand.record(activeJobs.sumUrgentDemand(wallMs), startedAtMs);
     const workers = buildWorkerViews(context, startedAtMs);
     const ready = activeJobs.listReady(wallMs);
-    tickets.updateAllowedWorkers(ready, workers);
+    tickets.updateAllowedWorkers(ready);
+    const canRequest = tickets.canRequest();
     const result = planStarts({
       nowMs: startedAtMs,
       urgentDemand: urgentDemand.getLevels(),
@@ -427,7 +428,9 @@
       ready,
       suspectsDown: countSuspectsDown(context, startedAtMs),
       guaranteed: activeJobs.listGuaranteed(guarantees),
+      listsWishes: canRequest,
     });
+    if (canRequest) tickets.requestTickets(result.wishes, workers);
     metrics.reportTiming('plan.duration', clock.getNowMs() - startedAtMs);
     metrics.reportTiming('reports.age', getOldestReportMs());
     if (options.policy.placesBySpeed) reportSpeeds(workers);
--- a/packages/dispatch/src/starter.ts
+++ b/packages/dispatch/src/starter.ts
@@ -276,6 +276,7 @@
       return;
     }
     lifecycle.recordRunning(task, result.clockMs);
+    context.tickets.recordStart(group);
     if (task.phase === TaskPhase.Starting) {
       task.phase = TaskPhase.Running;
       task.startedAtMs = clock.getNowMs();
--- a/packages/dispatch/src/tickets.ts
+++ b/packages/dispatch/src/tickets.ts
@@ -1,9 +1,20 @@
 import type { Clock, Logger, Metrics } from '@bergamotreach/protocol';
-import { countFittingTasks, listWaitingTasks } from '@bergamotreach/scheduling';
-import type { ReadyGroup, TaskGroup, WorkerView } from '@bergamotreach/scheduling';
+import { AdvicePurpose, listSpareWorkers } from '@bergamotreach/scheduling';
+import type { AdviceWish, ReadyGroup, TaskGroup, WorkerView } from '@bergamotreach/scheduling';
 import type { Advisor } from './advisor.ts';
-import { getCallMs, getMaxNamed, getSlowness, noRecord, recordCall } from './advicesize.ts';
+import {
+  countUndecidedToName,
+  getCallMs,
+  getMaxNamed,
+  getSlowness,
+  maxWorkersPerCall,
+  noRecord,
+  recordCall,
+  usualWorkersPerCall,
+} from './advicesize.ts';
 import type { AdvisorRecord } from './advicesize.ts';
+import { rankWishes } from './adviceturns.ts';
+import type { AdviceTurn } from './adviceturns.ts';
 import type { AdviceRules } from './configuration.ts';
 import type { Fleet } from './fleet.ts';
 
@@ -22,11 +33,14 @@
 
 /** Tickets for the steps of queues whose policy admits only some workers. */
 export interface TicketCache {
-  /**
-   * Sets the workers that each group may use, and requests tickets for more workers if those have
-   * too few free resources.
-   */
-  updateAllowedWorkers(ready: readonly ReadyGroup[], workers: readonly WorkerView[]): void;
+  /** Sets the workers on which each group may start now, and what its policy has decided. */
+  updateAllowedWorkers(ready: readonly ReadyGroup[]): void;
+  /** Whether a call may be sent now. */
+  canRequest(): boolean;
+  /** Requests tickets for the wish whose turn it is; `workers` are those that the plan used. */
+  requestTickets(wishes: readonly AdviceWish[], workers: readonly WorkerView[]): void;
+  /** Records that a task of a group has started: its calls were not in vain. */
+  recordStart(group: TaskGroup): void;
   /** Ticket of a group for a worker; `undefined` if it has none or needs none. */
   findTicket(group: TaskGroup, workerId: string): string | undefined;
   /** Removes a ticket that the worker rejected. */
@@ -44,11 +58,25 @@
   marginMs: number;
 }
 
-interface StepTickets {
+interface StepTickets extends AdviceTurn {
   tickets: Map<string, Ticket>;
   /** Workers that the policy admits; the decision does not change. */
   admitted: Set<string>;
   refused: Set<string>;
+  /** Calls in a row after which the step kept its turn. */
+  continuedCalls: number;
+}
+
+/** A call to be sent. */
+interface PlannedCall {
+  group: TaskGroup;
+  purpose: AdvicePurpose;
+  rules: AdviceRules;
+  workerIds: string[];
+  /** The group needs more workers at once than the call names. */
+  isPartial: boolean;
+  /** Steps that need a call, this one included. */
+  waiting: number;
 }
 
 /** A ticket should outlive the start window of 2 s and the call that carries it. */
@@ -61,6 +89,8 @@
 /** Time for calls of other machines that the advisor handles first. */
 const advisorQueueMs = 1500;
 const retryMs = 300;
+/** Calls in a row after which a gang that needs the tickets of several calls lets others have a turn. */
+const maxContinuedCalls = 4;
 /** Assumed until an answer or the configuration tells the validity of a queue's tickets. */
 const usualValidityMs = 3000;
 /** Queues of which a record is kept. */
@@ -79,7 +109,10 @@
   function getStepTickets(key: string): StepTickets {
     const known = steps.get(key);
     if (known !== undefined) return known;
-    const created = { tickets: new Map(), admitted: new Set<string>(), refused: new Set<string>() };
+    const created: StepTickets = {
+      ...{ tickets: new Map(), admitted: new Set(), refused: new Set() },
+      ...{ neededAtMs: clock.getNowMs(), fruitlessCalls: 0, hasMore: false, continuedCalls: 0 },
+    };
     steps.set(key, created);
     return created;
   }
@@ -93,32 +126,6 @@
     return isValid ? ticket : undefined;
   }
 
-  /**
-   * Workers to request tickets for: those admitted before come first, then those in the preferred
-   * rack, for rack-bound groups those in the rack with the most room, then those with the most room.
-   */
-  function chooseCandidates(group: TaskGroup, workers: readonly WorkerView[]): string[] {
-    const step = getStepTickets(group.key);
-    const rackRoom = new Map<string, number>();
-    const choices = workers
-      .filter(({ id }) => !step.refused.has(id) && findValidTicket(step, id) === undefined)
-      .map((worker) => ({ worker, slots: countFittingTasks(group, worker, worker.free) }))
-      .filter(({ worker }) => countFittingTasks(group, worker, worker.capacity) > 0);
-    for (const { worker, slots } of choices) {
-      rackRoom.set(worker.rack, (rackRoom.get(worker.rack) ?? 0) + slots);
-    }
-    const getScore = ({ worker, slots }: (typeof choices)[number]): number[] => [
-      Number(step.admitted.has(worker.id)),
-      Number(worker.rack === group.spec.preferredRack),
-      group.spec.isRackBound ? (rackRoom.get(worker.rack) ?? 0) : 0,
-      slots,
-    ];
-    return choices
-      .map((choice) => ({ id: choice.worker.id, score: getScore(choice) }))
-      .sort((a, b) => compareScores(b.score, a.score))
-      .map(({ id }) => id);
-  }
-
   function setRecord(queue: string, record: AdvisorRecord): void {
     records.delete(queue);
     records.set(queue, record);
@@ -126,7 +133,8 @@
     if (records.size > maxRecords && oldest !== undefined) records.delete(oldest);
   }
 
-  async function requestAdvice(group: TaskGroup, rules: AdviceRules, ids: string[]): Promise<void> {
+  async function requestAdvice(call: PlannedCall): Promise<void> {
+    const { group, rules, workerIds: ids } = call;
     isRequesting = true;
     const startedMs = clock.getNowMs();
     const { queue } = group.job;
@@ -139,20 +147,24 @@
     const outcome = result.isOk() ? 'answered' : result.error.message;
     logger.info('advice_asked', {
       step: group.key,
+      purpose: call.purpose,
       workers: ids.length,
       admitted: result.isOk() ? result.value.tickets.size : 0,
       outcome,
       tookMs,
       expectedMs,
+      waiting: call.waiting,
     });
     metrics.count('advice.calls', 1, { outcome: result.isOk() ? 'answered' : 'failed' });
+    const decisions = { decided: 0, admitted: 0 };
+    const step = getStepTickets(group.key);
     if (result.isOk()) {
-      const call = { workers: ids.length, tookMs, decided: 0, admitted: 0 };
-      setRecord(queue, recordCall(record, rules, call));
-      const step = getStepTickets(group.key);
       for (const id of ids) {
         const ticket = result.value.tickets.get(id);
         const bornAtMs = incarnations.get(id);
+        const isNew = !step.admitted.has(id) && !step.refused.has(id);
+        if (isNew) decisions.decided += 1;
+        if (isNew && ticket !== undefined) decisions.admitted += 1;
         if (ticket === undefined) step.refused.add(id);
         else if (bornAtMs !== undefined) {
           step.admitted.add(id);
@@ -163,46 +175,53 @@
           step.tickets.set(id, { ticket, bornAtMs, expiresAtMs, marginMs });
         }
       }
-      isRequesting = false;
-      options.onTickets();
-      return;
     }
-    // The advisor may take longer than its rules say, so the next call waits longer.
-    if (tookMs >= timeoutMs) {
-      const call = { workers: ids.length, tookMs, decided: 0, admitted: 0 };
-      setRecord(queue, recordCall(record, rules, call));
+    step.calledAtMs = clock.getNowMs();
+    if (decisions.decided === 0) step.fruitlessCalls += 1;
+    step.hasMore = result.isOk() && call.isPartial && step.continuedCalls < maxContinuedCalls;
+    step.continuedCalls = step.hasMore ? step.continuedCalls + 1 : 0;
+    // Without an answer in time, the advisor may take longer than its rules say, so the next call waits longer.
+    if (result.isOk() || tookMs >= timeoutMs) {
+      const recorded = { workers: ids.length, tookMs, ...decisions };
+      setRecord(queue, recordCall(record, rules, recorded));
     }
-    clock.setTimer(retryMs, () => {
-      isRequesting = false;
-      options.onTickets();
-    });
+    if (result.isOk()) endRequest();
+    else clock.setTimer(retryMs, endRequest);
   }
 
-  /**
-   * Requests tickets for the first group whose admitted workers have too few free resources,
-   * ordered by priority, then by age.
-   */
-  function requestTickets(ready: readonly ReadyGroup[], workers: readonly WorkerView[]): void {
-    const underservedGroups = ready
-      .filter(({ group }) => group.allowedWorkers !== undefined)
-      .filter(({ group }) => countAllowedRoom(group, workers) < listWaitingTasks(group).length)
-      .sort((a, b) => a.group.job.rules.priority - b.group.job.rules.priority || b.ageMs - a.ageMs);
-    for (const { group } of underservedGroups) {
-      const rules = options.findAdviceRules(group.job.queue);
-      const allowed = group.allowedWorkers;
-      group.allowedWorkers = undefined;
-      const ids = chooseCandidates(group, workers);
-      group.allowedWorkers = allowed;
-      if (rules === undefined || ids.length === 0) continue;
-      const record = records.get(group.job.queue) ?? noRecord;
-      const maxNamed = getMaxNamed(rules, rules.validityMs ?? usualValidityMs, record);
-      void requestAdvice(group, rules, ids.slice(0, maxNamed));
-      return;
-    }
+  function endRequest(): void {
+    isRequesting = false;
+    options.onTickets();
+  }
+
+  /** Workers that a call for a wish names; `undefined` if there are none. */
+  function planCall(
+    wish: AdviceWish,
+    workers: readonly WorkerView[],
+    waiting: number,
+  ): PlannedCall | undefined {
+    const { group, purpose } = wish;
+    const rules = options.findAdviceRules(group.job.queue);
+    if (rules === undefined) return undefined;
+    const record = records.get(group.job.queue) ?? noRecord;
+    const limit = group.spec.isGang ? maxWorkersPerCall : usualWorkersPerCall;
+    const validityMs = rules.validityMs ?? usualValidityMs;
+    const maxNamed = getMaxNamed(rules, validityMs, record, limit);
+    const step = getStepTickets(group.key);
+    const undecided = wish.workerIds.filter((id) => !step.admitted.has(id)).length;
+    const spareCount =
+      purpose === AdvicePurpose.Decision
+        ? usualWorkersPerCall
+        : countUndecidedToName(undecided, record) - undecided;
+    const spares = spareCount > 0 ? listSpareWorkers(wish, workers).slice(0, spareCount) : [];
+    const workerIds = [...wish.workerIds, ...spares].slice(0, maxNamed);
+    if (workerIds.length === 0) return undefined;
+    const isPartial = group.spec.isGang && wish.workerIds.length > maxNamed;
+    return { group, purpose, rules, workerIds, isPartial, waiting };
   }
 
   return {
-    updateAllowedWorkers(ready, workers) {
+    updateAllowedWorkers(ready) {
       for (const { group } of ready) {
         const hasPolicy = options.findAdviceRules(group.job.queue) !== undefined;
         if (!hasPolicy) {
@@ -217,7 +236,20 @@
         );
         group.allowedWorkers = new Set(ids);
       }
-      if (!isRequesting) requestTickets(ready, workers);
+    },
+    canRequest: () => !isRequesting,
+    requestTickets(wishes, workers) {
+      const ranked = rankWishes(wishes, ({ group }) => getStepTickets(group.key), clock.getNowMs());
+      for (const wish of ranked) {
+        const call = planCall(wish, workers, wishes.length);
+        if (call === undefined) continue;
+        void requestAdvice(call);
+        return;
+      }
+    },
+    recordStart({ key }) {
+      const step = steps.get(key);
+      if (step !== undefined) step.fruitlessCalls = 0;
     },
     findTicket(group, workerId) {
       const step = steps.get(group.key);
@@ -231,15 +263,3 @@
     },
   };
 }
-
-function countAllowedRoom(group: TaskGroup, workers: readonly WorkerView[]): number {
-  return workers.reduce((sum, worker) => sum + countFittingTasks(group, worker, worker.free), 0);
-}
-
-function compareScores(a: readonly number[], b: readonly number[]): number {
-  for (const [index, value] of a.entries()) {
-    const difference = value - (b[index] ?? 0);
-    if (difference !== 0) return difference;
-  }
-  return 0;
-}
--- a/packages/dispatch/tests/advice.test.ts
+++ b/packages/dispatch/tests/advice.test.ts
@@ -9,6 +9,7 @@
 const validityMs = 3000;
 const quick = { decisionMs: 100, perWorkerMs: 5, validityMs };
 const slow = { decisionMs: 1600, perWorkerMs: 10, validityMs };
+const completed = JobState.Completed;
 /** Demand that takes a whole worker. */
 const whole = { cpuMillis: 1000, memoryMb: 100, accelerators: workerSlots };
 
@@ -66,3 +67,80 @@
   expect(world.getState('gang')).toEqual(JobState.Completed);
   expect(countNamed(world, 'gang.0.0')).toBeGreaterThanOrEqual(20);
 });
+
+/** Submits a gang that has no place, then four jobs that have, and returns the states of those. */
+async function runBesideGang(world: World, gangTasks: number): Promise<(JobState | undefined)[]> {
+  const gang = { taskCount: gangTasks, isGang: true, demand: whole };
+  world.submit('gang', [gang], { queue: 'slow' });
+  await world.clock.advance(500);
+  const ids = ['j0', 'j1', 'j2', 'j3'];
+  for (const id of ids) {
+    world.submit(id, [{ taskCount: 4 }], { queue: 'slow' });
+    await world.clock.advance(1500);
+  }
+  await world.clock.advance(10_000);
+  return ids.map((id) => world.getState(id));
+}
+
+// Guards against a step that can never start and for which all calls are made, so that no other job starts (review/10).
+test('a gang that no fleet holds takes no calls from others', async () => {
+  const world = await createAdvisedWorld(100);
+  world.queues.set('slow', { decisionMs: 400, perWorkerMs: 10, validityMs });
+  expect(await runBesideGang(world, 120)).toEqual(Array.from({ length: 4 }, () => completed));
+  expect(world.advisor.calls.filter(({ step }) => step === 'gang.0.0')).toEqual([]);
+});
+
+// Guards against the same by a gang that must wait for room, with an advisor whose decisions take long.
+test('a gang that waits for room leaves calls to others', async () => {
+  const world = await createAdvisedWorld(33);
+  for (let index = 0; index < 5; index += 1) {
+    world.submit(`long${index}`, [{ taskCount: 4 }], { queue: 'free' });
+  }
+  world.queues.set('free', undefined);
+  expect(await runBesideGang(world, 33)).toEqual(Array.from({ length: 4 }, () => completed));
+});
+
+// Guards against a step whose calls bring no start, for which the others wait in turn.
+test('a step that only refused workers could run leaves calls to others', async () => {
+  const world = await createAdvisedWorld(100);
+  world.advisor.isAdmitted = (step, id) => !step.startsWith('gang') || Number(id.slice(1)) < 10;
+  expect(await runBesideGang(world, 20)).toEqual(Array.from({ length: 4 }, () => completed));
+});
+
+// Guards against calls that name thirty workers for a step of a few small tasks.
+test('a call names no more workers than a step is likely to need', async () => {
+  const world = await createAdvisedWorld(100);
+  world.submit('j1', [{ taskCount: 4 }], { queue: 'quick' });
+  await world.clock.advance(3000);
+  expect(world.getState('j1')).toEqual(completed);
+  const named = world.advisor.calls.map(({ workers }) => workers.length);
+  expect(Math.max(...named)).toBeLessThanOrEqual(6);
+});
+
+// Guards against calls for workers without room, whose tickets run out unused.
+test('a call names workers that have room', async () => {
+  const world = await createAdvisedWorld(4);
+  world.queues.set('free', undefined);
+  world.submit('full', [{ taskCount: 8 }], { queue: 'free' });
+  await world.clock.advance(300);
+  const busy = new Set(world.listStartedRuns().map(({ worker }) => worker));
+  world.submit('j1', [{ taskCount: 8 }], { queue: 'quick' });
+  await world.clock.advance(500);
+  const named = world.advisor.calls.flatMap(({ workers }) => workers);
+  expect(busy.size).toEqual(2);
+  expect(named.filter((id) => busy.has(id))).toEqual([]);
+});
+
+// Guards against a new owner that leaves most of the waiting steps without tickets for half a minute.
+test('forty waiting steps start in turn after a takeover', async () => {
+  const world = await createAdvisedWorld(100);
+  const [first] = world.candidates;
+  world.addCandidate('b');
+  first?.process.kill();
+  for (let index = 0; index < 40; index += 1) {
+    world.submit(`j${index}`, [{ taskCount: 4 }], { queue: 'quick' });
+  }
+  await world.clock.advance(12_000);
+  const states = Array.from({ length: 40 }, (_, index) => world.getState(`j${index}`));
+  expect(states.filter((state) => state !== completed)).toEqual([]);
+});
--- a/packages/dispatch/tests/fakeadvisor.ts
+++ b/packages/dispatch/tests/fakeadvisor.ts
@@ -27,6 +27,9 @@
   perWorkerMs = 0;
   /** Times of the advisor for one step; undefined for those above. */
   findRules: (step: string) => AdviceRules | undefined = () => undefined;
+  /** Whether the policy admits a worker to a step. */
+  isAdmitted: (step: string, workerId: string) => boolean = (_, workerId) =>
+    this.admitted?.has(workerId) === true;
   /** Incarnation of a worker. */
   getBornAtMs: (workerId: string) => number = () => 1;
   readonly calls: { step: string; workers: readonly string[]; atMs: number }[] = [];
@@ -68,7 +71,7 @@
     this.delayNextMs = 0;
     await waitFor(this.clock, decisionMs + perWorkerMs * workerIds.length + delayNextMs);
     const nowMs = this.clock.getNowMs();
-    const good = workerIds.filter((id) => this.admitted?.has(id) === true);
+    const good = workerIds.filter((id) => this.isAdmitted(step, id));
     const tickets = new Map(good.map((id) => [id, `${step} on ${id} at ${nowMs}`]));
     for (const [id, ticket] of tickets) {
       const bornAtMs = this.getBornAtMs(id);
--- a/packages/dispatch/tests/starter.test.ts
+++ b/packages/dispatch/tests/starter.test.ts
@@ -47,7 +47,7 @@
     observedRuns: new Map(),
     unansweredStarts: new WeakMap(),
     startBackoffs: new Map(),
-    tickets: { findTicket: () => undefined },
+    tickets: { findTicket: () => undefined, recordStart: () => undefined },
     fleet: { find: () => link },
     isStopped: () => false,
     options: {
--- a/packages/scheduling/src/planner.ts
+++ b/packages/scheduling/src/planner.ts
@@ -1,4 +1,5 @@
-import { createDecidedGroup, createOpenGroup } from './advice.ts';
+import { createDecidedGroup, createOpenGroup, findAdviceWish } from './advice.ts';
+import type { AdviceWish } from './advice.ts';
 import { TaskPhase, isOccupying } from './group.ts';
 import type { Task, TaskGroup } from './group.ts';
 import { claimWorkers, markIsolated, splitSuspects } from './isolation.ts';
@@ -63,6 +64,8 @@
   /** Wait after which a guaranteed job may preempt other urgent work, in milliseconds. */
   preemptUrgentAfterMs: number;
   policy: PlanPolicy;
+  /** Whether the plan lists what its groups need advice for. */
+  listsWishes?: boolean;
 }
 
 /** Tasks of one group to be started. */
@@ -90,6 +93,8 @@
   stops: PlannedStop[];
   /** Groups that still have waiting tasks, in planning order. */
   waits: Wait[];
+  /** Groups that need advice, in planning order; empty if the plan does not list them. */
+  wishes: AdviceWish[];
 }
 
 /** Longest wait of an urgent job for its rack; preemption must fit into the rest of its reclaim time. */
@@ -103,6 +108,9 @@
 /** Backfill must end before the reservation is due even if it takes this many times its declared time. */
 const backfillMargin = 1.3;
 
+/** Time before reserved room is free at which tickets for it are requested: a call and a part of their validity. */
+const adviceLeadMs = 1000;
+
 /** Wait after which a task that lasts may use workers that are reserved for urgent work. */
 const lastingWaitMs = 2000;
 
@@ -170,7 +178,7 @@
 
 /** Plans starts and stops. It changes only `input.workers`; tasks keep their phases. */
 export function planStarts(input: PlanInput): Plan {
-  const plan: Plan = { starts: [], stops: [], waits: [] };
+  const plan: Plan = { starts: [], stops: [], waits: [], wishes: [] };
   const preempting = new Set<TaskGroup>();
   const stopping = new Set<Task>();
   const reservations = new Map<TaskGroup, GangReservation>();
@@ -187,8 +195,10 @@
   };
   const getLoss = (victim: PlacedTask): number => input.policy.loss.getStopLoss(victim, losses);
   const order = input.policy.order.rank(splitReady(input), { ...input, ...losses });
-  /** Number of tasks placed, by group or part of a group. */
-  const placedCounts = new Map<TaskGroup, number>();
+  /** Tasks placed, by group or part of a group. */
+  const placedTasks = new Map<TaskGroup, ReadonlySet<Task>>();
+  /** Workers on which room is made or kept for a group. */
+  const gathered = new Map<TaskGroup, readonly WorkerView[]>();
   markIsolated(input.workers, input.nowMs);
   claimWorkers(
     order.map(({ group }) => createDecidedGroup(group)),
@@ -200,7 +210,7 @@
   function addStart(group: TaskGroup, placements: Placement[]): void {
     if (placements.length === 0) return;
     reservePlacements(group, placements);
-    placedCounts.set(group, placements.length);
+    placedTasks.set(group, new Set(placements.map(({ task }) => task)));
     plan.starts.push({
       group: group.source ?? group,
       placements: placements.map(({ task, worker }) => ({ task, workerId: worker.id })),
@@ -226,6 +236,10 @@
       (canPreemptUrgent ? choosePreemption(group, spread, canPreempt) : undefined);
     if (preemption === undefined || !isLossAcceptable(ready, preemption)) return;
     preempting.add(group);
+    gathered.set(
+      group,
+      preemption.workers.map(({ worker }) => worker),
+    );
     reservePreempted(group, preemption);
     for (const victim of listStops(preemption)) {
       if (victim.task.phase !== TaskPhase.Running || stopping.has(victim.task)) continue;
@@ -294,12 +308,18 @@
     const afterStops = placeGang(decided, input.workers, spread, getFreeAfterStops);
     if (afterStops !== undefined) {
       reservePlacements(group, afterStops);
+      gathered.set(
+        group,
+        afterStops.map(({ worker }) => worker),
+      );
       return;
     }
     const reservation = chooseReservation(group, spread);
     if (reservation === undefined) return;
     reservations.set(group, reservation);
     applyReservation(group, reservation);
+    const isSoon = reservation.readyInMs <= adviceLeadMs;
+    gathered.set(group, isSoon ? reservation.slots.map(({ worker }) => worker) : []);
   }
 
   function chooseReservation(group: TaskGroup, spread: Spread): GangReservation | undefined {
@@ -334,6 +354,7 @@
     const reserved = canUseReserve(ready) ? takeReserve(group) : [];
     if (group.spec.isGang) planGang(ready);
     else planTasks(ready);
+    addWish(ready);
     for (const [worker, reserve] of reserved) worker.urgentReserve = reserve;
     for (const [owner, reservation] of usable) applyReservation(owner, reservation);
   }
@@ -342,13 +363,24 @@
     const { group } = ready;
     const spread = chooseSpread(ready, input, idlePools.has(group.job.pool));
     addStart(group, placeTasks(group, input.workers, spread));
-    const placed = placedCounts.get(group) ?? 0;
+    const placed = placedTasks.get(group)?.size ?? 0;
     const isUrgent = group.job.rules.priority === urgentPriority;
     if (isUrgent && placed < listWaitingTasks(group).length) preemptFor(ready, Spread.Anywhere);
   }
 
+  /** Lists what a group would start on with tickets, at its rank: work that is planned later may take that room. */
+  function addWish(ready: ReadyGroup): void {
+    const { group } = ready;
+    if (input.listsWishes !== true || group.decisions === undefined) return;
+    const placed = placedTasks.get(group);
+    const tasks = group.tasks.filter((task) => placed?.has(task) !== true);
+    const spread = chooseSpread(ready, input, idlePools.has(group.job.pool));
+    const wish = findAdviceWish({ ...group, tasks }, input.workers, spread, gathered.get(group));
+    if (wish !== undefined) plan.wishes.push(wish);
+  }
+
   function addWait({ group, ageMs }: ReadyGroup, ahead: number): void {
-    const placed = placedCounts.get(group) ?? 0;
+    const placed = placedTasks.get(group)?.size ?? 0;
     // The isolated part of a split group tells why the group waits.
     if (group.source !== undefined && group.isIsolated !== true) return;
     if (placed >= listWaitingTasks(group).length) return;
--- a/packages/scheduling/src/waiting.ts
+++ b/packages/scheduling/src/waiting.ts
@@ -1,3 +1,4 @@
+import { createOpenGroup } from './advice.ts';
 import { isOccupying } from './group.ts';
 import type { TaskGroup } from './group.ts';
 import {
@@ -13,7 +14,7 @@
 
 /** Why a ready group still has waiting tasks after a plan. */
 export enum WaitReason {
-  /** No worker is in its pool, has its label and is allowed by its policy. */
+  /** No worker is in its pool and has its label, or its policy has refused all that are. */
   NoWorker = 'no_worker',
   /** The compatible workers could not hold it even if all of them were empty. */
   TooLarge = 'too_large',
@@ -23,6 +24,8 @@
   PreviousRun = 'previous_run',
   /** Other work is being preempted for it. */
   Preempting = 'preempting',
+  /** There is room, but the advisor has not given tickets for it. */
+  Ticket = 'ticket',
   /** There is room, but not in one rack or not in its preferred rack. */
   Rack = 'rack',
   /** There is room only on workers that are suspect or paused after failures. */
@@ -57,16 +60,19 @@
 ): WaitReason {
   if (group.spec.isGang && group.tasks.some(isOccupying)) return WaitReason.PreviousRun;
   if (group.isIsolated === true) return WaitReason.Isolated;
-  const compatible = workers.filter((worker) => isCompatible(group, worker));
-  if (compatible.length === 0) return WaitReason.NoWorker;
+  const open = createOpenGroup(group, workers);
+  const possible = workers.filter((worker) => isCompatible(open, worker));
+  if (possible.length === 0) return WaitReason.NoWorker;
   const needed = group.spec.isGang ? listWaitingTasks(group).length : 1;
   const countWhole = (worker: WorkerView): number =>
-    countFittingTasks(group, { ...worker, maxStarts: Infinity }, worker.capacity);
-  if (sumFitting(compatible, countWhole) < needed) return WaitReason.TooLarge;
+    countFittingTasks(open, { ...worker, maxStarts: Infinity }, worker.capacity);
+  if (sumFitting(possible, countWhole) < needed) return WaitReason.TooLarge;
   if (isPreempting) return WaitReason.Preempting;
   const countFree = (worker: WorkerView): number =>
-    countFittingTasks(group, { ...worker, maxStarts: Infinity }, getFreeResources(worker));
-  if (sumFitting(compatible, countFree) < needed) return WaitReason.NoRoom;
+    countFittingTasks(open, { ...worker, maxStarts: Infinity }, getFreeResources(worker));
+  if (sumFitting(possible, countFree) < needed) return WaitReason.NoRoom;
+  const compatible = possible.filter((worker) => isCompatible(group, worker));
+  if (sumFitting(compatible, countFree) < needed) return WaitReason.Ticket;
   const healthy = compatible.filter(
     (worker) => worker.maxStarts > 0 && isAllowedByHealth(group, worker),
   );
--- a/packages/scheduling/tests/advice.test.ts
+++ b/packages/scheduling/tests/advice.test.ts
@@ -1,7 +1,13 @@
 import { test } from 'node:test';
 import { expect } from 'earl';
-import { planStarts } from '../src/index.ts';
-import type { TaskGroup } from '../src/index.ts';
+import {
+  AdvicePurpose,
+  WaitReason,
+  findWaitReason,
+  listSpareWorkers,
+  planStarts,
+} from '../src/index.ts';
+import type { TaskGroup, WorkerView } from '../src/index.ts';
 import {
   createInput,
   createReady,
@@ -78,3 +84,65 @@
   planStarts(createInput(workers, [createReady(suspect, 3000)]));
   expect(workers.filter(({ isolatedFor }) => isolatedFor === 'suspect').length).toEqual(1);
 });
+
+// Guards against logs that call a step too large, or its workers missing, while it waits for the advisor.
+test('a wait for tickets is told from a wait for workers', () => {
+  const workers = [createWorker('w0'), createWorker('w1')];
+  const getReason = (group: TaskGroup): string =>
+    findWaitReason({ group, ageMs: 1000, isPreempting: false, ahead: 0 }, workers);
+  const gang = createSingle('gang', 1, { taskCount: 2, isGang: true, demand: whole });
+  expect(getReason(setPolicy(gang, ['w0'], []))).toEqual(WaitReason.Ticket);
+  expect(getReason(setPolicy(gang, ['w0'], [], ['w1']))).toEqual(WaitReason.TooLarge);
+  expect(getReason(setPolicy(gang, [], [], ['w0', 'w1']))).toEqual(WaitReason.NoWorker);
+});
+
+/** Wishes of a plan in the order of its groups, as `job: workers`. */
+function listWishes(workers: WorkerView[], groups: readonly TaskGroup[]): string[] {
+  const ready = groups.map((group, index) => createReady(group, 1000 - index));
+  const plan = planStarts(createInput(workers, ready, { listsWishes: true }));
+  return plan.wishes.map(({ group, workerIds }) => `${group.job.id}: ${workerIds.join(' ')}`);
+}
+
+// Guards against a call for a step that could not start even if all workers were admitted.
+test('a group has a wish only if advice lets it start', () => {
+  const workers = [createWorker('w0'), createWorker('w1')];
+  const huge = createSingle('huge', 1, { taskCount: 3, isGang: true, demand: whole });
+  const single = createSingle('single', 1);
+  const groups = [huge, single].map((group) => setPolicy(group, [], []));
+  expect(listWishes(workers, groups)).toEqual(['single: w0']);
+  for (const worker of workers)
+    runOn(worker, createSingle(`on-${worker.id}`, 1, { demand: whole }));
+  expect(listWishes(workers, groups)).toEqual([]);
+});
+
+// Guards against a step that never asks since work behind it, which needs no tickets, takes all room in each plan.
+test('a wish is found at the rank of its group', () => {
+  const workers = [createWorker('w0')];
+  const first = setPolicy(createSingle('first', 1, { demand: whole }), [], []);
+  const second = createSingle('second', 1, { demand: whole });
+  expect(listWishes(workers, [first, second])).toEqual(['first: w0']);
+});
+
+// Guards against preempted room that stays empty until a call for it is sent and answered.
+test('a wish names the workers on which room is made', () => {
+  const workers = [createWorker('w0'), createWorker('w1')];
+  for (const worker of workers)
+    runOn(worker, createSingle(`on-${worker.id}`, 1, { demand: whole }));
+  const urgent = setPolicy(createSingle('urgent', 0, { demand: whole }), [], ['w1']);
+  const input = createInput(workers, [createReady(urgent, 500)], {
+    ...{ guaranteed: new Set(['urgent']), listsWishes: true },
+  });
+  expect(planStarts(input).wishes.map(({ workerIds }) => workerIds)).toEqual([['w1']]);
+});
+
+// Guards against preemption and reservations that never begin, since no worker is known to be admitted.
+test('urgent work without room asks for decisions', () => {
+  const workers = [createWorker('w0'), createWorker('w1')];
+  for (const worker of workers)
+    runOn(worker, createSingle(`on-${worker.id}`, 1, { demand: whole }));
+  const urgent = setPolicy(createSingle('urgent', 0, { demand: whole }), [], []);
+  const input = createInput(workers, [createReady(urgent, 500)], { listsWishes: true });
+  const [wish] = planStarts(input).wishes;
+  expect(wish?.purpose).toEqual(AdvicePurpose.Decision);
+  expect(wish === undefined ? [] : listSpareWorkers(wish, workers)).toEqual(['w0', 'w1']);
+});
