Get tickets for the jobs of a removed queue

If the queue is gone, they count. A queue whose starts are rejected without a ticket counts as having a policy, which covers jobs of earlier versions and an owner that is behind the workers. Events `ticket_rejected` and `queue_guarded`.

Measured: advice.test.ts, four tests red before (jobs not completed, field not read), green now, with no rejection where the row has the field and at most 12 where it has not.

--- a/packages/dispatch/src/advicesize.ts
+++ b/packages/dispatch/src/advicesize.ts
@@ -1,4 +1,4 @@
-import type { AdviceRules } from './configuration.ts';
+import type { AdviceRules } from '@bergamotreach/scheduling';
 
 /** What the answers of a queue's advisor have shown. */
 export interface AdvisorRecord {
--- a/packages/dispatch/src/configuration.ts
+++ b/packages/dispatch/src/configuration.ts
@@ -1,13 +1,4 @@
-import type { QueueRules } from '@bergamotreach/scheduling';
-
-/** How long the advisor of a queue takes to answer. Durations are in milliseconds. */
-export interface AdviceRules {
-  decisionMs: number;
-  /** Added for each worker in a call. */
-  perWorkerMs: number;
-  /** How long its tickets are valid; absent if the configuration does not say. */
-  validityMs?: number;
-}
+import type { AdviceRules, JobSubmission, QueueRules } from '@bergamotreach/scheduling';
 
 /** A queue that callers submit jobs to. */
 export interface QueueConfig {
@@ -64,6 +55,18 @@
   return best;
 }
 
+/**
+ * Finds the rules of advice for a job: those of its queue, or if its queue was removed, those with which it was accepted.
+ * `undefined` if its tasks may run on any worker of the pool.
+ */
+export function findAdviceRules(
+  config: ServiceConfig | undefined,
+  { queue, advice }: JobSubmission,
+): AdviceRules | undefined {
+  const current = config?.queues.find(({ name }) => name === queue);
+  return current === undefined ? advice : current.advice;
+}
+
 /** Finds the account that a key belongs to. */
 export function findAccount(config: ServiceConfig, key: string): AccountConfig | undefined {
   return config.accounts.find((account) => account.keys.includes(key));
--- a/packages/dispatch/src/jobrows.ts
+++ b/packages/dispatch/src/jobrows.ts
@@ -48,6 +48,12 @@
   heldBytes?: number;
 }
 
+const adviceSchema = z.object({
+  decisionMs: amountSchema,
+  perWorkerMs: amountSchema,
+  validityMs: z.optional(amountSchema),
+});
+
 const jobRowSchema = z.object({
   submission: z.object({
     id: nameSchema,
@@ -60,6 +66,8 @@
       stretch: amountSchema,
       targetMs: amountSchema,
     }),
+    // Optional, and what cannot be read of it must not keep the job from running.
+    advice: z.catch(z.optional(adviceSchema), undefined),
     payload: z.string(),
     steps: stepsSchema,
     recurrence: z.exactOptional(recurrenceSchema),
--- a/packages/dispatch/src/jobservice.ts
+++ b/packages/dispatch/src/jobservice.ts
@@ -331,6 +331,7 @@
         queue: queue.name,
         pool: queue.pool,
         rules: queue.rules,
+        ...(queue.advice === undefined ? {} : { advice: queue.advice }),
         payload: request.payload,
         steps: request.steps,
         ...(recurrence === undefined ? {} : { recurrence }),
--- a/packages/dispatch/src/owner.ts
+++ b/packages/dispatch/src/owner.ts
@@ -21,6 +21,7 @@
 import type { CrashRow, WorkerView } from '@bergamotreach/scheduling';
 import { CancelSource, createJobCancels, isCancel } from './cancels.ts';
 import { createDepartures } from './departures.ts';
+import { findAdviceRules } from './configuration.ts';
 import { createFleet } from './fleet.ts';
 import { buildWorkerViews, countSuspectsDown } from './fleetview.ts';
 import { createHeldRuns } from './heldruns.ts';
@@ -189,8 +190,7 @@
     clock,
     logger,
     metrics,
-    findAdviceRules: (queue) =>
-      options.getConfig()?.queues.find(({ name }) => name === queue)?.advice,
+    findAdviceRules: (job) => findAdviceRules(options.getConfig(), job),
     onTickets: requestPlan,
   });
 
--- a/packages/dispatch/src/starter.ts
+++ b/packages/dispatch/src/starter.ts
@@ -240,7 +240,9 @@
     const input = { payload, checkpoint, isWanted, ...(ticket === undefined ? {} : { ticket }) };
     const result = await orders.start(link, name, input);
     if (result.hasUnansweredAttempt) recordUnansweredStart({ group, task }, workerId);
-    if (result.reason === RefusalReason.BadTicket) context.tickets.dropTicket(group, workerId);
+    if (result.reason === RefusalReason.BadTicket) {
+      context.tickets.recordRejection(group, workerId, ticket);
+    }
     metrics.reportTiming('orders.start', clock.getNowMs() - sentMs);
     logger.info('start_sent', {
       task: name.task,
--- a/packages/dispatch/src/tickets.ts
+++ b/packages/dispatch/src/tickets.ts
@@ -1,6 +1,13 @@
 import type { Clock, Logger, Metrics } from '@bergamotreach/protocol';
 import { AdvicePurpose, listSpareWorkers } from '@bergamotreach/scheduling';
-import type { AdviceWish, ReadyGroup, TaskGroup, WorkerView } from '@bergamotreach/scheduling';
+import type {
+  AdviceRules,
+  AdviceWish,
+  JobSubmission,
+  ReadyGroup,
+  TaskGroup,
+  WorkerView,
+} from '@bergamotreach/scheduling';
 import type { Advisor } from './advisor.ts';
 import {
   countUndecidedToName,
@@ -15,7 +22,6 @@
 import type { AdvisorRecord } from './advicesize.ts';
 import { rankWishes } from './adviceturns.ts';
 import type { AdviceTurn } from './adviceturns.ts';
-import type { AdviceRules } from './configuration.ts';
 import type { Fleet } from './fleet.ts';
 
 /** Options of a ticket cache. */
@@ -25,8 +31,8 @@
   clock: Clock;
   logger: Logger;
   metrics: Metrics;
-  /** Rules of a queue's advisor; `undefined` if its tasks may run on any worker of the pool. */
-  findAdviceRules: (queue: string) => AdviceRules | undefined;
+  /** Rules of a job's advisor; `undefined` if its tasks may run on any worker of the pool. */
+  findAdviceRules: (job: JobSubmission) => AdviceRules | undefined;
   /** Called when new tickets have arrived, and before a retry. */
   onTickets: () => void;
 }
@@ -43,8 +49,8 @@
   recordStart(group: TaskGroup): void;
   /** Ticket of a group for a worker; `undefined` if it has none or needs none. */
   findTicket(group: TaskGroup, workerId: string): string | undefined;
-  /** Removes a ticket that the worker rejected. */
-  dropTicket(group: TaskGroup, workerId: string): void;
+  /** Records that a worker rejected a start for want of a ticket, with the ticket that it had if any. */
+  recordRejection(group: TaskGroup, workerId: string, ticket: string | undefined): void;
   /** Removes all tickets of a job, or of one occurrence of it (`<job>.<occurrence>`). */
   dropJob(name: string): void;
 }
@@ -93,6 +99,8 @@
 const maxContinuedCalls = 4;
 /** Assumed until an answer or the configuration tells the validity of a queue's tickets. */
 const usualValidityMs = 3000;
+/** Used for queues of which only their rejected starts tell that they have a policy. */
+const assumedRules: AdviceRules = { decisionMs: 500, perWorkerMs: 10 };
 /** Queues of which a record is kept. */
 const maxRecords = 1000;
 
@@ -105,6 +113,8 @@
   let isRequesting = false;
   /** By queue, latest last: its advisor as its answers have shown it. */
   const records = new Map<string, AdvisorRecord>();
+  /** Queues that have no rules of advice, but of which workers rejected starts for want of a ticket. */
+  const guardedQueues = new Set<string>();
 
   function getStepTickets(key: string): StepTickets {
     const known = steps.get(key);
@@ -126,6 +136,20 @@
     return isValid ? ticket : undefined;
   }
 
+  /** The rules in force or of the job, else assumed ones if workers have asked for tickets of its queue. */
+  function findRules(job: JobSubmission): AdviceRules | undefined {
+    return (
+      options.findAdviceRules(job) ?? (guardedQueues.has(job.queue) ? assumedRules : undefined)
+    );
+  }
+
+  function addGuardedQueue(queue: string): void {
+    if (guardedQueues.has(queue)) return;
+    if (guardedQueues.size >= maxRecords) guardedQueues.clear();
+    guardedQueues.add(queue);
+    logger.warn('queue_guarded', { queue });
+  }
+
   function setRecord(queue: string, record: AdvisorRecord): void {
     records.delete(queue);
     records.set(queue, record);
@@ -201,7 +225,7 @@
     waiting: number,
   ): PlannedCall | undefined {
     const { group, purpose } = wish;
-    const rules = options.findAdviceRules(group.job.queue);
+    const rules = findRules(group.job);
     if (rules === undefined) return undefined;
     const record = records.get(group.job.queue) ?? noRecord;
     const limit = group.spec.isGang ? maxWorkersPerCall : usualWorkersPerCall;
@@ -223,7 +247,7 @@
   return {
     updateAllowedWorkers(ready) {
       for (const { group } of ready) {
-        const hasPolicy = options.findAdviceRules(group.job.queue) !== undefined;
+        const hasPolicy = findRules(group.job) !== undefined;
         if (!hasPolicy) {
           group.allowedWorkers = undefined;
           group.decisions = undefined;
@@ -255,8 +279,18 @@
       const step = steps.get(group.key);
       return step === undefined ? undefined : findValidTicket(step, workerId)?.ticket;
     },
-    dropTicket(group, workerId) {
-      steps.get(group.key)?.tickets.delete(workerId);
+    recordRejection(group, workerId, ticket) {
+      const { queue } = group.job;
+      metrics.count('advice.rejected', 1, { hasTicket: String(ticket !== undefined) });
+      logger.info('ticket_rejected', {
+        step: group.key,
+        queue,
+        worker: workerId,
+        hasTicket: ticket !== undefined,
+      });
+      if (ticket === undefined) addGuardedQueue(queue);
+      const step = steps.get(group.key);
+      if (step?.tickets.get(workerId)?.ticket === ticket) step?.tickets.delete(workerId);
     },
     dropJob(name) {
       for (const key of steps.keys()) if (key.startsWith(`${name}.`)) steps.delete(key);
--- a/packages/dispatch/tests/advice.test.ts
+++ b/packages/dispatch/tests/advice.test.ts
@@ -1,6 +1,8 @@
 import { test } from 'node:test';
 import { JobState } from '@bergamotreach/scheduling';
 import { expect } from 'earl';
+import { createStep } from '../../scheduling/tests/samples.ts';
+import { checkJobRow } from '../src/index.ts';
 import { workerSlots } from './fakeworkers.ts';
 import { createWorld } from './world.ts';
 import type { World } from './world.ts';
@@ -144,3 +146,82 @@
   const states = Array.from({ length: 40 }, (_, index) => world.getState(`j${index}`));
   expect(states.filter((state) => state !== completed)).toEqual([]);
 });
+
+function countTicketRefusals(world: World): number {
+  return [...world.workers.values()].reduce((sum, { ticketRefusals }) => sum + ticketRefusals, 0);
+}
+
+const twoSteps = [{ taskCount: 4 }, { taskCount: 4, dependsOn: [0] }];
+
+// Guards against accepted jobs whose queue is removed: their steps counted as needing no ticket, and each start was
+// rejected and sent again at once.
+test('jobs of a removed queue still get tickets', async () => {
+  const world = await createAdvisedWorld(8);
+  for (const id of ['j0', 'j1', 'j2']) {
+    world.submit(id, twoSteps, { queue: 'quick', advice: quick });
+  }
+  await world.clock.advance(700);
+  world.queues.delete('quick');
+  await world.clock.advance(8000);
+  expect(['j0', 'j1', 'j2'].map((id) => world.getState(id))).toEqual([
+    completed,
+    completed,
+    completed,
+  ]);
+  expect(countTicketRefusals(world)).toEqual(0);
+});
+
+// Guards against the same after a takeover: the next owner has never read the configuration with that queue.
+test('an owner that never knew a queue gets tickets for its jobs', async () => {
+  const world = await createAdvisedWorld(8);
+  world.queues.delete('quick');
+  world.submit('j0', twoSteps, { queue: 'quick', advice: quick });
+  await world.clock.advance(6000);
+  expect(world.getState('j0')).toEqual(completed);
+  expect(countTicketRefusals(world)).toEqual(0);
+});
+
+// Guards against starts without end where no configuration tells that a queue has a policy: its jobs were accepted by
+// an earlier version, or the owner reads the new configuration later than the workers follow it.
+test('a queue whose starts are rejected without tickets counts as having a policy', async () => {
+  const world = await createAdvisedWorld(8);
+  world.queues.delete('quick');
+  for (const id of ['j0', 'j1', 'j2']) world.submit(id, twoSteps, { queue: 'quick' });
+  await world.clock.advance(9000);
+  expect(['j0', 'j1', 'j2'].map((id) => world.getState(id))).toEqual([
+    completed,
+    completed,
+    completed,
+  ]);
+  expect(countTicketRefusals(world)).toBeLessThanOrEqual(12);
+});
+
+// Guards against jobs that wait for an advisor that their queue no longer has.
+test('a queue that loses its policy starts its waiting jobs without tickets', async () => {
+  const world = await createAdvisedWorld(8);
+  world.advisor.admitted = new Set();
+  world.submit('j0', twoSteps, { queue: 'quick', advice: quick });
+  await world.clock.advance(2000);
+  world.queues.set('quick', undefined);
+  world.guardedQueues.delete('quick');
+  await world.clock.advance(5000);
+  expect(world.getState('j0')).toEqual(completed);
+});
+
+// Guards against an accepted job that is never run since its optional rules of advice cannot be read.
+test('a row with unreadable rules of advice is a job without them', () => {
+  const createRow = (advice: unknown): unknown => ({
+    submission: {
+      ...{ id: 'j1', account: 'a1', queue: 'q1', pool: 'p1', payload: '', steps: [createStep()] },
+      ...{ rules: { priority: 1, maxAttempts: 2, stretch: 3, targetMs: 1000 }, advice },
+    },
+    acceptedAtMs: 1,
+  });
+  const readAdvice = (advice: unknown): unknown =>
+    checkJobRow(createRow(advice))
+      .map(({ submission }) => submission.advice)
+      .unwrapOr('refused');
+  expect(readAdvice(quick)).toEqual(quick);
+  expect(readAdvice(undefined)).toEqual(undefined);
+  expect(readAdvice({ decisionMs: -1, perWorkerMs: 'x' })).toEqual(undefined);
+});
--- a/packages/dispatch/tests/fakeadvisor.ts
+++ b/packages/dispatch/tests/fakeadvisor.ts
@@ -1,9 +1,10 @@
 import { FaultCode, createFault, waitFor } from '@bergamotreach/protocol';
 import type { Clock, Fault } from '@bergamotreach/protocol';
+import type { AdviceRules } from '@bergamotreach/scheduling';
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
 import { Advisor } from '../src/index.ts';
-import type { Advice, AdviceRules } from '../src/index.ts';
+import type { Advice } from '../src/index.ts';
 
 interface IssuedTicket {
   ticket: string;
--- a/packages/dispatch/tests/world.ts
+++ b/packages/dispatch/tests/world.ts
@@ -12,7 +12,7 @@
 } from '@bergamotreach/protocol';
 import type { Fault, ManualClock } from '@bergamotreach/protocol';
 import { JobState, createPlanPolicy } from '@bergamotreach/scheduling';
-import type { JobSubmission, StepSpec } from '@bergamotreach/scheduling';
+import type { AdviceRules, JobSubmission, StepSpec } from '@bergamotreach/scheduling';
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
 import { FakeProcess } from '../../ownership/tests/fakeprocess.ts';
@@ -25,14 +25,7 @@
   createTableReplica,
   createStateRow,
 } from '../src/index.ts';
-import type {
-  AdviceRules,
-  JobRow,
-  OperatorRow,
-  ServiceConfig,
-  StateRow,
-  WorkerEntry,
-} from '../src/index.ts';
+import type { JobRow, OperatorRow, ServiceConfig, StateRow, WorkerEntry } from '../src/index.ts';
 import { createOwner } from '../src/owner.ts';
 import type { Owner } from '../src/owner.ts';
 import { FakeAdvisor } from './fakeadvisor.ts';
--- a/packages/scheduling/src/submission.ts
+++ b/packages/scheduling/src/submission.ts
@@ -49,6 +49,15 @@
   targetMs: number;
 }
 
+/** How long the advisor of a queue takes to answer. Durations are in milliseconds. */
+export interface AdviceRules {
+  decisionMs: number;
+  /** Added for each worker in a call. */
+  perWorkerMs: number;
+  /** How long its tickets are valid; absent if the configuration does not say. */
+  validityMs?: number | undefined;
+}
+
 /** A job as it was accepted. */
 export interface JobSubmission {
   id: string;
@@ -58,6 +67,8 @@
   /** Name of the worker pool that runs its tasks. */
   pool: string;
   rules: QueueRules;
+  /** Rules of the queue's advisor when the job was accepted; absent if it had none, and in rows of earlier versions. */
+  advice?: AdviceRules | undefined;
   /** Passed to the workers unread. */
   payload: string;
   steps: readonly StepSpec[];
