Pause a step whose starts are rejected for want of a ticket

Cause: nothing delayed the next start after such a rejection, whatever its cause.

Change: after the second rejection in a row a step starts nothing and asks for nothing for 0.25 s, doubling to 4 s. Starts that were under way together count once; a start that succeeds ends the count.

--- a/packages/dispatch/src/starter.ts
+++ b/packages/dispatch/src/starter.ts
@@ -241,7 +241,7 @@
     const result = await orders.start(link, name, input);
     if (result.hasUnansweredAttempt) recordUnansweredStart({ group, task }, workerId);
     if (result.reason === RefusalReason.BadTicket) {
-      context.tickets.recordRejection(group, workerId, ticket);
+      context.tickets.recordRejection(group, { workerId, ticket, sentMs });
     }
     metrics.reportTiming('orders.start', clock.getNowMs() - sentMs);
     logger.info('start_sent', {
--- a/packages/dispatch/src/tickets.ts
+++ b/packages/dispatch/src/tickets.ts
@@ -49,12 +49,21 @@
   recordStart(group: TaskGroup): void;
   /** Ticket of a group for a worker; `undefined` if it has none or needs none. */
   findTicket(group: TaskGroup, workerId: string): string | undefined;
-  /** Records that a worker rejected a start for want of a ticket, with the ticket that it had if any. */
-  recordRejection(group: TaskGroup, workerId: string, ticket: string | undefined): void;
+  /** Records that a worker rejected a start for want of a valid ticket. */
+  recordRejection(group: TaskGroup, start: RejectedStart): void;
   /** Removes all tickets of a job, or of one occurrence of it (`<job>.<occurrence>`). */
   dropJob(name: string): void;
 }
 
+/** A start that a worker rejected for want of a valid ticket. */
+export interface RejectedStart {
+  workerId: string;
+  /** The ticket that it had, if any. */
+  ticket: string | undefined;
+  /** Monotonic time at which it was sent, in milliseconds. */
+  sentMs: number;
+}
+
 interface Ticket {
   ticket: string;
   /** Incarnation of the worker that accepts the ticket. */
@@ -71,6 +80,11 @@
   refused: Set<string>;
   /** Calls in a row after which the step kept its turn. */
   continuedCalls: number;
+  /** Rejections in a row; starts that were under way together count once. */
+  rejections: number;
+  rejectedAtMs: number;
+  /** Monotonic time until which nothing of the step starts. */
+  blockedUntilMs: number;
 }
 
 /** A call to be sent. */
@@ -95,6 +109,9 @@
 /** Time for calls of other machines that the advisor handles first. */
 const advisorQueueMs = 1500;
 const retryMs = 300;
+/** Pause of a step after the second rejection in a row for want of a ticket; it doubles with each further one. */
+const firstPauseMs = 250;
+const maxPauseMs = 4000;
 /** Calls in a row after which a gang that needs the tickets of several calls lets others have a turn. */
 const maxContinuedCalls = 4;
 /** Assumed until an answer or the configuration tells the validity of a queue's tickets. */
@@ -122,11 +139,16 @@
     const created: StepTickets = {
       ...{ tickets: new Map(), admitted: new Set(), refused: new Set() },
       ...{ neededAtMs: clock.getNowMs(), fruitlessCalls: 0, hasMore: false, continuedCalls: 0 },
+      ...{ rejections: 0, rejectedAtMs: -Infinity, blockedUntilMs: 0 },
     };
     steps.set(key, created);
     return created;
   }
 
+  function isBlocked({ blockedUntilMs }: StepTickets): boolean {
+    return clock.getNowMs() < blockedUntilMs;
+  }
+
   function findValidTicket(step: StepTickets, workerId: string): Ticket | undefined {
     const ticket = step.tickets.get(workerId);
     const bornAtMs = fleet.find(workerId)?.getEntry().bornAtMs;
@@ -143,6 +165,15 @@
     );
   }
 
+  /** A ticket that runs out on the way is replaced at once; what is rejected again waits. */
+  function pauseStep(step: StepTickets): void {
+    step.rejections += 1;
+    step.rejectedAtMs = clock.getNowMs();
+    if (step.rejections < 2) return;
+    const pauseMs = Math.min(maxPauseMs, firstPauseMs * 2 ** (step.rejections - 2));
+    step.blockedUntilMs = step.rejectedAtMs + pauseMs;
+  }
+
   function addGuardedQueue(queue: string): void {
     if (guardedQueues.has(queue)) return;
     if (guardedQueues.size >= maxRecords) guardedQueues.clear();
@@ -258,12 +289,13 @@
         const ids = [...step.tickets.keys()].filter(
           (id) => findValidTicket(step, id) !== undefined,
         );
-        group.allowedWorkers = new Set(ids);
+        group.allowedWorkers = new Set(isBlocked(step) ? [] : ids);
       }
     },
     canRequest: () => !isRequesting,
     requestTickets(wishes, workers) {
-      const ranked = rankWishes(wishes, ({ group }) => getStepTickets(group.key), clock.getNowMs());
+      const due = wishes.filter(({ group }) => !isBlocked(getStepTickets(group.key)));
+      const ranked = rankWishes(due, ({ group }) => getStepTickets(group.key), clock.getNowMs());
       for (const wish of ranked) {
         const call = planCall(wish, workers, wishes.length);
         if (call === undefined) continue;
@@ -273,13 +305,15 @@
     },
     recordStart({ key }) {
       const step = steps.get(key);
-      if (step !== undefined) step.fruitlessCalls = 0;
+      if (step === undefined) return;
+      step.fruitlessCalls = 0;
+      step.rejections = 0;
     },
     findTicket(group, workerId) {
       const step = steps.get(group.key);
       return step === undefined ? undefined : findValidTicket(step, workerId)?.ticket;
     },
-    recordRejection(group, workerId, ticket) {
+    recordRejection(group, { workerId, ticket, sentMs }) {
       const { queue } = group.job;
       metrics.count('advice.rejected', 1, { hasTicket: String(ticket !== undefined) });
       logger.info('ticket_rejected', {
@@ -290,7 +324,9 @@
       });
       if (ticket === undefined) addGuardedQueue(queue);
       const step = steps.get(group.key);
-      if (step?.tickets.get(workerId)?.ticket === ticket) step?.tickets.delete(workerId);
+      if (step === undefined) return;
+      if (step.tickets.get(workerId)?.ticket === ticket) step.tickets.delete(workerId);
+      if (sentMs > step.rejectedAtMs) pauseStep(step);
     },
     dropJob(name) {
       for (const key of steps.keys()) if (key.startsWith(`${name}.`)) steps.delete(key);
--- a/packages/dispatch/tests/advice.test.ts
+++ b/packages/dispatch/tests/advice.test.ts
@@ -225,3 +225,32 @@
   expect(readAdvice(undefined)).toEqual(undefined);
   expect(readAdvice({ decisionMs: -1, perWorkerMs: 'x' })).toEqual(undefined);
 });
+
+// Guards against a rejection for want of a ticket that is answered by the same start at once, whatever its cause.
+test('starts that are rejected with valid tickets are repeated less and less often', async () => {
+  const world = await createAdvisedWorld(4);
+  for (const worker of world.workers.values()) worker.hasValidTicket = () => false;
+  world.submit('j0', [{ taskCount: 2 }], { queue: 'quick' });
+  await world.clock.advance(20_000);
+  expect(countTicketRefusals(world)).toBeLessThanOrEqual(2 * 12);
+  const isValid = ({ task, ticket }: { task: string; ticket?: string }): boolean =>
+    [...world.workers.keys()].some((id) =>
+      world.advisor.isValid(task.split('.').slice(0, -1).join('.'), id, ticket),
+    );
+  for (const worker of world.workers.values()) worker.hasValidTicket = isValid;
+  await world.clock.advance(6000);
+  expect(world.getState('j0')).toEqual(completed);
+});
+
+// Guards against a step that pauses since a single ticket ran out on the way to its worker.
+test('a single rejected start does not delay its step', async () => {
+  const world = await createAdvisedWorld(1);
+  const [worker] = world.workers.values();
+  if (worker === undefined) throw new Error('a worker is needed');
+  const { hasValidTicket } = worker;
+  let rejections = 1;
+  worker.hasValidTicket = (order) => rejections-- <= 0 && hasValidTicket(order);
+  world.submit('j0', [{}], { queue: 'quick' });
+  await world.clock.advance(700);
+  expect(world.listStartedRuns().length).toEqual(1);
+});
