Ask for other steps while a call for advice may be lost

Callers would see: no job of any queue with a policy starts for the time-out of a call whose answer was lost.

Cause: one call was open at a time, whatever had become of it. An advisor that is away was called every 0.3 s.

Change: once all open calls are 0.5 s overdue, another step may be asked for, up to three calls. After failures in a row calls pause for 0.3 s, doubling to 1.2 s.

--- a/packages/dispatch/src/tickets.ts
+++ b/packages/dispatch/src/tickets.ts
@@ -1,3 +1,4 @@
+import { runContained } from '@bergamotreach/protocol';
 import type { Clock, Logger, Metrics } from '@bergamotreach/protocol';
 import { AdvicePurpose, listSpareWorkers } from '@bergamotreach/scheduling';
 import type {
@@ -87,6 +88,12 @@
   blockedUntilMs: number;
 }
 
+/** A call without an answer yet; times are monotonic, in milliseconds. */
+interface OpenCall {
+  step: string;
+  overdueAtMs: number;
+}
+
 /** A call to be sent. */
 interface PlannedCall {
   group: TaskGroup;
@@ -108,7 +115,13 @@
 const maxMarginShare = 0.5;
 /** Time for calls of other machines that the advisor handles first. */
 const advisorQueueMs = 1500;
+/** Pause after a failed call; it doubles with each further one in a row. */
 const retryMs = 300;
+const maxRetryMs = 1200;
+/** Calls open at once: beyond the first, only while all of them are overdue. */
+const maxOpenCalls = 3;
+/** Time beyond the expected duration after which a call is overdue. */
+const overdueAfterMs = 500;
 /** Pause of a step after the second rejection in a row for want of a ticket; it doubles with each further one. */
 const firstPauseMs = 250;
 const maxPauseMs = 4000;
@@ -122,12 +135,16 @@
 const maxRecords = 1000;
 
 /**
- * Creates an empty cache. It sends one call at a time, since the advisor handles calls one by one.
+ * Creates an empty cache.
  */
 export function createTicketCache(options: TicketCacheOptions): TicketCache {
   const { advisor, fleet, clock, logger, metrics } = options;
   const steps = new Map<string, StepTickets>();
-  let isRequesting = false;
+  const openCalls = new Set<OpenCall>();
+  /** Failed calls since the latest answer. */
+  let failures = 0;
+  let pausedUntilMs = 0;
+  let answeredAtMs = -Infinity;
   /** By queue, latest last: its advisor as its answers have shown it. */
   const records = new Map<string, AdvisorRecord>();
   /** Queues that have no rules of advice, but of which workers rejected starts for want of a ticket. */
@@ -190,14 +207,17 @@
 
   async function requestAdvice(call: PlannedCall): Promise<void> {
     const { group, rules, workerIds: ids } = call;
-    isRequesting = true;
     const startedMs = clock.getNowMs();
     const { queue } = group.job;
     const record = records.get(queue) ?? noRecord;
     const expectedMs = Math.round(getCallMs(rules, ids.length) * getSlowness(record));
     const timeoutMs = expectedMs + advisorQueueMs;
+    const openCall = { step: group.key, overdueAtMs: startedMs + expectedMs + overdueAfterMs };
+    openCalls.add(openCall);
     const incarnations = new Map(ids.map((id) => [id, fleet.find(id)?.getEntry().bornAtMs]));
-    const result = await advisor.advise(group.key, ids, timeoutMs);
+    const result = await advisor.advise(group.key, ids, timeoutMs).finally(() => {
+      openCalls.delete(openCall);
+    });
     const tookMs = Math.round(clock.getNowMs() - startedMs);
     const outcome = result.isOk() ? 'answered' : result.error.message;
     logger.info('advice_asked', {
@@ -240,13 +260,26 @@
       const recorded = { workers: ids.length, tookMs, ...decisions };
       setRecord(queue, recordCall(record, rules, recorded));
     }
-    if (result.isOk()) endRequest();
-    else clock.setTimer(retryMs, endRequest);
+    // Another step has had an answer since: this call alone was lost.
+    if (result.isErr() && answeredAtMs > startedMs) return;
+    if (result.isErr()) {
+      failures += 1;
+      const pauseMs = Math.min(maxRetryMs, retryMs * 2 ** (failures - 1));
+      pausedUntilMs = clock.getNowMs() + pauseMs;
+      clock.setTimer(pauseMs, options.onTickets);
+      return;
+    }
+    failures = 0;
+    pausedUntilMs = 0;
+    answeredAtMs = clock.getNowMs();
+    options.onTickets();
   }
 
-  function endRequest(): void {
-    isRequesting = false;
-    options.onTickets();
+  /** The advisor handles calls one by one, so another one is sent only if all open ones may be lost. */
+  function canRequest(): boolean {
+    const nowMs = clock.getNowMs();
+    const mayBeLost = [...openCalls].every(({ overdueAtMs }) => nowMs >= overdueAtMs);
+    return nowMs >= pausedUntilMs && openCalls.size < maxOpenCalls && mayBeLost;
   }
 
   /** Workers that a call for a wish names; `undefined` if there are none. */
@@ -292,14 +325,18 @@
         group.allowedWorkers = new Set(isBlocked(step) ? [] : ids);
       }
     },
-    canRequest: () => !isRequesting,
+    canRequest,
     requestTickets(wishes, workers) {
-      const due = wishes.filter(({ group }) => !isBlocked(getStepTickets(group.key)));
+      if (!canRequest()) return;
+      const openSteps = new Set([...openCalls].map(({ step }) => step));
+      const due = wishes.filter(
+        ({ group: { key } }) => !openSteps.has(key) && !isBlocked(getStepTickets(key)),
+      );
       const ranked = rankWishes(due, ({ group }) => getStepTickets(group.key), clock.getNowMs());
       for (const wish of ranked) {
         const call = planCall(wish, workers, wishes.length);
         if (call === undefined) continue;
-        void requestAdvice(call);
+        void runContained(logger, 'advice', () => requestAdvice(call));
         return;
       }
     },
--- a/packages/dispatch/tests/advice.test.ts
+++ b/packages/dispatch/tests/advice.test.ts
@@ -254,3 +254,30 @@
   await world.clock.advance(700);
   expect(world.listStartedRuns().length).toEqual(1);
 });
+
+// Guards against one lost answer that holds up the advice of all queues until the call times out.
+test('a call without an answer holds up no other step', async () => {
+  const world = await createAdvisedWorld(8);
+  world.queues.set('slow', { decisionMs: 400, perWorkerMs: 10, validityMs });
+  world.advisor.lostCalls = 1;
+  world.submit('j0', [{}], { queue: 'slow' });
+  await world.clock.advance(100);
+  world.submit('j1', [{}], { queue: 'quick' });
+  // The call that is lost should have taken 430 ms, and the other one takes 115 ms.
+  await world.clock.advance(1400);
+  expect(world.listStartedRuns().map(({ task }) => task)).toEqual(['j1.0.0.0']);
+  await world.clock.advance(4000);
+  expect(world.getState('j0')).toEqual(completed);
+});
+
+// Guards against calls without pause to an advisor that is away, and against a long wait once it is back.
+test('calls pause while the advisor fails', async () => {
+  const world = await createAdvisedWorld(8);
+  world.advisor.isAway = true;
+  for (let index = 0; index < 20; index += 1) world.submit(`j${index}`, [{}], { queue: 'quick' });
+  await world.clock.advance(10_000);
+  expect(world.advisor.calls.length).toBeLessThanOrEqual(12);
+  world.advisor.isAway = false;
+  await world.clock.advance(1700);
+  expect(world.listStartedRuns().length > 0).toEqual(true);
+});
--- a/packages/dispatch/tests/fakeadvisor.ts
+++ b/packages/dispatch/tests/fakeadvisor.ts
@@ -19,6 +19,8 @@
   admitted: ReadonlySet<string> | undefined;
   /** Number of next calls that get no answer. */
   lostCalls = 0;
+  /** Calls fail at once. */
+  isAway = false;
   validityMs = 4000;
   /** Time that a call takes. */
   answerMs = 20;
@@ -55,6 +57,10 @@
     timeoutMs: number,
   ): Promise<Result<Advice, Fault>> {
     this.calls.push({ step, workers: workerIds, atMs: this.clock.getNowMs() });
+    if (this.isAway) {
+      await waitFor(this.clock, 1);
+      return Err(createFault(FaultCode.WorkerUnavailable, 'connection refused'));
+    }
     if (this.lostCalls > 0) {
       this.lostCalls -= 1;
       await waitFor(this.clock, timeoutMs);
