Keep the decision of a policy for one life of a worker

Callers would see: jobs that wait although the worker that was refused has been replaced under its id by one that the policy admits.

Cause: refused and admitted workers were kept by id and never forgotten.

Change: a decision is kept with the incarnation for which it was asked, and dropped once the worker is gone or was restarted.

Measured: advice.test.ts, red before (the job stays queued), green now. Found by reading, not shown by a run.

--- a/packages/dispatch/src/tickets.ts
+++ b/packages/dispatch/src/tickets.ts
@@ -5,6 +5,7 @@
   AdviceRules,
   AdviceWish,
   JobSubmission,
+  PolicyDecisions,
   ReadyGroup,
   TaskGroup,
   WorkerView,
@@ -28,7 +29,7 @@
 /** Options of a ticket cache. */
 export interface TicketCacheOptions {
   advisor: Advisor;
-  fleet: Fleet;
+  fleet: Pick<Fleet, 'find'>;
   clock: Clock;
   logger: Logger;
   metrics: Metrics;
@@ -76,9 +77,9 @@
 
 interface StepTickets extends AdviceTurn {
   tickets: Map<string, Ticket>;
-  /** Workers that the policy admits; the decision does not change. */
-  admitted: Set<string>;
-  refused: Set<string>;
+  /** Workers that the policy admits, with the incarnation for which it decided. */
+  admitted: Map<string, number>;
+  refused: Map<string, number>;
   /** Calls in a row after which the step kept its turn. */
   continuedCalls: number;
   /** Rejections in a row; starts that were under way together count once. */
@@ -154,7 +155,7 @@
     const known = steps.get(key);
     if (known !== undefined) return known;
     const created: StepTickets = {
-      ...{ tickets: new Map(), admitted: new Set(), refused: new Set() },
+      ...{ tickets: new Map(), admitted: new Map(), refused: new Map() },
       ...{ neededAtMs: clock.getNowMs(), fruitlessCalls: 0, hasMore: false, continuedCalls: 0 },
       ...{ rejections: 0, rejectedAtMs: -Infinity, blockedUntilMs: 0 },
     };
@@ -166,6 +167,16 @@
     return clock.getNowMs() < blockedUntilMs;
   }
 
+  /** Drops decisions on workers that are gone or were restarted, and lists the others. */
+  function listDecisions({ admitted, refused }: StepTickets): PolicyDecisions {
+    for (const decided of [admitted, refused]) {
+      for (const [id, bornAtMs] of decided) {
+        if (fleet.find(id)?.getEntry().bornAtMs !== bornAtMs) decided.delete(id);
+      }
+    }
+    return { admitted: new Set(admitted.keys()), refused: new Set(refused.keys()) };
+  }
+
   function findValidTicket(step: StepTickets, workerId: string): Ticket | undefined {
     const ticket = step.tickets.get(workerId);
     const bornAtMs = fleet.find(workerId)?.getEntry().bornAtMs;
@@ -240,9 +251,9 @@
         const isNew = !step.admitted.has(id) && !step.refused.has(id);
         if (isNew) decisions.decided += 1;
         if (isNew && ticket !== undefined) decisions.admitted += 1;
-        if (ticket === undefined) step.refused.add(id);
-        else if (bornAtMs !== undefined) {
-          step.admitted.add(id);
+        if (bornAtMs === undefined) continue;
+        (ticket === undefined ? step.refused : step.admitted).set(id, bornAtMs);
+        if (ticket !== undefined) {
           // Validity is counted from before the call, so a ticket is never used too long.
           const expiresAtMs = startedMs + result.value.validityMs;
           const leftMs = Math.max(0, expiresAtMs - clock.getNowMs());
@@ -318,7 +329,7 @@
           continue;
         }
         const step = getStepTickets(group.key);
-        group.decisions = step;
+        group.decisions = listDecisions(step);
         const ids = [...step.tickets.keys()].filter(
           (id) => findValidTicket(step, id) !== undefined,
         );
--- a/packages/dispatch/tests/advice.test.ts
+++ b/packages/dispatch/tests/advice.test.ts
@@ -281,3 +281,16 @@
   await world.clock.advance(1700);
   expect(world.listStartedRuns().length > 0).toEqual(true);
 });
+
+// Guards against a worker that is never named again since an earlier one with its id was refused.
+test('a decision holds for one life of a worker', async () => {
+  const world = await createAdvisedWorld(1);
+  world.advisor.admitted = new Set();
+  world.submit('j0', [{}], { queue: 'quick' });
+  await world.clock.advance(1000);
+  expect(world.listStartedRuns()).toEqual([]);
+  world.advisor.admitted = new Set(['w0']);
+  world.restartWorker('w0');
+  await world.clock.advance(4000);
+  expect(world.getState('j0')).toEqual(completed);
+});
