Keep nothing of a job that ends during its call for advice

Callers see nothing of it: an owner keeps a step for each job that is cancelled or ends while a call for it is under way.

Cause: the answer created the step anew after the job had been dropped.

Change: an answer for a step that is not known any more is ignored. The dump tells the number of steps (`advisedSteps`).

Measured: advice.test.ts, red before (on a copy with the old line the count is 1 after the job was dropped), green now with 0.

--- a/packages/dispatch/src/owner.ts
+++ b/packages/dispatch/src/owner.ts
@@ -76,6 +76,8 @@
   runningTasks: number;
   workers: { id: string; state: LinkState; silentMs: number }[];
   pendingWrites: number;
+  /** Steps for which tickets or decisions of a policy are kept. */
+  advisedSteps: number;
   /** Ids of jobs of which the store refuses a row. */
   heldJobs: string[];
   evacuated: EvacuatedDataCentre[];
@@ -526,6 +528,7 @@
         silentMs: Math.round(link.getSilenceMs()),
       })),
       pendingWrites: journal.countPending(),
+      advisedSteps: tickets.countSteps(),
       heldJobs: activeJobs.list().flatMap((job) => (job.isHeld ? [job.submission.id] : [])),
       evacuated: listEvacuated(),
     }),
--- a/packages/dispatch/src/tickets.ts
+++ b/packages/dispatch/src/tickets.ts
@@ -51,6 +51,8 @@
   recordStart(group: TaskGroup): void;
   /** Ticket of a group for a worker; `undefined` if it has none or needs none. */
   findTicket(group: TaskGroup, workerId: string): string | undefined;
+  /** Number of steps of which something is kept. */
+  countSteps(): number;
   /** Records that a worker rejected a start for want of a valid ticket. */
   recordRejection(group: TaskGroup, start: RejectedStart): void;
   /** Removes all tickets of a job, or of one occurrence of it (`<job>.<occurrence>`). */
@@ -243,8 +245,8 @@
     });
     metrics.count('advice.calls', 1, { outcome: result.isOk() ? 'answered' : 'failed' });
     const decisions = { decided: 0, admitted: 0 };
-    const step = getStepTickets(group.key);
-    if (result.isOk()) {
+    const step = steps.get(group.key);
+    if (step !== undefined && result.isOk()) {
       for (const id of ids) {
         const ticket = result.value.tickets.get(id);
         const bornAtMs = incarnations.get(id);
@@ -262,10 +264,12 @@
         }
       }
     }
-    step.calledAtMs = clock.getNowMs();
-    if (decisions.decided === 0) step.fruitlessCalls += 1;
-    step.hasMore = result.isOk() && call.isPartial && step.continuedCalls < maxContinuedCalls;
-    step.continuedCalls = step.hasMore ? step.continuedCalls + 1 : 0;
+    if (step !== undefined) {
+      step.calledAtMs = clock.getNowMs();
+      if (decisions.decided === 0) step.fruitlessCalls += 1;
+      step.hasMore = result.isOk() && call.isPartial && step.continuedCalls < maxContinuedCalls;
+      step.continuedCalls = step.hasMore ? step.continuedCalls + 1 : 0;
+    }
     // Without an answer in time, the advisor may take longer than its rules say, so the next call waits longer.
     if (result.isOk() || tookMs >= timeoutMs) {
       const recorded = { workers: ids.length, tookMs, ...decisions };
@@ -337,6 +341,7 @@
       }
     },
     canRequest,
+    countSteps: () => steps.size,
     requestTickets(wishes, workers) {
       if (!canRequest()) return;
       const openSteps = new Set([...openCalls].map(({ step }) => step));
--- a/packages/dispatch/tests/advice.test.ts
+++ b/packages/dispatch/tests/advice.test.ts
@@ -1,8 +1,11 @@
 import { test } from 'node:test';
-import { JobState } from '@bergamotreach/scheduling';
+import { createManualClock, createNullLogger, createNullMetrics } from '@bergamotreach/protocol';
+import { AdvicePurpose, JobState } from '@bergamotreach/scheduling';
 import { expect } from 'earl';
-import { createStep } from '../../scheduling/tests/samples.ts';
+import { createSingle, createStep } from '../../scheduling/tests/samples.ts';
 import { checkJobRow } from '../src/index.ts';
+import { createTicketCache } from '../src/tickets.ts';
+import { FakeAdvisor } from './fakeadvisor.ts';
 import { workerSlots } from './fakeworkers.ts';
 import { createWorld } from './world.ts';
 import type { World } from './world.ts';
@@ -294,3 +297,23 @@
   await world.clock.advance(4000);
   expect(world.getState('j0')).toEqual(completed);
 });
+
+// Guards against an answer for a job that has been cancelled, which would keep its step in memory for good.
+test('nothing is kept of a job that ends during its call', async () => {
+  const clock = createManualClock();
+  const advisor = new FakeAdvisor(clock);
+  const [logger, metrics] = [createNullLogger(), createNullMetrics()];
+  const cache = createTicketCache({
+    ...{ advisor, clock, logger, metrics, onTickets: () => undefined },
+    fleet: { find: () => undefined },
+    findAdviceRules: () => quick,
+  });
+  const group = createSingle('j1', 1);
+  cache.updateAllowedWorkers([{ group, ageMs: 0, meanWork: 1 }]);
+  cache.requestTickets([{ group, purpose: AdvicePurpose.Start, workerIds: ['w1'] }], []);
+  await clock.advance(1);
+  expect(cache.countSteps()).toEqual(1);
+  cache.dropJob('j1');
+  await clock.advance(1000);
+  expect([advisor.calls.length, cache.countSteps()]).toEqual([1, 0]);
+});
