Use a ticket that is still valid after the commit of its start

Callers would see: no job of a queue with a slow advisor starts while the store is slow.

Cause: a start is planned only while a margin of its ticket's validity is left, and the same margin was asked for again after the commit. With a decision of 1.6 s the margin is 0.7 s; a commit of 0.9 s made each start be given up and planned again, without end.

Change: the margin counts where a start is planned; a stored start uses any ticket that has not run out.

Measured: advice.test.ts, red before (no run in 9 s), green now (the first run). Found by reading, not shown by a run.

--- a/packages/dispatch/src/tickets.ts
+++ b/packages/dispatch/src/tickets.ts
@@ -49,7 +49,7 @@
   requestTickets(wishes: readonly AdviceWish[], workers: readonly WorkerView[]): void;
   /** Records that a task of a group has started: its calls were not in vain. */
   recordStart(group: TaskGroup): void;
-  /** Ticket of a group for a worker; `undefined` if it has none or needs none. */
+  /** Ticket of a group that a worker accepts now; `undefined` if it has none or needs none. */
   findTicket(group: TaskGroup, workerId: string): string | undefined;
   /** Number of steps of which something is kept. */
   countSteps(): number;
@@ -109,7 +109,7 @@
   waiting: number;
 }
 
-/** A ticket should outlive the start window of 2 s and the call that carries it. */
+/** A ticket should outlive the commit of its start, the start window of 2 s and the call that carries it. */
 const usualMarginMs = 2400;
 /**
  * Share of the validity left at the answer that may serve as this margin. A start that is repeated with an expired
@@ -137,9 +137,7 @@
 /** Queues of which a record is kept. */
 const maxRecords = 1000;
 
-/**
- * Creates an empty cache.
- */
+/** Creates an empty cache. */
 export function createTicketCache(options: TicketCacheOptions): TicketCache {
   const { advisor, fleet, clock, logger, metrics } = options;
   const steps = new Map<string, StepTickets>();
@@ -179,13 +177,17 @@
     return { admitted: new Set(admitted.keys()), refused: new Set(refused.keys()) };
   }
 
+  /** Finds a ticket that the worker accepts now. */
   function findValidTicket(step: StepTickets, workerId: string): Ticket | undefined {
     const ticket = step.tickets.get(workerId);
-    const bornAtMs = fleet.find(workerId)?.getEntry().bornAtMs;
-    const isValid =
-      ticket?.bornAtMs === bornAtMs &&
-      (ticket?.expiresAtMs ?? 0) > clock.getNowMs() + (ticket?.marginMs ?? 0);
-    return isValid ? ticket : undefined;
+    if (ticket === undefined || clock.getNowMs() >= ticket.expiresAtMs) return undefined;
+    return ticket.bornAtMs === fleet.find(workerId)?.getEntry().bornAtMs ? ticket : undefined;
+  }
+
+  /** Whether a start that is planned now can use a ticket: it must be stored before it is sent. */
+  function canPlan(step: StepTickets, workerId: string): boolean {
+    const ticket = findValidTicket(step, workerId);
+    return ticket !== undefined && clock.getNowMs() < ticket.expiresAtMs - ticket.marginMs;
   }
 
   /** The rules in force or of the job, else assumed ones if workers have asked for tickets of its queue. */
@@ -334,9 +336,7 @@
         }
         const step = getStepTickets(group.key);
         group.decisions = listDecisions(step);
-        const ids = [...step.tickets.keys()].filter(
-          (id) => findValidTicket(step, id) !== undefined,
-        );
+        const ids = [...step.tickets.keys()].filter((id) => canPlan(step, id));
         group.allowedWorkers = new Set(isBlocked(step) ? [] : ids);
       }
     },
--- a/packages/dispatch/tests/advice.test.ts
+++ b/packages/dispatch/tests/advice.test.ts
@@ -317,3 +317,14 @@
   await clock.advance(1000);
   expect([advisor.calls.length, cache.countSteps()]).toEqual([1, 0]);
 });
+
+// Guards against starts that are given up again and again, since storing them takes longer than the margin that their
+// tickets had: the job would never start beside a slow store.
+test('a ticket that is still valid is used after a slow commit', async () => {
+  const world = await createAdvisedWorld(2);
+  world.submit('j0', [{}], { queue: 'slow' });
+  await world.clock.advance(500);
+  world.store.latencyMs = 900;
+  await world.clock.advance(9000);
+  expect(world.listStartedRuns().map(({ run }) => run)).toEqual([1]);
+});
