Hold the job of a row that cannot be read, instead of all jobs

Callers would see: nothing starts or ends for any job, once a row of one job was changed by another writer so that it cannot be decoded.

A value that cannot be decoded counted as a store that is away, so it was read without end and nothing else was stored.

Change: such a row is a fault of its own (`protocol`). Its job is held and reported, like one of which the store refuses a row; writes under a guard that cannot be read are refused. Callers get 503 with Retry-After, as before.

Found by reading, not shown by a run.

--- a/packages/dispatch/src/jobservice.ts
+++ b/packages/dispatch/src/jobservice.ts
@@ -213,9 +213,18 @@
     });
   }
 
+  async function readRow(id: string, key: string): Promise<Result<Row | undefined, Fault>> {
+    const found = await options.table.getRow(key);
+    return found.mapErr((fault) => {
+      if (fault.code !== FaultCode.Protocol) return fault;
+      logger.error('job_row_refused', { job: id, row: key, reason: fault.message });
+      return createUnavailable('a row of the job cannot be read');
+    });
+  }
+
   /** Reads the state of a job; version 0 if no owner has adopted the job yet. */
   async function readState(id: string): Promise<Result<StoredState | undefined, Fault>> {
-    const found = await options.table.getRow(getStateKey(id));
+    const found = await readRow(id, getStateKey(id));
     if (found.isErr()) return found;
     const row = found.value;
     if (row === undefined) return readUnadoptedJob(id);
@@ -223,7 +232,7 @@
   }
 
   async function readUnadoptedJob(id: string): Promise<Result<StoredState | undefined, Fault>> {
-    const found = await options.table.getRow(getJobKey(id));
+    const found = await readRow(id, getJobKey(id));
     if (found.isErr()) return found;
     if (found.value === undefined) return Ok(undefined);
     return decodeRow(id, found.value, checkJobRow).map(({ submission, acceptedAtMs }) => ({
--- a/packages/dispatch/src/journal.ts
+++ b/packages/dispatch/src/journal.ts
@@ -1,8 +1,10 @@
 import type { Row, RowCondition, RowValue, Table } from '@bergamotreach/hosting';
 import { TransactionStatus, WritePriority } from '@bergamotreach/ownership';
 import type { GroupCommitter, TransactionReply } from '@bergamotreach/ownership';
-import { runContained, waitFor } from '@bergamotreach/protocol';
+import { FaultCode, runContained, waitFor } from '@bergamotreach/protocol';
 import type { Clock, Logger, Metrics } from '@bergamotreach/protocol';
+import { Err, Ok } from 'ts-results-es';
+import type { Result } from 'ts-results-es';
 import { match } from 'ts-pattern';
 
 /** Options of a journal. */
@@ -20,7 +22,10 @@
   hasPrecedence: (key: string, value: RowValue) => boolean;
   /** Called with a stored value that took precedence. */
   onOverruled: (key: string, value: RowValue) => void;
-  /** Called with a row whose value the store refuses for its content; it is not written any more. */
+  /**
+   * Called with a row whose value the store refuses for its content, or whose stored value cannot be read; it is not
+   * written any more.
+   */
   onRejected: (key: string, reason: string) => void;
 }
 
@@ -147,14 +152,18 @@
     return batch;
   }
 
+  function refuseRow(key: string, reason: string): void {
+    rejected.add(key);
+    pending.delete(key);
+    options.onRejected(key, reason);
+  }
+
   /** Divides a batch that the store refuses for its content, until the row at fault is alone. */
   function handleRejected(batch: ReadonlyMap<string, PendingWrite>, reason: string): void {
     const keys = [...batch.keys()];
     const [first] = keys;
     if (keys.length === 1 && first !== undefined) {
-      rejected.add(first);
-      pending.delete(first);
-      options.onRejected(first, reason);
+      refuseRow(first, reason);
       return;
     }
     const middle = Math.ceil(keys.length / 2);
@@ -227,7 +236,7 @@
           else requeueWrite(key, write);
         }
         for (const key of listGuards(batch)) {
-          if (conflicts.includes(key)) await resolveGuard(key);
+          if (conflicts.includes(key)) await resolveGuard(key, batch);
         }
       })
       .with({ status: TransactionStatus.Rejected }, ({ message }) => {
@@ -251,11 +260,13 @@
     options.onFenced();
   }
 
-  async function readRow(key: string): Promise<Row | undefined> {
+  /** Reads a row until the store answers; the reason if its value cannot be read. */
+  async function readRow(key: string): Promise<Result<Row | undefined, string>> {
     for (;;) {
       const result = await table.getRow(key);
-      if (result.isOk()) return result.value;
-      if (isClosed) return undefined;
+      if (result.isOk()) return Ok(result.value);
+      if (isClosed) return Ok(undefined);
+      if (result.error.code === FaultCode.Protocol) return Err(result.error.message);
       logger.warn('journal_read_retry', { key, reason: result.error.message });
       await waitFor(clock, retryMs);
     }
@@ -263,17 +274,33 @@
 
   /** Reads a row after a conflict to learn whether this write or another one took effect. */
   async function resolveRow(key: string, write: PendingWrite): Promise<void> {
-    const row = await readRow(key);
+    const found = await readRow(key);
     if (isClosed) return;
+    if (found.isErr()) {
+      refuseRow(key, found.error);
+      return;
+    }
+    const row = found.value;
     versions.set(key, row?.version ?? 0);
     if (row === undefined && write.value === null) return;
     if (row !== undefined && JSON.stringify(row.value) === JSON.stringify(write.value)) return;
     if (row === undefined || !checkPrecedence(row, write)) requeueWrite(key, write);
   }
 
-  async function resolveGuard(key: string): Promise<void> {
-    const row = await readRow(key);
+  async function resolveGuard(
+    key: string,
+    batch: ReadonlyMap<string, PendingWrite>,
+  ): Promise<void> {
+    const found = await readRow(key);
     if (isClosed) return;
+    if (found.isErr()) {
+      // Without the guard's value it is unknown whether its writes may be stored.
+      for (const [guarded, { guardKey }] of batch) {
+        if (guardKey === key) refuseRow(guarded, found.error);
+      }
+      return;
+    }
+    const row = found.value;
     versions.set(key, row?.version ?? 0);
     if (row !== undefined) checkPrecedence(row);
   }
--- a/packages/hosting/src/table.ts
+++ b/packages/hosting/src/table.ts
@@ -92,7 +92,10 @@
    * and each partition applies its commits one at a time.
    */
   abstract getPartition(key: string): string;
-  /** Reads one row; `undefined` when it does not exist. Faults: `store_unavailable`. */
+  /**
+   * Reads one row; `undefined` when it does not exist. Faults: `store_unavailable`, and `protocol` if its value cannot be
+   * decoded.
+   */
   abstract getRow(key: string): Promise<Result<Row | undefined, Fault>>;
   /** Reads rows whose key starts with `prefix`, in key order. Faults: `store_unavailable`. */
   abstract listRows(
--- a/packages/ownership/tests/faketable.ts
+++ b/packages/ownership/tests/faketable.ts
@@ -55,6 +55,8 @@
   rejections = 0;
   /** Time that a partition takes per commit; a commit that would wait over a second is refused. */
   partitionCommitMs = 0;
+  /** Keys of rows whose values cannot be decoded. */
+  readonly unreadableKeys = new Set<string>();
   readonly busyUntilMs = new Map<string, number>();
   /** Returns the partition of a key. */
   getPartition: (key: string) => string = () => '';
@@ -121,6 +123,10 @@
   }
 
   async getRow(key: string): Promise<Result<Row | undefined, Fault>> {
+    if (this.state.unreadableKeys.has(key)) {
+      const fault = createFault(FaultCode.Protocol, `invalid row ${key}`);
+      return this.process.call(() => Err(fault));
+    }
     return this.read(() => this.state.rows.get(key));
   }
 
