--- a/packages/dispatch/src/adviceturns.ts
+++ b/packages/dispatch/src/adviceturns.ts
@@ -1,5 +1,5 @@
 import { AdvicePurpose, urgentPriority } from '@bergamotreach/scheduling';
-import type { AdviceWish } from '@bergamotreach/scheduling';
+import type { AdviceRequest } from '@bergamotreach/scheduling';
 
 /** When a step had its calls for advice. Times are monotonic, in milliseconds. */
 export interface AdviceTurn {
@@ -8,7 +8,7 @@
   /** When its latest call ended; absent if there was none. */
   calledAtMs?: number;
   /** Calls without a new decision since the last start. */
-  fruitlessCalls: number;
+  renewals: number;
   /** It needs more workers at once than its latest call could name. */
   hasMore: boolean;
 }
@@ -22,7 +22,7 @@
 enum TurnClass {
   /** A gang that needs the tickets of several calls at the same time. */
   Continued,
-  /** Urgent, and its calls have not been in vain. */
+  /** Urgent, and no call since its last start was a mere renewal. */
   Urgent,
   /** Has waited long for its turn. */
   Overdue,
@@ -34,9 +34,9 @@
 }
 
 function isDue(turn: AdviceTurn, nowMs: number): boolean {
-  const { calledAtMs, fruitlessCalls, hasMore } = turn;
-  if (calledAtMs === undefined || fruitlessCalls < 2 || hasMore) return true;
-  const delayMs = Math.min(maxDelayMs, firstDelayMs * 2 ** (fruitlessCalls - 2));
+  const { calledAtMs, renewals, hasMore } = turn;
+  if (calledAtMs === undefined || renewals < 2 || hasMore) return true;
+  const delayMs = Math.min(maxDelayMs, firstDelayMs * 2 ** (renewals - 2));
   return nowMs - calledAtMs >= delayMs;
 }
 
@@ -44,36 +44,36 @@
   return calledAtMs ?? neededAtMs;
 }
 
-function getClass({ group, purpose }: AdviceWish, turn: AdviceTurn, nowMs: number): TurnClass {
+function getClass({ group, purpose }: AdviceRequest, turn: AdviceTurn, nowMs: number): TurnClass {
   if (turn.hasMore) return TurnClass.Continued;
   const isUrgent = group.job.rules.priority === urgentPriority;
-  if (isUrgent && turn.fruitlessCalls === 0) return TurnClass.Urgent;
+  if (isUrgent && turn.renewals === 0) return TurnClass.Urgent;
   if (nowMs - getSinceMs(turn) > maxTurnWaitMs) return TurnClass.Overdue;
   if (purpose === AdvicePurpose.Decision) return TurnClass.Decision;
   return turn.calledAtMs === undefined ? TurnClass.First : TurnClass.Again;
 }
 
 /**
- * Orders wishes by whose turn it is: urgent steps first, then those that have waited long, oldest first, then in
- * planning order those without a call before the others. Leaves out steps whose calls were in vain until their delay is
- * over.
+ * Orders requests by whose turn it is: urgent steps first, then those that have waited long, oldest first, then in
+ * planning order those without a call before the others. Leaves out steps whose tickets are renewed without a start
+ * until their delay is over.
  */
-export function rankWishes(
-  wishes: readonly AdviceWish[],
-  getTurn: (wish: AdviceWish) => AdviceTurn,
+export function rankRequests(
+  requests: readonly AdviceRequest[],
+  getTurn: (request: AdviceRequest) => AdviceTurn,
   nowMs: number,
-): AdviceWish[] {
-  const ranked = wishes
-    .map((wish) => ({ wish, turn: getTurn(wish) }))
+): AdviceRequest[] {
+  const ranked = requests
+    .map((request) => ({ request, turn: getTurn(request) }))
     .filter(({ turn }) => isDue(turn, nowMs))
-    .map(({ wish, turn }) => ({
-      wish,
-      turnClass: getClass(wish, turn, nowMs),
+    .map(({ request, turn }) => ({
+      request,
+      turnClass: getClass(request, turn, nowMs),
       sinceMs: getSinceMs(turn),
     }));
   ranked.sort((a, b) => {
     if (a.turnClass !== b.turnClass) return a.turnClass - b.turnClass;
     return a.turnClass === TurnClass.Overdue ? a.sinceMs - b.sinceMs : 0;
   });
-  return ranked.map(({ wish }) => wish);
+  return ranked.map(({ request }) => request);
 }
--- a/packages/dispatch/src/owner.ts
+++ b/packages/dispatch/src/owner.ts
@@ -430,9 +430,9 @@
       ready,
       suspectsDown: countSuspectsDown(context, startedAtMs),
       guaranteed: activeJobs.listGuaranteed(guarantees),
-      listsWishes: canRequest,
+      listsAdviceRequests: canRequest,
     });
-    if (canRequest) tickets.requestTickets(result.wishes, workers);
+    if (canRequest) tickets.requestTickets(result.adviceRequests, workers);
     metrics.reportTiming('plan.duration', clock.getNowMs() - startedAtMs);
     metrics.reportTiming('reports.age', getOldestReportMs());
     if (options.policy.placesBySpeed) reportSpeeds(workers);
--- a/packages/dispatch/src/tickets.ts
+++ b/packages/dispatch/src/tickets.ts
@@ -3,7 +3,7 @@
 import { AdvicePurpose, listSpareWorkers } from '@bergamotreach/scheduling';
 import type {
   AdviceRules,
-  AdviceWish,
+  AdviceRequest,
   JobSubmission,
   PolicyDecisions,
   ReadyGroup,
@@ -22,7 +22,7 @@
   usualWorkersPerCall,
 } from './advicesize.ts';
 import type { AdvisorRecord } from './advicesize.ts';
-import { rankWishes } from './adviceturns.ts';
+import { rankRequests } from './adviceturns.ts';
 import type { AdviceTurn } from './adviceturns.ts';
 import type { Fleet } from './fleet.ts';
 
@@ -45,9 +45,9 @@
   updateAllowedWorkers(ready: readonly ReadyGroup[]): void;
   /** Whether a call may be sent now. */
   canRequest(): boolean;
-  /** Requests tickets for the wish whose turn it is; `workers` are those that the plan used. */
-  requestTickets(wishes: readonly AdviceWish[], workers: readonly WorkerView[]): void;
-  /** Records that a task of a group has started: its calls were not in vain. */
+  /** Requests tickets for the request whose turn it is; `workers` are those that the plan used. */
+  requestTickets(requests: readonly AdviceRequest[], workers: readonly WorkerView[]): void;
+  /** Records that a task of a group has started. */
   recordStart(group: TaskGroup): void;
   /** Ticket of a group that a worker accepts now; `undefined` if it has none or needs none. */
   findTicket(group: TaskGroup, workerId: string): string | undefined;
@@ -156,7 +156,7 @@
     if (known !== undefined) return known;
     const created: StepTickets = {
       ...{ tickets: new Map(), admitted: new Map(), refused: new Map() },
-      ...{ neededAtMs: clock.getNowMs(), fruitlessCalls: 0, hasMore: false, continuedCalls: 0 },
+      ...{ neededAtMs: clock.getNowMs(), renewals: 0, hasMore: false, continuedCalls: 0 },
       ...{ rejections: 0, rejectedAtMs: -Infinity, blockedUntilMs: 0 },
     };
     steps.set(key, created);
@@ -268,7 +268,7 @@
     }
     if (step !== undefined) {
       step.calledAtMs = clock.getNowMs();
-      if (decisions.decided === 0) step.fruitlessCalls += 1;
+      if (decisions.decided === 0) step.renewals += 1;
       step.hasMore = result.isOk() && call.isPartial && step.continuedCalls < maxContinuedCalls;
       step.continuedCalls = step.hasMore ? step.continuedCalls + 1 : 0;
     }
@@ -299,13 +299,13 @@
     return nowMs >= pausedUntilMs && openCalls.size < maxOpenCalls && mayBeLost;
   }
 
-  /** Workers that a call for a wish names; `undefined` if there are none. */
+  /** Workers that a call for a request names; `undefined` if there are none. */
   function planCall(
-    wish: AdviceWish,
+    request: AdviceRequest,
     workers: readonly WorkerView[],
     waiting: number,
   ): PlannedCall | undefined {
-    const { group, purpose } = wish;
+    const { group, purpose } = request;
     const rules = findRules(group.job);
     if (rules === undefined) return undefined;
     const record = records.get(group.job.queue) ?? noRecord;
@@ -313,15 +313,15 @@
     const validityMs = rules.validityMs ?? usualValidityMs;
     const maxNamed = getMaxNamed(rules, validityMs, record, limit);
     const step = getStepTickets(group.key);
-    const undecided = wish.workerIds.filter((id) => !step.admitted.has(id)).length;
+    const undecided = request.workerIds.filter((id) => !step.admitted.has(id)).length;
     const spareCount =
       purpose === AdvicePurpose.Decision
         ? usualWorkersPerCall
         : countUndecidedToName(undecided, record) - undecided;
-    const spares = spareCount > 0 ? listSpareWorkers(wish, workers).slice(0, spareCount) : [];
-    const workerIds = [...wish.workerIds, ...spares].slice(0, maxNamed);
+    const spares = spareCount > 0 ? listSpareWorkers(request, workers).slice(0, spareCount) : [];
+    const workerIds = [...request.workerIds, ...spares].slice(0, maxNamed);
     if (workerIds.length === 0) return undefined;
-    const isPartial = group.spec.isGang && wish.workerIds.length > maxNamed;
+    const isPartial = group.spec.isGang && request.workerIds.length > maxNamed;
     return { group, purpose, rules, workerIds, isPartial, waiting };
   }
 
@@ -342,15 +342,15 @@
     },
     canRequest,
     countSteps: () => steps.size,
-    requestTickets(wishes, workers) {
+    requestTickets(requests, workers) {
       if (!canRequest()) return;
       const openSteps = new Set([...openCalls].map(({ step }) => step));
-      const due = wishes.filter(
+      const due = requests.filter(
         ({ group: { key } }) => !openSteps.has(key) && !isBlocked(getStepTickets(key)),
       );
-      const ranked = rankWishes(due, ({ group }) => getStepTickets(group.key), clock.getNowMs());
-      for (const wish of ranked) {
-        const call = planCall(wish, workers, wishes.length);
+      const ranked = rankRequests(due, ({ group }) => getStepTickets(group.key), clock.getNowMs());
+      for (const request of ranked) {
+        const call = planCall(request, workers, requests.length);
         if (call === undefined) continue;
         void runContained(logger, 'advice', () => requestAdvice(call));
         return;
@@ -359,7 +359,7 @@
     recordStart({ key }) {
       const step = steps.get(key);
       if (step === undefined) return;
-      step.fruitlessCalls = 0;
+      step.renewals = 0;
       step.rejections = 0;
     },
     findTicket(group, workerId) {
--- a/packages/dispatch/tests/adviceturns.test.ts
+++ b/packages/dispatch/tests/adviceturns.test.ts
@@ -1,6 +1,6 @@
 import { test } from 'node:test';
 import { AdvicePurpose } from '@bergamotreach/scheduling';
-import type { AdviceWish } from '@bergamotreach/scheduling';
+import type { AdviceRequest } from '@bergamotreach/scheduling';
 import { expect } from 'earl';
 import { createSingle } from '../../scheduling/tests/samples.ts';
 import {
@@ -10,23 +10,24 @@
   noRecord,
   recordCall,
 } from '../src/advicesize.ts';
-import { rankWishes } from '../src/adviceturns.ts';
+import { rankRequests } from '../src/adviceturns.ts';
 import type { AdviceTurn } from '../src/adviceturns.ts';
 
 const nowMs = 100_000;
 
 function createTurn(changes: Partial<AdviceTurn> = {}): AdviceTurn {
-  return { neededAtMs: nowMs - 100, fruitlessCalls: 0, hasMore: false, ...changes };
+  return { neededAtMs: nowMs - 100, renewals: 0, hasMore: false, ...changes };
 }
 
-/** Names of wishes, given in planning order as priority and turn, in the order of their turns. */
+/** Names of requests, given in planning order as priority and turn, in the order of their turns. */
 function rankTurns(turns: Record<string, [priority: number, turn: AdviceTurn]>): string[] {
-  const wishes = Object.entries(turns).map(([id, [priority]]): AdviceWish => {
+  const requests = Object.entries(turns).map(([id, [priority]]): AdviceRequest => {
     const purpose = id.startsWith('plan') ? AdvicePurpose.Decision : AdvicePurpose.Start;
     return { group: createSingle(id, priority), purpose, workerIds: [] };
   });
-  const getTurn = ({ group }: AdviceWish): AdviceTurn => turns[group.job.id]?.[1] ?? createTurn();
-  return rankWishes(wishes, getTurn, nowMs).map(({ group }) => group.job.id);
+  const getTurn = ({ group }: AdviceRequest): AdviceTurn =>
+    turns[group.job.id]?.[1] ?? createTurn();
+  return rankRequests(requests, getTurn, nowMs).map(({ group }) => group.job.id);
 }
 
 // Guards against a step that is asked for again and again before steps that had no call yet.
@@ -42,9 +43,12 @@
 });
 
 // Guards against an urgent step whose calls bring no start and that takes all calls.
-test('an urgent step whose calls were in vain lets others go first', () => {
-  const vain = createTurn({ calledAtMs: nowMs - 2500, fruitlessCalls: 5 });
-  expect(rankTurns({ urgent: [0, vain], fresh: [1, createTurn()] })).toEqual(['fresh', 'urgent']);
+test('an urgent step that never starts lets others go first', () => {
+  const renewed = createTurn({ calledAtMs: nowMs - 2500, renewals: 5 });
+  expect(rankTurns({ urgent: [0, renewed], fresh: [1, createTurn()] })).toEqual([
+    'fresh',
+    'urgent',
+  ]);
 });
 
 // Guards against a step that never gets a turn while others keep arriving.
@@ -60,10 +64,10 @@
 });
 
 // Guards against calls without end for a step whose calls bring no start.
-test('a step whose calls were in vain waits for twice as long each time', () => {
+test('renewals without a start wait for twice as long each time', () => {
   const listDue = (sinceMs: number): number[] =>
-    [1, 2, 3, 4, 5, 6, 20].filter((fruitlessCalls) => {
-      const turn = createTurn({ calledAtMs: nowMs - sinceMs, fruitlessCalls });
+    [1, 2, 3, 4, 5, 6, 20].filter((renewals) => {
+      const turn = createTurn({ calledAtMs: nowMs - sinceMs, renewals });
       return rankTurns({ step: [1, turn] }).length > 0;
     });
   expect(listDue(0)).toEqual([1]);
@@ -73,7 +77,7 @@
 
 // Guards against a gang whose first tickets run out while others have their turns.
 test('a gang that needs several calls keeps its turn', () => {
-  const partial = createTurn({ calledAtMs: nowMs, fruitlessCalls: 2, hasMore: true });
+  const partial = createTurn({ calledAtMs: nowMs, renewals: 2, hasMore: true });
   expect(rankTurns({ fresh: [0, createTurn()], gang: [1, partial] })).toEqual(['gang', 'fresh']);
 });
 
--- a/packages/scheduling/src/advice.ts
+++ b/packages/scheduling/src/advice.ts
@@ -29,7 +29,7 @@
 }
 
 /** A group that waits for advice after a plan. */
-export interface AdviceWish {
+export interface AdviceRequest {
   group: TaskGroup;
   purpose: AdvicePurpose;
   /** Workers without a valid ticket that it would start on, admitted ones first; empty for decisions. */
@@ -116,33 +116,33 @@
 }
 
 /**
- * Finds out what a group that a plan leaves waiting needs advice for; `undefined` if advice would not help it. `gathered`
+ * Finds out what a group that a plan leaves waiting needs advice for; `undefined` if advice would not help it. `reservedWorkers`
  * are the workers on which room is being made or kept for it. A group that could not start even if all undecided workers
- * were admitted has no wish, so that it takes no calls from others.
+ * were admitted asks for nothing, so that it takes no calls from others.
  */
-export function findAdviceWish(
+export function findAdviceRequest(
   group: TaskGroup,
   workers: readonly WorkerView[],
   spread: Spread,
-  gathered?: readonly WorkerView[],
-): AdviceWish | undefined {
+  reservedWorkers?: readonly WorkerView[],
+): AdviceRequest | undefined {
   if (listWaitingTasks(group).length === 0) return undefined;
   if (group.spec.isGang && group.tasks.some(isOccupying)) return undefined;
-  const wanted = gathered ?? listStartWorkers(group, workers, spread);
+  const wanted = reservedWorkers ?? listStartWorkers(group, workers, spread);
   const ids = [...new Set(wanted.map(({ id }) => id))]
     .filter((id) => group.allowedWorkers?.has(id) !== true)
     .sort((a, b) => Number(isDecided(group, b)) - Number(isDecided(group, a)));
   if (ids.length > 0) return { group, purpose: AdvicePurpose.Start, workerIds: ids };
-  if (gathered !== undefined || !hasTooFewDecisions(group, workers)) return undefined;
+  if (reservedWorkers !== undefined || !hasTooFewDecisions(group, workers)) return undefined;
   return { group, purpose: AdvicePurpose.Decision, workerIds: [] };
 }
 
 /**
- * Undecided workers that a call for a wish may name in addition, best first: those in the preferred rack, for rack-bound
+ * Undecided workers that a call for a request may name in addition, best first: those in the preferred rack, for rack-bound
  * groups those in the rack with the most room, then those with the most room. A start needs room now.
  */
 export function listSpareWorkers(
-  { group, purpose, workerIds }: AdviceWish,
+  { group, purpose, workerIds }: AdviceRequest,
   workers: readonly WorkerView[],
 ): string[] {
   const open = createOpenGroup(group, workers);
--- a/packages/scheduling/src/planner.ts
+++ b/packages/scheduling/src/planner.ts
@@ -1,5 +1,5 @@
-import { createDecidedGroup, createOpenGroup, findAdviceWish } from './advice.ts';
-import type { AdviceWish } from './advice.ts';
+import { createDecidedGroup, createOpenGroup, findAdviceRequest } from './advice.ts';
+import type { AdviceRequest } from './advice.ts';
 import { TaskPhase, isOccupying } from './group.ts';
 import type { Task, TaskGroup } from './group.ts';
 import { claimWorkers, markIsolated, splitSuspects } from './isolation.ts';
@@ -65,7 +65,7 @@
   preemptUrgentAfterMs: number;
   policy: PlanPolicy;
   /** Whether the plan lists what its groups need advice for. */
-  listsWishes?: boolean;
+  listsAdviceRequests?: boolean;
 }
 
 /** Tasks of one group to be started. */
@@ -94,7 +94,7 @@
   /** Groups that still have waiting tasks, in planning order. */
   waits: Wait[];
   /** Groups that need advice, in planning order; empty if the plan does not list them. */
-  wishes: AdviceWish[];
+  adviceRequests: AdviceRequest[];
 }
 
 /** Longest wait of an urgent job for its rack; preemption must fit into the rest of its reclaim time. */
@@ -178,7 +178,7 @@
 
 /** Plans starts and stops. It changes only `input.workers`; tasks keep their phases. */
 export function planStarts(input: PlanInput): Plan {
-  const plan: Plan = { starts: [], stops: [], waits: [], wishes: [] };
+  const plan: Plan = { starts: [], stops: [], waits: [], adviceRequests: [] };
   const preempting = new Set<TaskGroup>();
   const stopping = new Set<Task>();
   const reservations = new Map<TaskGroup, GangReservation>();
@@ -198,7 +198,7 @@
   /** Tasks placed, by group or part of a group. */
   const placedTasks = new Map<TaskGroup, ReadonlySet<Task>>();
   /** Workers on which room is made or kept for a group. */
-  const gathered = new Map<TaskGroup, readonly WorkerView[]>();
+  const reservedWorkers = new Map<TaskGroup, readonly WorkerView[]>();
   markIsolated(input.workers, input.nowMs);
   claimWorkers(
     order.map(({ group }) => createDecidedGroup(group)),
@@ -236,7 +236,7 @@
       (canPreemptUrgent ? choosePreemption(group, spread, canPreempt) : undefined);
     if (preemption === undefined || !isLossAcceptable(ready, preemption)) return;
     preempting.add(group);
-    gathered.set(
+    reservedWorkers.set(
       group,
       preemption.workers.map(({ worker }) => worker),
     );
@@ -308,7 +308,7 @@
     const afterStops = placeGang(decided, input.workers, spread, getFreeAfterStops);
     if (afterStops !== undefined) {
       reservePlacements(group, afterStops);
-      gathered.set(
+      reservedWorkers.set(
         group,
         afterStops.map(({ worker }) => worker),
       );
@@ -319,7 +319,7 @@
     reservations.set(group, reservation);
     applyReservation(group, reservation);
     const isSoon = reservation.readyInMs <= adviceLeadMs;
-    gathered.set(group, isSoon ? reservation.slots.map(({ worker }) => worker) : []);
+    reservedWorkers.set(group, isSoon ? reservation.slots.map(({ worker }) => worker) : []);
   }
 
   function chooseReservation(group: TaskGroup, spread: Spread): GangReservation | undefined {
@@ -354,7 +354,7 @@
     const reserved = canUseReserve(ready) ? takeReserve(group) : [];
     if (group.spec.isGang) planGang(ready);
     else planTasks(ready);
-    addWish(ready);
+    addAdviceRequest(ready);
     for (const [worker, reserve] of reserved) worker.urgentReserve = reserve;
     for (const [owner, reservation] of usable) applyReservation(owner, reservation);
   }
@@ -369,14 +369,19 @@
   }
 
   /** Lists what a group would start on with tickets, at its rank: work that is planned later may take that room. */
-  function addWish(ready: ReadyGroup): void {
+  function addAdviceRequest(ready: ReadyGroup): void {
     const { group } = ready;
-    if (input.listsWishes !== true || group.decisions === undefined) return;
+    if (input.listsAdviceRequests !== true || group.decisions === undefined) return;
     const placed = placedTasks.get(group);
     const tasks = group.tasks.filter((task) => placed?.has(task) !== true);
     const spread = chooseSpread(ready, input, idlePools.has(group.job.pool));
-    const wish = findAdviceWish({ ...group, tasks }, input.workers, spread, gathered.get(group));
-    if (wish !== undefined) plan.wishes.push(wish);
+    const request = findAdviceRequest(
+      { ...group, tasks },
+      input.workers,
+      spread,
+      reservedWorkers.get(group),
+    );
+    if (request !== undefined) plan.adviceRequests.push(request);
   }
 
   function addWait({ group, ageMs }: ReadyGroup, ahead: number): void {
--- a/packages/scheduling/tests/advice.test.ts
+++ b/packages/scheduling/tests/advice.test.ts
@@ -96,43 +96,45 @@
   expect(getReason(setPolicy(gang, [], [], ['w0', 'w1']))).toEqual(WaitReason.NoWorker);
 });
 
-/** Wishes of a plan in the order of its groups, as `job: workers`. */
-function listWishes(workers: WorkerView[], groups: readonly TaskGroup[]): string[] {
+/** Requests for advice of a plan in the order of its groups, as `job: workers`. */
+function listRequests(workers: WorkerView[], groups: readonly TaskGroup[]): string[] {
   const ready = groups.map((group, index) => createReady(group, 1000 - index));
-  const plan = planStarts(createInput(workers, ready, { listsWishes: true }));
-  return plan.wishes.map(({ group, workerIds }) => `${group.job.id}: ${workerIds.join(' ')}`);
+  const plan = planStarts(createInput(workers, ready, { listsAdviceRequests: true }));
+  return plan.adviceRequests.map(
+    ({ group, workerIds }) => `${group.job.id}: ${workerIds.join(' ')}`,
+  );
 }
 
 // Guards against a call for a step that could not start even if all workers were admitted.
-test('a group has a wish only if advice lets it start', () => {
+test('a group asks for advice only if that lets it start', () => {
   const workers = [createWorker('w0'), createWorker('w1')];
   const huge = createSingle('huge', 1, { taskCount: 3, isGang: true, demand: whole });
   const single = createSingle('single', 1);
   const groups = [huge, single].map((group) => setPolicy(group, [], []));
-  expect(listWishes(workers, groups)).toEqual(['single: w0']);
+  expect(listRequests(workers, groups)).toEqual(['single: w0']);
   for (const worker of workers)
     runOn(worker, createSingle(`on-${worker.id}`, 1, { demand: whole }));
-  expect(listWishes(workers, groups)).toEqual([]);
+  expect(listRequests(workers, groups)).toEqual([]);
 });
 
 // Guards against a step that never asks since work behind it, which needs no tickets, takes all room in each plan.
-test('a wish is found at the rank of its group', () => {
+test('a group asks for advice at its rank', () => {
   const workers = [createWorker('w0')];
   const first = setPolicy(createSingle('first', 1, { demand: whole }), [], []);
   const second = createSingle('second', 1, { demand: whole });
-  expect(listWishes(workers, [first, second])).toEqual(['first: w0']);
+  expect(listRequests(workers, [first, second])).toEqual(['first: w0']);
 });
 
 // Guards against preempted room that stays empty until a call for it is sent and answered.
-test('a wish names the workers on which room is made', () => {
+test('a group asks for the workers on which room is made for it', () => {
   const workers = [createWorker('w0'), createWorker('w1')];
   for (const worker of workers)
     runOn(worker, createSingle(`on-${worker.id}`, 1, { demand: whole }));
   const urgent = setPolicy(createSingle('urgent', 0, { demand: whole }), [], ['w1']);
   const input = createInput(workers, [createReady(urgent, 500)], {
-    ...{ guaranteed: new Set(['urgent']), listsWishes: true },
+    ...{ guaranteed: new Set(['urgent']), listsAdviceRequests: true },
   });
-  expect(planStarts(input).wishes.map(({ workerIds }) => workerIds)).toEqual([['w1']]);
+  expect(planStarts(input).adviceRequests.map(({ workerIds }) => workerIds)).toEqual([['w1']]);
 });
 
 // Guards against preemption and reservations that never begin, since no worker is known to be admitted.
@@ -141,8 +143,8 @@
   for (const worker of workers)
     runOn(worker, createSingle(`on-${worker.id}`, 1, { demand: whole }));
   const urgent = setPolicy(createSingle('urgent', 0, { demand: whole }), [], []);
-  const input = createInput(workers, [createReady(urgent, 500)], { listsWishes: true });
-  const [wish] = planStarts(input).wishes;
-  expect(wish?.purpose).toEqual(AdvicePurpose.Decision);
-  expect(wish === undefined ? [] : listSpareWorkers(wish, workers)).toEqual(['w0', 'w1']);
+  const input = createInput(workers, [createReady(urgent, 500)], { listsAdviceRequests: true });
+  const [request] = planStarts(input).adviceRequests;
+  expect(request?.purpose).toEqual(AdvicePurpose.Decision);
+  expect(request === undefined ? [] : listSpareWorkers(request, workers)).toEqual(['w0', 'w1']);
 });
