Log overlapping reads of a table and whether the store answers

Change: feed_read has waitMs and activeReads; config_stale has outageMs and storeSilenceMs, by a record of all calls that the store has served.

--- a/packages/dispatch/src/configwatch.ts
+++ b/packages/dispatch/src/configwatch.ts
@@ -1,9 +1,11 @@
+import type { ServiceContact } from '@bergamotreach/hosting';
 import type { Logger, Metrics } from '@bergamotreach/protocol';
 import type { ConfigReplica } from './operatorrows.ts';
 
 /** Options of a configuration watch. */
 export interface ConfigWatchOptions {
-  configs: Pick<ConfigReplica, 'find' | 'getAgeMs'>;
+  configs: Pick<ConfigReplica, 'find' | 'getAgeMs' | 'getOutageMs'>;
+  storeContact: Pick<ServiceContact, 'getSilenceMs'>;
   /** Age beyond which the configuration in force counts as stale, in milliseconds. */
   maxAgeMs: number;
   logger: Logger;
@@ -18,7 +20,7 @@
 
 /** Creates a watch; the caller checks at regular intervals. */
 export function createConfigWatch(options: ConfigWatchOptions): ConfigWatch {
-  const { configs, maxAgeMs, logger, metrics } = options;
+  const { configs, storeContact, maxAgeMs, logger, metrics } = options;
   let isStale = false;
 
   return {
@@ -30,8 +32,11 @@
       metrics.setGauge('config.age', ageMs);
       if (ageMs > maxAgeMs === isStale) return;
       isStale = !isStale;
-      if (isStale) logger.warn('config_stale', { version, ageMs, maxAgeMs });
-      else logger.info('config_current', { version, ageMs });
+      if (isStale) {
+        const outageMs = Math.round(configs.getOutageMs());
+        const storeSilenceMs = Math.round(storeContact.getSilenceMs());
+        logger.warn('config_stale', { version, ageMs, maxAgeMs, outageMs, storeSilenceMs });
+      } else logger.info('config_current', { version, ageMs });
     },
   };
 }
--- a/packages/dispatch/src/instance.ts
+++ b/packages/dispatch/src/instance.ts
@@ -1,4 +1,4 @@
-import type { Feed, MemoryBudget, Table } from '@bergamotreach/hosting';
+import type { Feed, MemoryBudget, ServiceContact, Table } from '@bergamotreach/hosting';
 import {
   LeaseState,
   WritePriority,
@@ -56,6 +56,8 @@
   table: Table;
   /** Time within which the store is expected to answer a call now, in milliseconds. */
   getExpectedStoreMs: () => number;
+  /** Whether the store answers, by all calls of this process. */
+  storeContact: ServiceContact;
   /** Name of this instance, kept across restarts. */
   name: string;
   dataCentre: string;
@@ -237,6 +239,7 @@
   });
   const configWatch = createConfigWatch({
     configs: operatorRows,
+    storeContact: options.storeContact,
     maxAgeMs: limits.configApplyMs,
     logger,
     metrics,
--- a/packages/dispatch/src/tablereplica.ts
+++ b/packages/dispatch/src/tablereplica.ts
@@ -94,6 +94,8 @@
   let pendingRefresh: Promise<boolean> | undefined;
   /** Reads of refreshes in progress, for which the next long poll waits. */
   let activeRefreshes = 0;
+  /** Reads in progress. */
+  let activeReads = 0;
   /** Called at the end of the next read. */
   let readListeners: (() => void)[] = [];
 
@@ -145,7 +147,10 @@
     failures = 0;
   }
 
-  function reportReading({ items, position: readPosition, reading }: FeedPage<T>): void {
+  function reportReading(
+    { items, position: readPosition, reading }: FeedPage<T>,
+    waitMs: number,
+  ): void {
     if (reading === undefined) return;
     const { receivedBytes, receiveMs, decodeMs } = reading;
     metrics.reportTiming('feed.receive', receiveMs, { table: name });
@@ -158,6 +163,8 @@
       bytes: receivedBytes,
       receiveMs: Math.round(receiveMs),
       decodeMs: Math.round(decodeMs),
+      waitMs,
+      activeReads,
     });
   }
 
@@ -183,7 +190,11 @@
 
   /** Reads one page; resolves with whether another one may follow, or with `undefined` if the read fails. */
   function readPage(waitMs: number): Promise<boolean | undefined> {
-    return loadPage(waitMs).finally(reportRead);
+    activeReads += 1;
+    return loadPage(waitMs).finally(() => {
+      activeReads -= 1;
+      reportRead();
+    });
   }
 
   async function loadPage(waitMs: number): Promise<boolean | undefined> {
@@ -194,7 +205,7 @@
       return undefined;
     }
     metrics.count('feed.reads', 1, { table: name });
-    reportReading(reply.value);
+    reportReading(reply.value, waitMs);
     applyPage(reply.value, sentMs);
     return canBeCut(reply.value);
   }
--- a/packages/hosting/src/exchange.ts
+++ b/packages/hosting/src/exchange.ts
@@ -36,6 +36,15 @@
   | { status: ExchangeStatus.Lost; message: string }
 );
 
+const statusTooMany = 429;
+const statusServerError = 500;
+
+/** Whether the service has carried out the call, as opposed to turning it away. */
+export function isServed(exchange: Exchange): boolean {
+  if (exchange.status !== ExchangeStatus.Answered) return false;
+  return exchange.code < statusServerError && exchange.code !== statusTooMany;
+}
+
 /** Describes a transfer that ended without a complete response. */
 export function formatTransfer({ firstByteMs, durationMs, receivedBytes }: Transfer): string {
   const tookMs = Math.round(durationMs);
--- a/packages/hosting/src/index.ts
+++ b/packages/hosting/src/index.ts
@@ -15,6 +15,7 @@
 export * from './memorybudget.ts';
 export * from './objectstore.ts';
 export * from './partload.ts';
+export * from './servicecontact.ts';
 export * from './silencewatch.ts';
 export * from './table.ts';
 export * from './tasklist.ts';
