--- a/packages/dispatch/tests/admission.test.ts
+++ b/packages/dispatch/tests/admission.test.ts
@@ -1,45 +1,12 @@
 import { test } from 'node:test';
-import {
-  FaultCode,
-  createManualClock,
-  createNullLogger,
-  createNullMetrics,
-} from '@bergamotreach/protocol';
+import { FaultCode } from '@bergamotreach/protocol';
 import { expect } from 'earl';
-import { OperatorRowKind, createJobService, createOperatorRows } from '../src/index.ts';
-import type { JobServiceOptions, OperatorRow } from '../src/index.ts';
-import { queue } from './services.ts';
-import { SlowFeed } from './slowfeed.ts';
+import { createAdmission, createConfigRow } from './admissionworld.ts';
 
 const quickMs = 5;
 /** A configuration that takes longer to arrive than its bound allows. */
 const tooLargeMs = 6000;
 
-function createConfigRow(version: number, paths: string[]): OperatorRow {
-  const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
-  const queues = paths.map((prefix) => ({ ...queue, name: prefix, prefix }));
-  const config = { version, queues, accounts: [], limits };
-  return { kind: OperatorRowKind.Configuration, config };
-}
-
-function createAdmission() {
-  const clock = createManualClock();
-  const logger = createNullLogger();
-  const metrics = createNullMetrics();
-  const feed = new SlowFeed<OperatorRow>(clock);
-  const configs = createOperatorRows({ feed, clock, logger, metrics });
-  const jobs = createJobService({
-    ...{ configs, clock, logger, metrics },
-  } as unknown as JobServiceOptions);
-  const callQueue = async (path: string): Promise<FaultCode | number> => {
-    const admitting = jobs.admit('h', path, undefined);
-    await clock.advance(1100);
-    const admitted = await admitting;
-    return admitted.isOk() ? admitted.value.version : admitted.error.code;
-  };
-  return { clock, feed, configs, callQueue };
-}
-
 // Guards against decisions by a configuration that is older than its bound while the next one arrives.
 test('a call is told to come back while a newer configuration is late', async () => {
   const { clock, feed, configs, callQueue } = createAdmission();
--- a/packages/dispatch/tests/slowfeed.ts
+++ b/packages/dispatch/tests/slowfeed.ts
@@ -1,8 +1,8 @@
 import { Feed } from '@bergamotreach/hosting';
 import type { FeedPage } from '@bergamotreach/hosting';
-import { waitFor } from '@bergamotreach/protocol';
+import { FaultCode, createFault, waitFor } from '@bergamotreach/protocol';
 import type { Clock, Fault } from '@bergamotreach/protocol';
-import { Ok } from 'ts-results-es';
+import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
 
 const pollMs = 10;
@@ -15,6 +15,8 @@
   private transferMs = 0;
   private receiving = 0;
   reads = 0;
+  /** Whether every read fails. */
+  isFailing = false;
   /** Largest number of pages with a row that arrived at the same time. */
   largestConcurrency = 0;
 
@@ -46,6 +48,10 @@
     const { key, value, version, transferMs } = this;
     const hasRow = version > after && version > 0;
     this.reads += 1;
+    if (this.isFailing) {
+      await waitFor(this.clock, pollMs);
+      return Err(createFault(FaultCode.StoreUnavailable, 'not readable'));
+    }
     if (hasRow) {
       this.receiving += 1;
       this.largestConcurrency = Math.max(this.largestConcurrency, this.receiving);
