Bring a changed table to an instance once, not once for each refused call

Callers saw: calls decided by an old configuration, or answered 503, while a new one arrived over a narrow link.

Cause: the refusal of a call is checked by a read of its own. Until the first byte of the answer to the long poll had arrived, each such read was answered with the whole configuration too, and all of them shared the link.

Change: a refresh waits for the one before it, and of several reads of a feed only the one whose large answer arrives first is completed; the others are given up, and a refresh reads again after it, so that it still shows all changes before it.

--- a/packages/dispatch/src/tablereplica.ts
+++ b/packages/dispatch/src/tablereplica.ts
@@ -51,6 +51,17 @@
   refreshUrgent(): Promise<boolean>;
 }
 
+/** How the read of a page ended. */
+enum ReadOutcome {
+  Failed,
+  /** The page shows all changes until it was sent. */
+  Complete,
+  /** Another page may follow. */
+  Cut,
+  /** Another read that is arriving brings the changes. */
+  Superseded,
+}
+
 interface Entry<T> {
   value: T;
   version: number;
@@ -92,7 +103,9 @@
   let endPause: () => void = () => undefined;
   /** Refresh whose read is not sent yet, which later callers may share. */
   let pendingRefresh: Promise<boolean> | undefined;
-  /** Reads of refreshes in progress, for which the next long poll waits. */
+  /** The latest refresh, which the next one waits for. */
+  let latestRefresh = Promise.resolve(true);
+  /** Refreshes in progress, for which the next long poll waits. */
   let activeRefreshes = 0;
   /** Reads in progress. */
   let activeReads = 0;
@@ -188,8 +201,7 @@
     for (const listener of listeners) listener();
   }
 
-  /** Reads one page; resolves with whether another one may follow, or with `undefined` if the read fails. */
-  function readPage(waitMs: number): Promise<boolean | undefined> {
+  function readPage(waitMs: number): Promise<ReadOutcome> {
     activeReads += 1;
     return loadPage(waitMs).finally(() => {
       activeReads -= 1;
@@ -197,23 +209,27 @@
     });
   }
 
-  async function loadPage(waitMs: number): Promise<boolean | undefined> {
+  async function loadPage(waitMs: number): Promise<ReadOutcome> {
     const sentMs = clock.getNowMs();
     const reply = position === undefined ? await feed.load() : await feed.wait(position, waitMs);
     if (reply.isErr()) {
       recordFailure(reply.error.message);
-      return undefined;
+      return ReadOutcome.Failed;
     }
+    if (reply.value.isSuperseded === true) return ReadOutcome.Superseded;
     metrics.count('feed.reads', 1, { table: name });
     reportReading(reply.value, waitMs);
     applyPage(reply.value, sentMs);
-    return canBeCut(reply.value);
+    return canBeCut(reply.value) ? ReadOutcome.Cut : ReadOutcome.Complete;
   }
 
+  /** Reads until no further page can follow; false if a read fails. */
   async function readRemaining(): Promise<boolean> {
     for (;;) {
-      const isFollowed = await readPage(0);
-      if (isFollowed !== true) return isFollowed !== undefined;
+      const outcome = await readPage(0);
+      if (outcome === ReadOutcome.Failed) return false;
+      if (outcome === ReadOutcome.Complete) return true;
+      if (outcome === ReadOutcome.Superseded) await waitForArrival();
     }
   }
 
@@ -222,9 +238,11 @@
     while (feed.isReceiving()) await waitForRead();
   }
 
-  async function runRefresh(): Promise<boolean> {
+  /** Runs after the refresh before it: each read would bring the same changes once more. */
+  async function runRefresh(previous: Promise<boolean>): Promise<boolean> {
     activeRefreshes += 1;
     try {
+      await previous;
       await waitForArrival();
       // The read shows only what was stored before it, so callers from now on need another one.
       pendingRefresh = undefined;
@@ -261,7 +279,10 @@
   function refresh(): Promise<boolean> {
     // The pause may have become shorter since it began, as when this instance becomes the owner.
     endPause();
-    pendingRefresh ??= runRefresh();
+    if (pendingRefresh === undefined) {
+      pendingRefresh = runRefresh(latestRefresh);
+      latestRefresh = pendingRefresh.catch(() => false);
+    }
     return pendingRefresh;
   }
 
--- a/packages/dispatch/tests/tablereplica.test.ts
+++ b/packages/dispatch/tests/tablereplica.test.ts
@@ -1,8 +1,13 @@
 import { test } from 'node:test';
 import { Feed } from '@bergamotreach/hosting';
 import type { FeedItem, FeedPage } from '@bergamotreach/hosting';
-import { createManualClock, createNullLogger, createNullMetrics } from '@bergamotreach/protocol';
-import type { Fault } from '@bergamotreach/protocol';
+import {
+  createManualClock,
+  createNullLogger,
+  createNullMetrics,
+  waitFor,
+} from '@bergamotreach/protocol';
+import type { Clock, Fault } from '@bergamotreach/protocol';
 import { expect } from 'earl';
 import { Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
@@ -176,3 +181,57 @@
   expect(replica.list().length).toEqual(rows.length);
   replica.stop();
 });
+
+/** Feed whose first long poll brings a change that supersedes the reads sent meanwhile. */
+class SupersedingFeed extends Feed<string> {
+  reads = 0;
+  superseded = 0;
+  private isArriving = false;
+
+  constructor(private readonly clock: Clock) {
+    super();
+  }
+
+  load(): Promise<Result<FeedPage<string>, Fault>> {
+    return Promise.resolve(Ok({ items: [], isSnapshot: true, position: 1 }));
+  }
+
+  async wait(position: number, waitMs: number): Promise<Result<FeedPage<string>, Fault>> {
+    this.reads += 1;
+    const page = { items: [], isSnapshot: false, position };
+    if (waitMs === 0 && position === 1) {
+      await waitFor(this.clock, 100);
+      this.superseded += 1;
+      this.isArriving = true;
+      return Ok({ ...page, isSuperseded: true });
+    }
+    if (waitMs === 0 || position > 1) {
+      await waitFor(this.clock, waitMs);
+      return Ok(page);
+    }
+    await waitFor(this.clock, 900);
+    this.isArriving = false;
+    return Ok({ ...page, items: [{ key: 'k', version: 2, value: 'new' }], position: 2 });
+  }
+
+  override isReceiving(): boolean {
+    return this.isArriving;
+  }
+}
+
+// Guards against a refresh that ends with an old value, or a read for each call, while a page arrives.
+test('a superseded refresh waits for the page that is arriving', async () => {
+  const clock = createManualClock();
+  const feed = new SupersedingFeed(clock);
+  const replica = createTableReplica<string>({
+    ...{ feed, name: 'configuration', clock },
+    ...{ logger: createNullLogger(), metrics: createNullMetrics() },
+  });
+  replica.start();
+  await clock.advance(10);
+  const refreshes = Array.from({ length: 20 }, () => replica.refresh());
+  for (let step = 0; step < 20; step += 1) await clock.advance(100);
+  replica.stop();
+  expect(await Promise.all(refreshes)).toEqual(Array.from({ length: 20 }, () => true));
+  expect([replica.find('k'), feed.superseded]).toEqual(['new', 1]);
+});
