Distrust an old configuration also while its reads fail

Callers saw: calls decided by an old version for as long as its reads failed.

Cause: admission trusted a configuration of any age once a read of it had failed, also while the store served every other call, so a table that alone cannot be read was not told from an outage of the store. The age limit was a constant, although the bound differs by deployment.

Change: isConfigTrusted, a pure rule. Calls wait up to 1 s for it and are then answered 503 with Retry-After, as while a large version arrives.

--- a/packages/dispatch/src/instance.ts
+++ b/packages/dispatch/src/instance.ts
@@ -247,7 +247,8 @@
   const localJobs = createJobService({
     ...options,
     ...{ committer, states, configs: operatorRows },
-    maxHeldBytes: options.limits.maxHeldBytes,
+    maxHeldBytes: limits.maxHeldBytes,
+    configApplyMs: limits.configApplyMs,
   });
   const relay = createRelay({
     clock,
--- a/packages/dispatch/src/jobservice.ts
+++ b/packages/dispatch/src/jobservice.ts
@@ -1,6 +1,6 @@
 import { TransactionStatus, WritePriority } from '@bergamotreach/ownership';
 import type { GroupCommitter, TransactionReply } from '@bergamotreach/ownership';
-import type { Row, Table } from '@bergamotreach/hosting';
+import type { Row, ServiceContact, Table } from '@bergamotreach/hosting';
 import { FaultCode, createFault, waitFor } from '@bergamotreach/protocol';
 import type { Clock, Fault, Logger, Metrics } from '@bergamotreach/protocol';
 import type { Check } from '@bergamotreach/protocol/check';
@@ -11,6 +11,7 @@
 import { match } from 'ts-pattern';
 import { findAccount, findQueue } from './configuration.ts';
 import type { AccountConfig, QueueConfig, ServiceConfig } from './configuration.ts';
+import { isConfigTrusted } from './configtrust.ts';
 import type { JobRequest } from './jobrequest.ts';
 import { createHeldWork, computeJobBytes } from './heldwork.ts';
 import {
@@ -32,6 +33,9 @@
   committer: GroupCommitter;
   states: TableReplica<StateRow>;
   configs: ConfigReplica;
+  storeContact: Pick<ServiceContact, 'getSilenceMs' | 'getContactMs'>;
+  /** Time within which a configuration must be in force after the store has acknowledged it, in milliseconds. */
+  configApplyMs: number;
   /** Time within which the store is expected to answer a call now, in milliseconds. */
   getExpectedStoreMs: () => number;
   /** Memory that accepted jobs may make an owner hold, in bytes. */
@@ -108,8 +112,6 @@
  * A refusal by a configuration replica confirmed this recently needs no check against the store.
  */
 const freshConfigMs = 300;
-/** A working feed confirms the configuration every second and times out after 1.7 s. */
-const staleConfigMs = 2000;
 /** Callers wait this long for a newer configuration, so that they can still reach another instance. */
 const maxConfigWaitMs = 1000;
 /**
@@ -135,13 +137,24 @@
 
 /** Creates the job service of an instance. */
 export function createJobService(options: JobServiceOptions): JobService {
-  const { committer, states, configs, clock, getWallMs, logger, metrics } = options;
+  const { committer, states, configs, storeContact, clock, getWallMs, logger, metrics } = options;
   const heldWork = createHeldWork(states, clock);
 
   function getConfig(): ServiceConfig | undefined {
     return configs.find();
   }
 
+  /** Keys may have been revoked, and queues changed, since a configuration that is not trusted. */
+  function isTrusted(): boolean {
+    const evidence = {
+      ageMs: configs.getAgeMs(),
+      outageMs: configs.getOutageMs(),
+      storeSilenceMs: storeContact.getSilenceMs(),
+      storeContactMs: storeContact.getContactMs(),
+    };
+    return isConfigTrusted(evidence, options.configApplyMs);
+  }
+
   function isStoreUnreachable(): boolean {
     const ageMs = Math.min(states.getAgeMs(), configs.getAgeMs());
     const outageMs = Math.max(states.getOutageMs(), configs.getOutageMs());
@@ -309,19 +322,16 @@
       const config = getConfig();
       if (config === undefined) return Err(createUnavailable('no configuration yet'));
       const decided = resolveAdmission(config, host, path, key);
-      const ageMs = configs.getAgeMs();
-      // If reads do not fail, a replica gets this old only while the process is suspended or a large page
-      // arrives. Keys may have been revoked since.
-      const isStale = ageMs > staleConfigMs && configs.getOutageMs() === 0;
       // A key or queue may be newer than the replica, so a refusal is checked against the store.
-      const isTrusted = decided.isOk() ? !isStale : ageMs < freshConfigMs;
-      if (isTrusted) return decided;
+      const isDecided = decided.isOk() ? isTrusted() : configs.getAgeMs() < freshConfigMs;
+      if (isDecided) return decided;
       const isRefreshed = await Promise.race([
         configs.refresh(),
         waitFor(clock, maxConfigWaitMs).then(() => undefined),
       ]);
       // A newer configuration may allow what this one refuses, and the reverse.
-      if (isRefreshed === undefined && configs.getOutageMs() === 0) {
+      const isLate = isRefreshed === undefined && configs.getOutageMs() === 0;
+      if (isLate || (isRefreshed !== true && !isTrusted())) {
         return Err(
           createFault(FaultCode.StoreUnavailable, 'the configuration is not confirmed in time', {
             retryAfterMs,
--- a/packages/dispatch/tests/services.ts
+++ b/packages/dispatch/tests/services.ts
@@ -1,3 +1,4 @@
+import { createServiceContact } from '@bergamotreach/hosting';
 import { createGroupCommitter } from '@bergamotreach/ownership';
 import { createNullLogger, createNullMetrics } from '@bergamotreach/protocol';
 import { FakeProcess } from '../../ownership/tests/fakeprocess.ts';
@@ -57,6 +58,8 @@
     committer,
     states,
     configs,
+    storeContact: createServiceContact({ clock: process, maxSilenceMs: 2500 }),
+    configApplyMs: 2500,
     getWallMs,
     getExpectedStoreMs: () => expectedStoreMs,
     maxHeldBytes,
