Let both reads of a table be completed

Callers saw: a configuration in force 2.3 s after it was sent, where it took 0.8 s.

Cause: gave up the slower of two reads. The bytes of its answer that were already on the way still took the link, and since nobody received them the other read was taken for silent after 300 ms and began again.

Change: no read is given up. A refresh still waits for the one before it, so that at most two reads of a table are under way, the long poll and one refresh.

--- a/packages/dispatch/src/tablereplica.ts
+++ b/packages/dispatch/src/tablereplica.ts
@@ -58,8 +58,6 @@
   Complete,
   /** Another page may follow. */
   Cut,
-  /** Another read that is arriving brings the changes. */
-  Superseded,
 }
 
 interface Entry<T> {
@@ -216,7 +214,6 @@
       recordFailure(reply.error.message);
       return ReadOutcome.Failed;
     }
-    if (reply.value.isSuperseded === true) return ReadOutcome.Superseded;
     metrics.count('feed.reads', 1, { table: name });
     reportReading(reply.value, waitMs);
     applyPage(reply.value, sentMs);
@@ -227,9 +224,7 @@
   async function readRemaining(): Promise<boolean> {
     for (;;) {
       const outcome = await readPage(0);
-      if (outcome === ReadOutcome.Failed) return false;
-      if (outcome === ReadOutcome.Complete) return true;
-      if (outcome === ReadOutcome.Superseded) await waitForArrival();
+      if (outcome !== ReadOutcome.Cut) return outcome === ReadOutcome.Complete;
     }
   }
 
--- a/packages/hosting/src/exchange.ts
+++ b/packages/hosting/src/exchange.ts
@@ -16,8 +16,6 @@
   Gap = 'gap',
   /** The response arrived too slowly to be worth waiting for. */
   Rate = 'rate',
-  /** The caller gave it up. */
-  Caller = 'caller',
 }
 
 /** How the response of an exchange arrived. Durations are in milliseconds. */
--- a/packages/hosting/src/feed.ts
+++ b/packages/hosting/src/feed.ts
@@ -20,8 +20,6 @@
   unreadableKeys?: readonly string[];
   /** Position to pass to the next `wait`. */
   position: number;
-  /** The read was given up, since another read of the feed has begun to bring the changes. The page is empty. */
-  isSuperseded?: boolean;
   /** How the page was read; absent if it was not read over a network. */
   reading?: PageReading;
 }
@@ -42,8 +40,7 @@
   abstract load(): Promise<Result<FeedPage<T>, Fault>>;
   /**
    * Waits up to `waitMs` for changes after `position`. The page is empty when there were none, and a
-   * snapshot when the store no longer has the history since `position`. Of several reads at a time, only the one
-   * whose large answer begins to arrive first is completed; the others are superseded. Faults: `store_unavailable`.
+   * snapshot when the store no longer has the history since `position`. Faults: `store_unavailable`.
    */
   abstract wait(position: number, waitMs: number): Promise<Result<FeedPage<T>, Fault>>;
   /**
--- a/packages/hosting/src/httpclient.ts
+++ b/packages/hosting/src/httpclient.ts
@@ -3,7 +3,7 @@
 import { ExchangeLimit, ExchangeStatus, formatTransfer } from './exchange.ts';
 import type { Exchange, Transfer } from './exchange.ts';
 import { createLaneTimeouts } from './lanetimeouts.ts';
-import { createLinkLoad, isLargeResponse } from './linkload.ts';
+import { createLinkLoad } from './linkload.ts';
 import type { LinkLoad } from './linkload.ts';
 import { createSilenceWatch } from './silencewatch.ts';
 import type { SilenceWatch } from './silencewatch.ts';
@@ -48,10 +48,6 @@
   waitMs?: number;
   /** Called when the first byte of the response body has arrived. */
   onFirstByte?: () => void;
-  /** Called once so much of the response has arrived that it delays other exchanges noticeably. */
-  onLargeResponse?: () => void;
-  /** Gives up the exchange; its connection is closed. */
-  signal?: AbortSignal;
 }
 
 /** Client of one HTTP service with a connection pool. */
@@ -209,11 +205,6 @@
       receivedBytes,
       limit,
     });
-    const cancelExchange = (): void => {
-      limit = ExchangeLimit.Caller;
-      abortController.abort(new Error('given up by the caller'));
-    };
-    sendOptions.signal?.addEventListener('abort', cancelExchange);
     const stopWatch = watchSilence(watch, () => {
       limit = watch.getLimit();
       handleTimeout(lane);
@@ -232,9 +223,7 @@
           sendOptions.onFirstByte?.();
           isDelayed = linkLoad.getLastMs() > startedMs + waitMs;
         }
-        const wasLarge = isLargeResponse(receivedBytes);
         receivedBytes += chunk.length;
-        if (!wasLarge && isLargeResponse(receivedBytes)) sendOptions.onLargeResponse?.();
         watch.recordBytes(chunk.length, nowMs);
         linkLoad.recordBytes(receivedBytes, nowMs);
         chunks.push(chunk);
@@ -247,7 +236,6 @@
     } catch (error) {
       return createFailedExchange(error, getTransfer());
     } finally {
-      sendOptions.signal?.removeEventListener('abort', cancelExchange);
       stopWatch();
     }
   }
--- a/packages/hosting/src/linkload.ts
+++ b/packages/hosting/src/linkload.ts
@@ -9,18 +9,13 @@
 /** Smaller responses do not delay others noticeably: 30 ms on a link of 7 Mbit/s. */
 const largeResponseBytes = 26_250;
 
-/** Whether a response of which this much has arrived delays other exchanges on its link. */
-export function isLargeResponse(receivedBytes: number): boolean {
-  return receivedBytes >= largeResponseBytes;
-}
-
 /** Creates the load of one link; all clients of a process share it. */
 export function createLinkLoad(): LinkLoad {
   let lastMs = -Infinity;
 
   return {
     recordBytes(receivedBytes, nowMs) {
-      if (isLargeResponse(receivedBytes)) lastMs = nowMs;
+      if (receivedBytes >= largeResponseBytes) lastMs = nowMs;
     },
     getLastMs: () => lastMs,
   };
