Parse a bounded amount in each turn of the event loop

Operators saw: a process beyond the memory of its machine beside many clients whose heads and trailers never end.

Cause: what the HTTP parser of a closed connection holds is freed between two turns of the event loop. One turn parsed up to 64 KiB of each connection, and the connections that were given up in it stayed in memory beside those that followed.

Change: a listener parses 256 KiB a turn, in the order of arrival; the rest waits for the next turn.

--- a/packages/daemon/src/httpserver.ts
+++ b/packages/daemon/src/httpserver.ts
@@ -14,6 +14,8 @@
 } from '@bergamotreach/protocol';
 import type { Fault, Logger, Metrics } from '@bergamotreach/protocol';
 import { formatFaultBody } from './responses.ts';
+import { createTurnLimit } from './turnlimit.ts';
+import type { TurnLimit } from './turnlimit.ts';
 
 /** Configurable limits of the listener. */
 export type ListenerLimits = Pick<
@@ -71,6 +73,8 @@
 const defaultMaxAhead = 128;
 /** Part of the received bytes that is parsed at once. */
 const sliceBytes = 4096;
+/** Bytes of all connections that are parsed in one turn of the event loop. */
+const turnBytes = 262_144;
 /** Connections that wait for the guard's decision while others are being closed. */
 const connectionMargin = 64;
 
@@ -131,9 +135,10 @@
 /**
  * Hands what a connection receives to the HTTP parser in small slices, and nothing more once the connection
  * is closed. Node.js parses up to 64 KiB at once otherwise: over a thousand requests sent ahead, each with its
- * objects, before the first one can be refused.
+ * objects, before the first one can be refused. What the parsers of closed connections hold is freed only between two
+ * turns of the event loop, so a turn parses a limited amount.
  */
-function parseInSlices(socket: Socket): void {
+function parseInSlices(socket: Socket, turnLimit: TurnLimit): void {
   const parsers = socket.listeners('data') as ((chunk: Buffer) => void)[];
   const [parse] = parsers;
   if (parse === undefined || parsers.length > 1) return;
@@ -145,7 +150,13 @@
         socket.unshift(chunk.subarray(from));
         return;
       }
-      parse(chunk.subarray(from, from + sliceBytes));
+      const slice = chunk.subarray(from, from + sliceBytes);
+      if (!turnLimit.take(slice.length)) {
+        socket.pause().unshift(chunk.subarray(from));
+        turnLimit.queue(() => socket.resume());
+        return;
+      }
+      parse(slice);
     }
   });
 }
@@ -177,6 +188,7 @@
     },
     handleRequest,
   );
+  const turnLimit = createTurnLimit(turnBytes);
   const maxConnections = options.maxConnections ?? initialMaxConnections;
   const guard = createConnectionGuard({
     listener: options.name,
@@ -190,7 +202,7 @@
   server.maxConnections = maxConnections + connectionMargin;
   server.on('connection', (socket) => {
     if (!guard.accept(socket)) return;
-    parseInSlices(socket);
+    parseInSlices(socket, turnLimit);
     sockets.add(socket);
     socket.once('close', () => sockets.delete(socket));
   });
