Count header lines at their cost, keep those that are used, and drop none unseen

Operators saw: a process of 400 to 570 MB on a machine of 250 MB beside clients that send many header lines. Callers saw: 400 or 401 for a legal job whose Host and Api-Key stand behind 1,000 or more header lines.

Cause: a request counted as 6,144 bytes and its header bytes, but each line is two strings and entries of an array and an object, held until the answer was read. Heads and trailers counted only once they had arrived. Node.js keeps 1,000 lines and drops the others without a word.

Change: all lines are taken; they count with 256 bytes each from their arrival, and those that the listener's handler does not read are dropped as soon as the size of the head has been checked. No limit was added: the number of lines is bounded by the 65,536 bytes of a head.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -7,7 +7,7 @@
 import { MessageType, waitFor } from '@bergamotreach/protocol';
 import type { Fault } from '@bergamotreach/protocol';
 import type { Result } from 'ts-results-es';
-import { createApp, createListenerErrorResponse } from './app.ts';
+import { callerHeaders, createApp, createListenerErrorResponse } from './app.ts';
 import { createAuthenticator } from './auth.ts';
 import { createBodyReader } from './body.ts';
 import { countLinkRestarts, startGauges } from './gauges.ts';
@@ -257,6 +257,7 @@
   const server = await startHttpServer({
     address: settings.httpAddress,
     name: 'callers',
+    usedHeaders: callerHeaders,
     budget,
     logger,
     metrics,
--- a/packages/daemon/src/httpserver.ts
+++ b/packages/daemon/src/httpserver.ts
@@ -13,6 +13,13 @@
   splitAddress,
 } from '@bergamotreach/protocol';
 import type { Fault, Logger, Metrics } from '@bergamotreach/protocol';
+import {
+  computeHeadBytes,
+  computeHeldBytes,
+  createHeadFilter,
+  createParserLoad,
+} from './requesthead.ts';
+import type { ParserLoad } from './requesthead.ts';
 import { formatFaultBody } from './responses.ts';
 import { createTurnLimit } from './turnlimit.ts';
 import type { TurnLimit } from './turnlimit.ts';
@@ -48,6 +55,8 @@
   /** Name of the listener in logs and metrics. */
   name: string;
   handler: RequestHandler;
+  /** Names of the header lines that the handler reads; others are dropped once their size has been checked. */
+  usedHeaders: readonly string[];
   /** Memory that the clients of all listeners may make the process hold. */
   budget: MemoryBudget;
   logger: Logger;
@@ -126,10 +135,12 @@
   response.end(body);
 }
 
-function countHeaderBytes(request: IncomingMessage): number {
-  // Each name and each value is followed by a separator of two bytes.
-  const lineBytes = (request.url ?? '').length;
-  return request.rawHeaders.reduce((sum, text) => sum + text.length + 2, lineBytes);
+/** How the bytes of a connection reach the HTTP parser. */
+interface ParseOptions {
+  load: ParserLoad;
+  turnLimit: TurnLimit;
+  /** Called after each slice. */
+  onSlice: () => void;
 }
 
 /**
@@ -138,7 +149,7 @@
  * objects, before the first one can be refused. What the parsers of closed connections hold is freed only between two
  * turns of the event loop, so a turn parses a limited amount.
  */
-function parseInSlices(socket: Socket, turnLimit: TurnLimit): void {
+function parseInSlices(socket: Socket, { load, turnLimit, onSlice }: ParseOptions): void {
   const parsers = socket.listeners('data') as ((chunk: Buffer) => void)[];
   const [parse] = parsers;
   if (parse === undefined || parsers.length > 1) return;
@@ -156,7 +167,9 @@
         turnLimit.queue(() => socket.resume());
         return;
       }
+      load.addBytes(slice);
       parse(slice);
+      onSlice();
     }
   });
 }
@@ -188,7 +201,11 @@
     },
     handleRequest,
   );
+  // Node.js drops the lines beyond 1,000 without a word otherwise. Their number is bounded by their bytes.
+  server.maxHeadersCount = 0;
+  const filterHead = createHeadFilter(options.usedHeaders);
   const turnLimit = createTurnLimit(turnBytes);
+  const parserLoads = new WeakMap<Socket, ParserLoad>();
   const maxConnections = options.maxConnections ?? initialMaxConnections;
   const guard = createConnectionGuard({
     listener: options.name,
@@ -202,7 +219,14 @@
   server.maxConnections = maxConnections + connectionMargin;
   server.on('connection', (socket) => {
     if (!guard.accept(socket)) return;
-    parseInSlices(socket, turnLimit);
+    const load = createParserLoad(parserHeaderBytes);
+    parserLoads.set(socket, load);
+    parseInSlices(socket, {
+      ...{ load, turnLimit },
+      onSlice: () => {
+        guard.setPartial(socket, load.getHeldBytes());
+      },
+    });
     sockets.add(socket);
     socket.once('close', () => sockets.delete(socket));
   });
@@ -215,16 +239,19 @@
   const address = await listen(server, options.address);
 
   function handleRequest(request: IncomingMessage, response: ServerResponse): void {
-    const headerBytes = countHeaderBytes(request);
+    const headBytes = computeHeadBytes(request);
+    parserLoads.get(request.socket)?.startRequest(request);
+    filterHead(request);
+    const heldBytes = computeHeldBytes(request);
     // The rest of what a closed connection has sent is still parsed.
-    if (!guard.startRequest(request.socket, headerBytes)) return;
+    if (!guard.startRequest(request.socket, heldBytes)) return;
     openResponses.add(response);
     response.once('close', () => {
       openResponses.delete(response);
-      guard.endRequest(request.socket, headerBytes);
+      guard.endRequest(request.socket, heldBytes);
     });
     if (isDraining) response.setHeader('connection', 'close');
-    if (headerBytes <= maxHeaderBytes) options.handler(request, response);
+    if (headBytes <= maxHeaderBytes) options.handler(request, response);
     else
       sendFault(
         response,
--- a/packages/daemon/tests/slices.test.ts
+++ b/packages/daemon/tests/slices.test.ts
@@ -20,6 +20,7 @@
   const server = await startHttpServer({
     address: '127.0.0.1:0',
     name: 'callers',
+    usedHeaders: [],
     budget: createMemoryBudget({ clock, maxBytes: Infinity }),
     logger: createNullLogger(),
     metrics: createNullMetrics(),
