Count a head that begins behind a whole request

The bytes of a slice that follow a whole request were not counted, up to 4 KiB of header lines for each connection, and the lines of a slice were counted again for each request in it.

Change: what is counted of a head begins with the slice in which the request before it ends, an upper bound. A comment of app.ts is back at its constant.

Measured: the unit test "a head counts from the slice in which the request before it ends" covers the change; it was not run on the code before.

--- a/packages/daemon/src/app.ts
+++ b/packages/daemon/src/app.ts
@@ -24,7 +24,6 @@
   logger: Logger;
 }
 
-// Routes reported as metric tags. Callers choose the path, so any other is reported as `other`.
 /** Names of the header lines that the routes read. */
 export const callerHeaders: readonly string[] = [
   'authorization',
@@ -33,6 +32,7 @@
   'x-repeat',
   'x-request-id',
 ];
+// Routes reported as metric tags. Callers choose the path, so any other is reported as `other`.
 const routeTags = new Set(['services', 'jobs', 'accounts', 'config', 'workers', 'instances']);
 const operatorPaths = ['/v1/config', '/v1/config/*', '/v1/instances', '/v1/dump', '/v1/drain'];
 const operatorOnlyPaths = [...operatorPaths, '/v1/workers', '/v1/report'];
--- a/packages/daemon/src/requesthead.ts
+++ b/packages/daemon/src/requesthead.ts
@@ -62,7 +62,16 @@
   let request: IncomingMessage | undefined;
   let bytes = 0;
   let lines = 0;
-  let slice: Buffer = Buffer.alloc(0);
+  /** Those of the latest slice alone. */
+  let sliceBytes = 0;
+  let sliceLines = 0;
+
+  /** A head may have begun anywhere in the latest slice, behind the request before it. */
+  function startHead(): void {
+    request = undefined;
+    bytes = sliceBytes;
+    lines = sliceLines;
+  }
 
   function canHold(): boolean {
     // Of a body with a stated length the parser holds nothing, and no trailers follow it.
@@ -71,20 +80,15 @@
 
   return {
     addBytes(next) {
-      if (request?.complete === true) {
-        request = undefined;
-        bytes = 0;
-        lines = 0;
-      }
-      slice = next;
-      bytes = Math.min(maxBytes, bytes + next.length);
-      lines += countLines(next);
+      if (request?.complete === true) startHead();
+      sliceBytes = next.length;
+      sliceLines = countLines(next);
+      bytes = Math.min(maxBytes, bytes + sliceBytes);
+      lines += sliceLines;
     },
     startRequest(next) {
+      startHead();
       request = next;
-      // What follows the head in the same slice may be the beginning of the next one.
-      bytes = slice.length;
-      lines = countLines(slice);
     },
     getHeldBytes() {
       if (!canHold()) return 0;
