Answer a refusal at once while it cannot be confirmed

Cause: a call that the old configuration refuses waits up to 1 s for a read. Since a refresh waits for the one before it, such a call could outlast an outage of the store and be decided by the version that arrived then, while calls that the old configuration allows were decided at once.

Change: while reads of the configuration fail, such a call is answered 503 with Retry-After at once, since its refusal cannot be confirmed.

--- a/packages/dispatch/src/jobservice.ts
+++ b/packages/dispatch/src/jobservice.ts
@@ -165,6 +165,11 @@
     return createFault(FaultCode.StoreUnavailable, message);
   }
 
+  function createUnconfirmedFault(): Fault {
+    const message = 'the configuration is not confirmed in time';
+    return createFault(FaultCode.StoreUnavailable, message, { retryAfterMs });
+  }
+
   function resolveAdmission(
     config: ServiceConfig,
     host: string,
@@ -325,6 +330,9 @@
       // A key or queue may be newer than the replica, so a refusal is checked against the store.
       const isDecided = decided.isOk() ? isTrusted() : configs.getAgeMs() < freshConfigMs;
       if (isDecided) return decided;
+      // A refusal cannot be confirmed now. A call that waited for the store would be decided by a newer configuration
+      // than calls that came after it.
+      if (decided.isErr() && configs.getOutageMs() > 0) return Err(createUnconfirmedFault());
       const isRefreshed = await Promise.race([
         configs.refresh(),
         waitFor(clock, maxConfigWaitMs).then(() => undefined),
@@ -332,11 +340,7 @@
       // A newer configuration may allow what this one refuses, and the reverse.
       const isLate = isRefreshed === undefined && configs.getOutageMs() === 0;
       if (isLate || (isRefreshed !== true && !isTrusted())) {
-        return Err(
-          createFault(FaultCode.StoreUnavailable, 'the configuration is not confirmed in time', {
-            retryAfterMs,
-          }),
-        );
+        return Err(createUnconfirmedFault());
       }
       return resolveAdmission(getConfig() ?? config, host, path, key);
     },
--- a/packages/dispatch/tests/admissionworld.ts
+++ b/packages/dispatch/tests/admissionworld.ts
@@ -31,5 +31,5 @@
     const admitted = await admitting;
     return admitted.isOk() ? admitted.value.version : admitted.error.code;
   };
-  return { clock, feed, contact, configs, callQueue };
+  return { clock, feed, contact, configs, jobs, callQueue };
 }
