Do not decide a refused call by a configuration that overtook it

Callers saw: an instance that seems to go back (CONFIG): a call that had waited is answered by a new version, and a call sent 300 ms after it by the old one.

Change: a call that has waited for over 200 ms when a new version arrives is answered 503 with Retry-After; its repeat is decided by that version. A quick read is used as before.

--- a/packages/dispatch/src/jobservice.ts
+++ b/packages/dispatch/src/jobservice.ts
@@ -114,6 +114,11 @@
 const freshConfigMs = 300;
 /** Callers wait this long for a newer configuration, so that they can still reach another instance. */
 const maxConfigWaitMs = 1000;
+/**
+ * A call that waited longer for a newer configuration is not decided by it: later calls have been decided by the older
+ * one, and an instance must not seem to go back.
+ */
+const maxOvertakenMs = 200;
 /**
  * A store without an answer for this long counts as unreachable, and new jobs are refused at once.
  */
@@ -330,9 +335,11 @@
       // A key or queue may be newer than the replica, so a refusal is checked against the store.
       const isDecided = decided.isOk() ? isTrusted() : configs.getAgeMs() < freshConfigMs;
       if (isDecided) return decided;
-      // A refusal cannot be confirmed now. A call that waited for the store would be decided by a newer configuration
-      // than calls that came after it.
+      // A refusal cannot be confirmed now.
       if (decided.isErr() && configs.getOutageMs() > 0) return Err(createUnconfirmedFault());
+      // Calls that the old configuration allows are decided meanwhile.
+      const canOvertake = decided.isErr() && isTrusted();
+      const waitedFromMs = clock.getNowMs();
       const isRefreshed = await Promise.race([
         configs.refresh(),
         waitFor(clock, maxConfigWaitMs).then(() => undefined),
@@ -342,7 +349,11 @@
       if (isLate || (isRefreshed !== true && !isTrusted())) {
         return Err(createUnconfirmedFault());
       }
-      return resolveAdmission(getConfig() ?? config, host, path, key);
+      const current = getConfig() ?? config;
+      const isOvertaken =
+        current.version !== config.version && clock.getNowMs() - waitedFromMs > maxOvertakenMs;
+      if (canOvertake && isOvertaken) return Err(createUnconfirmedFault());
+      return resolveAdmission(current, host, path, key);
     },
     async submit(admission, request, deadlineMs) {
       const { queue, account } = admission;
