--- a/packages/dispatch/tests/regress.test.ts
+++ b/packages/dispatch/tests/regress.test.ts
@@ -5,6 +5,7 @@
 
 const quickMs = 5;
 const arrivalMs = 800;
+const crowdSize = 2000;
 
 // Guards against a refused call that waits for the store and is decided by a newer configuration than later calls.
 test('a refusal that cannot be confirmed is answered at once while reads fail', async () => {
@@ -53,3 +54,29 @@
   expect(admitted.isOk() && admitted.value.version).toEqual(2);
   configs.stop();
 });
+
+// Guards against any number of refused calls that wait for a read, with their requests in memory.
+test('refused calls beyond a number are answered at once while the others wait for a read', async () => {
+  const { clock, feed, configs, jobs } = createAdmission();
+  feed.put('config', createConfigRow(1, ['/old/']), quickMs);
+  configs.start();
+  await clock.advance(1500);
+  feed.put('config', createConfigRow(2, ['/old/']), arrivalMs);
+  await clock.advance(50);
+  const codes: FaultCode[] = [];
+  const calls = Array.from({ length: crowdSize }, async () => {
+    const refused = await jobs.admit('h', '/new/', undefined);
+    if (refused.isErr()) codes.push(refused.error.code);
+  });
+  await clock.advance(1);
+  expect(codes.length).toBeGreaterThan(crowdSize / 2);
+  expect(new Set(codes)).toEqual(new Set([FaultCode.StoreUnavailable]));
+  expect((await jobs.admit('h', '/old/', undefined)).isOk()).toEqual(true);
+  await clock.advance(2 * arrivalMs);
+  await Promise.all(calls);
+  const later = jobs.admit('h', '/new/', undefined);
+  await clock.advance(100);
+  const refused = await later;
+  expect(refused.isErr() && refused.error.code).toEqual(FaultCode.NotFound);
+  configs.stop();
+});
