Take a bounded amount of the inner protocol in each turn

Cause: buffers of closed connections are freed after the turn of the event loop in which they were received, and one turn received from all connections of the inner protocol.

Change: the limit of the HTTP listeners moves to hosting/turnlimit.ts and holds for the listener of relayed calls too, 256 KiB a turn.

--- a/packages/daemon/src/httpserver.ts
+++ b/packages/daemon/src/httpserver.ts
@@ -2,8 +2,8 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
 import type { LimitsConfig } from '@bergamotreach/config';
-import { createConnectionGuard } from '@bergamotreach/hosting';
-import type { MemoryBudget } from '@bergamotreach/hosting';
+import { createConnectionGuard, createTurnLimit, readInSlices } from '@bergamotreach/hosting';
+import type { MemoryBudget, TurnLimit } from '@bergamotreach/hosting';
 import {
   FaultCode,
   createFault,
@@ -21,8 +21,6 @@
 } from './requesthead.ts';
 import type { ParserLoad } from './requesthead.ts';
 import { formatFaultBody } from './responses.ts';
-import { createTurnLimit } from './turnlimit.ts';
-import type { TurnLimit } from './turnlimit.ts';
 
 /** Configurable limits of the listener. */
 export type ListenerLimits = Pick<
@@ -144,33 +142,22 @@
 }
 
 /**
- * Hands what a connection receives to the HTTP parser in small slices, and nothing more once the connection
- * is closed. Node.js parses up to 64 KiB at once otherwise: over a thousand requests sent ahead, each with its
- * objects, before the first one can be refused. What the parsers of closed connections hold is freed only between two
- * turns of the event loop, so a turn parses a limited amount.
+ * Hands what a connection receives to the HTTP parser in small slices. Node.js parses up to 64 KiB at once
+ * otherwise: over a thousand requests sent ahead, each with its objects, before the first one can be refused. The
+ * parser must not be called while answers wait to be read: Node.js pauses the connection then.
  */
 function parseInSlices(socket: Socket, { load, turnLimit, onSlice }: ParseOptions): void {
   const parsers = socket.listeners('data') as ((chunk: Buffer) => void)[];
   const [parse] = parsers;
   if (parse === undefined || parsers.length > 1) return;
   socket.removeListener('data', parse);
-  socket.on('data', (chunk: Buffer) => {
-    for (let from = 0; from < chunk.length && !socket.destroyed; from += sliceBytes) {
-      if (socket.isPaused()) {
-        // Answers wait to be read. The parser must not be called until the connection is read again.
-        socket.unshift(chunk.subarray(from));
-        return;
-      }
-      const slice = chunk.subarray(from, from + sliceBytes);
-      if (!turnLimit.take(slice.length)) {
-        socket.pause().unshift(chunk.subarray(from));
-        turnLimit.queue(() => socket.resume());
-        return;
-      }
+  readInSlices(socket, {
+    ...{ turnLimit, sliceBytes },
+    handleSlice(slice) {
       load.addBytes(slice);
       parse(slice);
       onSlice();
-    }
+    },
   });
 }
 
--- a/packages/dispatch/src/relay.ts
+++ b/packages/dispatch/src/relay.ts
@@ -1,6 +1,11 @@
 import { connect, createServer } from 'node:net';
 import type { Server, Socket } from 'node:net';
-import { createConnectionGuard, getSendAllowanceMs } from '@bergamotreach/hosting';
+import {
+  createConnectionGuard,
+  createTurnLimit,
+  getSendAllowanceMs,
+  readInSlices,
+} from '@bergamotreach/hosting';
 import type { MemoryBudget } from '@bergamotreach/hosting';
 import {
   FaultCode,
@@ -260,6 +265,10 @@
 /** Peers send one call on each connection, and each instance relays to three peers at most. */
 const maxConnections = 512;
 const maxCallsAhead = 8;
+/** Most that a socket hands over at once. */
+const sliceBytes = 65_536;
+/** Bytes of all connections that are taken in one turn of the event loop. */
+const turnBytes = 262_144;
 
 /** Starts a server that answers relayed calls. Rejects if the address cannot be used. */
 export async function startRelayListener(options: RelayListenerOptions): Promise<Server> {
@@ -270,6 +279,7 @@
     maxConnections,
     maxAhead: maxCallsAhead,
   });
+  const turnLimit = createTurnLimit(turnBytes);
 
   function handleSocket(socket: Socket): void {
     if (!guard.accept(socket)) return;
@@ -280,8 +290,8 @@
     socket.on('error', (error) => {
       logger.debug('relay_connection_failed', { reason: error.message });
     });
-    socket.on('data', (chunk: Buffer) => {
-      const messages = reader.readChunk(chunk);
+    const handleSlice = (slice: Buffer): void => {
+      const messages = reader.readChunk(slice);
       if (messages.isErr()) {
         logger.warn('relay_frame_refused', { reason: messages.error.message });
         socket.destroy();
@@ -294,7 +304,8 @@
           guard.endRequest(socket, 0);
         });
       }
-    });
+    };
+    readInSlices(socket, { turnLimit, sliceBytes, handleSlice });
   }
 
   async function answer(socket: Socket, message: PeerMessage): Promise<void> {
--- a/packages/hosting/src/index.ts
+++ b/packages/hosting/src/index.ts
@@ -19,4 +19,5 @@
 export * from './silencewatch.ts';
 export * from './table.ts';
 export * from './tasklist.ts';
+export * from './turnlimit.ts';
 export * from './worker.ts';
