Limit the calls that wait for a newer configuration

Cause: a refused call waits up to a second for a read of the configuration. Its request stays in memory for that time, but counts only until its connection is closed, and clients that are closed are followed by others. Each wait also left a timer of a second.

Change: at most 512 refused and 512 allowed calls of an instance wait at once; beyond that a call is answered 503 with Retry-After as after a wait that took too long. In calm allowed calls do not wait at all. The timer ends with the wait.

--- a/packages/dispatch/src/jobservice.ts
+++ b/packages/dispatch/src/jobservice.ts
@@ -12,6 +12,7 @@
 import { findAccount, findQueue } from './configuration.ts';
 import type { AccountConfig, QueueConfig, ServiceConfig } from './configuration.ts';
 import { isConfigTrusted } from './configtrust.ts';
+import { createConfigWaits } from './configwaits.ts';
 import type { JobRequest } from './jobrequest.ts';
 import { createHeldWork, computeJobBytes } from './heldwork.ts';
 import {
@@ -112,8 +113,6 @@
  * A refusal by a configuration replica confirmed this recently needs no check against the store.
  */
 const freshConfigMs = 300;
-/** Callers wait this long for a newer configuration, so that they can still reach another instance. */
-const maxConfigWaitMs = 1000;
 /**
  * A call that waited longer for a newer configuration is not decided by it: later calls have been decided by the older
  * one, and an instance must not seem to go back.
@@ -144,6 +143,9 @@
 export function createJobService(options: JobServiceOptions): JobService {
   const { committer, states, configs, storeContact, clock, getWallMs, logger, metrics } = options;
   const heldWork = createHeldWork(states, clock);
+  // Refused calls, which anyone can send, must not use up what allowed calls wait with.
+  const refusedWaits = createConfigWaits({ clock, refresh: () => configs.refresh() });
+  const allowedWaits = createConfigWaits({ clock, refresh: () => configs.refresh() });
 
   function getConfig(): ServiceConfig | undefined {
     return configs.find();
@@ -340,10 +342,7 @@
       // Calls that the old configuration allows are decided meanwhile.
       const canOvertake = decided.isErr() && isTrusted();
       const waitedFromMs = clock.getNowMs();
-      const isRefreshed = await Promise.race([
-        configs.refresh(),
-        waitFor(clock, maxConfigWaitMs).then(() => undefined),
-      ]);
+      const isRefreshed = await (decided.isOk() ? allowedWaits : refusedWaits).waitForRead();
       // A newer configuration may allow what this one refuses, and the reverse.
       const isLate = isRefreshed === undefined && configs.getOutageMs() === 0;
       if (isLate || (isRefreshed !== true && !isTrusted())) {
