End all requests of a closed connection

Cause: when a connection closes, Node.js ends only the request whose answer is due. The others of a client that sends ahead stayed among the open requests for good, each with about 10 KB, and a stopping instance waited for them.

--- a/packages/daemon/src/httpserver.ts
+++ b/packages/daemon/src/httpserver.ts
@@ -215,7 +215,10 @@
       },
     });
     sockets.add(socket);
-    socket.once('close', () => sockets.delete(socket));
+    socket.once('close', () => {
+      sockets.delete(socket);
+      closeWaiting(socket);
+    });
   });
   server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
     handleClientError(error, socket, hasResponseStarted);
@@ -246,6 +249,15 @@
       );
   }
 
+  /** Ends the requests whose answers were not due yet. Node.js ends only the one whose answer was. */
+  function closeWaiting(socket: Socket): void {
+    for (const response of openResponses) {
+      if (response.req.socket !== socket || response.socket === socket) continue;
+      response.destroy();
+      response.emit('close');
+    }
+  }
+
   function hasResponseStarted(socket: Socket): boolean {
     return [...openResponses].some(
       (response) => response.socket === socket && response.headersSent,
