Collect garbage early only in a small process

Cause: the collection that makes when 40 % of the memory is in use stops the process, on a machine of several GB for longer than is safe for a lease.

Change: it is made only up to 256 MB resident. Larger machines have room until the runtime's own collection.

--- a/packages/hosting/src/heaplimit.ts
+++ b/packages/hosting/src/heaplimit.ts
@@ -18,6 +18,8 @@
 const tightShare = 0.4;
 const relaxedShare = 0.3;
 const tightPercent = 20;
+/** A collection stops the process for longer the more it holds, and a larger machine has room until the next one. */
+const maxCollectedBytes = 256 * 1024 * 1024;
 
 /**
  * Lets the heap grow slowly while much of the memory is in use. By itself the runtime lets garbage grow to the size of
@@ -27,12 +29,13 @@
   const { clock, memoryBytes, getResidentBytes, setGrowthPercent, collectGarbage } = options;
   let isTight = false;
   return runEvery(clock, checkMs, () => {
-    const share = getResidentBytes() / memoryBytes;
+    const residentBytes = getResidentBytes();
+    const share = residentBytes / memoryBytes;
     const isTightNow = share > (isTight ? relaxedShare : tightShare);
     if (isTightNow === isTight) return;
     isTight = isTightNow;
     setGrowthPercent(isTight ? tightPercent : 0);
     // The runtime decides on the growth only after each collection; the one before may allow several times the heap.
-    if (isTight) collectGarbage();
+    if (isTight && residentBytes <= maxCollectedBytes) collectGarbage();
   });
 }
--- a/packages/hosting/tests/heaplimit.test.ts
+++ b/packages/hosting/tests/heaplimit.test.ts
@@ -28,3 +28,22 @@
   expect(percents.map((percent) => percent > 0)).toEqual([true, false]);
   expect(collections).toEqual(1);
 });
+
+// Guards against a pause of the whole process that lasts longer than its lease allows.
+test('a process that holds much does not stop to collect garbage', async () => {
+  const clock = createManualClock();
+  const percents: number[] = [];
+  let collections = 0;
+  startHeapLimit({
+    clock,
+    memoryBytes: 2 ** 32,
+    getResidentBytes: () => 2 ** 31,
+    setGrowthPercent: (percent) => percents.push(percent),
+    collectGarbage: () => {
+      collections += 1;
+    },
+  });
+  await clock.advance(1000);
+  expect(percents.map((percent) => percent > 0)).toEqual([true]);
+  expect(collections).toEqual(0);
+});
